--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,138 @@
+// Package caller puts calls to backend servers over HTTP. It registers two
+// protocols: "engine" for model engines that stream server-sent events, and
+// "service" for plain services.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+const (
+	// HeaderAttempt carries the attempt identifier to the backend server.
+	HeaderAttempt = "X-Attempt-Id"
+	// HeaderPriority carries the priority to a model engine.
+	HeaderPriority = "X-Priority"
+	// HeaderResume carries the number of bytes behind which a model engine
+	// goes on.
+	HeaderResume = "X-Resume-Offset"
+
+	maxLoadBytes   = 64 << 10
+	maxIdlePerHost = 256
+)
+
+type (
+	// Caller is a client of one backend server.
+	Caller struct {
+		url    string
+		client *http.Client
+		resume bool
+	}
+
+	// loadReport is the load as a model engine reports it.
+	loadReport struct {
+		Running       int                `json:"running"`
+		Waiting       int                `json:"waiting"`
+		WaitingTokens carawaybeam.Tokens `json:"waitingTokens"`
+	}
+
+	// StatusError reports an unexpected status.
+	StatusError struct {
+		Status int
+	}
+)
+
+var _ carawaybeam.Backend = (*Caller)(nil)
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("backend server answered status %d", e.Status)
+}
+
+func init() {
+	carawaybeam.Backends.Register("engine", func(options carawaybeam.BackendOptions) (carawaybeam.Backend, error) {
+		return New(options, true), nil
+	})
+	carawaybeam.Backends.Register("service", func(options carawaybeam.BackendOptions) (carawaybeam.Backend, error) {
+		return New(options, false), nil
+	})
+}
+
+// New returns a Caller of the backend server at the URL of the options. An
+// engine takes priorities and resumes; a plain service gets neither.
+func New(options carawaybeam.BackendOptions, engine bool) *Caller {
+	dialer := &net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: 15 * time.Second}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableCompression:  true,
+	}
+	return &Caller{url: options.URL, client: &http.Client{Transport: transport}, resume: engine}
+}
+
+// Start puts a call and returns once the answer begins.
+func (c *Caller) Start(ctx context.Context, call carawaybeam.Call) (*carawaybeam.Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &carawaybeam.NotSentError{Cause: err}
+	}
+	// Without GetBody the transport never sends a request twice by itself.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", call.ContentType)
+	request.Header.Set(HeaderAttempt, string(call.Attempt))
+	if c.resume {
+		request.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
+		request.Header.Set(HeaderResume, strconv.FormatInt(int64(call.Resume), 10))
+	}
+	response, err := c.client.Do(request) //nolint:bodyclose // The reader of the answer closes it.
+	if err != nil {
+		return nil, startError(err)
+	}
+	return &carawaybeam.Answer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        response.Body,
+	}, nil
+}
+
+// startError tells apart the calls that never left.
+func startError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &carawaybeam.NotSentError{Cause: err}
+	}
+	return err
+}
+
+// Load returns the present load. A plain service reports none.
+func (c *Caller) Load(ctx context.Context) (carawaybeam.Load, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+"/load", http.NoBody)
+	if err != nil {
+		return carawaybeam.Load{}, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return carawaybeam.Load{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotFound && !c.resume {
+		return carawaybeam.Load{}, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return carawaybeam.Load{}, &StatusError{Status: response.StatusCode}
+	}
+	var report loadReport
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report); err != nil {
+		return carawaybeam.Load{}, err
+	}
+	return carawaybeam.Load(report), nil
+}
--- /dev/null
+++ b/cmd/cbagent/main.go
@@ -0,0 +1,121 @@
+// Command cbagent runs beside a backend server and is its only client. It knows
+// which requests ran there.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/agent"
+	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/messenger"
+	_ "github.com/carawaybeam/carawaybeam/registrar"
+	"github.com/carawaybeam/carawaybeam/starter"
+)
+
+const (
+	program = "cbagent"
+
+	// connectTimeout bounds the time to connect to the backend server, which is
+	// on the same VM.
+	connectTimeout = time.Second
+)
+
+// daemon is the running process.
+type daemon struct {
+	settings loader.Agent
+	log      zerolog.Logger
+	executor *executor.Executor
+	agent    *agent.Agent
+	closers  starter.Closers
+}
+
+func main() {
+	flags := starter.ParseFlags(program, os.Args[1:])
+	settings, err := loader.LoadAgent(flags.Settings)
+	if err != nil {
+		starter.Fail(program, starter.ExitSettings, err)
+	}
+	if flags.Check {
+		return
+	}
+	stop, cancel := starter.StopSignal()
+	defer cancel()
+	d := &daemon{settings: settings, log: starter.NewLog(settings.Process)}
+	if err := d.start(); err != nil {
+		starter.Fail(program, starter.ExitStart, err)
+	}
+	d.log.Info().Msg("agent: started")
+	<-stop.Done()
+	if err := d.stop(); err != nil {
+		starter.Fail(program, starter.ExitStop, err)
+	}
+	d.log.Info().Msg("agent: stopped")
+}
+
+func (d *daemon) start() error {
+	// The port is the lock on the slot: a second agent cannot take it.
+	links, err := starter.Listen("links", d.settings.Links)
+	if err != nil {
+		return err
+	}
+	newBackend, err := carawaybeam.Backends.Lookup(d.settings.Backend.Protocol)
+	if err != nil {
+		return err
+	}
+	backend, err := newBackend(carawaybeam.BackendOptions{URL: d.settings.Backend.URL, ConnectTimeout: connectTimeout})
+	if err != nil {
+		return err
+	}
+	incarnation := carawaybeam.NewIncarnation()
+	d.executor = executor.New(executor.Options{
+		Backend:     backend,
+		BackendID:   d.settings.Backend.ID,
+		Incarnation: incarnation,
+		Concurrency: d.settings.Backend.Concurrency,
+		Log:         d.log,
+	})
+	d.closers.Add(d.executor)
+	d.agent = agent.New(agent.Options{
+		BackendID:   d.settings.Backend.ID,
+		Incarnation: incarnation,
+		Backend:     backend,
+		Executor:    d.executor,
+		Log:         d.log,
+	})
+	d.closers.Add(d.agent)
+	d.closers.Add(messenger.New(links, d.agent))
+	return d.listenAdmin()
+}
+
+func (d *daemon) listenAdmin() error {
+	admin, err := starter.Listen("operators", d.settings.Admin)
+	if err != nil {
+		return err
+	}
+	d.closers.Add(dumper.New(admin, dumper.Options{
+		Process: d.settings.Process,
+		Ready:   d.agent.Ready,
+		State:   func() any { return d.executor.State() },
+		Log:     d.log,
+	}))
+	return nil
+}
+
+// stop refuses new work, finishes what runs and closes all parts.
+func (d *daemon) stop() error {
+	d.log.Info().Msg("agent: draining")
+	ctx, cancel := context.WithTimeout(context.Background(), starter.DrainTimeout)
+	defer cancel()
+	drained := d.agent.Drain(ctx)
+	if err := d.closers.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("agent: a part did not close cleanly")
+	}
+	return drained
+}
--- /dev/null
+++ b/cmd/cbentry/main.go
@@ -0,0 +1,224 @@
+// Command cbentry takes callers' requests, chooses backend servers for them and
+// returns the answers.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/messenger"
+	_ "github.com/carawaybeam/carawaybeam/registrar"
+	"github.com/carawaybeam/carawaybeam/server"
+	"github.com/carawaybeam/carawaybeam/starter"
+	"github.com/carawaybeam/carawaybeam/tracker"
+	"github.com/carawaybeam/carawaybeam/watcher"
+)
+
+const program = "cbentry"
+
+// entry is the running daemon.
+type entry struct {
+	settings   loader.Entry
+	log        zerolog.Logger
+	store      carawaybeam.Store
+	lister     carawaybeam.Lister
+	configurer *configurer.Configurer
+	tracker    *tracker.Tracker
+	dispatcher *dispatcher.Dispatcher
+	server     *server.Server
+	closers    starter.Closers
+}
+
+// state is the state dump of an entry.
+type state struct {
+	DataCentre    carawaybeam.DataCentre    `json:"dataCentre"`
+	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
+	Members       []memberState             `json:"members"`
+}
+
+type memberState struct {
+	VM          carawaybeam.VMID        `json:"vm"`
+	Backend     carawaybeam.BackendID   `json:"backend"`
+	Pool        carawaybeam.PoolID      `json:"pool"`
+	DataCentre  carawaybeam.DataCentre  `json:"dataCentre"`
+	Incarnation carawaybeam.Incarnation `json:"incarnation"`
+	Linked      bool                    `json:"linked"`
+	Leaving     bool                    `json:"leaving"`
+	Running     int                     `json:"running"`
+	Waiting     int                     `json:"waiting"`
+	ReportAgeMs int64                   `json:"reportAgeMs"`
+}
+
+func main() {
+	flags := starter.ParseFlags(program, os.Args[1:])
+	settings, err := loader.LoadEntry(flags.Settings)
+	if err != nil {
+		starter.Fail(program, starter.ExitSettings, err)
+	}
+	if flags.Check {
+		return
+	}
+	stop, cancel := starter.StopSignal()
+	defer cancel()
+	e := &entry{settings: settings, log: starter.NewLog(settings.Process)}
+	if err := e.start(); err != nil {
+		starter.Fail(program, starter.ExitStart, err)
+	}
+	e.log.Info().Msg("entry: started")
+	<-stop.Done()
+	if err := e.stop(); err != nil {
+		starter.Fail(program, starter.ExitStop, err)
+	}
+	e.log.Info().Msg("entry: stopped")
+}
+
+// start makes all parts, those first on which others depend.
+func (e *entry) start() error {
+	if err := e.connect(); err != nil {
+		return err
+	}
+	e.configurer = configurer.New()
+	incarnation := carawaybeam.NewIncarnation()
+	e.closers.Add(watcher.New(watcher.Options{Store: e.store, Configurer: e.configurer, Log: e.log}))
+	e.tracker = tracker.New(tracker.Options{
+		Process:     e.settings.Process,
+		Incarnation: incarnation,
+		DataCentre:  e.settings.DataCentre,
+		Lister:      e.lister,
+		Dialer:      messenger.Dialer{},
+		Config:      e.configurer,
+		Log:         e.log,
+	})
+	e.closers.Add(e.tracker)
+	if err := e.makeDispatcher(); err != nil {
+		return err
+	}
+	return e.listen()
+}
+
+// connect makes the clients of the outside systems.
+func (e *entry) connect() error {
+	newStore, err := carawaybeam.Stores.Lookup(e.settings.Store.Protocol)
+	if err != nil {
+		return err
+	}
+	e.store, err = newStore(carawaybeam.StoreOptions{
+		URL:     e.settings.Store.URL,
+		Token:   e.settings.Store.Token,
+		Timeout: time.Duration(e.settings.Store.Timeout),
+	})
+	if err != nil {
+		return err
+	}
+	newLister, err := carawaybeam.Listers.Lookup(e.settings.VMList.Protocol)
+	if err != nil {
+		return err
+	}
+	e.lister, err = newLister(carawaybeam.ListerOptions{
+		URL:     e.settings.VMList.URL,
+		Timeout: time.Duration(e.settings.VMList.Timeout),
+	})
+	return err
+}
+
+func (e *entry) makeDispatcher() error {
+	newRouter, err := carawaybeam.Routers.Lookup(e.settings.Policies.Router)
+	if err != nil {
+		return err
+	}
+	newLimiter, err := carawaybeam.Limiters.Lookup(e.settings.Policies.Limiter)
+	if err != nil {
+		return err
+	}
+	newRetrier, err := carawaybeam.Retriers.Lookup(e.settings.Policies.Retrier)
+	if err != nil {
+		return err
+	}
+	e.dispatcher = dispatcher.New(dispatcher.Options{
+		DataCentre: e.settings.DataCentre,
+		Members:    e.tracker,
+		Binder:     binder.New(e.store),
+		Config:     e.configurer,
+		Router:     newRouter(),
+		Limiter:    newLimiter(),
+		Retrier:    newRetrier(),
+		Log:        e.log,
+	})
+	e.closers.Add(e.dispatcher)
+	return nil
+}
+
+func (e *entry) listen() error {
+	admin, err := starter.Listen("operators", e.settings.Admin)
+	if err != nil {
+		return err
+	}
+	e.closers.Add(dumper.New(admin, dumper.Options{
+		Process: e.settings.Process,
+		Ready:   e.ready,
+		State:   e.state,
+		Log:     e.log,
+	}))
+	callers, err := starter.Listen("callers", e.settings.Callers)
+	if err != nil {
+		return err
+	}
+	e.server = server.New(callers, server.Options{
+		Configuration: e.configurer,
+		Dispatcher:    e.dispatcher,
+		BodyBytes:     e.settings.Limits.BodyBytes,
+		HeaderBytes:   e.settings.Limits.HeaderBytes,
+		ReadTimeout:   time.Duration(e.settings.Limits.ReadTimeout),
+		Ready:         e.ready,
+		Log:           e.log,
+	})
+	e.closers.Add(e.server)
+	return nil
+}
+
+// stop refuses new requests, finishes those that run and closes all parts.
+func (e *entry) stop() error {
+	e.log.Info().Msg("entry: draining")
+	ctx, cancel := context.WithTimeout(context.Background(), starter.DrainTimeout)
+	defer cancel()
+	drained := e.server.Drain(ctx)
+	if err := e.closers.Close(); err != nil {
+		e.log.Warn().Err(err).Msg("entry: a part did not close cleanly")
+	}
+	return drained
+}
+
+func (e *entry) ready() bool {
+	return e.configurer.Loaded() && e.tracker.Ready()
+}
+
+func (e *entry) state() any {
+	s := state{
+		DataCentre:    e.settings.DataCentre,
+		ConfigVersion: e.configurer.Version(),
+	}
+	for _, m := range e.tracker.All() {
+		s.Members = append(s.Members, memberState{
+			VM:          m.VM.ID,
+			Backend:     m.Backend,
+			Pool:        m.VM.Pool,
+			DataCentre:  m.VM.DataCentre,
+			Incarnation: m.Incarnation,
+			Linked:      m.Linked,
+			Leaving:     m.Leaving,
+			Running:     m.Load.Running,
+			Waiting:     m.Load.Waiting,
+			ReportAgeMs: time.Since(m.Reported).Milliseconds(),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/decisions.go
@@ -0,0 +1,136 @@
+package carawaybeam
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+type (
+	// RouteRequest is what a router knows of a request.
+	RouteRequest struct {
+		Request      RequestID
+		Class        ClassID
+		Organisation OrganisationID
+		DataCentre   DataCentre
+		// Prompt is the estimated length of the prompt.
+		Prompt Tokens
+		// Tried lists backend servers that earlier tries of the request used.
+		Tried []BackendID
+	}
+
+	// Candidate is what a router knows of one backend server.
+	Candidate struct {
+		Backend    BackendID
+		DataCentre DataCentre
+		// Load is the last report, ReportAge old.
+		Load      Load
+		ReportAge time.Duration
+		// OwnRunning counts the requests this process has running there, and
+		// OwnSince those of them sent after the last report.
+		OwnRunning int
+		OwnSince   int
+		// OwnTokensSince sums the prompt tokens of the latter.
+		OwnTokensSince Tokens
+		// CachedPrompt is how much of the prompt is expected in its cache.
+		CachedPrompt Tokens
+		// Slow is set for a backend server that answers far later than others
+		// and may only be probed.
+		Slow bool
+	}
+
+	// RouteDecision is the choice of a router.
+	RouteDecision struct {
+		Backend BackendID
+		// Expected is the expected time to the first token.
+		Expected time.Duration
+	}
+
+	// Router chooses a backend server. It does no I/O and may be used by
+	// several goroutines at once.
+	Router interface {
+		// Route chooses one of the candidates. It reports false when none may
+		// take the request.
+		Route(now time.Time, request RouteRequest, candidates []Candidate, random *rand.Rand) (RouteDecision, bool)
+	}
+
+	// AdmitRequest is what a limiter knows of a request.
+	AdmitRequest struct {
+		Class        Class
+		Organisation OrganisationID
+		Prompt       Tokens
+		// Expected is the expected time to the first token if admitted now.
+		Expected time.Duration
+	}
+
+	// AdmitDecision is the choice of a limiter.
+	AdmitDecision struct {
+		Admitted bool
+		// RetryAfter is when a refused caller should come back.
+		RetryAfter time.Duration
+	}
+
+	// Limiter admits requests. It does no I/O and may be used by several
+	// goroutines at once.
+	Limiter interface {
+		// Admit decides on one request. An admitted one is ended by Release.
+		Admit(now time.Time, request AdmitRequest) AdmitDecision
+		// Release ends an admitted request after it took the given time.
+		Release(now time.Time, request AdmitRequest, took time.Duration)
+	}
+
+	// RetryRequest is what a retrier knows of a failed try.
+	RetryRequest struct {
+		Class Class
+		// Try counts the tries made so far.
+		Try int
+		// Failure is the error of the last one.
+		Failure *RequestError
+		// Deadline is when the caller stops waiting.
+		Deadline time.Time
+	}
+
+	// RetryDecision is the choice of a retrier.
+	RetryDecision struct {
+		Retry bool
+		// Wait is how long to wait before the next try.
+		Wait time.Duration
+	}
+
+	// Retrier decides on further tries. It does no I/O and may be used by
+	// several goroutines at once.
+	Retrier interface {
+		// Started counts a first try, which earns part of a further one.
+		Started(now time.Time, class ClassID)
+		// Retry decides on one more try.
+		Retry(now time.Time, request RetryRequest, random *rand.Rand) RetryDecision
+	}
+)
+
+type (
+	// LayerLoad is the load of each expert of one layer, as shares or counts.
+	LayerLoad []float64
+
+	// ExpertMap tells for each layer which experts each rank holds: index by
+	// layer, then rank.
+	ExpertMap struct {
+		Version MapVersion   `json:"version"`
+		Layers  [][][]Expert `json:"layers"`
+	}
+
+	// PlannerOptions is what a planner is made from.
+	PlannerOptions struct {
+		Ranks int
+		// Slots is how many experts a rank can hold in one layer.
+		Slots int
+		// SkewPreference is from 0 (only the cost of rebalancing counts) to 1
+		// (only step-time skew counts).
+		SkewPreference float64
+	}
+
+	// Planner places experts on ranks. It does no I/O.
+	Planner interface {
+		// Plan returns the next map for the given load of each layer. It
+		// returns the present one, unchanged, when no move pays.
+		Plan(now time.Time, present ExpertMap, loads []LayerLoad) ExpertMap
+	}
+)
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,366 @@
+// Package dispatcher takes a caller's request from admission to its last byte:
+// it chooses a backend server, runs an attempt there, settles what became of it
+// when a link fails, and decides on further attempts.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/tracker"
+)
+
+const (
+	// bytesPerToken estimates the prompt's length from the body's.
+	bytesPerToken = 4
+
+	// comeBackAfter is when to come back where no policy gave a time.
+	comeBackAfter = 2 * time.Second
+)
+
+type (
+	// Request is one request of a caller.
+	Request struct {
+		ID           carawaybeam.RequestID
+		Class        carawaybeam.Class
+		Organisation carawaybeam.OrganisationID
+		// Key is the caller's idempotency key, or empty.
+		Key         carawaybeam.IdempotencyKey
+		Method      string
+		Path        string
+		ContentType string
+		Body        []byte
+		Deadline    time.Time
+		// DecidedOn is the configuration version that the request was read
+		// under.
+		DecidedOn carawaybeam.ConfigVersion
+	}
+
+	// AnswerWriter takes an answer as it arrives.
+	AnswerWriter interface {
+		// Head begins the answer.
+		Head(status int, contentType string) error
+		// Chunk adds to the answer.
+		Chunk(data []byte) error
+	}
+
+	// Members is the view of the backend servers.
+	Members interface {
+		Members(pool carawaybeam.PoolID) []tracker.Member
+		Open(ctx context.Context, backend carawaybeam.BackendID) (carawaybeam.Stream, error)
+		Suspect(backend carawaybeam.BackendID)
+		Known(backend carawaybeam.BackendID) bool
+	}
+
+	// Binder ties idempotency keys to agents.
+	Binder interface {
+		Bind(ctx context.Context, key carawaybeam.AttemptID, want binder.Binding) (binder.Binding, error)
+	}
+
+	// Options is what a Dispatcher is made from.
+	Options struct {
+		DataCentre carawaybeam.DataCentre
+		Members    Members
+		Binder     Binder
+		Config     tracker.ConfigObserver
+		Router     carawaybeam.Router
+		Limiter    carawaybeam.Limiter
+		Retrier    carawaybeam.Retrier
+		Log        zerolog.Logger
+	}
+
+	// Dispatcher serves requests. Its methods may be used by several goroutines
+	// at once.
+	Dispatcher struct {
+		options Options
+		random  *rand.Rand
+
+		mu       sync.Mutex
+		inFlight map[carawaybeam.BackendID]*inFlight
+		requests sync.WaitGroup
+	}
+
+	// inFlight counts the own requests on one backend server.
+	inFlight struct {
+		running int
+		sent    []sentRequest
+	}
+
+	sentRequest struct {
+		at     time.Time
+		prompt carawaybeam.Tokens
+	}
+)
+
+// New returns a Dispatcher.
+func New(options Options) *Dispatcher {
+	return &Dispatcher{
+		options:  options,
+		random:   rand.New(lockedSource{}),
+		inFlight: make(map[carawaybeam.BackendID]*inFlight),
+	}
+}
+
+// lockedSource draws from the runtime's source, which many goroutines may use.
+type lockedSource struct{}
+
+// Uint64 returns a random number.
+func (lockedSource) Uint64() uint64 { return rand.Uint64() }
+
+// Close waits for the requests being served.
+func (d *Dispatcher) Close() error {
+	d.requests.Wait()
+	return nil
+}
+
+// Do serves one request and returns nil once its whole answer was written. The
+// error is the final word on the request; part of an answer may have been
+// written then.
+func (d *Dispatcher) Do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
+	d.requests.Add(1)
+	defer d.requests.Done()
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	now := time.Now()
+	admit := carawaybeam.AdmitRequest{
+		Class:        request.Class,
+		Organisation: request.Organisation,
+		Prompt:       promptTokens(request),
+	}
+	if choice, ok := d.route(now, request, nil); ok {
+		admit.Expected = choice.Expected
+	}
+	decision := d.options.Limiter.Admit(now, admit)
+	if !decision.Admitted {
+		return notRun(carawaybeam.ReasonBusy, "class is at its limit", decision.RetryAfter)
+	}
+	defer func() { d.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
+	d.options.Retrier.Started(now, request.Class.ID)
+	return d.serve(ctx, request, w)
+}
+
+func promptTokens(request Request) carawaybeam.Tokens {
+	return carawaybeam.Tokens(len(request.Body) / bytesPerToken)
+}
+
+// serve runs attempts until one answers or no further one is allowed.
+func (d *Dispatcher) serve(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
+	answer := &answerState{writer: w}
+	var tried []carawaybeam.BackendID
+	for try := 1; ; try++ {
+		backend, failure := d.try(ctx, request, try, tried, answer)
+		if failure == nil {
+			return nil
+		}
+		if ctx.Err() != nil || answer.callerGone {
+			return failure
+		}
+		if answer.written > 0 && !request.Class.Idempotent {
+			return failure
+		}
+		if backend != "" {
+			tried = append(tried, backend)
+		}
+		decision := d.options.Retrier.Retry(time.Now(), carawaybeam.RetryRequest{
+			Class: request.Class, Try: try, Failure: failure, Deadline: request.Deadline,
+		}, d.random)
+		if !decision.Retry {
+			return withRetryAfter(failure)
+		}
+		select {
+		case <-time.After(decision.Wait):
+		case <-ctx.Done():
+			return withRetryAfter(failure)
+		}
+	}
+}
+
+// withRetryAfter tells the caller when to come back, if coming back may help.
+func withRetryAfter(failure *carawaybeam.RequestError) *carawaybeam.RequestError {
+	if failure.Outcome == carawaybeam.OutcomeNotRun && failure.RetryAfter == 0 &&
+		failure.Reason != carawaybeam.ReasonKeyReused {
+		failure.RetryAfter = comeBackAfter
+	}
+	return failure
+}
+
+// try makes one attempt.
+func (d *Dispatcher) try(
+	ctx context.Context,
+	request Request,
+	try int,
+	tried []carawaybeam.BackendID,
+	answer *answerState,
+) (carawaybeam.BackendID, *carawaybeam.RequestError) {
+	target, failure := d.target(ctx, request, tried)
+	if failure != nil {
+		return "", failure
+	}
+	done := d.count(target.backend, promptTokens(request))
+	defer done()
+	a := &attemptRun{
+		dispatcher: d,
+		request:    request,
+		id:         request.ID.Attempt(try),
+		target:     target,
+		answer:     answer,
+		resume:     answer.written,
+	}
+	return target.backend, a.run(ctx)
+}
+
+// target is where an attempt goes.
+type target struct {
+	backend     carawaybeam.BackendID
+	incarnation carawaybeam.Incarnation
+	// key is set when only this incarnation may run the request.
+	key carawaybeam.AttemptID
+}
+
+// target chooses a backend server, and binds the key of a request that has one.
+func (d *Dispatcher) target(
+	ctx context.Context,
+	request Request,
+	tried []carawaybeam.BackendID,
+) (target, *carawaybeam.RequestError) {
+	choice, ok := d.route(time.Now(), request, tried)
+	if !ok && len(tried) > 0 {
+		choice, ok = d.route(time.Now(), request, nil)
+	}
+	keyed := request.Key != "" && !request.Class.Idempotent
+	if !ok && !keyed {
+		return target{}, notRun(carawaybeam.ReasonNoBackend, "no backend server can take the request", comeBackAfter)
+	}
+	member := d.member(request.Class.Pool, choice.Backend)
+	if !keyed {
+		return target{backend: member.Backend, incarnation: member.Incarnation}, nil
+	}
+	return d.bind(ctx, request, member)
+}
+
+func (d *Dispatcher) bind(
+	ctx context.Context,
+	request Request,
+	member tracker.Member,
+) (target, *carawaybeam.RequestError) {
+	key := carawaybeam.KeyedAttempt(request.Organisation, request.Class.ID, request.Key)
+	if member.Backend == "" {
+		return target{}, notRun(carawaybeam.ReasonNoBackend, "no backend server can take the request", comeBackAfter)
+	}
+	want := binder.Binding{Backend: member.Backend, Incarnation: member.Incarnation, BodyHash: bodyHash(request)}
+	bound, err := d.options.Binder.Bind(ctx, key, want)
+	if err != nil {
+		var failure *carawaybeam.RequestError
+		if errors.As(err, &failure) {
+			return target{}, failure
+		}
+		return target{}, notRun(carawaybeam.ReasonStoreUnavailable, err.Error(), comeBackAfter)
+	}
+	if bound.BodyHash != want.BodyHash {
+		return target{}, notRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
+	}
+	if d.member(request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
+		return target{}, &carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeUnknown,
+			Reason:  carawaybeam.ReasonWrongIncarnation,
+			Detail:  "agent that the key is bound to is gone",
+		}
+	}
+	return target{backend: bound.Backend, incarnation: bound.Incarnation, key: key}, nil
+}
+
+func (d *Dispatcher) member(pool carawaybeam.PoolID, backend carawaybeam.BackendID) tracker.Member {
+	for _, m := range d.options.Members.Members(pool) {
+		if m.Backend == backend {
+			return m
+		}
+	}
+	return tracker.Member{}
+}
+
+// route asks the router for one of the backend servers that take work.
+func (d *Dispatcher) route(
+	now time.Time,
+	request Request,
+	tried []carawaybeam.BackendID,
+) (carawaybeam.RouteDecision, bool) {
+	var candidates []carawaybeam.Candidate
+	for _, m := range d.options.Members.Members(request.Class.Pool) {
+		if m.Linked && !m.Leaving {
+			candidates = append(candidates, d.candidate(now, m))
+		}
+	}
+	return d.options.Router.Route(now, carawaybeam.RouteRequest{
+		Request:      request.ID,
+		Class:        request.Class.ID,
+		Organisation: request.Organisation,
+		DataCentre:   d.options.DataCentre,
+		Prompt:       promptTokens(request),
+		Tried:        tried,
+	}, candidates, d.random)
+}
+
+func (d *Dispatcher) candidate(now time.Time, m tracker.Member) carawaybeam.Candidate {
+	c := carawaybeam.Candidate{
+		Backend:    m.Backend,
+		DataCentre: m.VM.DataCentre,
+		Load:       m.Load,
+		ReportAge:  now.Sub(m.Reported),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own, ok := d.inFlight[m.Backend]
+	if !ok {
+		return c
+	}
+	c.OwnRunning = own.running
+	for _, sent := range own.sent {
+		if sent.at.After(m.Reported) {
+			c.OwnSince++
+			c.OwnTokensSince += sent.prompt
+		}
+	}
+	return c
+}
+
+// sentHorizon is how long a sent request is kept for comparison with reports.
+const sentHorizon = 10 * time.Second
+
+// count notes a request sent to a backend server until the returned function is
+// called.
+func (d *Dispatcher) count(backend carawaybeam.BackendID, prompt carawaybeam.Tokens) func() {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own, ok := d.inFlight[backend]
+	if !ok {
+		own = &inFlight{}
+		d.inFlight[backend] = own
+	}
+	own.running++
+	for len(own.sent) > 0 && now.Sub(own.sent[0].at) > sentHorizon {
+		own.sent = own.sent[1:]
+	}
+	own.sent = append(own.sent, sentRequest{at: now, prompt: prompt})
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		own.running--
+	}
+}
+
+func notRun(reason carawaybeam.Reason, detail string, retryAfter time.Duration) *carawaybeam.RequestError {
+	return &carawaybeam.RequestError{
+		Outcome:    carawaybeam.OutcomeNotRun,
+		Reason:     reason,
+		Detail:     detail,
+		RetryAfter: retryAfter,
+	}
+}
--- /dev/null
+++ b/examples/demo/conversation.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/server"
+)
+
+const (
+	token         = "kitami-dish-works-token"
+	bookingNumber = "B-1207"
+	endMarker     = "data: [DONE]"
+	typeJSON      = "application/json"
+)
+
+// answerError reports an answer that is not as it should be.
+type answerError struct {
+	what string
+	got  string
+}
+
+func (e *answerError) Error() string { return e.what + ": " + e.got }
+
+// converse sends the four requests of the demo and checks their answers.
+func converse(ctx context.Context, f *fleet) error {
+	first, last := f.entries[0], f.entries[len(f.entries)-1]
+	if err := summarise(ctx, first); err != nil {
+		return err
+	}
+	if err := lookUp(ctx, first); err != nil {
+		return err
+	}
+	confirmed, err := book(ctx, first)
+	if err != nil {
+		return err
+	}
+	again, err := book(ctx, last)
+	if err != nil {
+		return err
+	}
+	if again != confirmed {
+		return &answerError{what: "second answer to the booking differs", got: again}
+	}
+	return countRuns(ctx, f)
+}
+
+func callerURL(entry loader.Entry, path string) string {
+	return "http://" + string(entry.Callers) + path
+}
+
+func summarise(ctx context.Context, entry loader.Entry) error {
+	header := http.Header{server.HeaderClass: {"drafting"}}
+	body := []byte(`{"prompt":"Summarise the inspection of mast 7 at Rubeshibe.","max_tokens":12,"stream":true}`)
+	stream, err := fetch(ctx, http.MethodPost, callerURL(entry, "/v1/completions"), header, body, nil)
+	if err != nil {
+		return err
+	}
+	if !strings.HasSuffix(strings.TrimSpace(stream), endMarker) {
+		return &answerError{what: "summary is not whole", got: stream}
+	}
+	fmt.Printf("summary by %s:\n%s", entry.Process, stream)
+	return nil
+}
+
+func lookUp(ctx context.Context, entry loader.Entry) error {
+	answer, err := fetch(ctx, http.MethodGet, callerURL(entry, "/services/lookups/orders/4711"), nil, nil, nil)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("lookup by %s: %s", entry.Process, answer)
+	return nil
+}
+
+func book(ctx context.Context, entry loader.Entry) (string, error) {
+	header := http.Header{server.HeaderKey: {"visit-" + bookingNumber}}
+	body := []byte(`{"number":"` + bookingNumber + `","visit":"2026-12-04"}`)
+	answer, err := fetch(ctx, http.MethodPost, callerURL(entry, "/services/bookings/bookings"), header, body, nil)
+	if err != nil {
+		return "", err
+	}
+	fmt.Printf("booking by %s: %s", entry.Process, answer)
+	return answer, nil
+}
+
+// countRuns checks by the services' own counts that the booking ran once.
+func countRuns(ctx context.Context, f *fleet) error {
+	runs := 0
+	for _, service := range f.services {
+		var counts struct {
+			Bookings map[string]int `json:"bookings"`
+		}
+		if _, err := fetch(ctx, http.MethodGet, service+"/counts", nil, nil, &counts); err != nil {
+			return err
+		}
+		runs += counts.Bookings[bookingNumber]
+	}
+	fmt.Printf("booking %s ran %d time(s)\n", bookingNumber, runs)
+	if runs != 1 {
+		return &answerError{what: "booking did not run once", got: fmt.Sprint(runs)}
+	}
+	return nil
+}
+
+// fetch sends a request and returns the body of a 200, decoded into result if
+// that is not nil.
+func fetch(ctx context.Context, method, url string, header http.Header, body []byte, result any) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	request.Header.Set("Content-Type", typeJSON)
+	request.Header.Set("Authorization", "Bearer "+token)
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", err
+	}
+	if response.StatusCode != http.StatusOK {
+		return "", &answerError{what: response.Status, got: string(data)}
+	}
+	if result != nil {
+		return "", json.Unmarshal(data, result)
+	}
+	return string(data), nil
+}
--- /dev/null
+++ b/executor/serve.go
@@ -0,0 +1,192 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/framer"
+)
+
+// ServeDispatch runs the attempt of the frame, or attaches to it, and sends its
+// answer.
+func (e *Executor) ServeDispatch(ctx context.Context, frame *framer.Frame, stream carawaybeam.Stream) {
+	a := e.dispatch(frame.GetDispatch(), frame.GetConfigVersion())
+	e.serveAnswer(ctx, a, frame.GetDispatch().GetAttempt(), 0, stream)
+}
+
+// ServeResolve settles the attempt of the frame and sends its answer from the
+// offset.
+func (e *Executor) ServeResolve(ctx context.Context, frame *framer.Frame, stream carawaybeam.Stream) {
+	r := frame.GetResolve()
+	a := e.resolve(carawaybeam.AttemptID(r.GetAttempt()), carawaybeam.Incarnation(r.GetIncarnation()))
+	e.serveAnswer(ctx, a, r.GetAttempt(), r.GetOffset(), stream)
+}
+
+// serveAnswer sends an answer to one reader until its end, the reader's
+// departure or its cancellation.
+func (e *Executor) serveAnswer(ctx context.Context, a *attempt, id string, offset uint64, stream carawaybeam.Stream) {
+	e.addServing(1)
+	defer e.addServing(-1)
+	a.attach()
+	defer func() {
+		if a.detach() {
+			e.wait.Go(func() { e.abandon(a) })
+		}
+	}()
+	left := make(chan struct{})
+	go e.receive(a, id, stream, left)
+	sender := answerSender{executor: e, attempt: a, id: id, stream: stream, offset: offset}
+	sender.run(ctx, left)
+}
+
+// receive waits for the reader to cancel or to leave.
+func (e *Executor) receive(a *attempt, id string, stream carawaybeam.Stream, left chan<- struct{}) {
+	defer close(left)
+	for {
+		frame, err := stream.Receive(0)
+		if err != nil {
+			return
+		}
+		if frame.GetCancel().GetAttempt() == id && a.idempotent {
+			a.stop()
+			return
+		}
+	}
+}
+
+// abandon cancels an idempotent attempt that nobody reads any more. Others
+// finish, since their effect matters more than their answer.
+func (e *Executor) abandon(a *attempt) {
+	if !a.idempotent {
+		return
+	}
+	timer := time.NewTimer(abandonTimeout)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.ctx.Done():
+		return
+	}
+	if a.readerCount() == 0 {
+		a.stop()
+	}
+}
+
+func (a *attempt) readerCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.readers
+}
+
+// stop cancels the call to the backend server.
+func (a *attempt) stop() {
+	a.mu.Lock()
+	cancel := a.cancel
+	a.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// answerSender sends one answer over one stream.
+type answerSender struct {
+	executor *Executor
+	attempt  *attempt
+	// id is the attempt as the reader named it, which differs from that of the
+	// attempt when an earlier one ran under the same key.
+	id       string
+	stream   carawaybeam.Stream
+	offset   uint64
+	sequence uint64
+	headSent bool
+}
+
+func (s *answerSender) run(ctx context.Context, left <-chan struct{}) {
+	ticker := time.NewTicker(keepAliveInterval)
+	defer ticker.Stop()
+	for {
+		p := s.attempt.next(s.offset)
+		if sent, ended := s.step(p); ended {
+			return
+		} else if sent {
+			continue
+		}
+		select {
+		case <-p.changed:
+		case <-ticker.C:
+			if s.send(&framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{}}}) != nil {
+				return
+			}
+		case <-left:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step sends the next frame, if there is one, and tells whether it was the last.
+func (s *answerSender) step(p progress) (sent, ended bool) {
+	id := s.id
+	switch {
+	case p.phase == phaseRefused:
+		return true, s.sendLast(&framer.Frame{Body: &framer.Frame_Refused{Refused: refusedFrame(id, p.refusal)}})
+	case p.started && p.gone:
+		return true, s.sendLast(failedFrame(id, carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeRan, Reason: carawaybeam.ReasonAnswerGone,
+		}))
+	case p.started && !s.headSent:
+		s.headSent = true
+		head := &framer.Head{Attempt: id, Status: int32(p.status), ContentType: p.contentType}
+		return true, s.send(&framer.Frame{Body: &framer.Frame_Head{Head: head}}) != nil
+	case len(p.data) > 0:
+		return true, s.sendChunk(p.data) != nil
+	case p.phase == phaseFailed:
+		return true, s.sendLast(failedFrame(id, p.failure))
+	case p.phase == phaseDone:
+		s.attempt.markFetched()
+		tail := &framer.Tail{Attempt: id, Total: p.total, Checksum: p.checksum}
+		return true, s.sendLast(&framer.Frame{Body: &framer.Frame_Tail{Tail: tail}})
+	}
+	return false, false
+}
+
+func (s *answerSender) sendChunk(data []byte) error {
+	chunk := &framer.Chunk{Attempt: s.id, Sequence: s.sequence, Offset: s.offset, Data: data}
+	if err := s.send(&framer.Frame{Body: &framer.Frame_Chunk{Chunk: chunk}}); err != nil {
+		return err
+	}
+	s.sequence++
+	s.offset += uint64(len(data))
+	s.attempt.markRead(s.offset)
+	return nil
+}
+
+func (s *answerSender) sendLast(frame *framer.Frame) bool {
+	_ = s.send(frame)
+	return true
+}
+
+func (s *answerSender) send(frame *framer.Frame) error {
+	frame.ConfigVersion = s.executor.configVersion.Load()
+	return s.stream.Send(frame)
+}
+
+func refusedFrame(id string, refusal carawaybeam.RequestError) *framer.Refused {
+	return &framer.Refused{
+		Attempt:      id,
+		Reason:       string(refusal.Reason),
+		Detail:       refusal.Detail,
+		RetryAfterMs: uint64(refusal.RetryAfter.Milliseconds()),
+	}
+}
+
+func failedFrame(id string, failure carawaybeam.RequestError) *framer.Frame {
+	return &framer.Frame{Body: &framer.Frame_Failed{Failed: &framer.Failed{
+		Attempt: id,
+		Outcome: string(failure.Outcome),
+		Reason:  string(failure.Reason),
+		Detail:  failure.Detail,
+	}}}
+}
--- /dev/null
+++ b/fakes/linker/linker.go
@@ -0,0 +1,286 @@
+// Package linker is a stand-in for the links between processes: it carries
+// frames in memory, and delays, loses, reorders or silences them on order. It
+// fits into a testing/synctest bubble. It serves tests only.
+package linker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/framer"
+)
+
+// errUnreachable reports that nobody listens at an address.
+var errUnreachable = errors.New("connection refused")
+
+type (
+	// Direction tells which way a frame goes.
+	Direction int
+
+	// Verdict tells what becomes of one frame.
+	Verdict struct {
+		// Drop loses the frame, as a link that has gone silent does.
+		Drop bool
+		// Copies adds that many further copies.
+		Copies int
+		// Delay holds the frame back. Frames behind it may overtake it, unless
+		// they are held back too.
+		Delay time.Duration
+		// Cut ends the stream in place of carrying the frame.
+		Cut bool
+	}
+
+	// Injector decides on each frame. It may be called by several goroutines at
+	// once.
+	Injector func(address carawaybeam.Address, direction Direction, frame *framer.Frame) Verdict
+
+	// Network carries links to the handlers that listen on it. The zero value
+	// is ready to use.
+	Network struct {
+		mu       sync.Mutex
+		handlers map[carawaybeam.Address]carawaybeam.StreamHandler
+		links    map[*link]struct{}
+		injector Injector
+		wait     sync.WaitGroup
+	}
+
+	link struct {
+		network *Network
+		address carawaybeam.Address
+		ctx     context.Context
+		cancel  context.CancelFunc
+	}
+
+	// half is one direction of a stream.
+	half struct {
+		mu     sync.Mutex
+		frames []*framer.Frame
+		wake   chan struct{}
+	}
+
+	stream struct {
+		link      *link
+		direction Direction
+		in, out   *half
+		ctx       context.Context
+		cancel    context.CancelFunc
+	}
+)
+
+const (
+	// ToListener is the direction of frames of the process that dialled.
+	ToListener Direction = iota
+	// ToDialer is the direction of frames of the process that listens.
+	ToDialer
+)
+
+var (
+	_ carawaybeam.Dialer = (*Network)(nil)
+	_ carawaybeam.Link   = (*link)(nil)
+	_ carawaybeam.Stream = (*stream)(nil)
+)
+
+// Inject sets what decides on each frame from now on. Nil carries them all.
+func (n *Network) Inject(injector Injector) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.injector = injector
+}
+
+// Listen serves links to the address by the handler.
+func (n *Network) Listen(address carawaybeam.Address, handler carawaybeam.StreamHandler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.handlers == nil {
+		n.handlers = make(map[carawaybeam.Address]carawaybeam.StreamHandler)
+	}
+	n.handlers[address] = handler
+}
+
+// Unlisten makes the address unreachable and cuts its links.
+func (n *Network) Unlisten(address carawaybeam.Address) {
+	n.mu.Lock()
+	delete(n.handlers, address)
+	n.mu.Unlock()
+	n.Cut(address)
+}
+
+// Cut ends all links to the address.
+func (n *Network) Cut(address carawaybeam.Address) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l.address == address {
+			l.cancel()
+			delete(n.links, l)
+		}
+	}
+}
+
+// Close ends all links and waits for their handlers.
+func (n *Network) Close() error {
+	n.mu.Lock()
+	for l := range n.links {
+		l.cancel()
+	}
+	n.mu.Unlock()
+	n.wait.Wait()
+	return nil
+}
+
+// Dial connects to the handler that listens at the address.
+func (n *Network) Dial(_ context.Context, address carawaybeam.Address) (carawaybeam.Link, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.handlers[address]; !ok {
+		return nil, errUnreachable
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{network: n, address: address, ctx: ctx, cancel: cancel}
+	if n.links == nil {
+		n.links = make(map[*link]struct{})
+	}
+	n.links[l] = struct{}{}
+	return l, nil
+}
+
+func (n *Network) verdict(address carawaybeam.Address, direction Direction, frame *framer.Frame) Verdict {
+	n.mu.Lock()
+	injector := n.injector
+	n.mu.Unlock()
+	if injector == nil {
+		return Verdict{}
+	}
+	return injector(address, direction, frame)
+}
+
+// Open starts a stream.
+func (l *link) Open(context.Context) (carawaybeam.Stream, error) {
+	l.network.mu.Lock()
+	handler, ok := l.network.handlers[l.address]
+	l.network.mu.Unlock()
+	if !ok || l.ctx.Err() != nil {
+		return nil, errUnreachable
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	there, back := newHalf(), newHalf()
+	near := &stream{link: l, direction: ToListener, in: back, out: there, ctx: ctx, cancel: cancel}
+	far := &stream{link: l, direction: ToDialer, in: there, out: back, ctx: ctx, cancel: cancel}
+	l.network.wait.Go(func() { far.serve(handler) })
+	return near, nil
+}
+
+// Done is closed once the link has ended.
+func (l *link) Done() <-chan struct{} { return l.ctx.Done() }
+
+// Close ends the link and its streams.
+func (l *link) Close() error {
+	l.cancel()
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	delete(l.network.links, l)
+	return nil
+}
+
+func (s *stream) serve(handler carawaybeam.StreamHandler) {
+	defer func() { _ = s.Close() }()
+	first, err := s.Receive(0)
+	if err != nil {
+		return
+	}
+	handler.ServeStream(s.ctx, first, s)
+}
+
+// Send carries a copy of the frame as the injector decides.
+func (s *stream) Send(frame *framer.Frame) error {
+	if s.ctx.Err() != nil {
+		return io.ErrClosedPipe
+	}
+	v := s.link.network.verdict(s.link.address, s.direction, frame)
+	if v.Cut {
+		s.cancel()
+		return io.ErrClosedPipe
+	}
+	if v.Drop {
+		return nil
+	}
+	for range v.Copies + 1 {
+		s.deliver(proto.CloneOf(frame), v.Delay)
+	}
+	return nil
+}
+
+func (s *stream) deliver(frame *framer.Frame, delay time.Duration) {
+	if delay == 0 {
+		s.out.push(frame)
+		return
+	}
+	s.link.network.wait.Go(func() {
+		select {
+		case <-time.After(delay):
+			s.out.push(frame)
+		case <-s.ctx.Done():
+		}
+	})
+}
+
+// Receive reads one frame. Frames that arrived before the end of the stream can
+// still be read after it.
+func (s *stream) Receive(timeout time.Duration) (*framer.Frame, error) {
+	var expired <-chan time.Time
+	if timeout > 0 {
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	for {
+		if frame := s.in.pop(); frame != nil {
+			return frame, nil
+		}
+		select {
+		case <-s.in.wake:
+		case <-expired:
+			return nil, &carawaybeam.SilenceError{After: timeout}
+		case <-s.ctx.Done():
+			if frame := s.in.pop(); frame != nil {
+				return frame, nil
+			}
+			return nil, io.EOF
+		}
+	}
+}
+
+// Close ends both directions.
+func (s *stream) Close() error {
+	s.cancel()
+	return nil
+}
+
+func newHalf() *half { return &half{wake: make(chan struct{}, 1)} }
+
+func (h *half) push(frame *framer.Frame) {
+	h.mu.Lock()
+	h.frames = append(h.frames, frame)
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *half) pop() *framer.Frame {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.frames) == 0 {
+		return nil
+	}
+	frame := h.frames[0]
+	h.frames = h.frames[1:]
+	return frame
+}
--- /dev/null
+++ b/fakes/storer/handler.go
@@ -0,0 +1,140 @@
+package storer
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+type listing struct {
+	Version carawaybeam.StoreVersion `json:"version"`
+	Objects []carawaybeam.Object     `json:"objects"`
+}
+
+// Handler returns the HTTP API of the stand-in: objects, watch, VMs, and orders
+// to fail.
+func (s *Storer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.serveGet)
+	mux.HandleFunc("GET /v1/objects/{kind}", s.serveList)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.servePut)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.serveDelete)
+	mux.HandleFunc("GET /v1/watch", s.serveWatch)
+	mux.HandleFunc("GET /v1/vms", s.serveVMs)
+	mux.HandleFunc("PUT /v1/vms", s.servePutVMs)
+	mux.HandleFunc("POST /fault", s.serveFault)
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counts(), nil) })
+	return mux
+}
+
+func kindOf(r *http.Request) carawaybeam.StoreKind {
+	return carawaybeam.StoreKind(r.PathValue("kind"))
+}
+
+func (s *Storer) serveGet(w http.ResponseWriter, r *http.Request) {
+	object, err := s.Get(r.Context(), kindOf(r), r.PathValue("name"))
+	reply(w, object, err)
+}
+
+func (s *Storer) serveList(w http.ResponseWriter, r *http.Request) {
+	objects, version, err := s.List(r.Context(), kindOf(r))
+	reply(w, listing{Version: version, Objects: objects}, err)
+}
+
+func (s *Storer) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, 1<<20+1))
+	if err != nil || len(value) > 1<<20 {
+		http.Error(w, "value is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	object := carawaybeam.Object{Kind: kindOf(r), Name: r.PathValue("name"), Value: value}
+	object.Version, err = s.Put(r.Context(), object, expected(r))
+	reply(w, object, err)
+}
+
+func (s *Storer) serveDelete(w http.ResponseWriter, r *http.Request) {
+	version, err := s.Delete(r.Context(), kindOf(r), r.PathValue("name"), expected(r))
+	reply(w, carawaybeam.Object{Version: version}, err)
+}
+
+func expected(r *http.Request) carawaybeam.StoreVersion {
+	version, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return carawaybeam.StoreVersion(version)
+}
+
+func (s *Storer) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, err := strconv.ParseUint(query.Get("since"), 10, 64)
+	if err != nil {
+		http.Error(w, "since is no number", http.StatusBadRequest)
+		return
+	}
+	seconds, err := strconv.ParseFloat(query.Get("waitSeconds"), 64)
+	if err != nil {
+		http.Error(w, "waitSeconds is no number", http.StatusBadRequest)
+		return
+	}
+	var kinds []carawaybeam.StoreKind
+	for name := range strings.SplitSeq(query.Get("kinds"), ",") {
+		kinds = append(kinds, carawaybeam.StoreKind(name))
+	}
+	wait := time.Duration(seconds * float64(time.Second))
+	objects, version, err := s.Watch(r.Context(), kinds, carawaybeam.StoreVersion(since), wait)
+	reply(w, listing{Version: version, Objects: objects}, err)
+}
+
+func (s *Storer) serveVMs(w http.ResponseWriter, r *http.Request) {
+	vms, err := s.VMList().List(r.Context())
+	reply(w, vms, err)
+}
+
+func (s *Storer) servePutVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []carawaybeam.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetVMs(vms)
+	reply(w, vms, nil)
+}
+
+func (s *Storer) serveFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Order(fault)
+	reply(w, fault, nil)
+}
+
+func reply(w http.ResponseWriter, value any, err error) {
+	var failed *carawaybeam.StoreError
+	status := http.StatusOK
+	if errors.As(err, &failed) {
+		switch failed.Failure {
+		case carawaybeam.StoreConflict:
+			status, value = http.StatusPreconditionFailed, failed.Current
+		case carawaybeam.StoreNotFound:
+			status = http.StatusNotFound
+		case carawaybeam.StoreExpired:
+			status = http.StatusGone
+		case carawaybeam.StoreUncertain:
+			panic(http.ErrAbortHandler)
+		default:
+			status = http.StatusServiceUnavailable
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/fakes/storer/storer.go
@@ -0,0 +1,312 @@
+// Package storer is a stand-in for the platform: an object store with versions,
+// conditional updates and watches, and a lagging list of VMs. It counts the
+// calls and fails on order. It serves tests and the demo only.
+package storer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// FaultMode is a way in which the stand-in fails.
+type FaultMode string
+
+const (
+	// FaultNone serves every call.
+	FaultNone FaultMode = "none"
+	// FaultDown refuses every call, without effect.
+	FaultDown FaultMode = "down"
+	// FaultSlow delays every call.
+	FaultSlow FaultMode = "slow"
+	// FaultLostAnswer lets writes take effect and loses their answers.
+	FaultLostAnswer FaultMode = "lostAnswer"
+)
+
+// maxHistory is how many changes a watch may lag behind.
+const maxHistory = 10000
+
+type (
+	// Fault is an order to fail.
+	Fault struct {
+		Mode FaultMode `json:"mode"`
+		// Delay is the delay of FaultSlow, in nanoseconds.
+		Delay time.Duration `json:"delay,omitempty"`
+		// Calls is how many calls fail, or 0 for all until the next order.
+		Calls int `json:"calls,omitempty"`
+	}
+
+	// Counts counts the calls served and refused.
+	Counts struct {
+		Reads   int `json:"reads"`
+		Writes  int `json:"writes"`
+		Watches int `json:"watches"`
+		Failed  int `json:"failed"`
+	}
+
+	key struct {
+		kind carawaybeam.StoreKind
+		name string
+	}
+
+	// Storer is the stand-in. Its methods may be used by several goroutines at
+	// once.
+	Storer struct {
+		mu      sync.Mutex
+		objects map[key]carawaybeam.Object
+		history []carawaybeam.Object
+		// forgotten is the version up to which history is incomplete.
+		forgotten carawaybeam.StoreVersion
+		version   carawaybeam.StoreVersion
+		changed   chan struct{}
+		fault     Fault
+		counts    Counts
+
+		vms     []carawaybeam.VM
+		listLag time.Duration
+		pending []pendingList
+	}
+
+	pendingList struct {
+		from time.Time
+		vms  []carawaybeam.VM
+	}
+)
+
+var (
+	_ carawaybeam.Store  = (*Storer)(nil)
+	_ carawaybeam.Lister = (*vmList)(nil)
+)
+
+// New returns an empty Storer.
+func New() *Storer {
+	return &Storer{objects: make(map[key]carawaybeam.Object), changed: make(chan struct{})}
+}
+
+// Order sets how the next calls fail.
+func (s *Storer) Order(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Counts returns the calls so far.
+func (s *Storer) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// enter applies the fault in force to one call. It tells whether the answer of
+// a write is to be lost.
+func (s *Storer) enter(ctx context.Context, count *int) (lost bool, err error) {
+	s.mu.Lock()
+	fault := s.fault
+	*count++
+	if fault.Calls > 0 {
+		if s.fault.Calls--; s.fault.Calls == 0 {
+			s.fault = Fault{}
+		}
+	}
+	if fault.Mode == FaultDown {
+		s.counts.Failed++
+	}
+	s.mu.Unlock()
+	switch fault.Mode {
+	case FaultDown:
+		return false, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "store is down"}
+	case FaultSlow:
+		select {
+		case <-time.After(fault.Delay):
+		case <-ctx.Done():
+			return false, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
+		}
+	}
+	return fault.Mode == FaultLostAnswer, nil
+}
+
+// Get returns one object.
+func (s *Storer) Get(ctx context.Context, kind carawaybeam.StoreKind, name string) (carawaybeam.Object, error) {
+	if _, err := s.enter(ctx, &s.counts.Reads); err != nil {
+		return carawaybeam.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key{kind, name}]
+	if !ok {
+		return object, &carawaybeam.StoreError{Failure: carawaybeam.StoreNotFound, Detail: "no such object"}
+	}
+	return object, nil
+}
+
+// List returns all objects of a kind.
+func (s *Storer) List(
+	ctx context.Context,
+	kind carawaybeam.StoreKind,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	if _, err := s.enter(ctx, &s.counts.Reads); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var objects []carawaybeam.Object
+	for k, object := range s.objects {
+		if k.kind == kind {
+			objects = append(objects, object)
+		}
+	}
+	slices.SortFunc(objects, func(a, b carawaybeam.Object) int { return int(a.Version) - int(b.Version) })
+	return objects, s.version, nil
+}
+
+// Put writes an object if the present version is expect.
+func (s *Storer) Put(
+	ctx context.Context,
+	object carawaybeam.Object,
+	expect carawaybeam.StoreVersion,
+) (carawaybeam.StoreVersion, error) {
+	object.Deleted = false
+	return s.write(ctx, object, expect)
+}
+
+// Delete removes an object if the present version is expect.
+func (s *Storer) Delete(
+	ctx context.Context,
+	kind carawaybeam.StoreKind,
+	name string,
+	expect carawaybeam.StoreVersion,
+) (carawaybeam.StoreVersion, error) {
+	return s.write(ctx, carawaybeam.Object{Kind: kind, Name: name, Deleted: true}, expect)
+}
+
+func (s *Storer) write(
+	ctx context.Context,
+	object carawaybeam.Object,
+	expect carawaybeam.StoreVersion,
+) (carawaybeam.StoreVersion, error) {
+	lost, err := s.enter(ctx, &s.counts.Writes)
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{object.Kind, object.Name}
+	if present := s.objects[k]; present.Version != expect {
+		conflict := &carawaybeam.StoreError{
+			Failure: carawaybeam.StoreConflict,
+			Current: present,
+			Detail:  "object has changed",
+		}
+		if lost {
+			conflict.Failure = carawaybeam.StoreUncertain
+		}
+		return 0, conflict
+	}
+	s.commit(k, object)
+	if lost {
+		return 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUncertain, Detail: "answer was lost"}
+	}
+	return s.version, nil
+}
+
+// commit makes a change. The caller holds mu.
+func (s *Storer) commit(k key, object carawaybeam.Object) {
+	s.version++
+	object.Version = s.version
+	if object.Deleted {
+		delete(s.objects, k)
+	} else {
+		s.objects[k] = object
+	}
+	s.history = append(s.history, object)
+	if len(s.history) > maxHistory {
+		s.forgotten = s.history[0].Version
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch waits for changes of the given kinds after version since.
+func (s *Storer) Watch(
+	ctx context.Context,
+	kinds []carawaybeam.StoreKind,
+	since carawaybeam.StoreVersion,
+	wait time.Duration,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	if _, err := s.enter(ctx, &s.counts.Watches); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		objects, version, changed, err := s.since(kinds, since)
+		if err != nil || len(objects) > 0 {
+			return objects, version, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
+		}
+	}
+}
+
+func (s *Storer) since(
+	kinds []carawaybeam.StoreKind,
+	since carawaybeam.StoreVersion,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since < s.forgotten {
+		return nil, 0, nil, &carawaybeam.StoreError{Failure: carawaybeam.StoreExpired, Detail: "changes are forgotten"}
+	}
+	var objects []carawaybeam.Object
+	for _, object := range s.history {
+		if object.Version > since && slices.Contains(kinds, object.Kind) {
+			objects = append(objects, object)
+		}
+	}
+	return objects, s.version, s.changed, nil
+}
+
+// SetVMs changes the list of VMs, which shows it once the lag has passed.
+func (s *Storer) SetVMs(vms []carawaybeam.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, pendingList{from: time.Now().Add(s.listLag), vms: slices.Clone(vms)})
+}
+
+// SetListLag sets how long later changes of the list of VMs take to show.
+func (s *Storer) SetListLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listLag = lag
+}
+
+// VMList returns the list of VMs as a carawaybeam.Lister.
+func (s *Storer) VMList() carawaybeam.Lister { return &vmList{storer: s} }
+
+type vmList struct {
+	storer *Storer
+}
+
+// List returns the VMs as the lagging list shows them.
+func (l *vmList) List(ctx context.Context) ([]carawaybeam.VM, error) {
+	s := l.storer
+	if _, err := s.enter(ctx, &s.counts.Reads); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.pending) > 0 && !time.Now().Before(s.pending[0].from) {
+		s.vms = s.pending[0].vms
+		s.pending = s.pending[1:]
+	}
+	return slices.Clone(s.vms), nil
+}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,206 @@
+// Package keeper speaks to the platform's store over its HTTP object API. It
+// registers itself as the store "rest".
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+const (
+	// MaxValueBytes is the largest value that the store holds.
+	MaxValueBytes = 1 << 20
+
+	// maxAnswerBytes bounds an answer of the store, such as a long list.
+	maxAnswerBytes = 64 << 20
+)
+
+type (
+	// Keeper is a client of the object API. It may be used by several
+	// goroutines at once.
+	Keeper struct {
+		options carawaybeam.StoreOptions
+		client  *http.Client
+	}
+
+	// changes is the answer to a list or watch.
+	changes struct {
+		Version carawaybeam.StoreVersion `json:"version"`
+		Objects []carawaybeam.Object     `json:"objects"`
+	}
+)
+
+var _ carawaybeam.Store = (*Keeper)(nil)
+
+func init() {
+	carawaybeam.Stores.Register("rest", func(options carawaybeam.StoreOptions) (carawaybeam.Store, error) {
+		return New(options), nil
+	})
+}
+
+// New returns a Keeper for the store at the URL of the options.
+func New(options carawaybeam.StoreOptions) *Keeper {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = 16
+	return &Keeper{options: options, client: &http.Client{Transport: transport}}
+}
+
+// Get returns one object.
+func (k *Keeper) Get(ctx context.Context, kind carawaybeam.StoreKind, name string) (carawaybeam.Object, error) {
+	var object carawaybeam.Object
+	err := k.call(ctx, http.MethodGet, objectPath(kind, name), nil, nil, &object)
+	return object, err
+}
+
+// List returns all objects of a kind.
+func (k *Keeper) List(
+	ctx context.Context,
+	kind carawaybeam.StoreKind,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	var listed changes
+	err := k.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, nil, &listed)
+	return listed.Objects, listed.Version, err
+}
+
+// Put writes an object if the present version is expect.
+func (k *Keeper) Put(
+	ctx context.Context,
+	object carawaybeam.Object,
+	expect carawaybeam.StoreVersion,
+) (carawaybeam.StoreVersion, error) {
+	if len(object.Value) > MaxValueBytes {
+		return 0, &carawaybeam.StoreError{
+			Failure: carawaybeam.StoreUnavailable,
+			Detail:  fmt.Sprintf("value of %d bytes exceeds %d", len(object.Value), MaxValueBytes),
+		}
+	}
+	var written carawaybeam.Object
+	err := k.call(ctx, http.MethodPut, objectPath(object.Kind, object.Name), condition(expect), object.Value, &written)
+	return written.Version, err
+}
+
+// Delete removes an object if the present version is expect.
+func (k *Keeper) Delete(
+	ctx context.Context,
+	kind carawaybeam.StoreKind,
+	name string,
+	expect carawaybeam.StoreVersion,
+) (carawaybeam.StoreVersion, error) {
+	var deleted carawaybeam.Object
+	err := k.call(ctx, http.MethodDelete, objectPath(kind, name), condition(expect), nil, &deleted)
+	return deleted.Version, err
+}
+
+// Watch waits for changes after version since.
+func (k *Keeper) Watch(
+	ctx context.Context,
+	kinds []carawaybeam.StoreKind,
+	since carawaybeam.StoreVersion,
+	wait time.Duration,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	names := make([]string, len(kinds))
+	for i, kind := range kinds {
+		names[i] = string(kind)
+	}
+	query := url.Values{
+		"kinds":       {strings.Join(names, ",")},
+		"since":       {strconv.FormatUint(uint64(since), 10)},
+		"waitSeconds": {strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)},
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+k.options.Timeout)
+	defer cancel()
+	var changed changes
+	err := k.send(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil, nil, &changed)
+	return changed.Objects, changed.Version, err
+}
+
+func objectPath(kind carawaybeam.StoreKind, name string) string {
+	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+func condition(expect carawaybeam.StoreVersion) http.Header {
+	if expect == 0 {
+		return http.Header{"If-None-Match": {"*"}}
+	}
+	return http.Header{"If-Match": {strconv.FormatUint(uint64(expect), 10)}}
+}
+
+// call is send within the timeout of the options.
+func (k *Keeper) call(ctx context.Context, method, path string, header http.Header, body []byte, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, k.options.Timeout)
+	defer cancel()
+	return k.send(ctx, method, path, header, body, result)
+}
+
+func (k *Keeper) send(ctx context.Context, method, path string, header http.Header, body []byte, result any) error {
+	request, err := http.NewRequestWithContext(ctx, method, k.options.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: err.Error()}
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if k.options.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+k.options.Token)
+	}
+	response, err := k.client.Do(request)
+	if err != nil {
+		return &carawaybeam.StoreError{Failure: failureOf(method, err), Detail: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &carawaybeam.StoreError{Failure: failureOf(method, err), Detail: err.Error()}
+	}
+	return decode(method, response.StatusCode, data, result)
+}
+
+// failureOf judges a transport error. A write may have taken effect unless the
+// connection was never made.
+func failureOf(method string, err error) carawaybeam.StoreFailure {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return carawaybeam.StoreUnavailable
+	}
+	return carawaybeam.StoreUncertain
+}
+
+func decode(method string, status int, data []byte, result any) error {
+	switch status {
+	case http.StatusOK, http.StatusCreated:
+		if err := json.Unmarshal(data, result); err != nil {
+			return &carawaybeam.StoreError{Failure: failureOf(method, err), Detail: err.Error()}
+		}
+		return nil
+	case http.StatusNotFound:
+		return &carawaybeam.StoreError{Failure: carawaybeam.StoreNotFound, Detail: "no such object"}
+	case http.StatusPreconditionFailed:
+		conflict := &carawaybeam.StoreError{Failure: carawaybeam.StoreConflict, Detail: "object has changed"}
+		if err := json.Unmarshal(data, &conflict.Current); err != nil {
+			conflict.Detail = "object has changed, present one is unreadable"
+		}
+		return conflict
+	case http.StatusGone:
+		return &carawaybeam.StoreError{Failure: carawaybeam.StoreExpired, Detail: "watch is too old"}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: http.StatusText(status)}
+	default:
+		return &carawaybeam.StoreError{
+			Failure: failureOf(method, errors.New("status")),
+			Detail:  fmt.Sprintf("status %d", status),
+		}
+	}
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,13 @@
+// Package registrar links all plug-ins into a program by importing them.
+package registrar
+
+import (
+	// Each plug-in registers itself.
+	_ "github.com/carawaybeam/carawaybeam/caller"
+	_ "github.com/carawaybeam/carawaybeam/keeper"
+	_ "github.com/carawaybeam/carawaybeam/limiter/unlimited"
+	_ "github.com/carawaybeam/carawaybeam/lister"
+	_ "github.com/carawaybeam/carawaybeam/retrier/proof"
+	_ "github.com/carawaybeam/carawaybeam/router/leastinflight"
+	_ "github.com/carawaybeam/carawaybeam/router/roundrobin"
+)
--- /dev/null
+++ b/registry.go
@@ -0,0 +1,78 @@
+package carawaybeam
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Registry holds the plug-ins of one kind by name. The zero value is empty and
+// ready to use, by several goroutines at once.
+type Registry[T any] struct {
+	mu      sync.RWMutex
+	plugins map[string]T
+}
+
+var (
+	// Backends holds the protocols spoken to backend servers.
+	Backends Registry[func(BackendOptions) (Backend, error)]
+
+	// Stores holds the protocols spoken to the platform's object store.
+	Stores Registry[func(StoreOptions) (Store, error)]
+
+	// Listers holds the protocols spoken to the platform's list of VMs.
+	Listers Registry[func(ListerOptions) (Lister, error)]
+
+	// WeightStores holds the protocols spoken to the weight store.
+	WeightStores Registry[func(WeightStoreOptions) (WeightStore, error)]
+
+	// Routers holds the policies that choose a backend server.
+	Routers Registry[func() Router]
+
+	// Limiters holds the policies that admit requests.
+	Limiters Registry[func() Limiter]
+
+	// Retriers holds the policies that decide on further tries.
+	Retriers Registry[func() Retrier]
+
+	// Planners holds the policies that place experts on ranks.
+	Planners Registry[func(PlannerOptions) Planner]
+)
+
+// UnknownPluginError reports a name under which nothing is registered.
+type UnknownPluginError struct {
+	// Name is the name that was asked for.
+	Name string
+	// Known lists the registered names in order.
+	Known []string
+}
+
+func (e *UnknownPluginError) Error() string {
+	return fmt.Sprintf("no plug-in is registered as %q, known are %q", e.Name, e.Known)
+}
+
+// Register adds a plug-in. It panics when the name is taken, since two packages
+// that claim one name cannot both be right.
+func (r *Registry[T]) Register(name string, plugin T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, taken := r.plugins[name]; taken {
+		panic("carawaybeam: plug-in " + name + " is registered twice")
+	}
+	if r.plugins == nil {
+		r.plugins = make(map[string]T)
+	}
+	r.plugins[name] = plugin
+}
+
+// Lookup returns the plug-in of that name, or an *UnknownPluginError.
+func (r *Registry[T]) Lookup(name string) (T, error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	plugin, ok := r.plugins[name]
+	if !ok {
+		return plugin, &UnknownPluginError{Name: name, Known: slices.Sorted(maps.Keys(r.plugins))}
+	}
+	return plugin, nil
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,242 @@
+// Package server takes callers' requests over HTTP and writes their answers, as
+// a stream where the answer is one.
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+)
+
+const (
+	// HeaderClass names the class of a request for a model.
+	HeaderClass = "Carawaybeam-Class"
+	// HeaderKey carries the idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderRequest carries the request identifier back to the caller.
+	HeaderRequest = "Carawaybeam-Request"
+
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+
+	// idleTimeout ends connections on which no request comes.
+	idleTimeout = 2 * time.Minute
+
+	// deadlineFactor turns the target for completion into a deadline.
+	deadlineFactor = 4
+)
+
+type (
+	// Configuration is what the server reads of the configuration.
+	Configuration interface {
+		Authenticate(token string) (carawaybeam.Organisation, bool)
+		Class(id carawaybeam.ClassID) (carawaybeam.Class, bool)
+		Version() carawaybeam.ConfigVersion
+	}
+
+	// Dispatcher serves one request.
+	Dispatcher interface {
+		Do(ctx context.Context, request dispatcher.Request, w dispatcher.AnswerWriter) *carawaybeam.RequestError
+	}
+
+	// Options is what a Server is made from.
+	Options struct {
+		Configuration Configuration
+		Dispatcher    Dispatcher
+		// BodyBytes and HeaderBytes bound a request.
+		BodyBytes   int64
+		HeaderBytes int
+		// ReadTimeout bounds the time in which a caller sends its request.
+		ReadTimeout time.Duration
+		// Ready tells whether requests can be served.
+		Ready func() bool
+		Log   zerolog.Logger
+	}
+
+	// Server serves callers.
+	Server struct {
+		options Options
+		http    *http.Server
+		done    chan struct{}
+		leaving atomic.Bool
+	}
+)
+
+// New returns a Server that serves callers from the listener until Close.
+func New(listener net.Listener, options Options) *Server {
+	s := &Server{options: options, done: make(chan struct{})}
+	router := echo.New()
+	router.HTTPErrorHandler = s.handleError
+	router.POST("/v1/completions", s.serveModel)
+	router.POST("/v1/chat/completions", s.serveModel)
+	router.Any("/services/:class", s.serveService)
+	router.Any("/services/:class/*", s.serveService)
+	s.http = &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: options.ReadTimeout,
+		ReadTimeout:       options.ReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    options.HeaderBytes,
+	}
+	go s.serve(listener)
+	return s
+}
+
+func (s *Server) serve(listener net.Listener) {
+	defer close(s.done)
+	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.options.Log.Error().Err(err).Msg("server: callers are no longer served")
+	}
+}
+
+// Drain refuses new requests and waits until the running ones have ended, or ctx
+// ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+	return s.http.Shutdown(ctx)
+}
+
+// Close cuts off what runs and waits for the listener to end.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	return err
+}
+
+// handleError answers requests that match no route.
+func (s *Server) handleError(c *echo.Context, err error) {
+	status := http.StatusInternalServerError
+	var coder echo.HTTPStatusCoder
+	if errors.As(err, &coder) {
+		status = coder.StatusCode()
+	}
+	writeProblem(c.Response(), status, &carawaybeam.RequestError{
+		Outcome: carawaybeam.OutcomeNotRun,
+		Reason:  carawaybeam.ReasonBadRequest,
+		Detail:  err.Error(),
+	})
+}
+
+func (s *Server) serveModel(c *echo.Context) error {
+	class := carawaybeam.ClassID(c.Request().Header.Get(HeaderClass))
+	s.serveRequest(c, class, carawaybeam.WorkModel, c.Request().URL.RequestURI())
+	return nil
+}
+
+func (s *Server) serveService(c *echo.Context) error {
+	class := carawaybeam.ClassID(c.Param("class"))
+	path := strings.TrimPrefix(c.Request().URL.RequestURI(), "/services/"+string(class))
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	s.serveRequest(c, class, carawaybeam.WorkService, path)
+	return nil
+}
+
+func (s *Server) serveRequest(c *echo.Context, class carawaybeam.ClassID, kind carawaybeam.WorkKind, path string) {
+	id := carawaybeam.NewRequestID()
+	c.Response().Header().Set(HeaderRequest, string(id))
+	request, failure := s.read(c.Request(), class, kind)
+	if failure != nil {
+		writeProblem(c.Response(), statusOf(failure), failure)
+		return
+	}
+	request.ID = id
+	request.Path = path
+	w := newAnswerWriter(c.Response())
+	w.finish(s.options.Dispatcher.Do(c.Request().Context(), request, w))
+}
+
+// read checks a request and reads its body.
+func (s *Server) read(
+	r *http.Request,
+	id carawaybeam.ClassID,
+	kind carawaybeam.WorkKind,
+) (dispatcher.Request, *carawaybeam.RequestError) {
+	if s.leaving.Load() || !s.options.Ready() {
+		failure := refuse(carawaybeam.ReasonLeaving, "this entry does not serve now")
+		failure.RetryAfter = time.Second
+		return dispatcher.Request{}, failure
+	}
+	version := s.options.Configuration.Version()
+	org, failure := s.authenticate(r)
+	if failure != nil {
+		return dispatcher.Request{}, failure
+	}
+	class, ok := s.options.Configuration.Class(id)
+	if !ok || class.Kind != kind {
+		return dispatcher.Request{}, refuse(
+			carawaybeam.ReasonUnknownClass,
+			"no "+string(kind)+" class is named "+string(id),
+		)
+	}
+	if len(org.Classes) > 0 && !slices.Contains(org.Classes, id) {
+		return dispatcher.Request{}, refuse(carawaybeam.ReasonForbidden, "organisation may not use the class")
+	}
+	key := r.Header.Get(HeaderKey)
+	if len(key) > maxKeyBytes {
+		return dispatcher.Request{}, refuse(carawaybeam.ReasonBadRequest, "idempotency key is too long")
+	}
+	body, failure := s.readBody(r, kind)
+	if failure != nil {
+		return dispatcher.Request{}, failure
+	}
+	return dispatcher.Request{
+		Class:        class,
+		Organisation: org.ID,
+		Key:          carawaybeam.IdempotencyKey(key),
+		Method:       r.Method,
+		ContentType:  r.Header.Get("Content-Type"),
+		Body:         body,
+		Deadline:     time.Now().Add(deadlineFactor * class.Targets.Completed),
+		DecidedOn:    version,
+	}, nil
+}
+
+func (s *Server) authenticate(r *http.Request) (carawaybeam.Organisation, *carawaybeam.RequestError) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return carawaybeam.Organisation{}, refuse(carawaybeam.ReasonUnauthorized, "no bearer token was given")
+	}
+	org, ok := s.options.Configuration.Authenticate(token)
+	if !ok {
+		return org, refuse(carawaybeam.ReasonUnauthorized, "no organisation has the bearer token")
+	}
+	return org, nil
+}
+
+func (s *Server) readBody(r *http.Request, kind carawaybeam.WorkKind) ([]byte, *carawaybeam.RequestError) {
+	if r.ContentLength > s.options.BodyBytes {
+		return nil, refuse(carawaybeam.ReasonTooLarge, "body is too large")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.options.BodyBytes+1))
+	if err != nil {
+		return nil, refuse(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error())
+	}
+	if int64(len(body)) > s.options.BodyBytes {
+		return nil, refuse(carawaybeam.ReasonTooLarge, "body is too large")
+	}
+	if kind == carawaybeam.WorkModel {
+		if err := checkJSON(body); err != nil {
+			return nil, refuse(carawaybeam.ReasonBadRequest, "body is not a JSON object: "+err.Error())
+		}
+	}
+	return body, nil
+}
+
+func refuse(reason carawaybeam.Reason, detail string) *carawaybeam.RequestError {
+	return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeNotRun, Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/starter/starter.go
@@ -0,0 +1,114 @@
+// Package starter holds what every daemon does at its start and end: flags,
+// logs, listeners, signals, and closing its parts in order.
+package starter
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+const (
+	// ExitSettings is the exit code for refused settings or flags.
+	ExitSettings = 2
+	// ExitStart is the exit code for a failed start, such as a port in use.
+	ExitStart = 3
+	// ExitStop is the exit code for a stop that cut something off.
+	ExitStop = 4
+)
+
+// DrainTimeout bounds a graceful stop. The platform kills the VM later.
+const DrainTimeout = 10 * time.Minute
+
+type (
+	// Flags holds the flags common to the daemons.
+	Flags struct {
+		// Settings is the path of the settings file.
+		Settings string
+		// Check only checks the settings.
+		Check bool
+	}
+
+	// Closers closes parts in the reverse order of their addition. The zero
+	// value is empty and ready to use.
+	Closers struct {
+		parts []io.Closer
+	}
+
+	// ListenError reports an address that cannot be listened on.
+	ListenError struct {
+		Purpose string
+		Address carawaybeam.Address
+		Cause   error
+	}
+)
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("cannot listen for %s on %s: %v", e.Purpose, e.Address, e.Cause)
+}
+
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// ParseFlags reads the flags of a daemon and exits on wrong ones.
+func ParseFlags(program string, args []string) Flags {
+	var flags Flags
+	set := flag.NewFlagSet(program, flag.ContinueOnError)
+	set.StringVar(&flags.Settings, "settings", program+".toml", "path of the settings file")
+	set.BoolVar(&flags.Check, "check", false, "only check the settings")
+	switch err := set.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(0)
+	case err != nil:
+		os.Exit(ExitSettings)
+	}
+	return flags
+}
+
+// NewLog returns the log of a process, on standard error.
+func NewLog(process string) zerolog.Logger {
+	return zerolog.New(os.Stderr).With().Timestamp().Str("process", process).Logger()
+}
+
+// Fail prints the error and exits.
+func Fail(program string, code int, err error) {
+	_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+	os.Exit(code)
+}
+
+// Listen listens on an address. Errors are of type *ListenError.
+func Listen(purpose string, address carawaybeam.Address) (net.Listener, error) {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, &ListenError{Purpose: purpose, Address: address, Cause: err}
+	}
+	return listener, nil
+}
+
+// StopSignal returns a context that ends with the signal to stop.
+func StopSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Add adds a part to close.
+func (c *Closers) Add(part io.Closer) { c.parts = append(c.parts, part) }
+
+// Close closes all parts, the newest first, and joins their errors.
+func (c *Closers) Close() error {
+	var errs []error
+	for i := len(c.parts) - 1; i >= 0; i-- {
+		errs = append(errs, c.parts[i].Close())
+	}
+	c.parts = nil
+	return errors.Join(errs...)
+}
