--- /dev/null
+++ b/fakes/assembler/assembler.go
@@ -0,0 +1,186 @@
+// Package assembler puts entries and agents together in one process, over
+// links, a store and backend servers in memory, for tests in a testing/synctest
+// bubble. It runs the real parts and models nothing of its own.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/agent"
+	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/fakes/linker"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
+	"github.com/carawaybeam/carawaybeam/retrier/proof"
+	"github.com/carawaybeam/carawaybeam/router/leastinflight"
+	"github.com/carawaybeam/carawaybeam/tracker"
+)
+
+// settleTime is how long entries and agents get to find each other.
+const settleTime = time.Second
+
+// Pool is the pool of all backend servers.
+const Pool = carawaybeam.PoolID("desk")
+
+type (
+	// Options is what an Assembler is made from.
+	Options struct {
+		Entries int
+		Agents  int
+		// Concurrency bounds the attempts on one backend server.
+		Concurrency int
+		// Pace is the time for one part of an answer.
+		Pace time.Duration
+	}
+
+	// Entry is one entry with its parts.
+	Entry struct {
+		Configurer *configurer.Configurer
+		Tracker    *tracker.Tracker
+		Dispatcher *dispatcher.Dispatcher
+	}
+
+	// Slot is a VM with a backend server and, while it runs, an agent.
+	Slot struct {
+		VM       carawaybeam.VM
+		Backend  *Backend
+		Agent    *agent.Agent
+		Executor *executor.Executor
+	}
+
+	// Assembler holds the parts. Its fields may be used directly.
+	Assembler struct {
+		Network *linker.Network
+		Store   *storer.Storer
+		Entries []*Entry
+		Slots   []*Slot
+		options Options
+	}
+)
+
+// New returns an Assembler whose entries and agents have found each other.
+func New(options Options) *Assembler {
+	a := &Assembler{Network: &linker.Network{}, Store: storer.New(), options: options}
+	for i := range options.Agents {
+		a.addSlot(i)
+	}
+	a.ListVMs()
+	for i := range options.Entries {
+		a.addEntry(i)
+	}
+	time.Sleep(settleTime)
+	return a
+}
+
+// Close stops everything and waits. Nothing is left in the bubble.
+func (a *Assembler) Close() error {
+	errs := make([]error, 0, len(a.Entries)+len(a.Slots)+1)
+	for _, e := range a.Entries {
+		errs = append(errs, errors.Join(e.Dispatcher.Close(), e.Tracker.Close()))
+	}
+	errs = append(errs, a.Network.Close())
+	for _, s := range a.Slots {
+		errs = append(errs, s.closeAgent())
+	}
+	return errors.Join(errs...)
+}
+
+func (a *Assembler) addEntry(i int) {
+	config := configurer.New()
+	t := tracker.New(tracker.Options{
+		Process:     fmt.Sprintf("entry-%d", i),
+		Incarnation: carawaybeam.NewIncarnation(),
+		Lister:      a.Store.VMList(),
+		Dialer:      a.Network,
+		Config:      config,
+		Log:         zerolog.Nop(),
+	})
+	d := dispatcher.New(dispatcher.Options{
+		Members: t,
+		Binder:  binder.New(a.Store),
+		Config:  config,
+		Router:  leastinflight.Router{},
+		Limiter: unlimited.Limiter{},
+		Retrier: proof.Retrier{},
+		Log:     zerolog.Nop(),
+	})
+	a.Entries = append(a.Entries, &Entry{Configurer: config, Tracker: t, Dispatcher: d})
+}
+
+func (a *Assembler) addSlot(i int) {
+	s := &Slot{
+		VM: carawaybeam.VM{
+			ID:      carawaybeam.VMID(fmt.Sprintf("vm-%d", i)),
+			State:   carawaybeam.VMLive,
+			Role:    carawaybeam.RoleAgent,
+			Address: carawaybeam.Address(fmt.Sprintf("10.0.0.%d:7000", i)),
+			Pool:    Pool,
+		},
+		Backend: NewBackend(a.options.Pace),
+	}
+	a.Slots = append(a.Slots, s)
+	a.StartAgent(i)
+}
+
+// ListVMs tells the platform's list of all slots.
+func (a *Assembler) ListVMs() {
+	vms := make([]carawaybeam.VM, 0, len(a.Slots))
+	for _, s := range a.Slots {
+		vms = append(vms, s.VM)
+	}
+	a.Store.SetVMs(vms)
+}
+
+// StartAgent starts a new incarnation of the agent of a slot.
+func (a *Assembler) StartAgent(i int) {
+	s := a.Slots[i]
+	id := carawaybeam.BackendID(fmt.Sprintf("desk-%d", i))
+	incarnation := carawaybeam.NewIncarnation()
+	s.Executor = executor.New(executor.Options{
+		Backend:     s.Backend,
+		BackendID:   id,
+		Incarnation: incarnation,
+		Concurrency: a.options.Concurrency,
+		Log:         zerolog.Nop(),
+	})
+	s.Agent = agent.New(agent.Options{
+		BackendID:   id,
+		Incarnation: incarnation,
+		Backend:     s.Backend,
+		Executor:    s.Executor,
+		Log:         zerolog.Nop(),
+	})
+	a.Network.Listen(s.VM.Address, s.Agent)
+}
+
+// KillAgent ends the agent of a slot as a kill does: its links are cut and its
+// ledger is lost. What runs on the backend server goes on there.
+func (a *Assembler) KillAgent(i int) error {
+	s := a.Slots[i]
+	a.Network.Unlisten(s.VM.Address)
+	s.Backend.Detach()
+	return s.closeAgent()
+}
+
+func (s *Slot) closeAgent() error {
+	if s.Agent == nil {
+		return nil
+	}
+	err := errors.Join(s.Agent.Close(), s.Executor.Close())
+	s.Agent, s.Executor = nil, nil
+	return err
+}
+
+// Drain stops the agent of a slot gracefully.
+func (a *Assembler) Drain(ctx context.Context, i int) error {
+	return a.Slots[i].Agent.Drain(ctx)
+}
--- /dev/null
+++ b/fakes/assembler/backend.go
@@ -0,0 +1,195 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// Parts is how many parts each answer has.
+const Parts = 8
+
+var (
+	_ carawaybeam.Backend = (*Backend)(nil)
+
+	errDown = errors.New("connection refused")
+	errCut  = errors.New("connection reset")
+)
+
+type (
+	// Backend is a backend server in memory that counts the runs of each body.
+	Backend struct {
+		pace time.Duration
+
+		mu       sync.Mutex
+		runs     map[string]int
+		down     bool
+		crashes  int
+		poison   string
+		detached chan struct{}
+	}
+
+	// Answer collects what a caller gets.
+	Answer struct {
+		Status int
+		Body   strings.Builder
+	}
+
+	partReader struct {
+		ctx     context.Context
+		backend *Backend
+		cut     <-chan struct{}
+		left    []string
+	}
+)
+
+// NewBackend returns a Backend that takes the given time for each part.
+func NewBackend(pace time.Duration) *Backend {
+	return &Backend{pace: pace, runs: make(map[string]int), detached: make(chan struct{})}
+}
+
+// Whole returns the whole answer to a request with the body.
+func Whole(body string) string {
+	var b strings.Builder
+	for i := range Parts {
+		b.WriteString(part(body, i))
+	}
+	return b.String()
+}
+
+func part(body string, i int) string { return fmt.Sprintf("%s part %d\n", body, i) }
+
+// Runs returns how often a request with the body ran.
+func (b *Backend) Runs(body string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[body]
+}
+
+// Crashes returns how often the backend server crashed.
+func (b *Backend) Crashes() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashes
+}
+
+// Poison makes every request with the body crash the backend server.
+func (b *Backend) Poison(body string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.poison = body
+}
+
+// Crash cuts all answers and refuses calls until Recover.
+func (b *Backend) Crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crash()
+}
+
+func (b *Backend) crash() {
+	b.crashes++
+	b.down = true
+	b.cutAnswers()
+}
+
+// Recover takes calls again.
+func (b *Backend) Recover() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down = false
+}
+
+// Detach cuts all answers, as the death of the agent does.
+func (b *Backend) Detach() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cutAnswers()
+}
+
+func (b *Backend) cutAnswers() {
+	close(b.detached)
+	b.detached = make(chan struct{})
+}
+
+// Start puts a call. The answer goes on behind call.Resume.
+func (b *Backend) Start(ctx context.Context, call carawaybeam.Call) (*carawaybeam.Answer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down {
+		return nil, &carawaybeam.NotSentError{Cause: errDown}
+	}
+	body := string(call.Body)
+	b.runs[body]++
+	if b.poison != "" && body == b.poison {
+		b.crash()
+		return nil, errCut
+	}
+	left := make([]string, 0, Parts)
+	for i := range Parts {
+		left = append(left, part(body, i))
+	}
+	reader := &partReader{ctx: ctx, backend: b, cut: b.detached, left: skip(left, int(call.Resume))}
+	return &carawaybeam.Answer{Status: 200, ContentType: "text/plain", Body: reader}, nil
+}
+
+func skip(parts []string, n int) []string {
+	for len(parts) > 0 && n >= len(parts[0]) {
+		n -= len(parts[0])
+		parts = parts[1:]
+	}
+	if len(parts) > 0 {
+		parts[0] = parts[0][n:]
+	}
+	return parts
+}
+
+// Load reports no load, or an error while the backend server is down.
+func (b *Backend) Load(context.Context) (carawaybeam.Load, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down {
+		return carawaybeam.Load{}, errDown
+	}
+	return carawaybeam.Load{}, nil
+}
+
+// Read gives the next part once its time has come.
+func (r *partReader) Read(p []byte) (int, error) {
+	if len(r.left) == 0 {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(r.backend.pace):
+	case <-r.cut:
+		return 0, errCut
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	}
+	n := copy(p, r.left[0])
+	if r.left[0] = r.left[0][n:]; r.left[0] == "" {
+		r.left = r.left[1:]
+	}
+	return n, nil
+}
+
+// Close does nothing.
+func (r *partReader) Close() error { return nil }
+
+// Head notes the status.
+func (a *Answer) Head(status int, _ string) error {
+	a.Status = status
+	return nil
+}
+
+// Chunk adds to the body.
+func (a *Answer) Chunk(data []byte) error {
+	a.Body.Write(data)
+	return nil
+}
--- /dev/null
+++ b/tracer/outcome.go
@@ -0,0 +1,73 @@
+package tracer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+type (
+	// Bound limits one figure of a replay. A nil limit does not apply.
+	Bound struct {
+		Min *float64 `json:"min,omitempty"`
+		Max *float64 `json:"max,omitempty"`
+		// Why names the target from which the bound comes.
+		Why string `json:"why"`
+	}
+
+	// Outcome states what the replay of a trace must give, by figure.
+	Outcome struct {
+		Bounds map[string]Bound `json:"bounds"`
+	}
+
+	// Miss is a bound that a replay did not keep.
+	Miss struct {
+		Figure string
+		Got    float64
+		// Measured is false when the replay gave no such figure.
+		Measured bool
+		Bound    Bound
+	}
+)
+
+// ReadOutcome reads an outcome file strictly.
+func ReadOutcome(r io.Reader) (Outcome, error) {
+	var outcome Outcome
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&outcome)
+	return outcome, err
+}
+
+// Check returns the bounds that the figures miss, in the order of their names.
+// A bound on a figure that is absent is missed too.
+func (o Outcome) Check(figures map[string]float64) []Miss {
+	var misses []Miss
+	for _, name := range slices.Sorted(maps.Keys(o.Bounds)) {
+		bound := o.Bounds[name]
+		got, ok := figures[name]
+		below := bound.Min != nil && !(got >= *bound.Min)
+		above := bound.Max != nil && !(got <= *bound.Max)
+		if !ok || below || above {
+			misses = append(misses, Miss{Figure: name, Got: got, Measured: ok, Bound: bound})
+		}
+	}
+	return misses
+}
+
+// String describes the miss in one line.
+func (m Miss) String() string {
+	if !m.Measured {
+		return m.Figure + " was not measured"
+	}
+	text := fmt.Sprintf("%s is %g", m.Figure, m.Got)
+	if m.Bound.Min != nil {
+		text += fmt.Sprintf(", want at least %g", *m.Bound.Min)
+	}
+	if m.Bound.Max != nil {
+		text += fmt.Sprintf(", want at most %g", *m.Bound.Max)
+	}
+	return text + " (" + m.Bound.Why + ")"
+}
