Serve callers and links over TLS

Links use mutual TLS: a certificate of the fleet names the role of its process, and a foreign, expired or wrong one is refused and logged. A caller that takes nothing of its answer for the write timeout is given up, so that it holds no attempt for ever.

--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/agent"
+	"github.com/carawaybeam/carawaybeam/certifier"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/loader"
@@ -61,7 +63,7 @@
 
 func (d *daemon) start() error {
 	// The port is the lock on the slot: a second agent cannot take it.
-	links, err := starter.Listen("links", d.settings.Links)
+	links, err := d.listenLinks()
 	if err != nil {
 		return err
 	}
@@ -94,6 +96,19 @@
 	return d.listenAdmin()
 }
 
+// listenLinks listens for links, over TLS if the settings ask for it.
+func (d *daemon) listenLinks() (net.Listener, error) {
+	listener, err := starter.Listen("links", d.settings.Links)
+	if err != nil || !d.settings.LinkTLS.Enabled() {
+		return listener, err
+	}
+	c, err := certifier.New(certifier.Files(d.settings.LinkTLS), d.log)
+	if err != nil {
+		return nil, err
+	}
+	return certifier.Listen(listener, c.Server(certifier.RoleEntry, certifier.RoleAgent), d.log), nil
+}
+
 func (d *daemon) listenAdmin() error {
 	admin, err := starter.Listen("operators", d.settings.Admin)
 	if err != nil {
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -15,7 +15,6 @@
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/loader"
-	"github.com/carawaybeam/carawaybeam/messenger"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
 	"github.com/carawaybeam/carawaybeam/starter"
@@ -88,13 +87,17 @@
 	}
 	e.configurer = configurer.New()
 	incarnation := carawaybeam.NewIncarnation()
+	dialer, err := e.dialer()
+	if err != nil {
+		return err
+	}
 	e.closers.Add(watcher.New(watcher.Options{Store: e.store, Configurer: e.configurer, Log: e.log}))
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
 		DataCentre:  e.settings.DataCentre,
 		Lister:      e.lister,
-		Dialer:      messenger.Dialer{},
+		Dialer:      dialer,
 		Config:      e.configurer,
 		Log:         e.log,
 	})
@@ -168,7 +171,7 @@
 		State:   e.state,
 		Log:     e.log,
 	}))
-	callers, err := starter.Listen("callers", e.settings.Callers)
+	callers, err := e.listenCallers()
 	if err != nil {
 		return err
 	}
@@ -178,6 +181,7 @@
 		BodyBytes:     e.settings.Limits.BodyBytes,
 		HeaderBytes:   e.settings.Limits.HeaderBytes,
 		ReadTimeout:   time.Duration(e.settings.Limits.ReadTimeout),
+		WriteTimeout:  time.Duration(e.settings.Limits.WriteTimeout),
 		Ready:         e.ready,
 		Log:           e.log,
 	})
--- a/link.go
+++ b/link.go
@@ -14,7 +14,8 @@
 		// Send writes one frame.
 		Send(frame *framer.Frame) error
 		// Receive reads one frame. It fails with *SilenceError when none comes
-		// within the timeout, where 0 means no limit.
+		// within the timeout, where 0 means no limit. A stream on which it
+		// failed can only be closed.
 		Receive(timeout time.Duration) (*framer.Frame, error)
 		// Close ends both directions and wakes a blocked Send or Receive.
 		Close() error
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -28,6 +28,8 @@
 		VMList     Service                `toml:"vmList"`
 		Policies   Policies               `toml:"policies"`
 		Limits     Limits                 `toml:"limits"`
+		CallerTLS  TLS                    `toml:"callerTLS"`
+		LinkTLS    TLS                    `toml:"linkTLS"`
 	}
 
 	// Agent holds the settings of cbagent.
@@ -37,6 +39,7 @@
 		Links      carawaybeam.Address    `toml:"links"`
 		Admin      carawaybeam.Address    `toml:"admin"`
 		Backend    Backend                `toml:"backend"`
+		LinkTLS    TLS                    `toml:"linkTLS"`
 	}
 
 	// Service tells how to reach an outside system.
@@ -64,9 +67,10 @@
 
 	// Limits bounds what callers send.
 	Limits struct {
-		BodyBytes   int64    `toml:"bodyBytes"`
-		HeaderBytes int      `toml:"headerBytes"`
-		ReadTimeout Duration `toml:"readTimeout"`
+		BodyBytes    int64    `toml:"bodyBytes"`
+		HeaderBytes  int      `toml:"headerBytes"`
+		ReadTimeout  Duration `toml:"readTimeout"`
+		WriteTimeout Duration `toml:"writeTimeout"`
 	}
 
 	// Duration is a time.Duration written as in "2.5s".
@@ -113,7 +117,12 @@
 		Store:    Service{Protocol: "rest", Timeout: Duration(2 * time.Second)},
 		VMList:   Service{Protocol: "rest", Timeout: Duration(2 * time.Second)},
 		Policies: Policies{Router: "leastInFlight", Limiter: "unlimited", Retrier: "proof"},
-		Limits:   Limits{BodyBytes: 8 << 20, HeaderBytes: 32 << 10, ReadTimeout: Duration(30 * time.Second)},
+		Limits: Limits{
+			BodyBytes:    8 << 20,
+			HeaderBytes:  32 << 10,
+			ReadTimeout:  Duration(30 * time.Second),
+			WriteTimeout: Duration(30 * time.Second),
+		},
 	}
 }
 
@@ -183,6 +192,8 @@
 	faults = append(faults, registered("policies.router", &carawaybeam.Routers, s.Policies.Router)...)
 	faults = append(faults, registered("policies.limiter", &carawaybeam.Limiters, s.Policies.Limiter)...)
 	faults = append(faults, registered("policies.retrier", &carawaybeam.Retriers, s.Policies.Retrier)...)
+	faults = append(faults, s.CallerTLS.faults("callerTLS", false)...)
+	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
 	if s.Limits.BodyBytes <= 0 || s.Limits.BodyBytes > maxBodyBytes {
 		faults = append(faults, fault{key: "limits.bodyBytes", detail: fmt.Sprintf("want 1 to %d bytes", maxBodyBytes)})
 	}
@@ -192,6 +203,9 @@
 	if s.Limits.ReadTimeout <= 0 {
 		faults = append(faults, fault{key: "limits.readTimeout", detail: "want a positive duration"})
 	}
+	if s.Limits.WriteTimeout <= 0 {
+		faults = append(faults, fault{key: "limits.writeTimeout", detail: "want a positive duration"})
+	}
 	return faults
 }
 
@@ -207,6 +221,7 @@
 	faults = append(faults, required("backend.id", string(s.Backend.ID))...)
 	faults = append(faults, baseURL("backend.url", s.Backend.URL)...)
 	faults = append(faults, registered("backend.protocol", &carawaybeam.Backends, s.Backend.Protocol)...)
+	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
 	if s.Backend.Concurrency <= 0 {
 		faults = append(faults, fault{key: "backend.concurrency", detail: "want a positive number"})
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -31,8 +32,12 @@
 )
 
 type (
-	// Dialer makes links over TCP. The zero value is ready to use.
-	Dialer struct{}
+	// Dialer makes links over TCP, and over TLS if it has a configuration. The
+	// zero value is ready to use.
+	Dialer struct {
+		// TLS is the configuration of a client, or nil.
+		TLS *tls.Config
+	}
 
 	link struct {
 		session *yamux.Session
@@ -52,9 +57,8 @@
 )
 
 // Dial connects to the address.
-func (Dialer) Dial(ctx context.Context, address carawaybeam.Address) (carawaybeam.Link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", string(address))
+func (d Dialer) Dial(ctx context.Context, address carawaybeam.Address) (carawaybeam.Link, error) {
+	conn, err := d.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -65,6 +69,15 @@
 	return &link{session: session}, nil
 }
 
+func (d Dialer) connect(ctx context.Context, address carawaybeam.Address) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if d.TLS == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", string(address))
+	}
+	return (&tls.Dialer{Config: d.TLS}).DialContext(ctx, "tcp", string(address))
+}
+
 // sessionConfig leaves the detection of silence to the frames above, which also
 // notice a peer whose process is paused.
 func sessionConfig() *yamux.Config {
@@ -105,7 +118,7 @@
 	return framer.Write(s.conn, frame)
 }
 
-// Receive reads one frame.
+// Receive reads one frame. A stream on which it failed can only be closed.
 func (s *stream) Receive(timeout time.Duration) (*framer.Frame, error) {
 	var deadline time.Time
 	if timeout > 0 {
--- a/server/answer.go
+++ b/server/answer.go
@@ -36,6 +36,7 @@
 	answerWriter struct {
 		w           http.ResponseWriter
 		control     *http.ResponseController
+		timeout     time.Duration
 		status      int
 		contentType string
 		events      bool
@@ -103,8 +104,10 @@
 	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
 }
 
-func newAnswerWriter(w http.ResponseWriter) *answerWriter {
-	return &answerWriter{w: w, control: http.NewResponseController(w)}
+// newAnswerWriter returns a writer that gives a caller the timeout to take each
+// part.
+func newAnswerWriter(w http.ResponseWriter, timeout time.Duration) *answerWriter {
+	return &answerWriter{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
 // Head begins the answer.
@@ -124,6 +127,9 @@
 		a.held = append(a.held, data...)
 		return nil
 	}
+	if err := a.control.SetWriteDeadline(time.Now().Add(a.timeout)); err != nil {
+		return err
+	}
 	if !a.sent {
 		a.send()
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -60,6 +60,9 @@
 		HeaderBytes int
 		// ReadTimeout bounds the time in which a caller sends its request.
 		ReadTimeout time.Duration
+		// WriteTimeout bounds the time in which a caller takes one part of its
+		// answer.
+		WriteTimeout time.Duration
 		// Ready tells whether requests can be served.
 		Ready func() bool
 		Log   zerolog.Logger
@@ -156,7 +159,7 @@
 	}
 	request.ID = id
 	request.Path = path
-	w := newAnswerWriter(c.Response())
+	w := newAnswerWriter(c.Response(), s.options.WriteTimeout)
 	w.finish(s.options.Dispatcher.Do(c.Request().Context(), request, w))
 }
 
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,285 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/server"
+)
+
+const (
+	token       = "secret"
+	bodyLimit   = 1 << 10
+	readTimeout = 300 * time.Millisecond
+
+	writeTimeout = 200 * time.Millisecond
+)
+
+type (
+	configuration struct{}
+
+	// dispatch answers requests by a function and notes the last one.
+	dispatch struct {
+		answer func(ctx context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError
+		last   dispatcher.Request
+	}
+
+	problem struct {
+		Type    string              `json:"type"`
+		Title   string              `json:"title"`
+		Status  int                 `json:"status"`
+		Detail  string              `json:"detail"`
+		Outcome carawaybeam.Outcome `json:"outcome"`
+	}
+)
+
+func (configuration) Version() carawaybeam.ConfigVersion { return 7 }
+
+func (configuration) Authenticate(given string) (carawaybeam.Organisation, bool) {
+	return carawaybeam.Organisation{ID: "org", Classes: []carawaybeam.ClassID{"drafting", "bookings"}}, given == token
+}
+
+func (configuration) Class(id carawaybeam.ClassID) (carawaybeam.Class, bool) {
+	kinds := map[carawaybeam.ClassID]carawaybeam.WorkKind{
+		"drafting": carawaybeam.WorkModel, "bookings": carawaybeam.WorkService, "quotes": carawaybeam.WorkModel,
+	}
+	kind, ok := kinds[id]
+	return carawaybeam.Class{ID: id, Kind: kind, Targets: carawaybeam.Targets{Completed: time.Minute}}, ok
+}
+
+func (d *dispatch) Do(
+	ctx context.Context,
+	request dispatcher.Request,
+	w dispatcher.AnswerWriter,
+) *carawaybeam.RequestError {
+	d.last = request
+	return d.answer(ctx, w)
+}
+
+func text(parts ...string) func(context.Context, dispatcher.AnswerWriter) *carawaybeam.RequestError {
+	return func(_ context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError {
+		_ = w.Head(http.StatusOK, "text/plain")
+		for _, part := range parts {
+			_ = w.Chunk([]byte(part))
+		}
+		return nil
+	}
+}
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, d *dispatch) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := server.New(listener, server.Options{
+		Configuration: configuration{},
+		Dispatcher:    d,
+		BodyBytes:     bodyLimit,
+		HeaderBytes:   4 << 10,
+		ReadTimeout:   readTimeout,
+		WriteTimeout:  writeTimeout,
+		Ready:         func() bool { return true },
+		Log:           zerolog.Nop(),
+	})
+	t.Cleanup(func() { _ = s.Close() })
+	return "http://" + listener.Addr().String()
+}
+
+func send(t *testing.T, method, url, class, bearer, body string) (*http.Response, string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+bearer)
+	request.Header.Set(server.HeaderClass, class)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+func TestBadRequestsAreRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		class  string
+		token  string
+		body   string
+		status int
+	}{
+		{"no token", "POST", "/v1/completions", "drafting", "", "{}", http.StatusUnauthorized},
+		{"wrong token", "POST", "/v1/completions", "drafting", "guess", "{}", http.StatusUnauthorized},
+		{"unknown class", "POST", "/v1/completions", "baking", token, "{}", http.StatusNotFound},
+		{"class of another kind", "POST", "/v1/completions", "bookings", token, "{}", http.StatusNotFound},
+		{"class not allowed", "POST", "/v1/completions", "quotes", token, "{}", http.StatusForbidden},
+		{"broken JSON", "POST", "/v1/completions", "drafting", token, `{"prompt":`, http.StatusBadRequest},
+		{"JSON array", "POST", "/v1/completions", "drafting", token, `[1]`, http.StatusBadRequest},
+		{
+			"oversize body", "POST", "/v1/completions", "drafting", token,
+			strings.Repeat(" ", bodyLimit+1), http.StatusRequestEntityTooLarge,
+		},
+		{"unknown path", "POST", "/v2/completions", "drafting", token, "{}", http.StatusNotFound},
+		{"wrong method", "GET", "/v1/completions", "drafting", token, "", http.StatusMethodNotAllowed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := &dispatch{answer: text("ran")}
+			url := serve(t, d)
+			response, body, err := send(t, test.method, url+test.path, test.class, test.token, test.body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, test.status)
+			is.Equal(response.Header.Get("Content-Type"), "application/problem+json")
+			var p problem
+			is.NoErr(json.Unmarshal([]byte(body), &p))
+			is.Equal(p.Outcome, carawaybeam.OutcomeNotRun)
+			is.Equal(p.Status, test.status)
+			is.Equal(d.last.Method, "") // The request went no further.
+		})
+	}
+}
+
+func TestRefusalsCarryOutcomeAndRetryAfter(t *testing.T) {
+	tests := []struct {
+		failure    carawaybeam.RequestError
+		status     int
+		retryAfter string
+	}{
+		{
+			carawaybeam.RequestError{
+				Outcome: carawaybeam.OutcomeNotRun, Reason: carawaybeam.ReasonBusy, RetryAfter: 1200 * time.Millisecond,
+			},
+			http.StatusTooManyRequests, "2",
+		},
+		{
+			carawaybeam.RequestError{
+				Outcome: carawaybeam.OutcomeNotRun, Reason: carawaybeam.ReasonNoBackend, RetryAfter: time.Second,
+			},
+			http.StatusServiceUnavailable, "1",
+		},
+		{
+			carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown, Reason: carawaybeam.ReasonBackendFailed},
+			http.StatusBadGateway, "",
+		},
+		{
+			carawaybeam.RequestError{Outcome: carawaybeam.OutcomeRan, Reason: carawaybeam.ReasonAnswerGone},
+			http.StatusBadGateway, "",
+		},
+	}
+	for _, test := range tests {
+		t.Run(string(test.failure.Reason), func(t *testing.T) {
+			is := is.New(t)
+			url := serve(t, &dispatch{answer: func(context.Context, dispatcher.AnswerWriter) *carawaybeam.RequestError {
+				return &test.failure
+			}})
+			response, body, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, test.status)
+			is.Equal(response.Header.Get("Retry-After"), test.retryAfter)
+			var p problem
+			is.NoErr(json.Unmarshal([]byte(body), &p))
+			is.Equal(p.Outcome, test.failure.Outcome)
+		})
+	}
+}
+
+func TestAnswerOutlastsReadTimeout(t *testing.T) {
+	is := is.New(t)
+	url := serve(t, &dispatch{answer: func(ctx context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError {
+		select {
+		case <-time.After(3 * readTimeout):
+		case <-ctx.Done():
+			return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown, Detail: "caller seems gone"}
+		}
+		return text("whole")(ctx, w)
+	}})
+	response, body, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(body, "whole")
+}
+
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	failure := &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown, Reason: carawaybeam.ReasonBackendFailed}
+	cut := func(contentType string, part string, parts int) *dispatch {
+		return &dispatch{answer: func(_ context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError {
+			_ = w.Head(http.StatusOK, contentType)
+			for range parts {
+				_ = w.Chunk([]byte(part))
+			}
+			return failure
+		}}
+	}
+	t.Run("event stream ends with an error event", func(t *testing.T) {
+		is := is.New(t)
+		url := serve(t, cut("text/event-stream", "data: {}\n\n", 2))
+		_, body, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
+		is.NoErr(err)
+		is.True(strings.Contains(body, "event: error"))
+		is.True(strings.Contains(body, `"outcome":"unknown"`))
+		is.True(!strings.Contains(body, "[DONE]"))
+	})
+	t.Run("small answer becomes an error", func(t *testing.T) {
+		is := is.New(t)
+		url := serve(t, cut("application/json", `{"half":`, 1))
+		response, _, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusBadGateway)
+	})
+	t.Run("large answer is cut off", func(t *testing.T) {
+		is := is.New(t)
+		url := serve(t, cut("application/octet-stream", strings.Repeat("x", 512<<10), 4))
+		_, _, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
+		is.True(err != nil)
+	})
+}
+
+func TestServiceGetsItsPath(t *testing.T) {
+	is := is.New(t)
+	d := &dispatch{answer: text("ok")}
+	url := serve(t, d)
+	_, _, err := send(t, "POST", url+"/services/bookings/visits/7?day=monday", "", token, "{}")
+	is.NoErr(err)
+	is.Equal(d.last.Path, "/visits/7?day=monday")
+	is.Equal(d.last.DecidedOn, carawaybeam.ConfigVersion(7))
+}
+
+func TestCallerThatTakesNothingIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan error, 1)
+	url := serve(t, &dispatch{answer: func(_ context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError {
+		_ = w.Head(http.StatusOK, "text/event-stream")
+		part := []byte(strings.Repeat("x", 1<<20))
+		for {
+			if err := w.Chunk(part); err != nil {
+				gone <- err
+				return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown}
+			}
+		}
+	}})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer "+token+
+		"\r\n"+server.HeaderClass+": drafting\r\nContent-Length: 2\r\n\r\n{}")
+	is.NoErr(err)
+	is.True(<-gone != nil)
+}
