--- a/server/server_test.go
+++ b/server/server_test.go
@@ -98,7 +98,14 @@
 	return "http://" + listener.Addr().String()
 }
 
-func send(t *testing.T, method, url, class, bearer, body string) (*http.Response, string, error) {
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func send(t *testing.T, method, url, class, bearer, body string) (reply, error) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	if err != nil {
@@ -108,11 +115,11 @@
 	request.Header.Set(server.HeaderClass, class)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, "", err
+		return reply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return response, string(data), err
+	return reply{status: response.StatusCode, header: response.Header, body: string(data)}, err
 }
 
 func TestBadRequestsAreRefused(t *testing.T) {
@@ -144,12 +151,12 @@
 			is := is.New(t)
 			d := &dispatch{answer: text("ran")}
 			url := serve(t, d)
-			response, body, err := send(t, test.method, url+test.path, test.class, test.token, test.body)
+			response, err := send(t, test.method, url+test.path, test.class, test.token, test.body)
 			is.NoErr(err)
-			is.Equal(response.StatusCode, test.status)
-			is.Equal(response.Header.Get("Content-Type"), "application/problem+json")
+			is.Equal(response.status, test.status)
+			is.Equal(response.header.Get("Content-Type"), "application/problem+json")
 			var p problem
-			is.NoErr(json.Unmarshal([]byte(body), &p))
+			is.NoErr(json.Unmarshal([]byte(response.body), &p))
 			is.Equal(p.Outcome, carawaybeam.OutcomeNotRun)
 			is.Equal(p.Status, test.status)
 			is.Equal(d.last.Method, "") // The request went no further.
@@ -190,12 +197,12 @@
 			url := serve(t, &dispatch{answer: func(context.Context, dispatcher.AnswerWriter) *carawaybeam.RequestError {
 				return &test.failure
 			}})
-			response, body, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
+			response, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
 			is.NoErr(err)
-			is.Equal(response.StatusCode, test.status)
-			is.Equal(response.Header.Get("Retry-After"), test.retryAfter)
+			is.Equal(response.status, test.status)
+			is.Equal(response.header.Get("Retry-After"), test.retryAfter)
 			var p problem
-			is.NoErr(json.Unmarshal([]byte(body), &p))
+			is.NoErr(json.Unmarshal([]byte(response.body), &p))
 			is.Equal(p.Outcome, test.failure.Outcome)
 		})
 	}
@@ -211,10 +218,10 @@
 		}
 		return text("whole")(ctx, w)
 	}})
-	response, body, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
+	response, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
 	is.NoErr(err)
-	is.Equal(response.StatusCode, http.StatusOK)
-	is.Equal(body, "whole")
+	is.Equal(response.status, http.StatusOK)
+	is.Equal(response.body, "whole")
 }
 
 func TestCutAnswerNeverLooksWhole(t *testing.T) {
@@ -231,23 +238,23 @@
 	t.Run("event stream ends with an error event", func(t *testing.T) {
 		is := is.New(t)
 		url := serve(t, cut("text/event-stream", "data: {}\n\n", 2))
-		_, body, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
+		response, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
 		is.NoErr(err)
-		is.True(strings.Contains(body, "event: error"))
-		is.True(strings.Contains(body, `"outcome":"unknown"`))
-		is.True(!strings.Contains(body, "[DONE]"))
+		is.True(strings.Contains(response.body, "event: error"))
+		is.True(strings.Contains(response.body, `"outcome":"unknown"`))
+		is.True(!strings.Contains(response.body, "[DONE]"))
 	})
 	t.Run("small answer becomes an error", func(t *testing.T) {
 		is := is.New(t)
 		url := serve(t, cut("application/json", `{"half":`, 1))
-		response, _, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
+		response, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
 		is.NoErr(err)
-		is.Equal(response.StatusCode, http.StatusBadGateway)
+		is.Equal(response.status, http.StatusBadGateway)
 	})
 	t.Run("large answer is cut off", func(t *testing.T) {
 		is := is.New(t)
 		url := serve(t, cut("application/octet-stream", strings.Repeat("x", 512<<10), 4))
-		_, _, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
+		_, err := send(t, "POST", url+"/v1/completions", "drafting", token, "{}")
 		is.True(err != nil)
 	})
 }
@@ -256,7 +263,7 @@
 	is := is.New(t)
 	d := &dispatch{answer: text("ok")}
 	url := serve(t, d)
-	_, _, err := send(t, "POST", url+"/services/bookings/visits/7?day=monday", "", token, "{}")
+	_, err := send(t, "POST", url+"/services/bookings/visits/7?day=monday", "", token, "{}")
 	is.NoErr(err)
 	is.Equal(d.last.Path, "/visits/7?day=monday")
 	is.Equal(d.last.DecidedOn, carawaybeam.ConfigVersion(7))
