--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_LINT = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS = $(CURDIR)/.tools
 
-.PHONY: build demo demo-full test lint format generate tools
+.PHONY: build demo demo-full test prove prove-guards figures lint format generate tools
 
 build:
 	go build -o bin/ ./cmd/... ./examples/demo
@@ -17,6 +17,19 @@
 test:
 	go test -race ./...
 
+# Runs all proofs of the promises over many seeds and adds up their lines.
+PROVE_SEEDS ?= 200
+prove:
+	PROVE_SEEDS=$(PROVE_SEEDS) go test -count=1 -timeout 60m -run TestPromise -v ./... | awk -f prover/sum.awk
+
+# Shows for each guard that the proof fails without it.
+prove-guards:
+	guards/check
+
+figures:
+	go test -run '^$$' -bench AddedLatency -benchtime 5000x ./server
+	go test -run '^$$' -bench Allocations -benchtime 2000x ./server
+
 # Tools live outside the product's module graph, each at a pinned version.
 tools: $(TOOLS)/golangci-lint $(TOOLS)/buf $(TOOLS)/protoc-gen-go
 
--- /dev/null
+++ b/server/path_test.go
@@ -0,0 +1,213 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/agent"
+	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/caller"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/fakes/generator"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
+	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/retrier/proof"
+	"github.com/carawaybeam/carawaybeam/router/leastinflight"
+	"github.com/carawaybeam/carawaybeam/server"
+	"github.com/carawaybeam/carawaybeam/tracker"
+)
+
+const (
+	// requestRate is the load of the benchmark in requests a second, half of
+	// them through the entry.
+	requestRate = 1000
+
+	benchBody = `{"prompt":"Summarise the inspection of mast 7.","max_tokens":8,"stream":true}`
+)
+
+// wholePath is an entry and an agent on loopback sockets before an engine.
+type wholePath struct {
+	engine *httptest.Server
+	entry  string
+	close  func()
+}
+
+func newWholePath(tb testing.TB) *wholePath {
+	tb.Helper()
+	engine := httptest.NewServer(generator.New(generator.Options{Slots: 1 << 10}).Handler())
+	backend := caller.New(carawaybeam.BackendOptions{URL: engine.URL, ConnectTimeout: time.Second}, true)
+	x := executor.New(executor.Options{Backend: backend, BackendID: "b", Incarnation: "i", Concurrency: 1 << 10})
+	a := agent.New(agent.Options{BackendID: "b", Incarnation: "i", Backend: backend, Executor: x, Log: zerolog.Nop()})
+	links := listener(tb)
+	l := messenger.New(links, a)
+	store := storer.New()
+	store.SetVMs([]carawaybeam.VM{{
+		ID: "vm", Role: carawaybeam.RoleAgent, Pool: "p", Address: carawaybeam.Address(links.Addr().String()),
+	}})
+	config := configurer.New()
+	t := tracker.New(
+		tracker.Options{Lister: store.VMList(), Dialer: messenger.Dialer{}, Config: config, Log: zerolog.Nop()},
+	)
+	d := dispatcher.New(dispatcher.Options{
+		Members: t,
+		Binder:  binder.New(store),
+		Config:  config,
+		Router:  leastinflight.Router{},
+		Limiter: unlimited.Limiter{},
+		Retrier: proof.Retrier{},
+	})
+	callers := listener(tb)
+	s := server.New(callers, server.Options{
+		Configuration: pathConfiguration{},
+		Dispatcher:    d,
+		BodyBytes:     1 << 20,
+		HeaderBytes:   8 << 10,
+		ReadTimeout:   time.Minute,
+		WriteTimeout:  time.Minute,
+		Ready:         func() bool { return true },
+		Log:           zerolog.Nop(),
+	})
+	for !linked(t) {
+		time.Sleep(time.Millisecond)
+	}
+	return &wholePath{engine: engine, entry: "http://" + callers.Addr().String(), close: func() {
+		for _, part := range []io.Closer{s, d, t, l, a, x} {
+			_ = part.Close()
+		}
+		engine.Close()
+	}}
+}
+
+// pathConfiguration has one class for the one pool.
+type pathConfiguration struct{ configuration }
+
+func (pathConfiguration) Class(id carawaybeam.ClassID) (carawaybeam.Class, bool) {
+	targets := carawaybeam.Targets{Completed: time.Minute}
+	return carawaybeam.Class{ID: id, Kind: carawaybeam.WorkModel, Pool: "p", Idempotent: true, Targets: targets}, true
+}
+
+func listener(tb testing.TB) net.Listener {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return l
+}
+
+func linked(t *tracker.Tracker) bool {
+	members := t.Members("p")
+	return len(members) == 1 && members[0].Linked
+}
+
+// post sends the request of the benchmark and reads its whole answer.
+func post(ctx context.Context, client *http.Client, url string) (int, error) {
+	request, err := http.NewRequestWithContext(
+		ctx,
+		http.MethodPost,
+		url+"/v1/completions",
+		bytes.NewBufferString(benchBody),
+	)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set(server.HeaderClass, "drafting")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	n, err := io.Copy(io.Discard, response.Body)
+	return int(n), err
+}
+
+func TestWholePathOverSockets(t *testing.T) {
+	p := newWholePath(t)
+	defer p.close()
+	client := &http.Client{}
+	direct, err := post(t.Context(), client, p.engine.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	through, err := post(t.Context(), client, p.entry)
+	if err != nil || through != direct {
+		t.Fatalf("answer through the entry has %d bytes, direct one %d: %v", through, direct, err)
+	}
+}
+
+// BenchmarkAddedLatency compares whole answers through entry and agent with
+// direct ones, at the same time and rate.
+func BenchmarkAddedLatency(b *testing.B) {
+	p := newWholePath(b)
+	defer p.close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	urls := [2]string{p.engine.URL, p.entry}
+	histograms := [2]*hdrhistogram.Histogram{hdrhistogram.New(1, 1e10, 3), hdrhistogram.New(1, 1e10, 3)}
+	var (
+		mu   sync.Mutex
+		wait sync.WaitGroup
+	)
+	ticker := time.NewTicker(time.Second / requestRate)
+	defer ticker.Stop()
+	for i := 0; b.Loop(); i++ {
+		<-ticker.C
+		which := i % len(urls)
+		wait.Go(func() {
+			start := time.Now()
+			if _, err := post(b.Context(), client, urls[which]); err != nil {
+				b.Error(err)
+				return
+			}
+			took := time.Since(start).Nanoseconds()
+			mu.Lock()
+			defer mu.Unlock()
+			_ = histograms[which].RecordValue(took)
+		})
+	}
+	wait.Wait()
+	direct, through := histograms[0], histograms[1]
+	for _, quantile := range []struct {
+		name string
+		at   float64
+	}{{"p50", 50}, {"p99", 99}} {
+		d, t := float64(direct.ValueAtQuantile(quantile.at)), float64(through.ValueAtQuantile(quantile.at))
+		b.ReportMetric(d/1e3, quantile.name+"-direct-µs")
+		b.ReportMetric((t-d)/1e3, quantile.name+"-added-µs")
+		b.ReportMetric(t/d, quantile.name+"-ratio")
+	}
+}
+
+// BenchmarkAllocations counts what one request allocates in all processes of
+// the path together, and in the direct call alone.
+func BenchmarkAllocations(b *testing.B) {
+	p := newWholePath(b)
+	defer p.close()
+	client := &http.Client{}
+	for _, target := range []struct{ name, url string }{{"direct", p.engine.URL}, {"through", p.entry}} {
+		b.Run(target.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := post(b.Context(), client, target.url); err != nil {
+					b.Fatal(err)
+				}
+			}
+			runtime.GC()
+		})
+	}
+}
