--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -35,9 +35,16 @@
 	log      zerolog.Logger
 	executor *executor.Executor
 	agent    *agent.Agent
+	links    *messenger.Listener
 	closers  starter.Closers
 }
 
+// state is the state dump of an agent.
+type state struct {
+	Executor executor.State         `json:"executor"`
+	Links    messenger.TrafficState `json:"links"`
+}
+
 func main() {
 	flags := starter.ParseFlags(program, os.Args[1:])
 	settings, err := loader.LoadAgent(flags.Settings)
@@ -92,7 +99,8 @@
 		Log:         d.log,
 	})
 	d.closers.Add(d.agent)
-	d.closers.Add(messenger.New(links, d.agent))
+	d.links = messenger.New(links, d.agent)
+	d.closers.Add(d.links)
 	return d.listenAdmin()
 }
 
@@ -117,7 +125,7 @@
 	d.closers.Add(dumper.New(admin, dumper.Options{
 		Process: d.settings.Process,
 		Ready:   d.agent.Ready,
-		State:   func() any { return d.executor.State() },
+		State:   func() any { return state{Executor: d.executor.State(), Links: d.links.Traffic().State()} },
 		Log:     d.log,
 	}))
 	return nil
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -15,6 +15,7 @@
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/messenger"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
 	"github.com/carawaybeam/carawaybeam/starter"
@@ -34,6 +35,7 @@
 	tracker    *tracker.Tracker
 	dispatcher *dispatcher.Dispatcher
 	server     *server.Server
+	traffic    messenger.Traffic
 	closers    starter.Closers
 }
 
@@ -41,6 +43,7 @@
 type state struct {
 	DataCentre    carawaybeam.DataCentre    `json:"dataCentre"`
 	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
+	Links         messenger.TrafficState    `json:"links"`
 	Members       []memberState             `json:"members"`
 }
 
@@ -209,6 +212,7 @@
 	s := state{
 		DataCentre:    e.settings.DataCentre,
 		ConfigVersion: e.configurer.Version(),
+		Links:         e.traffic.State(),
 	}
 	for _, m := range e.tracker.All() {
 		s.Members = append(s.Members, memberState{
--- a/cmd/cbentry/process_test.go
+++ b/cmd/cbentry/process_test.go
@@ -219,7 +219,7 @@
 	tests := []struct {
 		name, settings, message string
 	}{
-		{"unknown key", strings.Replace(good, "process", "proces", 1), ":1: proces: no such setting"},
+		{"unknown key", strings.Replace(good, "process", "name", 1), ":1: name: no such setting"},
 		{"wrong address", strings.Replace(good, `"127.0.0.1:0"`, `"kitami:80"`, 1), ":3: callers: want an IP address"},
 		{"wrong plug-in", good + "\n[policies]\nrouter = \"best\"\n", ":14: policies.router: no plug-in"},
 		{"no TOML", good + "\n[", ": "},
--- a/cmd/cbentry/tls.go
+++ b/cmd/cbentry/tls.go
@@ -14,13 +14,13 @@
 // it.
 func (e *entry) dialer() (messenger.Dialer, error) {
 	if !e.settings.LinkTLS.Enabled() {
-		return messenger.Dialer{}, nil
+		return messenger.Dialer{Traffic: &e.traffic}, nil
 	}
 	c, err := e.certifier(e.settings.LinkTLS)
 	if err != nil {
 		return messenger.Dialer{}, err
 	}
-	return messenger.Dialer{TLS: c.Client(certifier.RoleAgent)}, nil
+	return messenger.Dialer{TLS: c.Client(certifier.RoleAgent), Traffic: &e.traffic}, nil
 }
 
 func (e *entry) certifier(files loader.TLS) (*certifier.Certifier, error) {
--- a/loader/fuzz_test.go
+++ b/loader/fuzz_test.go
@@ -13,8 +13,8 @@
 // FuzzLoadEntry checks that any file is either accepted or refused with a typed
 // error that names it.
 func FuzzLoadEntry(f *testing.F) {
-	for _, example := range []string{"../examples/kitami/entry-kitami.toml", "../examples/kitami/agent-drafting-1.toml"} {
-		data, err := os.ReadFile(example)
+	for _, example := range []string{"entry-kitami.toml", "agent-drafting-1.toml"} {
+		data, err := os.ReadFile(filepath.Join("../examples/kitami", example))
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -22,6 +22,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
+	traffic  Traffic
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
@@ -41,6 +42,9 @@
 	return l
 }
 
+// Traffic returns the counts of what went over the links.
+func (l *Listener) Traffic() *Traffic { return &l.traffic }
+
 // Close stops accepting, ends all links and waits for their handlers.
 func (l *Listener) Close() error {
 	l.cancel()
@@ -60,7 +64,7 @@
 		if err != nil {
 			return
 		}
-		session, err := yamux.Server(conn, sessionConfig())
+		session, err := yamux.Server(l.traffic.count(conn), sessionConfig())
 		if err != nil {
 			_ = conn.Close()
 			continue
@@ -97,7 +101,7 @@
 		if err != nil {
 			return
 		}
-		l.wait.Go(func() { l.serve(ctx, newStream(conn)) })
+		l.wait.Go(func() { l.serve(ctx, newStream(conn, &l.traffic)) })
 	}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -37,16 +37,20 @@
 	Dialer struct {
 		// TLS is the configuration of a client, or nil.
 		TLS *tls.Config
+		// Traffic counts what goes over the links, or is nil.
+		Traffic *Traffic
 	}
 
 	link struct {
 		session *yamux.Session
+		traffic *Traffic
 	}
 
 	stream struct {
-		conn   net.Conn
-		reader *bufio.Reader
-		sendMu sync.Mutex
+		conn    net.Conn
+		reader  *bufio.Reader
+		sendMu  sync.Mutex
+		traffic *Traffic
 	}
 )
 
@@ -62,11 +66,11 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(d.Traffic.count(conn), sessionConfig())
 	if err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
-	return &link{session: session}, nil
+	return &link{session: session, traffic: d.Traffic}, nil
 }
 
 func (d Dialer) connect(ctx context.Context, address carawaybeam.Address) (net.Conn, error) {
@@ -95,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newStream(conn), nil
+	return newStream(conn, l.traffic), nil
 }
 
 // Done is closed once the link has ended.
@@ -104,8 +108,8 @@
 // Close ends the link and its streams.
 func (l *link) Close() error { return l.session.Close() }
 
-func newStream(conn net.Conn) *stream {
-	return &stream{conn: conn, reader: bufio.NewReader(conn)}
+func newStream(conn net.Conn, traffic *Traffic) *stream {
+	return &stream{conn: conn, reader: bufio.NewReader(conn), traffic: traffic}
 }
 
 // Send writes one frame.
@@ -115,6 +119,7 @@
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	s.traffic.sent()
 	return framer.Write(s.conn, frame)
 }
 
@@ -131,6 +136,9 @@
 	if isTimeout(err) {
 		return nil, &carawaybeam.SilenceError{After: timeout}
 	}
+	if err == nil {
+		s.traffic.received()
+	}
 	return frame, err
 }
 
