Measure what control costs each role

make slopes starts real entries and agents at several sizes, without callers, and fits lines to control bytes, messages, processor time and memory.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_LINT = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS = $(CURDIR)/.tools
 
-.PHONY: build demo demo-full test prove prove-guards figures lint format generate tools
+.PHONY: build demo demo-full test prove prove-guards figures slopes lint format generate tools
 
 build:
 	go build -o bin/ ./cmd/... ./examples/demo
@@ -30,6 +30,10 @@
 	go test -run '^$$' -bench AddedLatency -benchtime 5000x ./server
 	go test -run '^$$' -bench Allocations -benchtime 2000x ./server
 
+# Measures what control costs each role at several sizes.
+slopes: build
+	bin/cbslopes
+
 # Tools live outside the product's module graph, each at a pinned version.
 tools: $(TOOLS)/golangci-lint $(TOOLS)/buf $(TOOLS)/protoc-gen-go
 
