--- a/decisions.go
+++ b/decisions.go
@@ -10,8 +10,12 @@
 	RouteRequest struct {
 		Request      RequestID
 		Class        ClassID
+		Pool         PoolID
 		Organisation OrganisationID
 		DataCentre   DataCentre
+		// Affinity is equal for requests that share the head of their prompt.
+		// It is 0 where the prompt has none worth caching.
+		Affinity uint64
 		// Prompt is the estimated length of the prompt.
 		Prompt Tokens
 		// Tried lists backend servers that earlier tries of the request used.
@@ -29,20 +33,47 @@
 		// OwnSince those of them sent after the last report.
 		OwnRunning int
 		OwnSince   int
-		// OwnTokensSince sums the prompt tokens of the latter.
-		OwnTokensSince Tokens
+		// OwnWaiting counts the own requests that wait for their first token,
+		// and OwnWaitingTokens sums their prompt tokens that were not expected
+		// in its cache.
+		OwnWaiting       int
+		OwnWaitingTokens Tokens
+		// OwnOldest is how long the oldest of the own requests has waited for
+		// its first token, and 0 when none waits.
+		OwnOldest time.Duration
 		// CachedPrompt is how much of the prompt is expected in its cache.
 		CachedPrompt Tokens
-		// Slow is set for a backend server that answers far later than others
-		// and may only be probed.
-		Slow bool
+	}
+
+	// Work is what stands between a request and its first token.
+	Work struct {
+		// Tokens counts prompt tokens to be read, those of the request
+		// included.
+		Tokens float64
+		// Waiting counts requests that wait for their first token.
+		Waiting float64
+		// Running counts requests that have it and run on.
+		Running float64
 	}
 
 	// RouteDecision is the choice of a router.
 	RouteDecision struct {
 		Backend BackendID
+		Pool    PoolID
 		// Expected is the expected time to the first token.
 		Expected time.Duration
+		// Work is what Expected rests on.
+		Work Work
+	}
+
+	// RouteOutcome tells how a routed request fared.
+	RouteOutcome struct {
+		// FirstToken is the time from the decision to the first token, or to
+		// the failure.
+		FirstToken time.Duration
+		// Failed is set when no answer came and the backend server is to
+		// blame.
+		Failed bool
 	}
 
 	// Router chooses a backend server. It does no I/O and may be used by
@@ -51,14 +82,19 @@
 		// Route chooses one of the candidates. It reports false when none may
 		// take the request.
 		Route(now time.Time, request RouteRequest, candidates []Candidate, random *rand.Rand) (RouteDecision, bool)
+		// Observe tells how a decision turned out.
+		Observe(now time.Time, decision RouteDecision, outcome RouteOutcome)
 	}
 
 	// AdmitRequest is what a limiter knows of a request.
 	AdmitRequest struct {
 		Class        Class
 		Organisation OrganisationID
-		Prompt       Tokens
-		// Expected is the expected time to the first token if admitted now.
+		// Fingerprint is equal for a request and its resends.
+		Fingerprint uint64
+		Prompt      Tokens
+		// Expected is the expected time to the first token if admitted now,
+		// and 0 when it is not known.
 		Expected time.Duration
 	}
 
@@ -67,6 +103,8 @@
 		Admitted bool
 		// RetryAfter is when a refused caller should come back.
 		RetryAfter time.Duration
+		// Reserved is set when the request came back as it was told to.
+		Reserved bool
 	}
 
 	// Limiter admits requests. It does no I/O and may be used by several
--- /dev/null
+++ b/replayer/doc.go
@@ -0,0 +1,2 @@
+// Package replayer replays recorded traces through decision plug-ins.
+package replayer
--- /dev/null
+++ b/router/estimator/estimator.go
@@ -0,0 +1,124 @@
+// Package estimator learns how long the work ahead of a request takes, from the
+// times to first tokens that a process observes.
+//
+// One linear model serves all backend servers of a pool; the departure of a
+// backend server from it is a factor of its own. The model is adapted by
+// normalised least mean squares (Widrow and Hoff), with coefficients held above
+// zero.
+package estimator
+
+import (
+	"math"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+const (
+	// modelGain is the share of an error by which the model is corrected.
+	modelGain = 0.05
+
+	// factorGain is the same for the factor of a backend server, in the
+	// logarithm.
+	factorGain = 0.2
+
+	// maxFactor bounds the factor of a backend server from above, and its
+	// inverse from below.
+	maxFactor = 64
+
+	// failureFactor is the least factor of a backend server that has just
+	// failed.
+	failureFactor = 8
+
+	// minFactorTime is the least time that is told apart from others.
+	minFactorTime = 200 * time.Millisecond
+
+	// outlier is how many times the expected time still teaches the model.
+	outlier = 4
+
+	// tokenUnit and requestUnit bring the coefficients to a common scale.
+	tokenUnit   = 1000
+	waitingUnit = 4
+	runningUnit = 16
+
+	features = 4
+)
+
+type (
+	// Estimator holds the model of one pool. It is not safe for use by several
+	// goroutines at once.
+	Estimator struct {
+		// weights are in seconds for each unit of a feature.
+		weights [features]float64
+		factors map[carawaybeam.BackendID]float64
+	}
+)
+
+// New returns an Estimator that starts from a moderate engine.
+func New() *Estimator {
+	return &Estimator{
+		weights: [features]float64{0.02, 0.1, 0.1, 0.1},
+		factors: make(map[carawaybeam.BackendID]float64),
+	}
+}
+
+func vector(work carawaybeam.Work) [features]float64 {
+	return [features]float64{1, work.Tokens / tokenUnit, work.Waiting / waitingUnit, work.Running / runningUnit}
+}
+
+func (e *Estimator) seconds(x [features]float64) float64 {
+	sum := 0.0
+	for i, w := range e.weights {
+		sum += w * x[i]
+	}
+	return sum
+}
+
+// Typical returns the time that the work takes on a typical backend server.
+func (e *Estimator) Typical(work carawaybeam.Work) time.Duration {
+	return time.Duration(e.seconds(vector(work)) * float64(time.Second))
+}
+
+// TokenRate returns the prompt tokens that a typical backend server reads in a
+// second.
+func (e *Estimator) TokenRate() float64 { return tokenUnit / e.weights[1] }
+
+// Factor returns how many times slower than typical a backend server is.
+func (e *Estimator) Factor(backend carawaybeam.BackendID) float64 {
+	if factor, ok := e.factors[backend]; ok {
+		return factor
+	}
+	return 1
+}
+
+// Observe learns from the time that the work took.
+func (e *Estimator) Observe(backend carawaybeam.BackendID, work carawaybeam.Work, took time.Duration) {
+	x := vector(work)
+	typical := e.seconds(x)
+	floor := minFactorTime.Seconds()
+	ratio := max(took.Seconds(), floor) / max(typical, floor)
+	e.setFactor(backend, e.Factor(backend)*math.Pow(ratio/e.Factor(backend), factorGain))
+	if ratio > outlier {
+		return
+	}
+	norm := 0.0
+	for _, v := range x {
+		norm += v * v
+	}
+	miss := took.Seconds() - typical
+	for i := range e.weights {
+		e.weights[i] = max(minWeights[i], e.weights[i]+modelGain*miss*x[i]/norm)
+	}
+}
+
+// minWeights keeps the model from explaining everything by one feature.
+var minWeights = [features]float64{0.001, 0.01, 0.02, 0.05}
+
+// Fail learns that a backend server failed.
+func (e *Estimator) Fail(backend carawaybeam.BackendID) {
+	e.setFactor(backend, max(failureFactor, 2*e.Factor(backend)))
+}
+
+func (e *Estimator) setFactor(backend carawaybeam.BackendID, factor float64) {
+	e.factors[backend] = min(maxFactor, max(1.0/maxFactor, factor))
+}
--- /dev/null
+++ b/router/expected/router.go
@@ -0,0 +1,360 @@
+// Package expected is the router "expected": the backend server with the least
+// expected time to the first token among a few.
+//
+// The expected time is that of the work ahead: what waits there by the last
+// report, aged, and the own requests since; the part of the prompt that is not
+// in the prefix cache; and the way to another data centre. The few are a random
+// sample, the backend servers where prompts with the same head gather, and those
+// known to have it cached. Processes that do not see each other thus neither run
+// after the same report nor scatter equal prompts.
+package expected
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/router/estimator"
+)
+
+const (
+	// sampleSize is how many backend servers are drawn by chance.
+	sampleSize = 3
+
+	// homeCount is how many backend servers in each data centre prompts with
+	// the same head gather on.
+	homeCount = 2
+
+	// holderCount is how many backend servers with the most of the prompt
+	// cached are considered.
+	holderCount = 2
+
+	// crossing is what another data centre costs.
+	crossing = 20 * time.Millisecond
+
+	// affinitySlack is how much later the first token may be where prompts
+	// with the same head gather.
+	affinitySlack = 20 * time.Millisecond
+
+	// forgetting is how fast a report loses its worth, as the time in which
+	// the distance to the mean of all falls to 1/e.
+	forgetting = 4 * time.Second
+
+	// slowFactor is how many times slower than typical a backend server is
+	// left, but for probes.
+	slowFactor = 4
+
+	// minSlowWait is the least wait that counts as slow.
+	minSlowWait = 800 * time.Millisecond
+
+	// probeInterval is the mean time between two probes of a slow one.
+	probeInterval = 2 * time.Second
+)
+
+type (
+	// Router chooses by expected time to the first token.
+	Router struct {
+		mu     sync.Mutex
+		pools  map[carawaybeam.PoolID]*estimator.Estimator
+		probes map[carawaybeam.BackendID]time.Time
+	}
+
+	// survey is what all candidates say together.
+	survey struct {
+		// ownShare is the part of all requests that this process sent.
+		ownShare float64
+		// others is the mean of what other processes have on a candidate.
+		others others
+	}
+
+	// others is what other processes have on a backend server.
+	others struct {
+		tokens  float64
+		waiting float64
+		running float64
+	}
+
+	// option is a candidate that is being weighed.
+	option struct {
+		candidate *carawaybeam.Candidate
+		work      carawaybeam.Work
+		expected  time.Duration
+		cost      time.Duration
+		home      bool
+	}
+)
+
+func init() {
+	carawaybeam.Routers.Register("expected", func() carawaybeam.Router { return New() })
+}
+
+// New returns a Router that knows nothing yet.
+func New() *Router {
+	return &Router{
+		pools:  make(map[carawaybeam.PoolID]*estimator.Estimator),
+		probes: make(map[carawaybeam.BackendID]time.Time),
+	}
+}
+
+// Route returns the candidate with the least expected time to the first token.
+func (r *Router) Route(
+	now time.Time,
+	request carawaybeam.RouteRequest,
+	candidates []carawaybeam.Candidate,
+	random *rand.Rand,
+) (carawaybeam.RouteDecision, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	model := r.pool(request.Pool)
+	overview := look(candidates)
+	var best, probe *option
+	for _, i := range shortlist(request, candidates, random) {
+		o := weigh(model, overview, request, &candidates[i.index])
+		o.home = i.home
+		if r.isSlow(model, &o) {
+			if probe == nil || o.cost < probe.cost {
+				probe = &o
+			}
+			continue
+		}
+		if best == nil || o.rank() < best.rank() {
+			best = &o
+		}
+	}
+	if probe != nil && (best == nil || r.isProbeDue(now, probe.candidate.Backend, random)) {
+		best = probe
+	}
+	if best == nil {
+		return carawaybeam.RouteDecision{}, false
+	}
+	return carawaybeam.RouteDecision{
+		Backend:  best.candidate.Backend,
+		Pool:     request.Pool,
+		Expected: best.expected,
+		Work:     best.work,
+	}, true
+}
+
+// Observe learns from the time to the first token.
+func (r *Router) Observe(_ time.Time, decision carawaybeam.RouteDecision, outcome carawaybeam.RouteOutcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	model := r.pool(decision.Pool)
+	if outcome.Failed {
+		model.Fail(decision.Backend)
+		return
+	}
+	model.Observe(decision.Backend, decision.Work, outcome.FirstToken)
+}
+
+func (r *Router) pool(id carawaybeam.PoolID) *estimator.Estimator {
+	model, ok := r.pools[id]
+	if !ok {
+		model = estimator.New()
+		r.pools[id] = model
+	}
+	return model
+}
+
+// isSlow tells whether a backend server answers, or fails to answer, far later
+// than its work explains.
+func (r *Router) isSlow(model *estimator.Estimator, o *option) bool {
+	if model.Factor(o.candidate.Backend) >= slowFactor {
+		return true
+	}
+	limit := max(minSlowWait, slowFactor*o.expected)
+	return o.candidate.OwnOldest > limit
+}
+
+// isProbeDue tells whether a slow backend server may get a request, and if so
+// notes it.
+func (r *Router) isProbeDue(now time.Time, backend carawaybeam.BackendID, random *rand.Rand) bool {
+	due, known := r.probes[backend]
+	if known && now.Before(due) {
+		return false
+	}
+	wait := probeInterval/2 + time.Duration(random.Int64N(int64(probeInterval)))
+	r.probes[backend] = now.Add(wait)
+	return known
+}
+
+// rank orders options: where prompts with the same head gather goes first among
+// nearly equal ones.
+func (o *option) rank() time.Duration {
+	if o.home {
+		return o.cost - affinitySlack
+	}
+	return o.cost
+}
+
+// look sums up the candidates.
+func look(candidates []carawaybeam.Candidate) survey {
+	var own, all float64
+	for i := range candidates {
+		c := &candidates[i]
+		own += float64(c.OwnRunning)
+		all += float64(max(c.OwnRunning, c.Load.Running+c.Load.Waiting+c.OwnSince))
+	}
+	s := survey{ownShare: 1}
+	if all > 0 {
+		s.ownShare = own / all
+	}
+	n := float64(max(1, len(candidates)))
+	for i := range candidates {
+		o := s.othersOn(&candidates[i])
+		s.others.tokens += o.tokens / n
+		s.others.waiting += o.waiting / n
+		s.others.running += o.running / n
+	}
+	return s
+}
+
+// othersOn takes the own part off a report. A report does not tell whose the
+// waiting requests are, so the own share of them is that of all requests.
+func (s survey) othersOn(c *carawaybeam.Candidate) others {
+	ownThen := max(0, c.OwnRunning-c.OwnSince)
+	all := max(0, c.Load.Running+c.Load.Waiting-ownThen)
+	waiting := float64(c.Load.Waiting) * (1 - s.ownShare)
+	return others{
+		tokens:  float64(c.Load.WaitingTokens) * (1 - s.ownShare),
+		waiting: waiting,
+		running: max(0, float64(all)-waiting),
+	}
+}
+
+// weigh works out the expected time to the first token on a candidate.
+//
+// What this process has there it knows exactly. What others have is known from
+// the last report, which tells less the older it is: then the mean over all
+// candidates is the better guess.
+func weigh(
+	model *estimator.Estimator,
+	s survey,
+	request carawaybeam.RouteRequest,
+	c *carawaybeam.Candidate,
+) option {
+	trust := math.Exp(-c.ReportAge.Seconds() / forgetting.Seconds())
+	there := s.othersOn(c)
+	blend := func(mean, reported float64) float64 { return mean + (reported-mean)*trust }
+	unread := max(0, request.Prompt-c.CachedPrompt)
+	o := option{candidate: c, work: carawaybeam.Work{
+		Tokens:  blend(s.others.tokens, there.tokens) + float64(c.OwnWaitingTokens+unread),
+		Waiting: blend(s.others.waiting, there.waiting) + float64(c.OwnWaiting),
+		Running: blend(s.others.running, there.running) + float64(c.OwnRunning-c.OwnWaiting),
+	}}
+	o.expected = time.Duration(float64(model.Typical(o.work)) * model.Factor(c.Backend))
+	o.cost = o.expected
+	if c.DataCentre != request.DataCentre {
+		o.cost += crossing
+	}
+	return o
+}
+
+// listed is the index of a candidate to be weighed.
+type listed struct {
+	index int
+	home  bool
+}
+
+// shortlist returns the candidates to be weighed, without repetition.
+func shortlist(request carawaybeam.RouteRequest, candidates []carawaybeam.Candidate, random *rand.Rand) []listed {
+	chosen := make([]listed, 0, sampleSize+2*homeCount+holderCount)
+	add := func(i int, home bool) {
+		if slices.Contains(request.Tried, candidates[i].Backend) ||
+			slices.ContainsFunc(chosen, func(l listed) bool { return l.index == i }) {
+			return
+		}
+		chosen = append(chosen, listed{index: i, home: home})
+	}
+	if request.Affinity != 0 {
+		for _, i := range homes(request, candidates) {
+			add(i, true)
+		}
+	}
+	for _, i := range holders(candidates) {
+		add(i, false)
+	}
+	for range sampleSize {
+		if len(candidates) > 0 {
+			add(random.IntN(len(candidates)), false)
+		}
+	}
+	if len(chosen) == 0 {
+		for i := range candidates {
+			add(i, false)
+		}
+	}
+	return chosen
+}
+
+// top keeps the indices with the highest scores.
+type top struct {
+	indices [homeCount]int
+	scores  [homeCount]uint64
+	length  int
+}
+
+func (t *top) add(index int, score uint64) {
+	at := t.length
+	for at > 0 && t.scores[at-1] < score {
+		at--
+	}
+	if at == homeCount {
+		return
+	}
+	t.length = min(t.length+1, homeCount)
+	copy(t.indices[at+1:], t.indices[at:])
+	copy(t.scores[at+1:], t.scores[at:])
+	t.indices[at], t.scores[at] = index, score
+}
+
+// homes returns where prompts with this head gather, by rendezvous hashing
+// within the own data centre, or among all when it has none left.
+func homes(request carawaybeam.RouteRequest, candidates []carawaybeam.Candidate) []int {
+	var local, all top
+	for i := range candidates {
+		score := mix(xxhash.Sum64String(string(candidates[i].Backend)) ^ request.Affinity)
+		all.add(i, score)
+		if candidates[i].DataCentre == request.DataCentre {
+			local.add(i, score)
+		}
+	}
+	if local.length > 0 {
+		return slices.Clone(local.indices[:local.length])
+	}
+	return slices.Clone(all.indices[:all.length])
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// holders returns the candidates with the most of the prompt cached.
+func holders(candidates []carawaybeam.Candidate) []int {
+	var most [holderCount]int
+	n := 0
+	for i := range candidates {
+		if candidates[i].CachedPrompt == 0 {
+			continue
+		}
+		at := n
+		for at > 0 && candidates[most[at-1]].CachedPrompt < candidates[i].CachedPrompt {
+			at--
+		}
+		if at == holderCount {
+			continue
+		}
+		n = min(n+1, holderCount)
+		copy(most[at+1:], most[at:])
+		most[at] = i
+	}
+	return slices.Clone(most[:n])
+}
--- a/router/leastinflight/router.go
+++ b/router/leastinflight/router.go
@@ -43,3 +43,6 @@
 	}
 	return carawaybeam.RouteDecision{Backend: best[random.IntN(len(best))].Backend}, true
 }
+
+// Observe does nothing.
+func (Router) Observe(time.Time, carawaybeam.RouteDecision, carawaybeam.RouteOutcome) {}
--- a/router/roundrobin/router.go
+++ b/router/roundrobin/router.go
@@ -32,3 +32,6 @@
 	turn := r.turn.Add(1) % uint64(len(candidates))
 	return carawaybeam.RouteDecision{Backend: candidates[turn].Backend}, true
 }
+
+// Observe does nothing.
+func (*Router) Observe(time.Time, carawaybeam.RouteDecision, carawaybeam.RouteOutcome) {}
--- /dev/null
+++ b/traces/requests/limiter.go
@@ -0,0 +1,3 @@
+package main
+
+func limiterScenarios() []scenario { return nil }
--- /dev/null
+++ b/traces/requests/router.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/replayer/queuer"
+	"github.com/carawaybeam/carawaybeam/tracer"
+)
+
+const (
+	targetWhy  = "letter 1: first token within 1.3 s and 67 ms between tokens for 95 in 100"
+	settledWhy = "the same from 5 s after each disturbance: left within seconds"
+
+	normalLoad = 34
+	calmLoad   = 22
+)
+
+func inTarget() map[string]tracer.Bound {
+	return map[string]tracer.Bound{
+		"inTargetShare": atLeast(0.95, targetWhy),
+		"firstTokenP95": atMost(1.3, targetWhy),
+	}
+}
+
+func inTargetSettled() map[string]tracer.Bound {
+	return map[string]tracer.Bound{"inTargetShareSettled": atLeast(0.95, settledWhy)}
+}
+
+func at(seconds int, e queuer.Event) queuer.Event {
+	e.At = tracer.Duration(time.Duration(seconds) * time.Second)
+	return e
+}
+
+func routerScenarios() []scenario {
+	scenarios := []scenario{
+		{
+			name: "kitamiWinter", about: "Kitami: drift towards snow reports, then a storm", site: kitami,
+			rate: step(normalLoad, 1.2*normalLoad, 50*time.Second, 65*time.Second),
+			mix:  drift(0.1, 0.9, 50*time.Second), length: 80 * time.Second, bounds: inTarget(),
+		},
+		{
+			name: "floodingOrganisation", about: "Kitami: one large organisation floods", site: kitami,
+			rate: constant(0.7 * normalLoad), flood: step(0, 0.5*normalLoad, 15*time.Second, 45*time.Second),
+			mix: constant(0.3), bounds: inTarget(),
+		},
+		{
+			name: "lostReports", about: "Kitami: half of the load reports are lost", site: kitami,
+			rate: constant(normalLoad), mix: constant(0.3), bounds: inTarget(),
+			also: []queuer.Event{{Reports: &queuer.ReportsEvent{Lost: 0.5}}},
+		},
+		{
+			name: "lateReports", about: "Kitami: load reports come 10 s late", site: kitami,
+			rate: constant(normalLoad), mix: constant(0.3), bounds: inTarget(),
+			also: []queuer.Event{{Reports: &queuer.ReportsEvent{Late: tracer.Duration(10 * time.Second)}}},
+		},
+		{
+			name: "noReports", about: "Kitami: no load report arrives", site: kitami,
+			rate: constant(normalLoad), mix: constant(0.3), bounds: inTarget(),
+			also: []queuer.Event{{Reports: &queuer.ReportsEvent{Lost: 1}}},
+		},
+		{
+			name: "dataCentreGone", about: "Repujados: itagui goes and comes back", site: repujados,
+			rate: constant(calmLoad), mix: constant(0.5), bounds: inTargetSettled(), length: 80 * time.Second,
+			also: []queuer.Event{
+				at(20, queuer.Event{Gone: &queuer.GoneEvent{DataCentre: "itagui"}}),
+				at(55, queuer.Event{Gone: &queuer.GoneEvent{DataCentre: "itagui", Back: true}}),
+			},
+		},
+		{
+			name: "coldCaches", about: "Repujados: all prefix caches are emptied", site: repujados,
+			rate: constant(0.9 * normalLoad), mix: constant(0.5), bounds: inTargetSettled(),
+			also: []queuer.Event{at(30, queuer.Event{Caches: &queuer.CachesEvent{}})},
+		},
+		{
+			name: "storeOutage", about: "Kitami: the platform's store is away", site: kitami,
+			rate: constant(normalLoad), mix: constant(0.3), bounds: inTarget(),
+			also: []queuer.Event{at(10, queuer.Event{Store: &queuer.StoreEvent{}})},
+		},
+		{
+			name: "slowBackend", about: "Kitami: two runners become 8 times slower and recover", site: kitami,
+			rate: constant(calmLoad), mix: constant(0.3), bounds: inTargetSettled(), length: 90 * time.Second,
+			also: []queuer.Event{
+				at(20, queuer.Event{Slow: &queuer.SlowEvent{Backend: "runner-3", Factor: 8}}),
+				at(20, queuer.Event{Slow: &queuer.SlowEvent{Backend: "runner-7", Factor: 8}}),
+				at(55, queuer.Event{Slow: &queuer.SlowEvent{Backend: "runner-3", Factor: 1}}),
+				at(55, queuer.Event{Slow: &queuer.SlowEvent{Backend: "runner-7", Factor: 1}}),
+			},
+		},
+	}
+	for _, entries := range []int{2, 8, 64} {
+		scenarios = append(scenarios, scenario{
+			name:    fmt.Sprintf("swings%dEntries", entries),
+			about:   fmt.Sprintf("Repujados: swings between quotes and drawing reads, %d entries", entries),
+			site:    repujados,
+			entries: entries,
+			rate:    square(0.75*normalLoad, 1.05*normalLoad, 20*time.Second),
+			mix:     square(0.1, 0.9, 20*time.Second),
+			bounds:  inTarget(),
+		})
+	}
+	for i := range scenarios {
+		scenarios[i].kind = "router"
+		if scenarios[i].entries == 0 {
+			scenarios[i].entries = 3
+		}
+		if scenarios[i].length == 0 {
+			scenarios[i].length = time.Minute
+		}
+	}
+	return scenarios
+}
