Gather prompts with the same head on two backend servers

Change: rendezvous hashing over the whole region, a learnt credit for what may be cached there, and room of 0.45 of the first-token target before a prompt is sent elsewhere. Sample of 2 instead of 3.

--- a/decisions.go
+++ b/decisions.go
@@ -18,6 +18,9 @@
 		Affinity uint64
 		// Prompt is the estimated length of the prompt.
 		Prompt Tokens
+		// Target bounds the time to the first token. It is 0 where there is no
+		// such target.
+		Target time.Duration
 		// Tried lists backend servers that earlier tries of the request used.
 		Tried []BackendID
 	}
@@ -26,6 +29,8 @@
 	Candidate struct {
 		Backend    BackendID
 		DataCentre DataCentre
+		// Distance is the time that a message takes one way.
+		Distance time.Duration
 		// Load is the last report, ReportAge old.
 		Load      Load
 		ReportAge time.Duration
@@ -50,6 +55,9 @@
 		// Tokens counts prompt tokens to be read, those of the request
 		// included.
 		Tokens float64
+		// Gathered counts those of Tokens that may be in the prefix cache, as
+		// prompts with the same head gather on the backend server.
+		Gathered float64
 		// Waiting counts requests that wait for their first token.
 		Waiting float64
 		// Running counts requests that have it and run on.
--- a/replayer/routes/entry.go
+++ b/replayer/routes/entry.go
@@ -92,6 +92,7 @@
 		c := carawaybeam.Candidate{
 			Backend:    s.id,
 			DataCentre: s.dataCentre,
+			Distance:   e.fleet.distance(e.dataCentre, s.dataCentre),
 			Load:       v.load,
 			ReportAge:  now.Sub(v.reported),
 		}
@@ -120,6 +121,7 @@
 		DataCentre:   e.dataCentre,
 		Affinity:     prefixer.Affinity(prefixes),
 		Prompt:       request.Prompt,
+		Target:       t.Class.Targets.FirstToken,
 	}, candidates, e.random)
 	if !ok {
 		t.Lost = true
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -41,7 +41,7 @@
 	waitingUnit = 4
 	runningUnit = 16
 
-	features = 4
+	features = 5
 )
 
 type (
@@ -57,13 +57,13 @@
 // New returns an Estimator that starts from a moderate engine.
 func New() *Estimator {
 	return &Estimator{
-		weights: [features]float64{0.02, 0.1, 0.1, 0.1},
+		weights: [features]float64{0.02, 0.1, 0.02, 0.1, 0.1},
 		factors: make(map[carawaybeam.BackendID]float64),
 	}
 }
 
 func vector(work carawaybeam.Work) [features]float64 {
-	return [features]float64{1, work.Tokens / tokenUnit, work.Waiting / waitingUnit, work.Running / runningUnit}
+	return [features]float64{1, work.Tokens / tokenUnit, -work.Gathered / tokenUnit, work.Waiting / waitingUnit, work.Running / runningUnit}
 }
 
 func (e *Estimator) seconds(x [features]float64) float64 {
@@ -109,10 +109,12 @@
 	for i := range e.weights {
 		e.weights[i] = max(minWeights[i], e.weights[i]+modelGain*miss*x[i]/norm)
 	}
+	// What may be cached saves no more than reading it would cost.
+	e.weights[2] = min(e.weights[2], 0.9*e.weights[1])
 }
 
 // minWeights keeps the model from explaining everything by one feature.
-var minWeights = [features]float64{0.001, 0.01, 0.02, 0.05}
+var minWeights = [features]float64{0.001, 0.01, 0, 0.02, 0.05}
 
 // Fail learns that a backend server failed.
 func (e *Estimator) Fail(backend carawaybeam.BackendID) {
--- a/router/expected/router.go
+++ b/router/expected/router.go
@@ -24,26 +24,26 @@
 
 const (
 	// sampleSize is how many backend servers are drawn by chance.
-	sampleSize = 3
+	sampleSize = 2
 
-	// homeCount is how many backend servers in each data centre prompts with
-	// the same head gather on.
+	// homeCount is how many backend servers prompts with the same head gather
+	// on.
 	homeCount = 2
 
 	// holderCount is how many backend servers with the most of the prompt
 	// cached are considered.
 	holderCount = 2
 
-	// crossing is what another data centre costs.
-	crossing = 20 * time.Millisecond
+	// affinityShare is how much later the first token may be where prompts
+	// with the same head gather, as a share of its target.
+	affinityShare = 0.45
 
-	// affinitySlack is how much later the first token may be where prompts
-	// with the same head gather.
-	affinitySlack = 20 * time.Millisecond
+	// regionDistance is how far away prompts may gather.
+	regionDistance = 5 * time.Millisecond
 
 	// forgetting is how fast a report loses its worth, as the time in which
 	// the distance to the mean of all falls to 1/e.
-	forgetting = 4 * time.Second
+	forgetting = 2 * time.Second
 
 	// slowFactor is how many times slower than typical a backend server is
 	// left, but for probes.
@@ -52,8 +52,10 @@
 	// minSlowWait is the least wait that counts as slow.
 	minSlowWait = 800 * time.Millisecond
 
-	// probeInterval is the mean time between two probes of a slow one.
-	probeInterval = 2 * time.Second
+	// probeInterval is the mean time to the first probe of a slow one. It
+	// doubles with each probe that finds it slow, up to maxProbeInterval.
+	probeInterval    = 2 * time.Second
+	maxProbeInterval = 16 * time.Second
 )
 
 type (
@@ -61,7 +63,13 @@
 	Router struct {
 		mu     sync.Mutex
 		pools  map[carawaybeam.PoolID]*estimator.Estimator
-		probes map[carawaybeam.BackendID]time.Time
+		probes map[carawaybeam.BackendID]probe
+	}
+
+	// probe tells when a slow backend server may next get a request.
+	probe struct {
+		due  time.Time
+		wait time.Duration
 	}
 
 	// survey is what all candidates say together.
@@ -85,7 +93,7 @@
 		work      carawaybeam.Work
 		expected  time.Duration
 		cost      time.Duration
-		home      bool
+		slack     time.Duration
 	}
 )
 
@@ -97,7 +105,7 @@
 func New() *Router {
 	return &Router{
 		pools:  make(map[carawaybeam.PoolID]*estimator.Estimator),
-		probes: make(map[carawaybeam.BackendID]time.Time),
+		probes: make(map[carawaybeam.BackendID]probe),
 	}
 }
 
@@ -112,13 +120,12 @@
 	defer r.mu.Unlock()
 	model := r.pool(request.Pool)
 	overview := look(candidates)
-	var best, probe *option
-	for _, i := range shortlist(request, candidates, random) {
-		o := weigh(model, overview, request, &candidates[i.index])
-		o.home = i.home
+	var best, slow *option
+	for _, l := range shortlist(request, candidates, random) {
+		o := weigh(model, overview, request, &candidates[l.index], l.home)
 		if r.isSlow(model, &o) {
-			if probe == nil || o.cost < probe.cost {
-				probe = &o
+			if slow == nil || o.rank() < slow.rank() {
+				slow = &o
 			}
 			continue
 		}
@@ -126,8 +133,8 @@
 			best = &o
 		}
 	}
-	if probe != nil && (best == nil || r.isProbeDue(now, probe.candidate.Backend, random)) {
-		best = probe
+	if slow != nil && (best == nil || r.isProbeDue(now, slow.candidate.Backend, random)) {
+		best = slow
 	}
 	if best == nil {
 		return carawaybeam.RouteDecision{}, false
@@ -150,6 +157,9 @@
 		return
 	}
 	model.Observe(decision.Backend, decision.Work, outcome.FirstToken)
+	if model.Factor(decision.Backend) < slowFactor {
+		delete(r.probes, decision.Backend)
+	}
 }
 
 func (r *Router) pool(id carawaybeam.PoolID) *estimator.Estimator {
@@ -174,23 +184,20 @@
 // isProbeDue tells whether a slow backend server may get a request, and if so
 // notes it.
 func (r *Router) isProbeDue(now time.Time, backend carawaybeam.BackendID, random *rand.Rand) bool {
-	due, known := r.probes[backend]
-	if known && now.Before(due) {
+	p, known := r.probes[backend]
+	if known && now.Before(p.due) {
 		return false
 	}
-	wait := probeInterval/2 + time.Duration(random.Int64N(int64(probeInterval)))
-	r.probes[backend] = now.Add(wait)
+	p.wait = min(maxProbeInterval, max(probeInterval, 2*p.wait))
+	p.due = now.Add(p.wait/2 + time.Duration(random.Int64N(int64(p.wait))))
+	r.probes[backend] = p
 	return known
 }
 
-// rank orders options: where prompts with the same head gather goes first among
-// nearly equal ones.
-func (o *option) rank() time.Duration {
-	if o.home {
-		return o.cost - affinitySlack
-	}
-	return o.cost
-}
+// rank orders options: where prompts with the same head gather goes first as
+// long as the target leaves room. A prompt that is read twice costs others more
+// than it costs itself.
+func (o *option) rank() time.Duration { return o.cost - o.slack }
 
 // look sums up the candidates.
 func look(candidates []carawaybeam.Candidate) survey {
@@ -237,6 +244,7 @@
 	s survey,
 	request carawaybeam.RouteRequest,
 	c *carawaybeam.Candidate,
+	home bool,
 ) option {
 	trust := math.Exp(-c.ReportAge.Seconds() / forgetting.Seconds())
 	there := s.othersOn(c)
@@ -247,11 +255,12 @@
 		Waiting: blend(s.others.waiting, there.waiting) + float64(c.OwnWaiting),
 		Running: blend(s.others.running, there.running) + float64(c.OwnRunning-c.OwnWaiting),
 	}}
-	o.expected = time.Duration(float64(model.Typical(o.work)) * model.Factor(c.Backend))
-	o.cost = o.expected
-	if c.DataCentre != request.DataCentre {
-		o.cost += crossing
+	if home {
+		o.work.Gathered = float64(unread)
+		o.slack = time.Duration(affinityShare * float64(request.Target))
 	}
+	o.expected = time.Duration(float64(model.Typical(o.work)) * model.Factor(c.Backend))
+	o.cost = o.expected + c.Distance
 	return o
 }
 
@@ -313,19 +322,14 @@
 	t.indices[at], t.scores[at] = index, score
 }
 
-// homes returns where prompts with this head gather, by rendezvous hashing
-// within the own data centre, or among all when it has none left.
+// homes returns where prompts with this head gather, by rendezvous hashing.
 func homes(request carawaybeam.RouteRequest, candidates []carawaybeam.Candidate) []int {
-	var local, all top
+	var all top
 	for i := range candidates {
-		score := mix(xxhash.Sum64String(string(candidates[i].Backend)) ^ request.Affinity)
-		all.add(i, score)
-		if candidates[i].DataCentre == request.DataCentre {
-			local.add(i, score)
+		if candidates[i].Distance > regionDistance {
+			continue
 		}
-	}
-	if local.length > 0 {
-		return slices.Clone(local.indices[:local.length])
+		all.add(i, mix(xxhash.Sum64String(string(candidates[i].Backend))^request.Affinity))
 	}
 	return slices.Clone(all.indices[:all.length])
 }
