Keep a flooding organisation to its share by the mean wait

Cause: the work admitted in the last seconds counted as capacity even while queues grew, so an organisation in flood got more than the others left over. Refusals while backend servers were idle came from weighing a cached but busy one against the idle one only by expected time. Change: capacity is corrected by the mean wait; others count by what a report leaves after the own requests of that moment; a known idle backend server admits whatever the share is; recurring windows let a refused request come back through any entry.

--- a/decisions.go
+++ b/decisions.go
@@ -34,10 +34,10 @@
 		// Load is the last report, ReportAge old.
 		Load      Load
 		ReportAge time.Duration
-		// OwnRunning counts the requests this process has running there, and
-		// OwnSince those of them sent after the last report.
-		OwnRunning int
-		OwnSince   int
+		// OwnRunning counts the requests this process has there now, and
+		// OwnReported those it had there when the report was made.
+		OwnRunning  int
+		OwnReported int
 		// OwnWaiting counts the own requests that wait for their first token,
 		// and OwnWaitingTokens sums their prompt tokens that were not expected
 		// in its cache.
@@ -62,6 +62,9 @@
 		Waiting float64
 		// Running counts requests that have it and run on.
 		Running float64
+		// Overflow counts those of both that are beyond the most that the
+		// backend server was seen to run at once, this one included.
+		Overflow float64
 	}
 
 	// RouteDecision is the choice of a router.
@@ -72,6 +75,8 @@
 		Expected time.Duration
 		// Unloaded is what it would be without other requests.
 		Unloaded time.Duration
+		// Idle is set when some candidate is known to have nothing to do.
+		Idle bool
 		// Work is what Expected rests on.
 		Work Work
 	}
@@ -108,6 +113,8 @@
 		Expected time.Duration
 		// Unloaded is what it would be without other requests.
 		Unloaded time.Duration
+		// Idle is set when a backend server is known to have nothing to do.
+		Idle bool
 	}
 
 	// AdmitDecision is the choice of a limiter.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -323,7 +323,7 @@
 	c.OwnRunning = own.running
 	for _, sent := range own.sent {
 		if sent.at.After(m.Reported) {
-			c.OwnSince++
+			c.OwnReported++
 			c.OwnTokensSince += sent.prompt
 		}
 	}
--- a/limiter/fair/limiter.go
+++ b/limiter/fair/limiter.go
@@ -22,18 +22,18 @@
 const (
 	// idleShare is the expected wait, as a share of what the target leaves for
 	// it, up to which nothing is refused.
-	idleShare = 0.15
+	idleShare = 0.07
 
 	// fullShare is the same from which everything is refused.
 	fullShare = 0.7
 
 	// windowShare is the same for an organisation above its fair share, when
 	// the request comes in its own window.
-	windowShare = 0.4
+	windowShare = 0.45
 
 	// windowAllowance is the multiple of its fair share that an organisation
 	// may get in such windows.
-	windowAllowance = 1.25
+	windowAllowance = 1.8
 
 	// returnShare is the part of an organisation's fair share that is promised
 	// to requests that come back.
@@ -78,9 +78,10 @@
 
 func (l *Limiter) admits(now time.Time, request carawaybeam.AdmitRequest, row *row) bool {
 	pressure := pressure(request)
+	l.shares.press(now, pressure)
 	level := l.shares.level(now)
 	switch {
-	case pressure <= idleShare:
+	case request.Idle, pressure <= idleShare:
 		return true
 	case pressure <= fullShare && row.admitted.get(now) <= level:
 		return true
--- a/limiter/fair/shares.go
+++ b/limiter/fair/shares.go
@@ -15,6 +15,17 @@
 	// shareInterval is how often the fair share is worked out anew.
 	shareInterval = 100 * time.Millisecond
 
+	// easyPressure is the mean pressure at which the work that was admitted
+	// lately counts as what the backend servers can take. Less pressure means
+	// that they can take more.
+	easyPressure = 0.12
+
+	// pressureMemory is the time constant of the mean pressure.
+	pressureMemory = 3 * time.Second
+
+	// minCapacity bounds the correction by pressure.
+	minCapacity = 0.5
+
 	// forgotten is the work, in tokens, below which an organisation is dropped.
 	forgotten = 1
 )
@@ -26,6 +37,9 @@
 		rows map[carawaybeam.OrganisationID]*row
 		// total is the admitted work of all.
 		total decaying
+		// pressure is the mean over all requests, as of pressed.
+		pressure float64
+		pressed  time.Time
 		// fair is the work that an organisation may get, as of computed.
 		fair     float64
 		computed time.Time
@@ -77,6 +91,19 @@
 	s.total.add(now, cost)
 }
 
+// press adds to the mean pressure.
+func (s *shares) press(now time.Time, pressure float64) {
+	weight := 1 - math.Exp(-now.Sub(s.pressed).Seconds()/pressureMemory.Seconds())
+	s.pressure += weight * (pressure - s.pressure)
+	s.pressed = now
+}
+
+// capacity returns the work that the backend servers can take, within the
+// memory.
+func (s *shares) capacity(now time.Time) float64 {
+	return s.total.get(now) * max(minCapacity, 1+easyPressure-s.pressure)
+}
+
 // rate returns the work in a second that an organisation may get.
 func (s *shares) rate(now time.Time) float64 {
 	return min(s.level(now), s.total.get(now)) / memory.Seconds()
@@ -104,7 +131,7 @@
 		s.asked = append(s.asked, asked)
 	}
 	slices.Sort(s.asked)
-	left := s.total.get(now)
+	left := s.capacity(now)
 	s.fair = math.Inf(1)
 	for i, asked := range s.asked {
 		even := left / float64(len(s.asked)-i)
--- a/replayer/routes/entry.go
+++ b/replayer/routes/entry.go
@@ -135,6 +135,7 @@
 			Prompt:       request.Prompt,
 			Expected:     decision.Expected,
 			Unloaded:     decision.Unloaded,
+			Idle:         decision.Idle,
 		}
 		verdict := e.limiter.Admit(now, admit)
 		t.Deciding = time.Since(began)
@@ -174,10 +175,10 @@
 		t.FirstToken = f.clock.Now() + way - t.At
 		f.clock.After(way, func() { own.Answered(); observe(false) })
 	}
-	job.OnDone = func() { f.clock.After(way, func() { own.Done(); release() }) }
+	job.OnDone = func() { f.clock.After(way, func() { own.Done(f.now()); release() }) }
 	job.OnLost = func() {
 		t.Lost = true
-		f.clock.After(silence, func() { own.Done(); release(); observe(true) })
+		f.clock.After(silence, func() { own.Done(f.now()); release(); observe(true) })
 	}
 	f.clock.After(way, func() { s.queue.Put(job) })
 }
--- a/router/counter/counter.go
+++ b/router/counter/counter.go
@@ -3,14 +3,15 @@
 package counter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
 )
 
-// sentHorizon is how long a sent request is kept for comparison with reports.
-const sentHorizon = 30 * time.Second
+// horizon is how long ended requests are kept for comparison with reports.
+const horizon = 15 * time.Second
 
 type (
 	// Counter counts requests by backend server. Its methods may be used by
@@ -29,12 +30,17 @@
 	}
 
 	backend struct {
-		running int
-		// sent holds the times of the requests sent within the horizon.
-		sent []time.Time
-		// waiting holds the requests without a first token, the oldest first.
+		// running and waiting hold requests in the order in which they were
+		// sent, and ended in the order in which they ended.
+		running       []*Request
 		waiting       []*Request
 		waitingTokens carawaybeam.Tokens
+		ended         []ended
+	}
+
+	ended struct {
+		sent time.Time
+		at   time.Time
 	}
 )
 
@@ -52,12 +58,8 @@
 		b = &backend{}
 		c.backends[id] = b
 	}
-	b.running++
-	for len(b.sent) > 0 && now.Sub(b.sent[0]) > sentHorizon {
-		b.sent = b.sent[1:]
-	}
-	b.sent = append(b.sent, now)
 	r := &Request{counter: c, backend: b, at: now, tokens: tokens}
+	b.running = append(b.running, r)
 	b.waiting = append(b.waiting, r)
 	b.waitingTokens += tokens
 	return r
@@ -71,26 +73,31 @@
 }
 
 func (r *Request) answered() {
-	waiting := r.backend.waiting
-	for i, other := range waiting {
-		if other == r {
-			r.backend.waiting = append(waiting[:i], waiting[i+1:]...)
-			r.backend.waitingTokens -= r.tokens
-			return
-		}
+	if i := slices.Index(r.backend.waiting, r); i >= 0 {
+		r.backend.waiting = slices.Delete(r.backend.waiting, i, i+1)
+		r.backend.waitingTokens -= r.tokens
 	}
 }
 
 // Done ends the count of the request.
-func (r *Request) Done() {
+func (r *Request) Done(now time.Time) {
 	r.counter.mu.Lock()
 	defer r.counter.mu.Unlock()
 	r.answered()
-	r.backend.running--
+	b := r.backend
+	i := slices.Index(b.running, r)
+	if i < 0 {
+		return
+	}
+	b.running = slices.Delete(b.running, i, i+1)
+	for len(b.ended) > 0 && now.Sub(b.ended[0].at) > horizon {
+		b.ended = b.ended[1:]
+	}
+	b.ended = append(b.ended, ended{sent: r.at, at: now})
 }
 
 // Fill sets what a candidate says of own requests. Its report was made at the
-// given time.
+// given time, which is zero when there is none.
 func (c *Counter) Fill(now, reported time.Time, candidate *carawaybeam.Candidate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -98,13 +105,25 @@
 	if !ok {
 		return
 	}
-	candidate.OwnRunning = b.running
+	candidate.OwnRunning = len(b.running)
 	candidate.OwnWaiting = len(b.waiting)
 	candidate.OwnWaitingTokens = b.waitingTokens
 	if len(b.waiting) > 0 {
 		candidate.OwnOldest = now.Sub(b.waiting[0].at)
 	}
-	for i := len(b.sent) - 1; i >= 0 && b.sent[i].After(reported); i-- {
-		candidate.OwnSince++
+	candidate.OwnReported = b.countAt(reported)
+}
+
+// countAt returns how many requests ran at a time.
+func (b *backend) countAt(at time.Time) int {
+	n := len(b.running)
+	for i := n - 1; i >= 0 && b.running[i].at.After(at); i-- {
+		n--
+	}
+	for i := len(b.ended) - 1; i >= 0 && b.ended[i].at.After(at); i-- {
+		if !b.ended[i].sent.After(at) {
+			n++
+		}
 	}
+	return n
 }
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -41,7 +41,9 @@
 	waitingUnit = 4
 	runningUnit = 16
 
-	features = 5
+	overflowUnit = 1
+
+	features = 6
 )
 
 type (
@@ -51,19 +53,25 @@
 		// weights are in seconds for each unit of a feature.
 		weights [features]float64
 		factors map[carawaybeam.BackendID]float64
+		// slots is the most requests that a backend server was seen to run.
+		slots map[carawaybeam.BackendID]int
 	}
 )
 
 // New returns an Estimator that starts from a moderate engine.
 func New() *Estimator {
 	return &Estimator{
-		weights: [features]float64{0.02, 0.1, 0.02, 0.1, 0.1},
+		weights: [features]float64{0.02, 0.1, 0.02, 0.1, 0.1, 0.02},
 		factors: make(map[carawaybeam.BackendID]float64),
+		slots:   make(map[carawaybeam.BackendID]int),
 	}
 }
 
 func vector(work carawaybeam.Work) [features]float64 {
-	return [features]float64{1, work.Tokens / tokenUnit, -work.Gathered / tokenUnit, work.Waiting / waitingUnit, work.Running / runningUnit}
+	return [features]float64{
+		1, work.Tokens / tokenUnit, -work.Gathered / tokenUnit, work.Waiting / waitingUnit, work.Running / runningUnit,
+		work.Overflow / overflowUnit,
+	}
 }
 
 func (e *Estimator) seconds(x [features]float64) float64 {
@@ -91,6 +99,15 @@
 	return 1
 }
 
+// Slots returns the most requests that a backend server was seen to run at
+// once, the present report included.
+func (e *Estimator) Slots(backend carawaybeam.BackendID, load carawaybeam.Load) int {
+	if load.Running > e.slots[backend] {
+		e.slots[backend] = load.Running
+	}
+	return e.slots[backend]
+}
+
 // Observe learns from the time that the work took.
 func (e *Estimator) Observe(backend carawaybeam.BackendID, work carawaybeam.Work, took time.Duration) {
 	x := vector(work)
@@ -114,7 +131,7 @@
 }
 
 // minWeights keeps the model from explaining everything by one feature.
-var minWeights = [features]float64{0.001, 0.01, 0, 0.02, 0.05}
+var minWeights = [features]float64{0.001, 0.01, 0, 0.02, 0.05, 0}
 
 // Fail learns that a backend server failed.
 func (e *Estimator) Fail(backend carawaybeam.BackendID) {
--- a/router/expected/router.go
+++ b/router/expected/router.go
@@ -39,9 +39,10 @@
 	// with the same head gather, as a share of its target.
 	affinityShare = 0.45
 
-	// secondLook is the expected wait, as a share of the target, above which
-	// idle candidates are looked for.
-	secondLook = 1
+	// secondLook is the expected wait, as a share of the target, above which a
+	// process that sends all requests looks for idle candidates. One that sends
+	// few does so later, lest all processes run to the same.
+	secondLook = 0.05
 
 	// regionDistance is how far away prompts may gather.
 	regionDistance = 5 * time.Millisecond
@@ -50,6 +51,10 @@
 	// the distance to the mean of all falls to 1/e.
 	forgetting = 2 * time.Second
 
+	// freshReport is the age up to which a report can tell that a backend server
+	// has nothing to do.
+	freshReport = 3 * time.Second
+
 	// slowFactor is how many times slower than typical a backend server is
 	// left, but for probes.
 	slowFactor = 4
@@ -57,6 +62,10 @@
 	// minSlowWait is the least wait that counts as slow.
 	minSlowWait = 800 * time.Millisecond
 
+	// minOwnShare bounds from below the part of all requests that a process
+	// takes itself to send.
+	minOwnShare = 0.01
+
 	// probeInterval is the mean time to the first probe of a slow one. It
 	// doubles with each probe that finds it slow, up to maxProbeInterval.
 	probeInterval    = 2 * time.Second
@@ -81,6 +90,8 @@
 	survey struct {
 		// ownShare is the part of all requests that this process sent.
 		ownShare float64
+		// idle is set when some candidate is known to have nothing to do.
+		idle bool
 		// others is the mean of what other processes have on a candidate.
 		others others
 	}
@@ -128,7 +139,7 @@
 	model := r.pool(request.Pool)
 	overview := look(candidates)
 	best, slow := r.choose(model, overview, request, candidates, shortlist(request, candidates, random))
-	if best == nil || best.wait(model) > time.Duration(secondLook*float64(request.Target)) {
+	if best == nil || best.wait(model) > overview.patience(request.Target) {
 		other, otherSlow := r.lookAgain(model, overview, request, candidates, random)
 		slow = cmp.Or(slow, otherSlow)
 		if best == nil || other != nil && other.cost < best.cost/2 {
@@ -146,6 +157,7 @@
 		Pool:     request.Pool,
 		Expected: best.expected,
 		Unloaded: best.expected - best.wait(model),
+		Idle:     overview.idle,
 		Work:     best.work,
 	}, true
 }
@@ -189,7 +201,7 @@
 			continue
 		}
 		all = append(all, listed{index: i})
-		if c.Load.Running+c.Load.Waiting+c.OwnRunning == 0 && model.Factor(c.Backend) < slowFactor {
+		if isIdle(c) && model.Factor(c.Backend) < slowFactor {
 			idle = append(idle, listed{index: i})
 		}
 	}
@@ -259,12 +271,14 @@
 // look sums up the candidates.
 func look(candidates []carawaybeam.Candidate) survey {
 	var own, all float64
+	idle := false
 	for i := range candidates {
 		c := &candidates[i]
 		own += float64(c.OwnRunning)
-		all += float64(max(c.OwnRunning, c.Load.Running+c.Load.Waiting+c.OwnSince))
+		all += float64(max(c.OwnRunning, c.Load.Running+c.Load.Waiting-c.OwnReported+c.OwnRunning))
+		idle = idle || isIdle(c)
 	}
-	s := survey{ownShare: 1}
+	s := survey{ownShare: 1, idle: idle}
 	if all > 0 {
 		s.ownShare = own / all
 	}
@@ -278,11 +292,20 @@
 	return s
 }
 
+// isIdle tells whether a candidate is known to have nothing to do.
+func isIdle(c *carawaybeam.Candidate) bool {
+	return c.ReportAge <= freshReport && c.OwnRunning == 0 && c.Load.Running+c.Load.Waiting <= c.OwnReported
+}
+
+// patience returns the expected wait above which idle candidates are looked for.
+func (s survey) patience(target time.Duration) time.Duration {
+	return time.Duration(secondLook * float64(target) / max(s.ownShare, minOwnShare))
+}
+
 // othersOn takes the own part off a report. A report does not tell whose the
 // waiting requests are, so the own share of them is that of all requests.
 func (s survey) othersOn(c *carawaybeam.Candidate) others {
-	ownThen := max(0, c.OwnRunning-c.OwnSince)
-	all := max(0, c.Load.Running+c.Load.Waiting-ownThen)
+	all := max(0, c.Load.Running+c.Load.Waiting-c.OwnReported)
 	waiting := float64(c.Load.Waiting) * (1 - s.ownShare)
 	return others{
 		tokens:  float64(c.Load.WaitingTokens) * (1 - s.ownShare),
@@ -312,6 +335,9 @@
 		Waiting: blend(s.others.waiting, there.waiting) + float64(c.OwnWaiting),
 		Running: blend(s.others.running, there.running) + float64(c.OwnRunning-c.OwnWaiting),
 	}}
+	if slots := model.Slots(c.Backend, c.Load); slots > 0 {
+		o.work.Overflow = max(0, o.work.Waiting+o.work.Running+1-float64(slots))
+	}
 	if home {
 		o.work.Gathered = float64(unread)
 		o.slack = time.Duration(affinityShare * float64(request.Target))
