--- /dev/null
+++ b/replayer/admissions/kind_test.go
@@ -0,0 +1,61 @@
+package admissions_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam/replayer/admissions"
+	"github.com/carawaybeam/carawaybeam/tracer"
+
+	_ "github.com/carawaybeam/carawaybeam/limiter/fair"
+	_ "github.com/carawaybeam/carawaybeam/limiter/unlimited"
+)
+
+// replay puts a committed trace through a limiter, and returns the figures and
+// the stated outcome.
+func replay(t *testing.T, name, policy string) (map[string]float64, tracer.Outcome) {
+	t.Helper()
+	is := is.New(t)
+	path := "../../traces/limiter/" + name
+	file, err := os.Open(path + ".jsonl")
+	is.NoErr(err)
+	defer func() { _ = file.Close() }()
+	body := bufio.NewReader(file)
+	line, err := body.ReadBytes('\n')
+	is.NoErr(err)
+	var header tracer.Header
+	is.NoErr(json.Unmarshal(line, &header))
+	figures, err := admissions.Kind{}.Replay(header, body, policy)
+	is.NoErr(err)
+	stated, err := os.Open(path + ".outcome.json")
+	is.NoErr(err)
+	defer func() { _ = stated.Close() }()
+	outcome, err := tracer.ReadOutcome(stated)
+	is.NoErr(err)
+	return figures, outcome
+}
+
+func TestStatedOutcomesAreMet(t *testing.T) {
+	for _, name := range []string{"overload3Entries", "floodingOrganisation", "idleCapacity"} {
+		t.Run(name, func(t *testing.T) {
+			figures, outcome := replay(t, name, "fair")
+			for _, miss := range outcome.Check(figures) {
+				t.Error(miss)
+			}
+		})
+	}
+}
+
+// The stated outcomes must not hold without a limiter, or they prove nothing.
+func TestUnlimitedMissesOutcomes(t *testing.T) {
+	for _, name := range []string{"overload3Entries", "floodingOrganisation"} {
+		figures, outcome := replay(t, name, "unlimited")
+		if len(outcome.Check(figures)) == 0 {
+			t.Errorf("unlimited meets the outcome of %s", name)
+		}
+	}
+}
--- a/tracer/outcome.go
+++ b/tracer/outcome.go
@@ -19,6 +19,8 @@
 
 	// Outcome states what the replay of a trace must give, by figure.
 	Outcome struct {
+		// Policy is the plug-in for which the bounds are stated.
+		Policy string           `json:"policy,omitempty"`
 		Bounds map[string]Bound `json:"bounds"`
 	}
 
