Promise fewer returns, so that those told to come back are admitted

Change: 0.3 instead of 0.6 of the fair share is promised to returns, which may come up to a wait of 0.35 of the room (0.45 before).

--- a/limiter/fair/limiter.go
+++ b/limiter/fair/limiter.go
@@ -29,15 +29,15 @@
 
 	// windowShare is the same for an organisation above its fair share, when
 	// the request comes in its own window.
-	windowShare = 0.45
+	windowShare = 0.35
 
 	// windowAllowance is the multiple of its fair share that an organisation
 	// may get in such windows.
-	windowAllowance = 1.8
+	windowAllowance = 2
 
 	// returnShare is the part of an organisation's fair share that is promised
 	// to requests that come back.
-	returnShare = 0.6
+	returnShare = 0.3
 
 	// requestCost is the work of a request besides its prompt, in tokens.
 	requestCost = 512
--- a/traces/requests/retrier.go
+++ b/traces/requests/retrier.go
@@ -84,7 +84,7 @@
 		}
 		request := &retries.RequestEvent{
 			Class:    classes[0],
-			Deadline: tracer.Duration(500*time.Millisecond + time.Duration(random.IntN(4500))*time.Millisecond),
+			Deadline: tracer.Duration(f.patience + time.Duration(random.IntN(4500))*time.Millisecond),
 		}
 		if random.Float64() < 0.2 {
 			request.Class = classes[1]
