--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/limiter/adaptive"
 )
 
 const (
@@ -58,7 +59,8 @@
 		BackendID carawaybeam.BackendID
 		// Incarnation identifies this life of the agent.
 		Incarnation carawaybeam.Incarnation
-		// Concurrency bounds the attempts that run at once.
+		// Concurrency bounds the attempts that run at once. The limit adapts
+		// below it.
 		Concurrency int
 		// Log gets one line per fault.
 		Log zerolog.Logger
@@ -81,6 +83,7 @@
 
 		configVersion atomic.Uint64
 		counts        counters
+		limit         *adaptive.Limit
 	}
 
 	counters struct {
@@ -94,6 +97,7 @@
 		ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 		Leaving       bool                      `json:"leaving"`
 		Running       int                       `json:"running"`
+		Limit         int                       `json:"limit"`
 		Remembered    int                       `json:"remembered"`
 		HeldBytes     int                       `json:"heldBytes"`
 		Started       uint64                    `json:"started"`
@@ -115,6 +119,7 @@
 		attempts: make(map[carawaybeam.AttemptID]*attempt),
 		keyed:    make(map[string]*attempt),
 		idle:     make(chan struct{}),
+		limit:    adaptive.New(options.Concurrency),
 	}
 	e.wait.Go(e.sweep)
 	return e
@@ -224,7 +229,7 @@
 		refusal.Reason = carawaybeam.ReasonLeaving
 	case decidedOn < e.configVersion.Load():
 		refusal.Reason = carawaybeam.ReasonStaleConfig
-	case e.running >= e.options.Concurrency:
+	case !e.limit.Allows(e.running):
 		refusal.Reason = carawaybeam.ReasonBusy
 	default:
 		return refusal, false
@@ -290,6 +295,7 @@
 }
 
 func (e *Executor) perform(ctx context.Context, a *attempt, d *framer.Dispatch) (carawaybeam.RequestError, bool) {
+	began := time.Now()
 	answer, err := e.options.Backend.Start(ctx, carawaybeam.Call{
 		Attempt:     a.id,
 		Method:      d.GetMethod(),
@@ -305,8 +311,11 @@
 	defer func() { _ = answer.Body.Close() }()
 	a.begin(answer.Status, answer.ContentType)
 	buffer := make([]byte, chunkBytes)
-	for {
+	for first := true; ; first = false {
 		n, err := answer.Body.Read(buffer)
+		if first {
+			e.observeStart(answer.ContentType, time.Since(began))
+		}
 		if n > 0 && !a.append(buffer[:n], ctx.Done()) {
 			err = ctx.Err()
 		}
@@ -352,6 +361,7 @@
 		ConfigVersion: e.ConfigVersion(),
 		Leaving:       e.leaving,
 		Running:       e.running,
+		Limit:         e.limit.Value(),
 		Remembered:    len(e.attempts),
 		HeldBytes:     held,
 		Started:       e.counts.started.Load(),
--- /dev/null
+++ b/executor/limit_test.go
@@ -0,0 +1,93 @@
+package executor_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/framer"
+)
+
+var errClosed = errors.New("stream is closed")
+
+type (
+	// slowBackend begins each answer after a time.
+	slowBackend struct {
+		wait time.Duration
+	}
+
+	// recordedStream keeps the frames sent on it.
+	recordedStream struct {
+		sent   []*framer.Frame
+		closed chan struct{}
+	}
+)
+
+func (b *slowBackend) Start(context.Context, carawaybeam.Call) (*carawaybeam.Answer, error) {
+	time.Sleep(b.wait)
+	return &carawaybeam.Answer{
+		Status: 200, ContentType: "text/event-stream", Body: io.NopCloser(strings.NewReader("data: [DONE]\n\n")),
+	}, nil
+}
+
+func (b *slowBackend) Load(context.Context) (carawaybeam.Load, error) { return carawaybeam.Load{}, nil }
+
+func (s *recordedStream) Send(frame *framer.Frame) error {
+	s.sent = append(s.sent, frame)
+	return nil
+}
+
+func (s *recordedStream) Receive(time.Duration) (*framer.Frame, error) {
+	<-s.closed
+	return nil, errClosed
+}
+
+func (s *recordedStream) Close() error {
+	close(s.closed)
+	return nil
+}
+
+// dispatch runs one attempt to its end and returns the last frame.
+func dispatch(e *executor.Executor, id string) *framer.Frame {
+	s := &recordedStream{closed: make(chan struct{})}
+	defer func() { _ = s.Close() }()
+	e.ServeDispatch(context.Background(), &framer.Frame{
+		Body: &framer.Frame_Dispatch{Dispatch: &framer.Dispatch{Attempt: id, Idempotent: true}},
+	}, s)
+	return s.sent[len(s.sent)-1]
+}
+
+func TestSlowBackendGetsFewerCallsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		backend := &slowBackend{wait: 100 * time.Millisecond}
+		e := executor.New(executor.Options{Backend: backend, Concurrency: 64, Log: zerolog.Nop()})
+		defer func() { is.NoErr(e.Close()) }()
+		for i := range 50 {
+			is.True(dispatch(e, fmt.Sprintf("usual-%d", i)).GetTail() != nil)
+		}
+		is.Equal(e.State().Limit, 64)
+		backend.wait = 5 * time.Second
+		for i := range 100 {
+			dispatch(e, fmt.Sprintf("slow-%d", i))
+		}
+		is.True(e.State().Limit < 16)
+		for i := range 64 {
+			go dispatch(e, fmt.Sprintf("many-%d", i))
+		}
+		synctest.Wait()
+		refused := dispatch(e, "one more").GetRefused()
+		is.Equal(refused.GetReason(), string(carawaybeam.ReasonBusy))
+		time.Sleep(time.Minute)
+	})
+}
