Bring a recovered backend server back by a few probes

Change: a factor below the one that counts as slow is forgotten with a time constant of 10 s; a good probe of a slow one counts more and is followed by another at once. The fair share is only worked out when the wait asks for it.

--- a/limiter/fair/limiter.go
+++ b/limiter/fair/limiter.go
@@ -79,10 +79,11 @@
 func (l *Limiter) admits(now time.Time, request carawaybeam.AdmitRequest, row *row) bool {
 	pressure := pressure(request)
 	l.shares.press(now, pressure)
+	if request.Idle || pressure <= idleShare {
+		return true
+	}
 	level := l.shares.level(now)
 	switch {
-	case request.Idle, pressure <= idleShare:
-		return true
 	case pressure <= fullShare && row.admitted.get(now) <= level:
 		return true
 	case !isWindow(now, request.Fingerprint):
--- a/limiter/fair/shares.go
+++ b/limiter/fair/shares.go
@@ -47,8 +47,9 @@
 		// pressure is the mean over all requests, as of pressed.
 		pressure float64
 		pressed  time.Time
-		// peak is the most admitted work lately, as of computed.
-		peak float64
+		// peak is the most admitted work lately, as of peaked.
+		peak   float64
+		peaked time.Time
 		// fair is the work that an organisation may get, as of computed.
 		fair     float64
 		computed time.Time
@@ -98,6 +99,9 @@
 func (s *shares) admit(now time.Time, row *row, cost float64) {
 	row.admitted.add(now, cost)
 	s.total.add(now, cost)
+	s.peak *= math.Exp(-now.Sub(s.peaked).Seconds() / peakMemory.Seconds())
+	s.peak = max(s.peak, s.total.value)
+	s.peaked = now
 }
 
 // press adds to the mean pressure.
@@ -130,8 +134,6 @@
 // compute finds the max-min fair level: what organisations get up to it adds up
 // to the admitted work.
 func (s *shares) compute(now time.Time) {
-	s.peak *= math.Exp(-now.Sub(s.computed).Seconds() / peakMemory.Seconds())
-	s.peak = max(s.peak, s.total.get(now))
 	s.computed = now
 	s.asked = s.asked[:0]
 	for id, r := range s.rows {
--- a/replayer/routes/entry.go
+++ b/replayer/routes/entry.go
@@ -163,6 +163,7 @@
 	s := f.server(decision.Backend)
 	way := f.distance(e.dataCentre, s.dataCentre)
 	prefixes := request.Prefixes()
+	t.Backend = s.id
 	t.Crossed = e.dataCentre != s.dataCentre
 	own := e.counter.Sent(f.now(), s.id, e.unread(s, request, prefixes))
 	e.table.Place(s.id, prefixes)
--- a/replayer/routes/fleet.go
+++ b/replayer/routes/fleet.go
@@ -75,6 +75,8 @@
 		Class        carawaybeam.Class
 		Organisation carawaybeam.OrganisationID
 		Prompt       carawaybeam.Tokens
+		// Backend is where the try was sent, or empty.
+		Backend carawaybeam.BackendID
 		// Returned counts how often the request had been refused before.
 		Returned int
 		Refused  bool
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -22,6 +22,18 @@
 	// logarithm.
 	factorGain = 0.2
 
+	// recoveryGain is the same for a slow backend server that is fast again,
+	// which few requests tell of.
+	recoveryGain = 0.5
+
+	// recoveryFactor is the factor above which that applies.
+	recoveryFactor = 4
+
+	// factorMemory is the time constant with which a moderate factor is
+	// forgotten while no request tells of it. A slow backend server stays slow
+	// until a probe finds otherwise.
+	factorMemory = 10 * time.Second
+
 	// maxFactor bounds the factor of a backend server from above, and its
 	// inverse from below.
 	maxFactor = 64
@@ -52,17 +64,23 @@
 	Estimator struct {
 		// weights are in seconds for each unit of a feature.
 		weights [features]float64
-		factors map[carawaybeam.BackendID]float64
+		factors map[carawaybeam.BackendID]factor
 		// slots is the most requests that a backend server was seen to run.
 		slots map[carawaybeam.BackendID]int
 	}
+
+	// factor tells how many times slower than typical a backend server is.
+	factor struct {
+		value float64
+		at    time.Time
+	}
 )
 
 // New returns an Estimator that starts from a moderate engine.
 func New() *Estimator {
 	return &Estimator{
 		weights: [features]float64{0.02, 0.1, 0.02, 0.1, 0.1, 0.02},
-		factors: make(map[carawaybeam.BackendID]float64),
+		factors: make(map[carawaybeam.BackendID]factor),
 		slots:   make(map[carawaybeam.BackendID]int),
 	}
 }
@@ -92,11 +110,15 @@
 func (e *Estimator) TokenRate() float64 { return tokenUnit / e.weights[1] }
 
 // Factor returns how many times slower than typical a backend server is.
-func (e *Estimator) Factor(backend carawaybeam.BackendID) float64 {
-	if factor, ok := e.factors[backend]; ok {
-		return factor
+func (e *Estimator) Factor(now time.Time, backend carawaybeam.BackendID) float64 {
+	f, ok := e.factors[backend]
+	switch {
+	case !ok:
+		return 1
+	case f.value >= recoveryFactor:
+		return f.value
 	}
-	return 1
+	return math.Pow(f.value, math.Exp(-now.Sub(f.at).Seconds()/factorMemory.Seconds()))
 }
 
 // Slots returns the most requests that a backend server was seen to run at
@@ -109,12 +131,22 @@
 }
 
 // Observe learns from the time that the work took.
-func (e *Estimator) Observe(backend carawaybeam.BackendID, work carawaybeam.Work, took time.Duration) {
+func (e *Estimator) Observe(
+	now time.Time,
+	backend carawaybeam.BackendID,
+	work carawaybeam.Work,
+	took time.Duration,
+) {
 	x := vector(work)
 	typical := e.seconds(x)
 	floor := minFactorTime.Seconds()
 	ratio := max(took.Seconds(), floor) / max(typical, floor)
-	e.setFactor(backend, e.Factor(backend)*math.Pow(ratio/e.Factor(backend), factorGain))
+	present := e.Factor(now, backend)
+	gain := factorGain
+	if present >= recoveryFactor && ratio < recoveryFactor {
+		gain = recoveryGain
+	}
+	e.setFactor(now, backend, present*math.Pow(ratio/present, gain))
 	if ratio > outlier {
 		return
 	}
@@ -134,10 +166,10 @@
 var minWeights = [features]float64{0.001, 0.01, 0, 0.02, 0.05, 0}
 
 // Fail learns that a backend server failed.
-func (e *Estimator) Fail(backend carawaybeam.BackendID) {
-	e.setFactor(backend, max(failureFactor, 2*e.Factor(backend)))
+func (e *Estimator) Fail(now time.Time, backend carawaybeam.BackendID) {
+	e.setFactor(now, backend, max(failureFactor, 2*e.Factor(now, backend)))
 }
 
-func (e *Estimator) setFactor(backend carawaybeam.BackendID, factor float64) {
-	e.factors[backend] = min(maxFactor, max(1.0/maxFactor, factor))
+func (e *Estimator) setFactor(now time.Time, backend carawaybeam.BackendID, value float64) {
+	e.factors[backend] = factor{value: min(maxFactor, max(1.0/maxFactor, value)), at: now}
 }
--- a/router/estimator/estimator_test.go
+++ b/router/estimator/estimator_test.go
@@ -11,6 +11,8 @@
 	"github.com/carawaybeam/carawaybeam/router/estimator"
 )
 
+var now = time.Unix(1000, 0)
+
 func TestModelLearnsLinearTime(t *testing.T) {
 	is := is.New(t)
 	e := estimator.New()
@@ -20,7 +22,7 @@
 	}
 	for range 3000 {
 		w := carawaybeam.Work{Tokens: random.Float64() * 4000, Running: random.Float64() * 16}
-		e.Observe("b1", w, took(w))
+		e.Observe(now, "b1", w, took(w))
 	}
 	for _, w := range []carawaybeam.Work{{Tokens: 2000, Running: 8}, {Tokens: 500, Running: 2}} {
 		miss := e.Typical(w) - took(w)
@@ -33,24 +35,41 @@
 	e := estimator.New()
 	w := carawaybeam.Work{Tokens: 4000}
 	for range 200 {
-		e.Observe("fast", w, time.Second)
+		e.Observe(now, "fast", w, time.Second)
 	}
 	for range 20 {
-		e.Observe("slow", w, 8*time.Second)
+		e.Observe(now, "slow", w, 8*time.Second)
 	}
-	is.True(e.Factor("slow") > 4)
-	is.True(e.Factor("fast") < 1.5)
+	is.True(e.Factor(now, "slow") > 4)
+	is.True(e.Factor(now, "fast") < 1.5)
 	for range 30 {
-		e.Observe("slow", w, time.Second)
+		e.Observe(now, "slow", w, time.Second)
 	}
-	is.True(e.Factor("slow") < 1.5)
+	is.True(e.Factor(now, "slow") < 1.5)
 }
 
 func TestFailureIsBounded(t *testing.T) {
 	is := is.New(t)
 	e := estimator.New()
 	for range 100 {
-		e.Fail("b1")
+		e.Fail(now, "b1")
+	}
+	is.Equal(e.Factor(now, "b1"), 64.0)
+}
+
+func TestModerateFactorIsForgotten(t *testing.T) {
+	is := is.New(t)
+	e := estimator.New()
+	w := carawaybeam.Work{Tokens: 4000}
+	for i := range 400 {
+		e.Observe(now, "usual", w, time.Second)
+		if i%20 > 0 {
+			continue
+		}
+		e.Observe(now, "moderate", w, 3*time.Second)
+		e.Observe(now, "slow", w, 8*time.Second)
 	}
-	is.Equal(e.Factor("b1"), 64.0)
+	is.True(e.Factor(now, "moderate") > 2)
+	is.True(e.Factor(now.Add(time.Minute), "moderate") < 1.1)
+	is.True(e.Factor(now.Add(time.Hour), "slow") > 4)
 }
--- a/router/expected/router.go
+++ b/router/expected/router.go
@@ -70,6 +70,10 @@
 	// doubles with each probe that finds it slow, up to maxProbeInterval.
 	probeInterval    = 2 * time.Second
 	maxProbeInterval = 16 * time.Second
+
+	// recoveryPause is the time from a probe that finds a slow one faster to the
+	// next.
+	recoveryPause = 500 * time.Millisecond
 )
 
 type (
@@ -138,9 +142,9 @@
 	defer r.mu.Unlock()
 	model := r.pool(request.Pool)
 	overview := look(candidates)
-	best, slow := r.choose(model, overview, request, candidates, shortlist(request, candidates, random))
+	best, slow := r.choose(now, model, overview, request, candidates, shortlist(request, candidates, random))
 	if best == nil || best.wait(model) > overview.patience(request.Target) {
-		other, otherSlow := r.lookAgain(model, overview, request, candidates, random)
+		other, otherSlow := r.lookAgain(now, model, overview, request, candidates, random)
 		slow = cmp.Or(slow, otherSlow)
 		if best == nil || other != nil && other.cost < best.cost/2 {
 			best = other
@@ -165,6 +169,7 @@
 // choose weighs listed candidates and returns the best one, and the best of
 // those that are slow. Either may be nil.
 func (r *Router) choose(
+	now time.Time,
 	model *estimator.Estimator,
 	overview survey,
 	request carawaybeam.RouteRequest,
@@ -172,9 +177,9 @@
 	list []listed,
 ) (best, slow *option) {
 	for _, l := range list {
-		o := weigh(model, overview, request, &candidates[l.index], l.home)
+		o := weigh(now, model, overview, request, &candidates[l.index], l.home)
 		chosen := &best
-		if r.isSlow(model, &o) {
+		if r.isSlow(now, model, &o) {
 			chosen = &slow
 		}
 		if *chosen == nil || o.rank() < (*chosen).rank() {
@@ -188,6 +193,7 @@
 // when there is none. One of the former is drawn by chance, lest all processes
 // run to the same.
 func (r *Router) lookAgain(
+	now time.Time,
 	model *estimator.Estimator,
 	overview survey,
 	request carawaybeam.RouteRequest,
@@ -201,28 +207,32 @@
 			continue
 		}
 		all = append(all, listed{index: i})
-		if isIdle(c) && model.Factor(c.Backend) < slowFactor {
+		if isIdle(c) && model.Factor(now, c.Backend) < slowFactor {
 			idle = append(idle, listed{index: i})
 		}
 	}
 	if len(idle) > 0 {
-		return r.choose(model, overview, request, candidates, []listed{idle[random.IntN(len(idle))]})
+		return r.choose(now, model, overview, request, candidates, []listed{idle[random.IntN(len(idle))]})
 	}
-	return r.choose(model, overview, request, candidates, all)
+	return r.choose(now, model, overview, request, candidates, all)
 }
 
 // Observe learns from the time to the first token.
-func (r *Router) Observe(_ time.Time, decision carawaybeam.RouteDecision, outcome carawaybeam.RouteOutcome) {
+func (r *Router) Observe(now time.Time, decision carawaybeam.RouteDecision, outcome carawaybeam.RouteOutcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	model := r.pool(decision.Pool)
 	if outcome.Failed {
-		model.Fail(decision.Backend)
+		model.Fail(now, decision.Backend)
 		return
 	}
-	model.Observe(decision.Backend, decision.Work, outcome.FirstToken)
-	if model.Factor(decision.Backend) < slowFactor {
+	before := model.Factor(now, decision.Backend)
+	model.Observe(now, decision.Backend, decision.Work, outcome.FirstToken)
+	switch after := model.Factor(now, decision.Backend); {
+	case after < slowFactor:
 		delete(r.probes, decision.Backend)
+	case after < before:
+		r.probes[decision.Backend] = probe{due: now.Add(recoveryPause), wait: recoveryPause}
 	}
 }
 
@@ -237,8 +247,8 @@
 
 // isSlow tells whether a backend server answers, or fails to answer, far later
 // than its work explains.
-func (r *Router) isSlow(model *estimator.Estimator, o *option) bool {
-	if model.Factor(o.candidate.Backend) >= slowFactor {
+func (r *Router) isSlow(now time.Time, model *estimator.Estimator, o *option) bool {
+	if model.Factor(now, o.candidate.Backend) >= slowFactor {
 		return true
 	}
 	limit := max(minSlowWait, slowFactor*o.expected)
@@ -320,6 +330,7 @@
 // the last report, which tells less the older it is: then the mean over all
 // candidates is the better guess.
 func weigh(
+	now time.Time,
 	model *estimator.Estimator,
 	s survey,
 	request carawaybeam.RouteRequest,
@@ -342,7 +353,7 @@
 		o.work.Gathered = float64(unread)
 		o.slack = time.Duration(affinityShare * float64(request.Target))
 	}
-	o.expected = time.Duration(float64(model.Typical(o.work)) * model.Factor(c.Backend))
+	o.expected = time.Duration(float64(model.Typical(o.work)) * model.Factor(now, c.Backend))
 	o.cost = o.expected + c.Distance
 	return o
 }
