--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -43,6 +43,7 @@
 	DataCentre    carawaybeam.DataCentre    `json:"dataCentre"`
 	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 	Members       []memberState             `json:"members"`
+	Policies      dispatcher.PolicyState    `json:"policies"`
 }
 
 type memberState struct {
@@ -205,6 +206,7 @@
 	s := state{
 		DataCentre:    e.settings.DataCentre,
 		ConfigVersion: e.configurer.Version(),
+		Policies:      e.dispatcher.Policies(),
 	}
 	for _, m := range e.tracker.All() {
 		s.Members = append(s.Members, memberState{
--- a/decisions.go
+++ b/decisions.go
@@ -161,6 +161,12 @@
 	}
 )
 
+// StateDumper is a policy that shows its state to operators.
+type StateDumper interface {
+	// State returns the state as a value for encoding/json.
+	State() any
+}
+
 type (
 	// LayerLoad is the load of each expert of one layer, as shares or counts.
 	LayerLoad []float64
--- /dev/null
+++ b/dispatcher/policies.go
@@ -0,0 +1,31 @@
+package dispatcher
+
+import "github.com/carawaybeam/carawaybeam"
+
+// PolicyState is the state dump of the decisions.
+type PolicyState struct {
+	Router  any `json:"router,omitempty"`
+	Limiter any `json:"limiter,omitempty"`
+	Retrier any `json:"retrier,omitempty"`
+	// PrefixHeads is the number of heads of prompts remembered.
+	PrefixHeads int `json:"prefixHeads"`
+}
+
+// Policies returns the state dump of the decisions.
+func (d *Dispatcher) Policies() PolicyState {
+	return PolicyState{
+		Router:      dump(d.options.Router),
+		Limiter:     dump(d.options.Limiter),
+		Retrier:     dump(d.options.Retrier),
+		PrefixHeads: d.prefixes.Len(),
+	}
+}
+
+// dump returns the state of a policy that shows it.
+func dump(policy any) any {
+	dumper, ok := policy.(carawaybeam.StateDumper)
+	if !ok {
+		return nil
+	}
+	return dumper.State()
+}
--- a/retrier/budget/retrier.go
+++ b/retrier/budget/retrier.go
@@ -8,6 +8,7 @@
 package budget
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -115,3 +116,18 @@
 	longest := min(maxWait, baseWait<<min(try-1, maxTries))
 	return longest/2 + time.Duration(random.Int64N(int64(longest/2)+1))
 }
+
+// State is the state dump of a Retrier.
+type State struct {
+	// Budgets holds the further tries that are left, by class.
+	Budgets map[carawaybeam.ClassID]float64 `json:"budgets"`
+}
+
+var _ carawaybeam.StateDumper = (*Retrier)(nil)
+
+// State returns the state dump.
+func (r *Retrier) State() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return State{Budgets: maps.Clone(r.budgets)}
+}
