--- a/dispatcher/candidates.go
+++ b/dispatcher/candidates.go
@@ -131,8 +131,9 @@
 }
 
 func (d *Dispatcher) candidates(now time.Time, request Request) []carawaybeam.Candidate {
-	hits := d.prefixes.Lookup(request.routing.prefixes)
 	members := d.options.Members.Members(request.Class.Pool)
+	d.noteIncarnations(members)
+	hits := d.prefixes.Lookup(request.routing.prefixes)
 	candidates := make([]carawaybeam.Candidate, 0, len(members))
 	for _, m := range members {
 		if m.Linked && !m.Leaving {
@@ -142,6 +143,24 @@
 	return candidates
 }
 
+// noteIncarnations forgets what backend servers had cached when the agents
+// beside them have restarted, as they do when their VMs are replaced.
+func (d *Dispatcher) noteIncarnations(members []tracker.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range members {
+		id, present := members[i].Backend, members[i].Incarnation
+		before, known := d.incarnations[id]
+		if before == present {
+			continue
+		}
+		d.incarnations[id] = present
+		if known {
+			d.prefixes.Forget(id)
+		}
+	}
+}
+
 func (d *Dispatcher) candidate(now time.Time, m tracker.Member, hits []prefixer.Hit) carawaybeam.Candidate {
 	c := carawaybeam.Candidate{
 		Backend:    m.Backend,
--- a/dispatcher/candidates_test.go
+++ b/dispatcher/candidates_test.go
@@ -47,9 +47,12 @@
 // newWatched returns a dispatcher with such a router before one agent.
 func newWatched(t *testing.T) (*dispatcher.Dispatcher, *watchedRouter) {
 	t.Helper()
-	p := newPath(t, 1)
 	router := &watchedRouter{}
-	d := dispatcher.New(dispatcher.Options{
+	return newDispatcher(newPath(t, 1), router), router
+}
+
+func newDispatcher(p *assembler.Assembler, router carawaybeam.Router) *dispatcher.Dispatcher {
+	return dispatcher.New(dispatcher.Options{
 		Members: p.Entries[0].Tracker,
 		Binder:  binder.New(p.Store),
 		Config:  p.Entries[0].Configurer,
@@ -58,7 +61,6 @@
 		Retrier: proof.Retrier{},
 		Log:     zerolog.Nop(),
 	})
-	return d, router
 }
 
 func drafting(body string) dispatcher.Request {
@@ -110,3 +112,20 @@
 		is.Equal(c.CachedPrompt, carawaybeam.Tokens(512)) // Two whole blocks of 256.
 	})
 }
+
+func TestRestartedAgentHasNothingCached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPath(t, 1)
+		router := &watchedRouter{}
+		d := newDispatcher(p, router)
+		body := `{"stream":true}` + strings.Repeat("x", 3000)
+		var first, second assembler.Answer
+		is.True(d.Do(t.Context(), drafting(body), &first) == nil)
+		is.NoErr(p.KillAgent(0))
+		p.StartAgent(0)
+		time.Sleep(5 * time.Second)
+		is.True(d.Do(t.Context(), drafting(body), &second) == nil)
+		is.Equal(router.seen[1].CachedPrompt, carawaybeam.Tokens(0))
+	})
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,7 +88,11 @@
 
 		counter  *counter.Counter
 		prefixes *prefixer.Table
-		requests sync.WaitGroup
+
+		mu sync.Mutex
+		// incarnations holds the last one seen of each agent.
+		incarnations map[carawaybeam.BackendID]carawaybeam.Incarnation
+		requests     sync.WaitGroup
 	}
 )
 
@@ -99,6 +103,8 @@
 		random:   rand.New(lockedSource{}),
 		counter:  counter.New(),
 		prefixes: prefixer.New(tableHeads),
+
+		incarnations: make(map[carawaybeam.BackendID]carawaybeam.Incarnation),
 	}
 }
 
--- a/router/counter/counter.go
+++ b/router/counter/counter.go
@@ -3,6 +3,7 @@
 package counter
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,9 @@
 	"github.com/carawaybeam/carawaybeam"
 )
 
+// pruneInterval is how often backend servers without requests are forgotten.
+const pruneInterval = time.Minute
+
 // horizon is how long ended requests are kept for comparison with reports.
 const horizon = 15 * time.Second
 
@@ -19,6 +23,7 @@
 	Counter struct {
 		mu       sync.Mutex
 		backends map[carawaybeam.BackendID]*backend
+		pruned   time.Time
 	}
 
 	// Request is one request being counted.
@@ -53,6 +58,9 @@
 func (c *Counter) Sent(now time.Time, id carawaybeam.BackendID, tokens carawaybeam.Tokens) *Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Sub(c.pruned) > pruneInterval {
+		c.prune(now)
+	}
 	b, ok := c.backends[id]
 	if !ok {
 		b = &backend{}
@@ -65,6 +73,23 @@
 	return r
 }
 
+// prune forgets backend servers on which nothing ran lately. The caller holds
+// mu.
+func (c *Counter) prune(now time.Time) {
+	c.pruned = now
+	maps.DeleteFunc(c.backends, func(_ carawaybeam.BackendID, b *backend) bool {
+		n := len(b.ended)
+		return len(b.running) == 0 && (n == 0 || now.Sub(b.ended[n-1].at) > horizon)
+	})
+}
+
+// Len returns the number of backend servers that are remembered.
+func (c *Counter) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.backends)
+}
+
 // Answered notes that the first token came.
 func (r *Request) Answered() {
 	r.counter.mu.Lock()
--- a/router/counter/counter_test.go
+++ b/router/counter/counter_test.go
@@ -35,3 +35,15 @@
 	b.Done(at(5)) // A second end changes nothing.
 	is.Equal(fill(at(5)).OwnRunning, 1)
 }
+
+func TestUnusedBackendsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := counter.New()
+	now := time.Unix(1000, 0)
+	running := c.Sent(now, "busy", 1)
+	c.Sent(now, "gone", 1).Done(now)
+	is.Equal(c.Len(), 2)
+	c.Sent(now.Add(2*time.Minute), "new", 1)
+	is.Equal(c.Len(), 2) // The busy one and the new one.
+	running.Done(now.Add(2 * time.Minute))
+}
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -8,6 +8,7 @@
 package estimator
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -170,6 +171,15 @@
 	e.setFactor(now, backend, max(failureFactor, 2*e.Factor(now, backend)))
 }
 
+// Len returns the number of backend servers that something is known of.
+func (e *Estimator) Len() int { return max(len(e.factors), len(e.slots)) }
+
+// Retain forgets all backend servers but those to be kept.
+func (e *Estimator) Retain(keep func(carawaybeam.BackendID) bool) {
+	maps.DeleteFunc(e.factors, func(id carawaybeam.BackendID, _ factor) bool { return !keep(id) })
+	maps.DeleteFunc(e.slots, func(id carawaybeam.BackendID, _ int) bool { return !keep(id) })
+}
+
 func (e *Estimator) setFactor(now time.Time, backend carawaybeam.BackendID, value float64) {
 	e.factors[backend] = factor{value: min(maxFactor, max(1.0/maxFactor, value)), at: now}
 }
--- a/router/expected/router.go
+++ b/router/expected/router.go
@@ -62,6 +62,11 @@
 	// minSlowWait is the least wait that counts as slow.
 	minSlowWait = 800 * time.Millisecond
 
+	// Backend servers that are gone are forgotten once what is known exceeds the
+	// candidates by this factor and margin.
+	retainFactor = 2
+	retainMargin = 64
+
 	// minOwnShare bounds from below the part of all requests that a process
 	// takes itself to send.
 	minOwnShare = 0.01
@@ -141,6 +146,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	model := r.pool(request.Pool)
+	if model.Len() > retainFactor*len(candidates)+retainMargin {
+		r.retain(model, candidates)
+	}
 	overview := look(candidates)
 	best, slow := r.choose(now, model, overview, request, candidates, shortlist(request, candidates, random))
 	if best == nil || best.wait(model) > overview.patience(request.Target) {
@@ -245,6 +253,20 @@
 	return model
 }
 
+// retain forgets the backend servers of a pool that are gone.
+func (r *Router) retain(model *estimator.Estimator, candidates []carawaybeam.Candidate) {
+	present := make(map[carawaybeam.BackendID]bool, len(candidates))
+	for i := range candidates {
+		present[candidates[i].Backend] = true
+	}
+	model.Retain(func(id carawaybeam.BackendID) bool {
+		if !present[id] {
+			delete(r.probes, id)
+		}
+		return present[id]
+	})
+}
+
 // isSlow tells whether a backend server answers, or fails to answer, far later
 // than its work explains.
 func (r *Router) isSlow(now time.Time, model *estimator.Estimator, o *option) bool {
--- a/router/expected/router_test.go
+++ b/router/expected/router_test.go
@@ -123,3 +123,16 @@
 	counts := spread(expected.New(), time.Now(), carawaybeam.RouteRequest{}, list)
 	is.True(counts["b0"] > 200)
 }
+
+func TestGoneBackendsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	r := expected.New()
+	now := time.Now()
+	for i := range 1000 {
+		gone := carawaybeam.RouteDecision{Backend: carawaybeam.BackendID(fmt.Sprintf("gone%d", i))}
+		r.Observe(now, gone, carawaybeam.RouteOutcome{Failed: true})
+	}
+	is.Equal(len(r.State().(expected.State).Slow), 1000)
+	spread(r, now, carawaybeam.RouteRequest{}, candidates(3))
+	is.Equal(len(r.State().(expected.State).Slow), 0)
+}
