Distrust load reports older than half a second

Cause: queues before the first token last some 0.3 s, so a report of a second ago says little of what others have there now, and pulled processes that do not see each other to the same backend servers. Change: the distance of a report to the mean of all falls to 1/e in 0.5 s, not 2 s.

--- a/router/expected/router.go
+++ b/router/expected/router.go
@@ -49,7 +49,7 @@
 
 	// forgetting is how fast a report loses its worth, as the time in which
 	// the distance to the mean of all falls to 1/e.
-	forgetting = 2 * time.Second
+	forgetting = 500 * time.Millisecond
 
 	// freshReport is the age up to which a report can tell that a backend server
 	// has nothing to do.
