--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -45,6 +45,7 @@
 	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 	Links         messenger.TrafficState    `json:"links"`
 	Members       []memberState             `json:"members"`
+	Policies      dispatcher.PolicyState    `json:"policies"`
 }
 
 type memberState struct {
@@ -213,6 +214,7 @@
 		DataCentre:    e.settings.DataCentre,
 		ConfigVersion: e.configurer.Version(),
 		Links:         e.traffic.State(),
+		Policies:      e.dispatcher.Policies(),
 	}
 	for _, m := range e.tracker.All() {
 		s.Members = append(s.Members, memberState{
--- /dev/null
+++ b/router/counter/counter.go
@@ -0,0 +1,154 @@
+// Package counter keeps count of the requests that a process has on each
+// backend server, and so fills in what load reports do not show yet.
+package counter
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// pruneInterval is how often backend servers without requests are forgotten.
+const pruneInterval = time.Minute
+
+// horizon is how long ended requests are kept for comparison with reports.
+const horizon = 15 * time.Second
+
+type (
+	// Counter counts requests by backend server. Its methods may be used by
+	// several goroutines at once.
+	Counter struct {
+		mu       sync.Mutex
+		backends map[carawaybeam.BackendID]*backend
+		pruned   time.Time
+	}
+
+	// Request is one request being counted.
+	Request struct {
+		counter *Counter
+		backend *backend
+		at      time.Time
+		tokens  carawaybeam.Tokens
+	}
+
+	backend struct {
+		// running and waiting hold requests in the order in which they were
+		// sent, and ended in the order in which they ended.
+		running       []*Request
+		waiting       []*Request
+		waitingTokens carawaybeam.Tokens
+		ended         []ended
+	}
+
+	ended struct {
+		sent time.Time
+		at   time.Time
+	}
+)
+
+// New returns a Counter.
+func New() *Counter {
+	return &Counter{backends: make(map[carawaybeam.BackendID]*backend)}
+}
+
+// Sent counts a request with the given number of prompt tokens to be read.
+func (c *Counter) Sent(now time.Time, id carawaybeam.BackendID, tokens carawaybeam.Tokens) *Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.pruned) > pruneInterval {
+		c.prune(now)
+	}
+	b, ok := c.backends[id]
+	if !ok {
+		b = &backend{}
+		c.backends[id] = b
+	}
+	r := &Request{counter: c, backend: b, at: now, tokens: tokens}
+	b.running = append(b.running, r)
+	b.waiting = append(b.waiting, r)
+	b.waitingTokens += tokens
+	return r
+}
+
+// prune forgets backend servers on which nothing ran lately. The caller holds
+// mu.
+func (c *Counter) prune(now time.Time) {
+	c.pruned = now
+	maps.DeleteFunc(c.backends, func(_ carawaybeam.BackendID, b *backend) bool {
+		n := len(b.ended)
+		return len(b.running) == 0 && (n == 0 || now.Sub(b.ended[n-1].at) > horizon)
+	})
+}
+
+// Len returns the number of backend servers that are remembered.
+func (c *Counter) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.backends)
+}
+
+// Answered notes that the first token came.
+func (r *Request) Answered() {
+	r.counter.mu.Lock()
+	defer r.counter.mu.Unlock()
+	r.answered()
+}
+
+func (r *Request) answered() {
+	if i := slices.Index(r.backend.waiting, r); i >= 0 {
+		r.backend.waiting = slices.Delete(r.backend.waiting, i, i+1)
+		r.backend.waitingTokens -= r.tokens
+	}
+}
+
+// Done ends the count of the request.
+func (r *Request) Done(now time.Time) {
+	r.counter.mu.Lock()
+	defer r.counter.mu.Unlock()
+	r.answered()
+	b := r.backend
+	i := slices.Index(b.running, r)
+	if i < 0 {
+		return
+	}
+	b.running = slices.Delete(b.running, i, i+1)
+	for len(b.ended) > 0 && now.Sub(b.ended[0].at) > horizon {
+		b.ended = b.ended[1:]
+	}
+	b.ended = append(b.ended, ended{sent: r.at, at: now})
+}
+
+// Fill sets what a candidate says of own requests. Its report was made at the
+// given time, which is zero when there is none.
+func (c *Counter) Fill(now, reported time.Time, candidate *carawaybeam.Candidate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.backends[candidate.Backend]
+	if !ok {
+		return
+	}
+	candidate.OwnRunning = len(b.running)
+	candidate.OwnWaiting = len(b.waiting)
+	candidate.OwnWaitingTokens = b.waitingTokens
+	if len(b.waiting) > 0 {
+		candidate.OwnOldest = now.Sub(b.waiting[0].at)
+	}
+	candidate.OwnReported = b.countAt(reported)
+}
+
+// countAt returns how many requests ran at a time.
+func (b *backend) countAt(at time.Time) int {
+	n := len(b.running)
+	for i := n - 1; i >= 0 && b.running[i].at.After(at); i-- {
+		n--
+	}
+	for i := len(b.ended) - 1; i >= 0 && b.ended[i].at.After(at); i-- {
+		if !b.ended[i].sent.After(at) {
+			n++
+		}
+	}
+	return n
+}
