--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_LINT = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS = $(CURDIR)/.tools
 
-.PHONY: build demo demo-full test lint format generate tools
+.PHONY: build demo demo-full test lint format generate tools figures
 
 build:
 	go build -o bin/ ./cmd/... ./examples/demo
@@ -38,3 +38,9 @@
 
 generate: $(TOOLS)/buf $(TOOLS)/protoc-gen-go
 	PATH="$(TOOLS):$$PATH" $(TOOLS)/buf generate
+
+# Replays every trace with the outcome beside it and prints the tables.
+figures: build
+	@failed=0; for trace in traces/*/*.jsonl; do \
+		bin/cbreplay -trace $$trace -outcome $${trace%.jsonl}.outcome.json || failed=1; \
+	done; exit $$failed
--- a/tracer/outcome.go
+++ b/tracer/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -19,6 +20,8 @@
 
 	// Outcome states what the replay of a trace must give, by figure.
 	Outcome struct {
+		// Policy is the plug-in for which the bounds are stated.
+		Policy string           `json:"policy,omitempty"`
 		Bounds map[string]Bound `json:"bounds"`
 	}
 
@@ -32,13 +35,38 @@
 	}
 )
 
+// BoundError reports a bound that limits nothing.
+type BoundError struct {
+	// Figure is the figure it should limit.
+	Figure string
+}
+
+var errNoBounds = errors.New("outcome states no bounds")
+
+func (e *BoundError) Error() string {
+	return "bound of " + e.Figure + " has neither min nor max"
+}
+
 // ReadOutcome reads an outcome file strictly.
 func ReadOutcome(r io.Reader) (Outcome, error) {
 	var outcome Outcome
 	decoder := json.NewDecoder(r)
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&outcome)
-	return outcome, err
+	if err := decoder.Decode(&outcome); err != nil {
+		return outcome, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return outcome, errTrail
+	}
+	if len(outcome.Bounds) == 0 {
+		return outcome, errNoBounds
+	}
+	for name, bound := range outcome.Bounds {
+		if bound.Min == nil && bound.Max == nil {
+			return outcome, &BoundError{Figure: name}
+		}
+	}
+	return outcome, nil
 }
 
 // Check returns the bounds that the figures miss, in the order of their names.
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -26,6 +26,9 @@
 
 	// maxLineBytes bounds one line of a trace.
 	maxLineBytes = 16 << 20
+
+	// headerLine is the line of the header.
+	headerLine = 1
 )
 
 type (
@@ -42,6 +45,9 @@
 		Name   string `json:"name"`
 		Source string `json:"source"`
 		Seed   uint64 `json:"seed,omitempty"`
+		// Generator names the generator that gives the events for Seed. The
+		// trace then consists of the header alone.
+		Generator string `json:"generator,omitempty"`
 	}
 
 	// Duration is a time.Duration written as in "2.5s".
@@ -67,6 +73,8 @@
 	errKind    = errors.New("trace is of another kind")
 	errOrder   = errors.New("event is earlier than the one before it")
 	errTrail   = errors.New("text behind the event")
+	errBody    = errors.New("trace with a generator has events of its own")
+	errLength  = fmt.Errorf("line is longer than %d bytes", maxLineBytes)
 )
 
 func (e *Error) Error() string { return fmt.Sprintf("trace line %d: %v", e.Line, e.Cause) }
@@ -88,52 +96,87 @@
 
 // Read reads a whole trace of the given kind. Errors are of type *Error.
 func Read[E Event](r io.Reader, kind Kind) (Header, []E, error) {
-	var (
-		header Header
-		events []E
-	)
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	line := 0
-	for scanner.Scan() {
-		line++
-		if line == 1 {
-			if err := readHeader(scanner.Bytes(), kind, &header); err != nil {
-				return header, nil, &Error{Line: line, Cause: err}
-			}
-			continue
+	body := bufio.NewReader(r)
+	header, err := ReadHeader(body)
+	if err != nil {
+		return header, nil, err
+	}
+	if header.Kind != kind {
+		return header, nil, &Error{Line: headerLine, Cause: errKind}
+	}
+	events, err := ReadEvents[E](header, body)
+	return header, events, err
+}
+
+// ReadHeader reads the first line and leaves r at the second, where ReadEvents
+// goes on. Errors are of type *Error.
+func ReadHeader(r *bufio.Reader) (Header, error) {
+	var header Header
+	line, err := readLine(r)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return header, &Error{Line: headerLine, Cause: err}
+	}
+	if err := decode(line, &header); err != nil {
+		return header, &Error{Line: headerLine, Cause: err}
+	}
+	switch {
+	case header.Format != Format:
+		return header, &Error{Line: headerLine, Cause: errFormat}
+	case header.Version != Version:
+		return header, &Error{Line: headerLine, Cause: errVersion}
+	}
+	return header, nil
+}
+
+// ReadEvents reads the events behind a header. A trace whose header names a
+// generator must have none. Errors are of type *Error.
+func ReadEvents[E Event](header Header, r io.Reader) ([]E, error) {
+	var events []E
+	body := bufio.NewReader(r)
+	for line := headerLine + 1; ; line++ {
+		text, err := readLine(body)
+		if errors.Is(err, io.EOF) {
+			return events, nil
+		}
+		if err != nil {
+			return nil, &Error{Line: line, Cause: err}
+		}
+		if header.Generator != "" {
+			return nil, &Error{Line: line, Cause: errBody}
 		}
 		var event E
-		if err := decode(scanner.Bytes(), &event); err != nil {
-			return header, nil, &Error{Line: line, Cause: err}
+		if err := decode(text, &event); err != nil {
+			return nil, &Error{Line: line, Cause: err}
 		}
 		if n := len(events); n > 0 && event.When() < events[n-1].When() {
-			return header, nil, &Error{Line: line, Cause: errOrder}
+			return nil, &Error{Line: line, Cause: errOrder}
 		}
 		events = append(events, event)
 	}
-	if err := scanner.Err(); err != nil {
-		return header, nil, &Error{Line: line + 1, Cause: err}
-	}
-	if line == 0 {
-		return header, nil, &Error{Line: 1, Cause: io.ErrUnexpectedEOF}
-	}
-	return header, events, nil
 }
 
-func readHeader(line []byte, kind Kind, header *Header) error {
-	if err := decode(line, header); err != nil {
-		return err
-	}
-	switch {
-	case header.Format != Format:
-		return errFormat
-	case header.Version != Version:
-		return errVersion
-	case header.Kind != kind:
-		return errKind
+// readLine returns the next line without its end, or io.EOF behind the last.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case len(line) > maxLineBytes:
+			return nil, errLength
+		case err == nil:
+			return bytes.TrimSuffix(line, []byte{'\n'}), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(line) > 0:
+			return line, nil
+		default:
+			return nil, err
+		}
 	}
-	return nil
 }
 
 func decode(line []byte, value any) error {
@@ -142,7 +185,7 @@
 	if err := decoder.Decode(value); err != nil {
 		return err
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errTrail
 	}
 	return nil
