Place experts by the planners static, greedy and drift

Cause: a group's map was never replanned, so popularity that drifts leaves one rank behind. The planner's request becomes a struct that also carries the observed speeds of ranks, without which no planner can see a stalled rank; PlannerOptions gain the period and the time that a new expert holds up its rank. Step-time skew is the extra step time over that of balanced layers.

--- /dev/null
+++ b/cmd/cbreplay/kinds.go
@@ -0,0 +1,6 @@
+package main
+
+import (
+	// Each kind of traces registers itself.
+	_ "github.com/carawaybeam/carawaybeam/replayer/placer"
+)
--- a/decisions.go
+++ b/decisions.go
@@ -125,12 +125,31 @@
 		// SkewPreference is from 0 (only the cost of rebalancing counts) to 1
 		// (only step-time skew counts).
 		SkewPreference float64
+		// Period is the time between two plans.
+		Period time.Duration
+		// InstallDelay is how long one new expert holds up its rank, and with
+		// it the group.
+		InstallDelay time.Duration
 	}
 
-	// Planner places experts on ranks. It does no I/O.
+	// PlanRequest is what a planner knows of a group.
+	PlanRequest struct {
+		// Present is the map in force. Its version is 0 before the first plan.
+		Present ExpertMap
+		// Loads holds the observed load of each layer in the last period.
+		Loads []LayerLoad
+		// Speeds holds the observed speed of each rank, where 1 is usual. Nil
+		// means that all are equal.
+		Speeds []float64
+	}
+
+	// Planner places experts on ranks. It does no I/O and may keep what it saw
+	// in earlier requests. It is used by one goroutine at a time.
 	Planner interface {
-		// Plan returns the next map for the given load of each layer. It
-		// returns the present one, unchanged, when no move pays.
-		Plan(now time.Time, present ExpertMap, loads []LayerLoad) ExpertMap
+		// Plan returns the next map, with a higher version, in which each rank
+		// holds at most Slots experts of a layer, each at most once, and each
+		// expert is held by a rank. It returns the present one when no move
+		// pays, and never changes the request.
+		Plan(now time.Time, request PlanRequest) ExpertMap
 	}
 )
--- /dev/null
+++ b/planner/drift/search.go
@@ -0,0 +1,255 @@
+package drift
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+const (
+	// slowestKept is how many of the slowest ranks a view lists.
+	slowestKept = 16
+
+	// targetRanks bounds the ranks that may take load from the slowest one.
+	targetRanks = 24
+
+	// leastGain is the gain of time below which a change is none.
+	leastGain = 1e-6
+
+	// tieWeight is the weight of the times of affected ranks in the choice
+	// between changes that make the layer about equally fast.
+	tieWeight = 0.05
+
+	// none stands for no rank or no expert.
+	none = -1
+)
+
+type (
+	// change is one step of the search. An expert leaves one rank, arrives on
+	// another, or both; another expert may go the other way or be dropped.
+	change struct {
+		expert carawaybeam.Expert
+		// leaves and arrives are the ranks where the expert is dropped and
+		// added, or none.
+		leaves, arrives int
+		// other is the expert dropped from the rank arrives, or none.
+		other carawaybeam.Expert
+		// swapped tells that the other expert is added on the rank leaves.
+		swapped bool
+	}
+
+	// step is a change with its effect.
+	step struct {
+		change change
+		// time is the expected time of the layer after the change.
+		time float64
+		// score is what the search minimises.
+		score float64
+	}
+)
+
+// moves returns how many experts are fetched.
+func (c change) moves() int {
+	n := 0
+	if c.arrives != none {
+		n++
+	}
+	if c.swapped {
+		n++
+	}
+	return n
+}
+
+// improve returns the best change that takes load from the slowest rank under
+// any of the mixes. It reports false when none makes the layer faster.
+func (l *layer) improve(moveCost float64) (step, bool) {
+	now := l.time()
+	best := step{score: now}
+	found := false
+	consider := func(c change) {
+		s := l.evaluate(c, moveCost)
+		if s.time < now-leastGain && (!found || s.score < best.score) {
+			best = s
+			found = true
+		}
+	}
+	for i := range l.views {
+		l.propose(&l.views[i], consider)
+	}
+	return best, found
+}
+
+// propose lists the changes that take load from the slowest rank of a view.
+func (l *layer) propose(v *view, consider func(change)) {
+	slow := v.slowest[0]
+	targets := v.fastest()
+	for _, e := range l.held[slow] {
+		if len(l.holders[e]) > 1 {
+			consider(change{expert: e, leaves: slow, arrives: none, other: none})
+		}
+		for _, rank := range targets {
+			if rank == slow || slices.Contains(l.held[rank], e) {
+				continue
+			}
+			l.proposeTo(e, slow, rank, consider)
+		}
+	}
+}
+
+// proposeTo lists the changes that give load of an expert from one rank to
+// another: a further replica, a move, or a swap with another expert.
+func (l *layer) proposeTo(e carawaybeam.Expert, from, to int, consider func(change)) {
+	if len(l.held[to]) < l.slots {
+		consider(change{expert: e, leaves: none, arrives: to, other: none})
+		consider(change{expert: e, leaves: from, arrives: to, other: none})
+	}
+	for _, other := range l.held[to] {
+		if len(l.holders[other]) > 1 {
+			consider(change{expert: e, leaves: none, arrives: to, other: other})
+			consider(change{expert: e, leaves: from, arrives: to, other: other})
+		}
+		if !slices.Contains(l.held[from], other) {
+			consider(change{expert: e, leaves: from, arrives: to, other: other, swapped: true})
+		}
+	}
+}
+
+// fastest returns the ranks with the least time.
+func (v *view) fastest() []int {
+	ranks := make([]int, len(v.times))
+	for rank := range ranks {
+		ranks[rank] = rank
+	}
+	slices.SortFunc(ranks, func(a, b int) int {
+		return cmp.Or(cmp.Compare(v.times[a], v.times[b]), cmp.Compare(a, b))
+	})
+	return ranks[:min(targetRanks, len(ranks))]
+}
+
+// evaluate works out the time of the layer after a change.
+func (l *layer) evaluate(c change, moveCost float64) step {
+	l.touch(c)
+	s := step{change: c}
+	for i := range l.views {
+		v := &l.views[i]
+		affected := 0.0
+		for _, rank := range l.scratch.touched {
+			affected = max(affected, l.timeAfter(v, c, rank))
+		}
+		s.time += v.weight * max(affected, l.untouched(v))
+		s.score += v.weight * tieWeight * affected
+	}
+	s.score += s.time + moveCost*float64(c.moves())
+	l.untouch()
+	return s
+}
+
+// timeAfter returns the time of an affected rank after the change.
+func (l *layer) timeAfter(v *view, c change, rank int) float64 {
+	work := l.scratch.factors[0][rank] * v.load[c.expert]
+	if c.other != none {
+		work += l.scratch.factors[1][rank] * v.load[c.other]
+	}
+	return v.times[rank] + work/l.speeds[rank]
+}
+
+// untouched returns the time of the slowest rank that a change leaves as it is.
+func (l *layer) untouched(v *view) float64 {
+	for _, rank := range v.slowest {
+		if !l.scratch.marked[rank] {
+			return v.times[rank]
+		}
+	}
+	if len(v.slowest) == len(v.times) {
+		return 0
+	}
+	slowest := 0.0
+	for rank, t := range v.times {
+		if !l.scratch.marked[rank] {
+			slowest = max(slowest, t)
+		}
+	}
+	return slowest
+}
+
+// touch marks the ranks that a change affects, with the factors by which it
+// does.
+func (l *layer) touch(c change) {
+	l.touchExpert(c.expert, c.leaves, c.arrives, 0)
+	if c.other == none {
+		return
+	}
+	arrives := none
+	if c.swapped {
+		arrives = c.leaves
+	}
+	l.touchExpert(c.other, c.arrives, arrives, 1)
+}
+
+func (l *layer) touchExpert(e carawaybeam.Expert, leaves, arrives, which int) {
+	before := len(l.holders[e])
+	after := before
+	if leaves != none {
+		after--
+	}
+	if arrives != none {
+		after++
+	}
+	for _, rank := range l.holders[e] {
+		factor := -1 / float64(before)
+		if rank != leaves {
+			factor += 1 / float64(after)
+		}
+		l.mark(rank)
+		l.scratch.factors[which][rank] = factor
+	}
+	if arrives != none {
+		l.mark(arrives)
+		l.scratch.factors[which][arrives] = 1 / float64(after)
+	}
+}
+
+func (l *layer) mark(rank int) {
+	if !l.scratch.marked[rank] {
+		l.scratch.marked[rank] = true
+		l.scratch.touched = append(l.scratch.touched, rank)
+	}
+}
+
+// untouch clears the marks and factors.
+func (l *layer) untouch() {
+	for _, rank := range l.scratch.touched {
+		l.scratch.marked[rank] = false
+		l.scratch.factors[0][rank] = 0
+		l.scratch.factors[1][rank] = 0
+	}
+	l.scratch.touched = l.scratch.touched[:0]
+}
+
+// apply makes a change.
+func (l *layer) apply(c change) {
+	l.drop(c.expert, c.leaves)
+	l.drop(c.other, c.arrives)
+	l.add(c.expert, c.arrives)
+	if c.swapped {
+		l.add(c.other, c.leaves)
+	}
+	l.measure()
+}
+
+func (l *layer) drop(e carawaybeam.Expert, rank int) {
+	if e == none || rank == none {
+		return
+	}
+	l.held[rank] = slices.DeleteFunc(l.held[rank], func(x carawaybeam.Expert) bool { return x == e })
+	l.holders[e] = slices.DeleteFunc(l.holders[e], func(r int) bool { return r == rank })
+}
+
+func (l *layer) add(e carawaybeam.Expert, rank int) {
+	if rank == none {
+		return
+	}
+	l.held[rank] = append(l.held[rank], e)
+	l.holders[e] = append(l.holders[e], rank)
+}
--- /dev/null
+++ b/planner/skew.go
@@ -0,0 +1,75 @@
+package planner
+
+import (
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// minSpeed is the speed taken for a rank that stands still, so that times
+// remain finite.
+const minSpeed = 0.01
+
+// Skew returns the step-time skew of the map under the given loads. Nil speeds
+// mean that all ranks are equally fast.
+func Skew(m carawaybeam.ExpertMap, loads []carawaybeam.LayerLoad, speeds []float64) float64 {
+	var slowest, balanced float64
+	for i, load := range loads {
+		slowest += LayerTime(m.Layers[i], load, speeds)
+		balanced += BalancedTime(load, Speeds(speeds, len(m.Layers[i])))
+	}
+	if balanced == 0 {
+		return 0
+	}
+	return slowest/balanced - 1
+}
+
+// LayerTime returns the time of the slowest rank, in units of load.
+func LayerTime(ranks [][]carawaybeam.Expert, load carawaybeam.LayerLoad, speeds []float64) float64 {
+	speeds = Speeds(speeds, len(ranks))
+	replicas := Replicas(ranks, len(load))
+	slowest := 0.0
+	for rank, experts := range ranks {
+		sum := 0.0
+		for _, e := range experts {
+			sum += load[e] / float64(replicas[e])
+		}
+		slowest = max(slowest, sum/speeds[rank])
+	}
+	return slowest
+}
+
+// BalancedTime returns the time of a layer in which all ranks end together.
+func BalancedTime(load carawaybeam.LayerLoad, speeds []float64) float64 {
+	return sum(load) / sum(speeds)
+}
+
+// Speeds returns usable speeds of the given number of ranks: those given,
+// raised to a minimum above 0, or 1 for each rank when there are none.
+func Speeds(speeds []float64, ranks int) []float64 {
+	usable := make([]float64, ranks)
+	for rank := range usable {
+		usable[rank] = 1
+		if rank < len(speeds) {
+			usable[rank] = max(speeds[rank], minSpeed)
+		}
+	}
+	return usable
+}
+
+// Replicas counts the ranks that hold each expert.
+func Replicas(ranks [][]carawaybeam.Expert, experts int) []int {
+	replicas := make([]int, experts)
+	for _, held := range ranks {
+		for _, e := range held {
+			replicas[e]++
+		}
+	}
+	return replicas
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
