planner/drift: share the delay of a plan among its moves

Cause: on 128 ranks each move relieves one rank of 128, yet was charged the whole install delay, so late in wideDrift moves that would pay were not made: skew of the planned placement rose from 0.07 to 0.16. Ruled out: too few mixes (there is one) and noise. Moves of one plan fall on different ranks; measured, winterDrift had 4.1 moves for each install delay on 16 ranks and wideDrift 18 on 128, so the charge is now divided by the square root of the ranks, the least gain of a move is stated for a rank, and the search is more patient.

--- a/planner/drift/planner.go
+++ b/planner/drift/planner.go
@@ -13,6 +13,7 @@
 package drift
 
 import (
+	"math"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -28,14 +29,14 @@
 	defaultInstallDelay = 500 * time.Millisecond
 
 	// maxSteps bounds the changes of one layer in one plan.
-	maxSteps = 32
+	maxSteps = 64
 
 	// patience is how many changes in a row may fail to raise the net gain.
-	patience = 6
+	patience = 16
 
-	// minMoveGain is the share of the layer's time that one move must save,
+	// minRankGain is the share of its time that one move must take off a rank,
 	// whatever the preference. It keeps noise in the loads from causing moves.
-	minMoveGain = 0.001
+	minRankGain = 0.016
 )
 
 // Planner follows the drift of popularity by few moves.
@@ -87,8 +88,10 @@
 func (p *Planner) moveCost(layers int) float64 {
 	preference := p.options.SkewPreference
 	horizon := horizonPeriods * p.options.Period
-	share := p.options.InstallDelay.Seconds() * float64(layers) / horizon.Seconds()
-	return max(minMoveGain, share*(1-preference)/preference)
+	ranks := float64(p.options.Ranks)
+	delay := p.options.InstallDelay.Seconds() / math.Sqrt(ranks)
+	share := delay * float64(layers) / horizon.Seconds()
+	return max(minRankGain/ranks, share*(1-preference)/preference)
 }
 
 // planLayer returns the placement with the largest net gain. It reports false
