planner/drift: skip searches and placements that cannot pay

Cause: the first plan took 263 ms on 128 x 256 x 60 since it searched although a full new placement was nearly as good as any can be; and the search weighed changes that leave the slowest rank as slow as before. Now a full placement with three quarters of the gain that can be hoped for is taken at once, it is not made where moving an expert on each rank cannot pay, and a change must help under the mix whose slowest rank it relieves.

--- a/planner/drift/planner.go
+++ b/planner/drift/planner.go
@@ -31,6 +31,10 @@
 	// maxSteps bounds the changes of one layer in one plan.
 	maxSteps = 64
 
+	// sufficient is the part of the largest gain that can be hoped for, from
+	// which a full new placement is taken without a search.
+	sufficient = 0.75
+
 	// patience is how many changes in a row may fail to raise the net gain.
 	patience = 16
 
@@ -103,12 +107,15 @@
 	moveCost float64,
 ) ([][]carawaybeam.Expert, bool) {
 	l := newLayer(present, p.options.Slots, speeds, p.views(index, speeds))
-	before := l.time()
-	packed := planner.Relabel(present, p.pack(l), speeds)
-	packedGain := before - l.packedTime(packed) - moveCost*float64(planner.LayerMoves(present, packed))
+	// No placement takes less than 1.
+	hope := l.time() - 1 - moveCost
+	packed, packedGain := p.packLayer(l, present, moveCost)
+	if packedGain > 0 && packedGain >= sufficient*hope {
+		return packed, true
+	}
 	searched, searchedGain := search(l, moveCost)
 	switch {
-	case packedGain > searchedGain && packedGain > 0:
+	case packedGain > searchedGain:
 		return packed, true
 	case searchedGain > 0:
 		return searched, true
@@ -117,6 +124,23 @@
 	}
 }
 
+// packLayer places the layer afresh for the mean of the mixes and returns the
+// net gain, which is 0 when the placement cannot pay. It is taken to move an
+// expert on each rank or more.
+func (p *Planner) packLayer(
+	l *layer,
+	present [][]carawaybeam.Expert,
+	moveCost float64,
+) ([][]carawaybeam.Expert, float64) {
+	before := l.time()
+	if before-1 <= moveCost*float64(p.options.Ranks) {
+		return nil, 0
+	}
+	packed := planner.Relabel(present, p.pack(l), l.speeds)
+	moves := planner.LayerMoves(present, packed)
+	return packed, max(0, before-l.packedTime(packed)-moveCost*float64(moves))
+}
+
 // views returns the layer's views of all remembered mixes.
 func (p *Planner) views(index int, speeds []float64) []view {
 	views := make([]view, len(p.memory.mixes))
--- a/planner/drift/search.go
+++ b/planner/drift/search.go
@@ -1,7 +1,6 @@
 package drift
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -67,15 +66,16 @@
 	now := l.time()
 	best := step{score: now}
 	found := false
+	focus := 0
 	consider := func(c change) {
-		s := l.evaluate(c, moveCost)
-		if s.time < now-leastGain && (!found || s.score < best.score) {
+		s, helps := l.evaluate(c, focus, moveCost)
+		if helps && s.time < now-leastGain && (!found || s.score < best.score) {
 			best = s
 			found = true
 		}
 	}
-	for i := range l.views {
-		l.propose(&l.views[i], consider)
+	for focus = range l.views {
+		l.propose(&l.views[focus], consider)
 	}
 	return best, found
 }
@@ -115,34 +115,49 @@
 	}
 }
 
-// fastest returns the ranks with the least time.
+// fastest returns the ranks with the least time, the fastest first.
 func (v *view) fastest() []int {
-	ranks := make([]int, len(v.times))
-	for rank := range ranks {
-		ranks[rank] = rank
+	ranks := make([]int, 0, targetRanks+1)
+	for rank, t := range v.times {
+		at := len(ranks)
+		for at > 0 && t < v.times[ranks[at-1]] {
+			at--
+		}
+		if at == targetRanks {
+			continue
+		}
+		ranks = slices.Insert(ranks, at, rank)
+		ranks = ranks[:min(len(ranks), targetRanks)]
 	}
-	slices.SortFunc(ranks, func(a, b int) int {
-		return cmp.Or(cmp.Compare(v.times[a], v.times[b]), cmp.Compare(a, b))
-	})
-	return ranks[:min(targetRanks, len(ranks))]
+	return ranks
 }
 
-// evaluate works out the time of the layer after a change.
-func (l *layer) evaluate(c change, moveCost float64) step {
+// evaluate works out the time of the layer after a change. It reports false
+// when the change does not help under the mix in focus.
+func (l *layer) evaluate(c change, focus int, moveCost float64) (step, bool) {
 	l.touch(c)
+	defer l.untouch()
 	s := step{change: c}
+	if l.affected(&l.views[focus], c) >= l.views[focus].time() {
+		return s, false
+	}
 	for i := range l.views {
 		v := &l.views[i]
-		affected := 0.0
-		for _, rank := range l.scratch.touched {
-			affected = max(affected, l.timeAfter(v, c, rank))
-		}
+		affected := l.affected(v, c)
 		s.time += v.weight * max(affected, l.untouched(v))
 		s.score += v.weight * tieWeight * affected
 	}
 	s.score += s.time + moveCost*float64(c.moves())
-	l.untouch()
-	return s
+	return s, true
+}
+
+// affected returns the time of the slowest rank that a change affects.
+func (l *layer) affected(v *view, c change) float64 {
+	slowest := 0.0
+	for _, rank := range l.scratch.touched {
+		slowest = max(slowest, l.timeAfter(v, c, rank))
+	}
+	return slowest
 }
 
 // timeAfter returns the time of an affected rank after the change.
