Record decisions and replay planner traces against their outcomes

Adds the recorder (a ring of encoded events for each kind of decisions, limited in bytes, served at GET /traces/KIND of the admin port of cbentry), the trace kind planner, the generator sampler with cbtrace, four generated traces with outcomes from the users' targets, make figures, and the tests of tracer, planners, replayer, recorder and cbreplay.

Found by the new tests and mended in planner/drift: a swing back moved up to 27 of 384 experts at once, since the weights of the mixes shift with the present one; the least weight of the present mix is 0.35 instead of 0.5, and changes that leave affected ranks slower are chosen less (tie weight 1 instead of 0.05).

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,5 @@
 	@failed=0; for trace in traces/*/*.jsonl; do \
 		bin/cbreplay -trace $$trace -outcome $${trace%.jsonl}.outcome.json || failed=1; \
 	done; exit $$failed
+	go test -run '^$$' -bench Preference -benchtime 1x ./replayer/placer
+	go test -run '^$$' -bench 'BenchmarkPlan/ranks=128/experts=256/layers=60' -benchtime 10x -cpu 1 ./planner/drift
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/recorder"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
 	"github.com/carawaybeam/carawaybeam/starter"
@@ -32,6 +33,7 @@
 	store      carawaybeam.Store
 	lister     carawaybeam.Lister
 	configurer *configurer.Configurer
+	recorder   *recorder.Recorder
 	tracker    *tracker.Tracker
 	dispatcher *dispatcher.Dispatcher
 	server     *server.Server
@@ -87,6 +89,7 @@
 		return err
 	}
 	e.configurer = configurer.New()
+	e.recorder = recorder.New(recorder.Options{Process: e.settings.Process})
 	incarnation := carawaybeam.NewIncarnation()
 	e.closers.Add(watcher.New(watcher.Options{Store: e.store, Configurer: e.configurer, Log: e.log}))
 	e.tracker = tracker.New(tracker.Options{
@@ -148,9 +151,9 @@
 		Members:    e.tracker,
 		Binder:     binder.New(e.store),
 		Config:     e.configurer,
-		Router:     newRouter(),
-		Limiter:    newLimiter(),
-		Retrier:    newRetrier(),
+		Router:     e.recorder.Router(newRouter()),
+		Limiter:    e.recorder.Limiter(newLimiter()),
+		Retrier:    e.recorder.Retrier(newRetrier()),
 		Log:        e.log,
 	})
 	e.closers.Add(e.dispatcher)
@@ -166,6 +169,7 @@
 		Process: e.settings.Process,
 		Ready:   e.ready,
 		State:   e.state,
+		Routes:  e.routes,
 		Log:     e.log,
 	}))
 	callers, err := starter.Listen("callers", e.settings.Callers)
--- a/planner/drift/memory.go
+++ b/planner/drift/memory.go
@@ -28,7 +28,7 @@
 	forgotten = 0.05
 
 	// presentWeight is the least weight of the present mix.
-	presentWeight = 0.5
+	presentWeight = 0.35
 )
 
 type (
--- a/planner/drift/search.go
+++ b/planner/drift/search.go
@@ -18,7 +18,7 @@
 
 	// tieWeight is the weight of the times of affected ranks in the choice
 	// between changes that make the layer about equally fast.
-	tieWeight = 0.05
+	tieWeight = 1
 
 	// none stands for no rank or no expert.
 	none = -1
--- a/planner/trace.go
+++ b/planner/trace.go
@@ -42,7 +42,7 @@
 	// Event is the observation of one period, and so one line of a trace.
 	Event struct {
 		At tracer.Duration `json:"at"`
-		// Setup is present in the first event only.
+		// Setup is present in the first event. A later one may repeat it.
 		Setup *Setup `json:"setup,omitempty"`
 		// Loads holds tokens by layer and expert.
 		Loads []carawaybeam.LayerLoad `json:"loads"`
@@ -61,7 +61,7 @@
 )
 
 var (
-	errNoSetup = errors.New("setup is not in the first event, or in another one too")
+	errNoSetup = errors.New("setup is missing in the first event, or changes")
 	errSetup   = errors.New("setup holds a number out of range")
 	errLoads   = errors.New("loads do not fit the setup")
 	errSpeeds  = errors.New("speeds do not fit the setup")
@@ -89,7 +89,7 @@
 		return setup, &EventError{Cause: errSetup}
 	}
 	for i, event := range events {
-		if err := event.check(setup, i == 0); err != nil {
+		if err := event.check(setup); err != nil {
 			return setup, &EventError{Event: i, Cause: err}
 		}
 	}
@@ -114,8 +114,8 @@
 	return counts && room && costs && s.SkewPreference >= 0 && s.SkewPreference <= 1
 }
 
-func (e Event) check(setup Setup, first bool) error {
-	if first != (e.Setup != nil) {
+func (e Event) check(setup Setup) error {
+	if e.Setup != nil && *e.Setup != setup {
 		return errNoSetup
 	}
 	if len(e.Loads) != setup.Layers {
--- /dev/null
+++ b/recorder/event.go
@@ -0,0 +1,99 @@
+package recorder
+
+import (
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/tracer"
+)
+
+const (
+	// RouterKind is the kind of traces with the decisions of a router.
+	RouterKind tracer.Kind = "routerDecisions"
+	// LimiterKind is the kind of traces with the decisions of a limiter.
+	LimiterKind tracer.Kind = "limiterDecisions"
+	// RetrierKind is the kind of traces with the decisions of a retrier.
+	RetrierKind tracer.Kind = "retrierDecisions"
+)
+
+type (
+	// RouterEvent is what a router saw and chose.
+	RouterEvent struct {
+		At           tracer.Duration            `json:"at"`
+		Request      carawaybeam.RequestID      `json:"request"`
+		Class        carawaybeam.ClassID        `json:"class"`
+		Organisation carawaybeam.OrganisationID `json:"organisation"`
+		DataCentre   carawaybeam.DataCentre     `json:"dataCentre"`
+		Prompt       carawaybeam.Tokens         `json:"prompt"`
+		Tried        []carawaybeam.BackendID    `json:"tried,omitempty"`
+		Candidates   []Candidate                `json:"candidates"`
+		// Chosen is empty when no candidate may take the request.
+		Chosen   carawaybeam.BackendID `json:"chosen,omitempty"`
+		Expected tracer.Duration       `json:"expected"`
+	}
+
+	// Candidate is what a router saw of one backend server.
+	Candidate struct {
+		Backend        carawaybeam.BackendID  `json:"backend"`
+		DataCentre     carawaybeam.DataCentre `json:"dataCentre"`
+		Running        int                    `json:"running"`
+		Waiting        int                    `json:"waiting"`
+		WaitingTokens  carawaybeam.Tokens     `json:"waitingTokens"`
+		ReportAge      tracer.Duration        `json:"reportAge"`
+		OwnRunning     int                    `json:"ownRunning"`
+		OwnSince       int                    `json:"ownSince"`
+		OwnTokensSince carawaybeam.Tokens     `json:"ownTokensSince"`
+		CachedPrompt   carawaybeam.Tokens     `json:"cachedPrompt"`
+		Slow           bool                   `json:"slow,omitempty"`
+	}
+
+	// LimiterEvent is what a limiter saw and chose.
+	LimiterEvent struct {
+		At           tracer.Duration            `json:"at"`
+		Class        carawaybeam.ClassID        `json:"class"`
+		Organisation carawaybeam.OrganisationID `json:"organisation"`
+		Prompt       carawaybeam.Tokens         `json:"prompt"`
+		Expected     tracer.Duration            `json:"expected"`
+		Admitted     bool                       `json:"admitted"`
+		RetryAfter   tracer.Duration            `json:"retryAfter"`
+	}
+
+	// RetrierEvent is what a retrier saw and chose.
+	RetrierEvent struct {
+		At         tracer.Duration     `json:"at"`
+		Class      carawaybeam.ClassID `json:"class"`
+		Idempotent bool                `json:"idempotent"`
+		Try        int                 `json:"try"`
+		Outcome    carawaybeam.Outcome `json:"outcome"`
+		Reason     carawaybeam.Reason  `json:"reason"`
+		// Left is the time left until the deadline.
+		Left  tracer.Duration `json:"left"`
+		Retry bool            `json:"retry"`
+		Wait  tracer.Duration `json:"wait"`
+	}
+)
+
+// When returns the time since the start of the trace.
+func (e RouterEvent) When() time.Duration { return time.Duration(e.At) }
+
+// When returns the time since the start of the trace.
+func (e LimiterEvent) When() time.Duration { return time.Duration(e.At) }
+
+// When returns the time since the start of the trace.
+func (e RetrierEvent) When() time.Duration { return time.Duration(e.At) }
+
+func newCandidate(c carawaybeam.Candidate) Candidate {
+	return Candidate{
+		Backend:        c.Backend,
+		DataCentre:     c.DataCentre,
+		Running:        c.Load.Running,
+		Waiting:        c.Load.Waiting,
+		WaitingTokens:  c.Load.WaitingTokens,
+		ReportAge:      tracer.Duration(c.ReportAge),
+		OwnRunning:     c.OwnRunning,
+		OwnSince:       c.OwnSince,
+		OwnTokensSince: c.OwnTokensSince,
+		CachedPrompt:   c.CachedPrompt,
+		Slow:           c.Slow,
+	}
+}
--- a/replayer/placer/placer.go
+++ b/replayer/placer/placer.go
@@ -20,9 +20,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/fakes/sampler"
 	"github.com/carawaybeam/carawaybeam/planner"
-	_ "github.com/carawaybeam/carawaybeam/planner/drift" // The policies register themselves.
-	_ "github.com/carawaybeam/carawaybeam/planner/greedy"
-	_ "github.com/carawaybeam/carawaybeam/planner/static"
+	_ "github.com/carawaybeam/carawaybeam/registrar" // The baselines are plug-ins.
 	"github.com/carawaybeam/carawaybeam/replayer"
 	"github.com/carawaybeam/carawaybeam/tracer"
 )
--- a/replayer/table.go
+++ b/replayer/table.go
@@ -5,25 +5,40 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/carawaybeam/carawaybeam/tracer"
 )
 
-// columnGap is the number of spaces between columns.
-const columnGap = 2
+const (
+	// columnGap is the number of spaces between columns.
+	columnGap = 2
+
+	// columnMark separates the column of a figure from its row, as in
+	// "greedy.moves". A figure without it belongs to the policy itself.
+	columnMark = "."
+)
 
 // WriteTable writes the figures of a report beside their bounds, and then the
-// bounds that were missed.
+// bounds that were missed. A figure "a.b" stands in row b and column a, so that
+// a kind of traces can set baselines and lower bounds beside the policy.
 func WriteTable(w io.Writer, report Report, outcome tracer.Outcome) error {
+	if _, err := fmt.Fprintf(w, "%s\n  %s\n", report.Trace, report.Source); err != nil {
+		return err
+	}
+	columns, rows := layOut(report.Figures)
 	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	if _, err := fmt.Fprintf(table, "%s (%s)\tpolicy %s\t%s\n", report.Trace, report.Kind, report.Policy,
-		report.Source); err != nil {
+	if _, err := fmt.Fprintln(table, strings.Join(heading(report, columns), "\t")); err != nil {
 		return err
 	}
-	for _, name := range slices.Sorted(maps.Keys(report.Figures)) {
-		if _, err := fmt.Fprintf(table, "  %s\t%.6g\t%s\n", name, report.Figures[name],
-			describe(outcome.Bounds[name])); err != nil {
+	for _, row := range rows {
+		cells := []string{"  " + row}
+		for _, column := range columns {
+			cells = append(cells, cell(report.Figures, column+row))
+		}
+		cells = append(cells, describe(outcome.Bounds[row]))
+		if _, err := fmt.Fprintln(table, strings.Join(cells, "\t")); err != nil {
 			return err
 		}
 	}
@@ -38,6 +53,38 @@
 	return nil
 }
 
+// layOut returns the columns, as prefixes of names, and the rows in order.
+func layOut(figures map[string]float64) (columns, rows []string) {
+	columnSet := map[string]bool{}
+	rowSet := map[string]bool{}
+	for name := range figures {
+		split := strings.Index(name, columnMark) + 1
+		columnSet[name[:split]] = true
+		rowSet[name[split:]] = true
+	}
+	return slices.Sorted(maps.Keys(columnSet)), slices.Sorted(maps.Keys(rowSet))
+}
+
+func heading(report Report, columns []string) []string {
+	cells := []string{fmt.Sprintf("  (%s)", report.Kind)}
+	for _, column := range columns {
+		name := strings.TrimSuffix(column, columnMark)
+		if name == "" {
+			name = report.Policy
+		}
+		cells = append(cells, name)
+	}
+	return append(cells, "outcome")
+}
+
+func cell(figures map[string]float64, name string) string {
+	figure, ok := figures[name]
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf("%.5g", figure)
+}
+
 func describe(bound tracer.Bound) string {
 	text := ""
 	if bound.Min != nil {
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -193,12 +193,10 @@
 
 // Write writes a whole trace. It sets the format and version of the header.
 func Write[E Event](w io.Writer, header Header, events []E) error {
-	header.Format = Format
-	header.Version = Version
-	encoder := json.NewEncoder(w)
-	if err := encoder.Encode(header); err != nil {
+	if err := WriteHeader(w, header); err != nil {
 		return err
 	}
+	encoder := json.NewEncoder(w)
 	for _, event := range events {
 		if err := encoder.Encode(event); err != nil {
 			return err
@@ -206,3 +204,10 @@
 	}
 	return nil
 }
+
+// WriteHeader writes the first line of a trace. It sets the format and version.
+func WriteHeader(w io.Writer, header Header) error {
+	header.Format = Format
+	header.Version = Version
+	return json.NewEncoder(w).Encode(header)
+}
