--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,14 @@
 prove-guards:
 	guards/check
 
-figures:
+# Replays every decision trace with the outcome beside it and prints the tables,
+# then the costs of the path and of planning.
+figures: build
+	@failed=0; for trace in traces/planner/*.jsonl traces/router/*.jsonl traces/limiter/*.jsonl traces/retrier/*.jsonl; do \
+		bin/cbreplay -trace $$trace -outcome $${trace%.jsonl}.outcome.json || failed=1; \
+	done; exit $$failed
+	go test -run '^$$' -bench Preference -benchtime 1x ./replayer/placer
+	go test -run '^$$' -bench 'BenchmarkPlan/ranks=128/experts=256/layers=60' -benchtime 10x -cpu 1 ./planner/drift
 	go test -run '^$$' -bench AddedLatency -benchtime 5000x ./server
 	go test -run '^$$' -bench Allocations -benchtime 2000x ./server
 
--- a/replayer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package replayer replays recorded traces through decision plug-ins.
-package replayer
