--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,8 +10,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/spreader"
 )
 
 const (
@@ -32,7 +34,10 @@
 		Incarnation carawaybeam.Incarnation
 		Backend     carawaybeam.Backend
 		Executor    *executor.Executor
-		Log         zerolog.Logger
+		// Configurer holds the configuration that entries gave. Nil stands for
+		// a new one.
+		Configurer *configurer.Configurer
+		Log        zerolog.Logger
 	}
 
 	// Agent serves the streams of entries.
@@ -53,9 +58,13 @@
 
 // New returns an Agent that asks its backend server for its load until Close.
 func New(options Options) *Agent {
+	if options.Configurer == nil {
+		options.Configurer = configurer.New()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{options: options, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
 	a.wait.Go(a.pollLoad)
+	a.wait.Go(a.followConfig)
 	return a
 }
 
@@ -83,10 +92,10 @@
 
 // ServeStream handles one stream of an entry.
 func (a *Agent) ServeStream(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
-	a.options.Executor.ObserveConfig(carawaybeam.ConfigVersion(first.GetConfigVersion()))
+	a.options.Configurer.Observe(carawaybeam.ConfigVersion(first.GetConfigVersion()))
 	switch first.GetBody().(type) {
 	case *framer.Frame_Hello:
-		a.serveControl(ctx, stream)
+		a.serveControl(ctx, first, stream)
 	case *framer.Frame_Dispatch:
 		a.options.Executor.ServeDispatch(ctx, first, stream)
 	case *framer.Frame_Resolve:
@@ -96,38 +105,39 @@
 	}
 }
 
-// serveControl sends heartbeats, at once when the agent begins to leave.
-func (a *Agent) serveControl(ctx context.Context, stream carawaybeam.Stream) {
+// serveControl sends heartbeats, at once when the agent begins to leave, and
+// exchanges changes of the configuration.
+func (a *Agent) serveControl(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go a.listen(stream, cancel)
+	exchange := spreader.NewExchange(a.options.Configurer, a.options.Log)
+	exchange.Receive(first)
+	var listener sync.WaitGroup
+	defer listener.Wait()
+	defer func() { _ = stream.Close() }()
+	listener.Go(func() { a.listen(exchange, stream, cancel) })
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
 		heartbeat, changed := a.heartbeat()
-		if stream.Send(heartbeat) != nil {
+		if stream.Send(exchange.Mark(heartbeat)) != nil {
 			return
 		}
-		select {
-		case <-ticker.C:
-		case <-changed:
-		case <-ctx.Done():
-			return
-		case <-a.ctx.Done():
+		if !a.converse(ctx, exchange, stream, ticker.C, changed) {
 			return
 		}
 	}
 }
 
-// listen takes the configuration versions of an entry until it goes silent.
-func (a *Agent) listen(stream carawaybeam.Stream, cancel context.CancelFunc) {
+// listen takes the frames of an entry until it goes silent.
+func (a *Agent) listen(exchange *spreader.Exchange, stream carawaybeam.Stream, cancel context.CancelFunc) {
 	defer cancel()
 	for {
 		frame, err := stream.Receive(heartbeatSilence)
 		if err != nil {
 			return
 		}
-		a.options.Executor.ObserveConfig(carawaybeam.ConfigVersion(frame.GetConfigVersion()))
+		exchange.Receive(frame)
 	}
 }
 
@@ -142,10 +152,7 @@
 		Incarnation:   string(a.options.Incarnation),
 		Backend:       string(a.options.BackendID),
 	}
-	return &framer.Frame{
-		ConfigVersion: uint64(a.options.Executor.ConfigVersion()),
-		Body:          &framer.Frame_Heartbeat{Heartbeat: heartbeat},
-	}, a.changed
+	return &framer.Frame{Body: &framer.Frame_Heartbeat{Heartbeat: heartbeat}}, a.changed
 }
 
 func (a *Agent) notify() {
--- /dev/null
+++ b/applier/replay_test.go
@@ -0,0 +1,423 @@
+package applier_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/applier"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/fakes/assembler"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/tracer"
+)
+
+const (
+	// kindConfigFaults is the kind of the traces of this proof.
+	kindConfigFaults tracer.Kind = "configFaults"
+
+	// forceBound is how soon an accepted change is to be in force everywhere.
+	forceBound = 6 * time.Second
+
+	sampleInterval = 100 * time.Millisecond
+
+	// calmTime is how long a replay goes on, without faults, behind its trace.
+	calmTime = 12 * time.Second
+)
+
+type (
+	// action is what happens in an event.
+	action string
+
+	// configEvent is one event of a trace of changes and faults.
+	configEvent struct {
+		At     tracer.Duration `json:"at"`
+		Action action          `json:"action"`
+		// Entry is the entry that a change goes to or that a fault hits.
+		Entry int `json:"entry,omitempty"`
+		// Class is the class that a change is about.
+		Class string `json:"class,omitempty"`
+		// Fault is the fault of the store.
+		Fault storer.FaultMode `json:"fault,omitempty"`
+		Calls int              `json:"calls,omitempty"`
+		Delay tracer.Duration  `json:"delay,omitempty"`
+	}
+
+	// outcome is one change and what its operator was told.
+	outcome struct {
+		change  applier.Change
+		result  applier.Result
+		told    time.Time
+		value   time.Duration
+		settled applier.Status
+	}
+
+	// replay runs a trace and judges what the entries hold.
+	replay struct {
+		fleet *fleet
+		wait  sync.WaitGroup
+
+		mu       sync.Mutex
+		outcomes []*outcome
+		// held is the version of each class that each life of an entry held.
+		held map[string]carawaybeam.StoreVersion
+		// seen are the targets seen in force anywhere.
+		seen    map[time.Duration]bool
+		slowest time.Duration
+		// violations describes each broken rule.
+		violations []string
+		answered   int
+		refused    map[carawaybeam.Reason]int
+		failed     map[carawaybeam.Reason]int
+	}
+)
+
+const (
+	actChange    action = "change"
+	actDelete    action = "delete"
+	actStore     action = "storeFault"
+	actCutStore  action = "cutStore"
+	actJoinStore action = "joinStore"
+	actCutPeers  action = "cutPeers"
+	actJoinPeers action = "joinPeers"
+	actKill      action = "killEntry"
+	actStart     action = "startEntry"
+	actSilence   action = "silence"
+)
+
+// When returns the time of the event since the start of the trace.
+func (e configEvent) When() time.Duration { return time.Duration(e.At) }
+
+func classDocument(value time.Duration) []byte {
+	document, err := json.Marshal(configurer.ClassDocument{
+		Kind: carawaybeam.WorkService, Pool: assembler.Pool,
+		Targets: configurer.TargetsDocument{Completed: value.String(), Completion: "99.9%"},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return document
+}
+
+// run replays the events on a new fleet.
+func run(t *testing.T, events []configEvent) *replay {
+	t.Helper()
+	r := &replay{
+		fleet:   newFleet(6, 4),
+		held:    make(map[string]carawaybeam.StoreVersion),
+		seen:    make(map[time.Duration]bool),
+		refused: make(map[carawaybeam.Reason]int),
+		failed:  make(map[carawaybeam.Reason]int),
+	}
+	for _, class := range []string{"a", "b"} {
+		r.change(r.fleet.running()[0], configEvent{Action: actChange, Class: class})
+	}
+	org := []byte(`{"tokenHash":"` + configurer.HashToken("t") + `"}`)
+	r.fleet.running()[0].applier.Apply(t.Context(), applier.Change{
+		ID: configurer.NewChangeID(), Kind: carawaybeam.KindOrganisation, Name: "org", Document: org,
+	})
+	time.Sleep(forceBound)
+	ctx, cancel := context.WithCancel(t.Context())
+	var sampler sync.WaitGroup
+	sampler.Go(func() { r.sample(ctx) })
+	sampler.Go(func() { r.request(ctx) })
+	start := time.Now()
+	for _, event := range events {
+		time.Sleep(time.Until(start.Add(event.When())))
+		r.do(t, event)
+	}
+	r.calm(t)
+	cancel()
+	sampler.Wait()
+	r.wait.Wait()
+	r.finish(t.Context())
+	if err := r.fleet.close(); err != nil {
+		t.Error(err)
+	}
+	return r
+}
+
+// calm ends all faults and lets the fleet settle.
+func (r *replay) calm(t *testing.T) {
+	t.Helper()
+	r.fleet.store.Order(storer.Fault{})
+	for i := range r.fleet.entries {
+		r.do(t, configEvent{Action: actStart, Entry: i})
+		r.do(t, configEvent{Action: actJoinStore, Entry: i})
+		r.fleet.cutPeers(i, false)
+	}
+	time.Sleep(calmTime)
+}
+
+func (r *replay) do(t *testing.T, event configEvent) {
+	t.Helper()
+	n := r.fleet.entries[event.Entry].Load()
+	switch event.Action {
+	case actChange, actDelete:
+		if n != nil {
+			r.wait.Go(func() { r.change(n, event) })
+		}
+	case actStore:
+		r.fleet.store.Order(storer.Fault{Mode: event.Fault, Calls: event.Calls, Delay: time.Duration(event.Delay)})
+	case actCutStore, actJoinStore:
+		if n != nil {
+			n.store.cut.Store(event.Action == actCutStore)
+		}
+	case actCutPeers, actJoinPeers:
+		r.fleet.cutPeers(event.Entry, event.Action == actCutPeers)
+	case actKill:
+		if err := r.fleet.stopEntry(event.Entry); err != nil {
+			t.Error(err)
+		}
+	case actStart:
+		if n == nil {
+			r.fleet.startEntry(event.Entry)
+		}
+	case actSilence:
+		r.fleet.silence.Store(
+			&silence{address: r.fleet.vms[event.Entry].Address, until: time.Now().Add(time.Duration(event.Delay))},
+		)
+	default:
+		t.Fatalf("unknown action %q", event.Action)
+	}
+}
+
+// change makes one change with a target that no other change has.
+func (r *replay) change(n *entryNode, event configEvent) {
+	r.mu.Lock()
+	o := &outcome{value: time.Second + time.Duration(len(r.outcomes))*time.Millisecond}
+	o.change = applier.Change{
+		ID: configurer.NewChangeID(), Kind: carawaybeam.KindClass, Name: event.Class,
+		By: fmt.Sprintf("operator-%d", event.Entry),
+	}
+	if event.Action == actChange {
+		o.change.Document = classDocument(o.value)
+	}
+	r.outcomes = append(r.outcomes, o)
+	r.mu.Unlock()
+	result := n.applier.Apply(n.ctx, o.change)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n.ctx.Err() != nil {
+		// The entry was killed, so that its operator got no answer.
+		result.Status = applier.StatusUncertain
+	}
+	o.result = result
+	o.told = time.Now()
+}
+
+// sample looks at what each entry holds.
+func (r *replay) sample(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		for _, n := range r.fleet.running() {
+			if n.configurer.Loaded() {
+				r.judge(n)
+			}
+		}
+		<-ticker.C
+	}
+}
+
+func (r *replay) judge(n *entryNode) {
+	held := n.configurer
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, class := range held.Classes() {
+		r.seen[class.Targets.Completed] = true
+	}
+	for _, o := range r.outcomes {
+		object, _ := held.Object(o.change.Kind, o.change.Name)
+		life := fmt.Sprintf("%s %p %s", n.vm.ID, held, o.change.Name)
+		if object.Version < r.held[life] {
+			r.violate("%s went back from %d to %d", life, r.held[life], object.Version)
+		}
+		r.held[life] = object.Version
+		if o.result.Status != applier.StatusAccepted {
+			continue
+		}
+		age := time.Since(o.told)
+		if object.Version < o.result.Version {
+			r.slowest = max(r.slowest, age)
+			if age > forceBound {
+				r.violate("%s lacks version %d of %s after %v", n.vm.ID, o.result.Version, o.change.Name, age)
+			}
+		}
+	}
+}
+
+func (r *replay) violate(format string, args ...any) {
+	r.violations = append(r.violations, fmt.Sprintf(format, args...))
+}
+
+// request sends a request through every entry every other second.
+func (r *replay) request(ctx context.Context) {
+	ticker := time.NewTicker(2 * time.Second)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		for _, n := range r.fleet.running() {
+			if n.configurer.Loaded() {
+				r.wait.Go(func() { r.send(n) })
+			}
+		}
+		<-ticker.C
+	}
+}
+
+func (r *replay) send(n *entryNode) {
+	decidedOn := n.configurer.Version()
+	class, ok := n.configurer.Class("a")
+	if !ok {
+		return
+	}
+	var answer assembler.Answer
+	failure := n.dispatcher.Do(n.ctx, dispatcher.Request{
+		ID: carawaybeam.NewRequestID(), Class: class, Organisation: "org", Method: "POST", Path: "/",
+		Body: []byte("body"), Deadline: time.Now().Add(5 * time.Second), DecidedOn: decidedOn,
+	}, &answer)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case failure == nil:
+		r.answered++
+	case n.ctx.Err() != nil:
+		// The entry was killed.
+	case failure.Outcome == carawaybeam.OutcomeNotRun:
+		r.refused[failure.Reason]++
+	default:
+		r.failed[failure.Reason]++
+	}
+}
+
+// finish compares what operators were told with what the store and the entries
+// hold in the end.
+func (r *replay) finish(ctx context.Context) {
+	n := r.fleet.running()[0]
+	for _, o := range r.outcomes {
+		if o.result.Status == applier.StatusUncertain {
+			expect := o.result.Expect
+			o.change.Expect = &expect
+			o.settled = n.applier.Settle(ctx, o.change).Status
+		}
+	}
+	time.Sleep(forceBound)
+	for _, o := range r.outcomes {
+		object, err := r.fleet.store.Get(ctx, o.change.Kind, o.change.Name)
+		follows := err == nil && configurer.Record(object).Follows(o.change.ID)
+		accepted := o.result.Status == applier.StatusAccepted || o.settled == applier.StatusAccepted
+		if accepted && !follows {
+			r.violate("accepted change %s of %s is lost", o.change.ID, o.change.Name)
+		}
+		uncertain := o.result.Status == applier.StatusUncertain && o.settled == applier.StatusUncertain
+		if !accepted && !uncertain && (follows || r.seen[o.value]) {
+			r.violate("change told as %s and settled as %q was in effect", o.result.Status, o.settled)
+		}
+		if o.settled == applier.StatusUncertain {
+			r.violate("change %s could not be settled", o.change.ID)
+		}
+	}
+	for _, n := range r.fleet.running() {
+		for _, name := range []string{"a", "b"} {
+			want, _ := r.fleet.store.Get(ctx, carawaybeam.KindClass, name)
+			if got, _ := n.configurer.Object(carawaybeam.KindClass, name); got.Version != want.Version {
+				r.violate("%s holds version %d of %s in the end, store %d", n.vm.ID, got.Version, name, want.Version)
+			}
+		}
+	}
+}
+
+// figures returns what the outcome files bound.
+func (r *replay) figures() map[string]float64 {
+	figures := map[string]float64{
+		"violations": float64(len(r.violations)),
+		"slowestMs":  float64(r.slowest.Milliseconds()),
+		"requestsOk": float64(r.answered),
+	}
+	for reason, n := range r.refused {
+		figures["requestsRefused."+string(reason)] = float64(n)
+	}
+	for reason, n := range r.failed {
+		figures["requestsFailed."+string(reason)] = float64(n)
+	}
+	for _, status := range []applier.Status{
+		applier.StatusAccepted, applier.StatusConflict, applier.StatusUncertain, applier.StatusUnavailable,
+	} {
+		figures[string(status)] = 0
+	}
+	for _, o := range r.outcomes {
+		figures[string(o.result.Status)]++
+	}
+	return figures
+}
+
+// random returns a trace of operators that race while the store fails, entries
+// are cut off, killed and started again.
+func random(seed uint64) []configEvent {
+	draw := rand.New(rand.NewPCG(seed, 0))
+	var events []configEvent
+	at := time.Duration(0)
+	add := func(e configEvent) {
+		e.At = tracer.Duration(at)
+		events = append(events, e)
+	}
+	for range 24 {
+		at += time.Duration(draw.IntN(2500)) * time.Millisecond
+		entry := draw.IntN(6)
+		switch draw.IntN(11) {
+		case 0, 1, 2:
+			class := string(rune('a' + draw.IntN(2)))
+			add(configEvent{Action: actChange, Entry: entry, Class: class})
+			add(configEvent{Action: actChange, Entry: draw.IntN(6), Class: class})
+		case 3:
+			add(configEvent{Action: actDelete, Entry: entry, Class: "b"})
+		case 4:
+			modes := []storer.FaultMode{
+				storer.FaultDown, storer.FaultLostAnswer, storer.FaultLateWrite, storer.FaultStaleWatch,
+				storer.FaultSilentWatch, storer.FaultSlow,
+			}
+			mode := modes[draw.IntN(len(modes))]
+			add(configEvent{
+				Action: actStore,
+				Fault:  mode,
+				Calls:  draw.IntN(2) * draw.IntN(30),
+				Delay:  tracer.Duration(draw.IntN(5000)) * 1e6,
+			})
+			if draw.IntN(2) == 0 {
+				add(configEvent{Action: actChange, Entry: entry, Class: "a"})
+			}
+		case 5:
+			add(configEvent{Action: actStore, Fault: storer.FaultNone})
+		case 6:
+			add(configEvent{Action: actCutStore, Entry: entry})
+			if draw.IntN(3) == 0 {
+				add(configEvent{Action: actCutPeers, Entry: entry})
+			}
+		case 7:
+			add(configEvent{Action: actKill, Entry: entry})
+			at += time.Duration(draw.IntN(1000)) * time.Millisecond
+			add(configEvent{Action: actStart, Entry: entry})
+		case 9:
+			add(configEvent{Action: actSilence, Entry: entry, Delay: tracer.Duration(draw.IntN(8000)) * 1e6})
+		case 10:
+			// The entry dies and the store goes down about when a change is told
+			// to be accepted.
+			add(configEvent{Action: actChange, Entry: entry, Class: "a"})
+			at += time.Duration(draw.IntN(30)) * time.Millisecond
+			add(configEvent{Action: actStore, Fault: storer.FaultDown})
+			add(configEvent{Action: actKill, Entry: entry})
+			at += time.Duration(draw.IntN(9000)) * time.Millisecond
+			add(configEvent{Action: actStart, Entry: entry})
+		case 8:
+			add(configEvent{Action: actJoinStore, Entry: entry})
+			add(configEvent{Action: actJoinPeers, Entry: entry})
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/cmd/cbentry/config.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/spreader"
+	"github.com/carawaybeam/carawaybeam/starter"
+	"github.com/carawaybeam/carawaybeam/watcher"
+)
+
+// spreadConfig makes the parts that keep the configuration up to date: links to
+// other entries, and the watch of the store.
+func (e *entry) spreadConfig(incarnation carawaybeam.Incarnation) error {
+	links, err := starter.Listen("links", e.settings.Links)
+	if err != nil {
+		return err
+	}
+	e.spreader = spreader.New(spreader.Options{
+		Process:     e.settings.Process,
+		Incarnation: incarnation,
+		DataCentre:  e.settings.DataCentre,
+		Address:     e.settings.Links,
+		Configurer:  e.configurer,
+		Dialer:      messenger.Dialer{},
+		Entries:     e.tracker.Entries,
+		Log:         e.log,
+	})
+	e.closers.Add(e.spreader)
+	e.closers.Add(messenger.New(links, e.spreader))
+	e.closers.Add(watcher.New(watcher.Options{
+		Store:      e.store,
+		Configurer: e.configurer,
+		Chosen:     e.spreader.Chosen,
+		Log:        e.log,
+	}))
+	return nil
+}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -18,9 +18,9 @@
 	"github.com/carawaybeam/carawaybeam/messenger"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
+	"github.com/carawaybeam/carawaybeam/spreader"
 	"github.com/carawaybeam/carawaybeam/starter"
 	"github.com/carawaybeam/carawaybeam/tracker"
-	"github.com/carawaybeam/carawaybeam/watcher"
 )
 
 const program = "cbentry"
@@ -33,6 +33,7 @@
 	lister     carawaybeam.Lister
 	configurer *configurer.Configurer
 	tracker    *tracker.Tracker
+	spreader   *spreader.Spreader
 	dispatcher *dispatcher.Dispatcher
 	server     *server.Server
 	closers    starter.Closers
@@ -88,7 +89,6 @@
 	}
 	e.configurer = configurer.New()
 	incarnation := carawaybeam.NewIncarnation()
-	e.closers.Add(watcher.New(watcher.Options{Store: e.store, Configurer: e.configurer, Log: e.log}))
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -99,6 +99,9 @@
 		Log:         e.log,
 	})
 	e.closers.Add(e.tracker)
+	if err := e.spreadConfig(incarnation); err != nil {
+		return err
+	}
 	if err := e.makeDispatcher(); err != nil {
 		return err
 	}
@@ -144,14 +147,15 @@
 		return err
 	}
 	e.dispatcher = dispatcher.New(dispatcher.Options{
-		DataCentre: e.settings.DataCentre,
-		Members:    e.tracker,
-		Binder:     binder.New(e.store),
-		Config:     e.configurer,
-		Router:     newRouter(),
-		Limiter:    newLimiter(),
-		Retrier:    newRetrier(),
-		Log:        e.log,
+		DataCentre:    e.settings.DataCentre,
+		Members:       e.tracker,
+		Binder:        binder.New(e.store),
+		Config:        e.configurer,
+		Configuration: e.configurer,
+		Router:        newRouter(),
+		Limiter:       newLimiter(),
+		Retrier:       newRetrier(),
+		Log:           e.log,
 	})
 	e.closers.Add(e.dispatcher)
 	return nil
--- /dev/null
+++ b/configurer/change.go
@@ -0,0 +1,182 @@
+package configurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// maxPrevious is how many earlier changes of an object its record names.
+const maxPrevious = 16
+
+type (
+	// ChangeID identifies one change that an operator asked for.
+	ChangeID string
+
+	// ChangeRecord tells who made the version of an object that it is part of.
+	ChangeRecord struct {
+		ID ChangeID  `json:"id"`
+		By string    `json:"by"`
+		At time.Time `json:"at"`
+		// Deleted marks an object that an operator deleted. The object stays in
+		// the store, so that each later reader learns of the deletion.
+		Deleted bool `json:"deleted,omitempty"`
+		// Previous names the changes before this one, the newest first.
+		Previous []ChangeID `json:"previous,omitempty"`
+	}
+
+	// RefusedFieldError reports a field that no operator sets.
+	RefusedFieldError struct {
+		Field string
+	}
+
+	recorded struct {
+		Change *ChangeRecord `json:"change"`
+	}
+)
+
+// refusedFields are the names under which people look for settings that the
+// system decides on.
+var refusedFields = []string{
+	"weight", "weights", "address", "addresses", "backend", "backends", "server", "servers", "replicas", "priority",
+}
+
+func (e *RefusedFieldError) Error() string {
+	return fmt.Sprintf(
+		"%s is not for operators to set: give the class a target, and the system chooses backend servers, "+
+			"their shares and addresses to meet it", e.Field)
+}
+
+// NewChangeID returns a random identifier.
+func NewChangeID() ChangeID { return ChangeID(uuid.NewString()) }
+
+// Record returns the record of the change that made an object, or the zero
+// record if the object has none.
+func Record(object carawaybeam.Object) ChangeRecord {
+	var document recorded
+	if len(object.Value) == 0 || json.Unmarshal(object.Value, &document) != nil || document.Change == nil {
+		return ChangeRecord{}
+	}
+	return *document.Change
+}
+
+// Follows tells whether the change is the one recorded or one before it.
+func (r ChangeRecord) Follows(id ChangeID) bool {
+	return r.ID == id || slices.Contains(r.Previous, id)
+}
+
+// Next returns the record of a change that follows on this one.
+func (r ChangeRecord) Next(id ChangeID, by string, at time.Time) *ChangeRecord {
+	next := &ChangeRecord{ID: id, By: by, At: at.UTC()}
+	if r.ID == "" {
+		return next
+	}
+	next.Previous = append([]ChangeID{r.ID}, r.Previous...)
+	next.Previous = next.Previous[:min(len(next.Previous), maxPrevious)]
+	return next
+}
+
+// Compose checks the document of an operator and returns it with the record of
+// its change, as the store holds it. Errors tell the operator what is wrong.
+func Compose(kind carawaybeam.StoreKind, name string, document []byte, change *ChangeRecord) ([]byte, error) {
+	if err := checkName(name); err != nil {
+		return nil, err
+	}
+	if change.Deleted {
+		return json.Marshal(recorded{Change: change})
+	}
+	if err := checkFields(document); err != nil {
+		return nil, err
+	}
+	switch kind {
+	case carawaybeam.KindClass:
+		return composeClass(name, document, change)
+	case carawaybeam.KindOrganisation:
+		return composeOrganisation(name, document, change)
+	}
+	return nil, &FieldError{Field: "kind", Value: string(kind), Want: "class or organisation"}
+}
+
+func composeClass(name string, value []byte, change *ChangeRecord) ([]byte, error) {
+	var document ClassDocument
+	if err := decodeStrict(value, &document); err != nil {
+		return nil, err
+	}
+	if _, err := document.Class(carawaybeam.ClassID(name)); err != nil {
+		return nil, err
+	}
+	document.Change = change
+	return json.Marshal(document)
+}
+
+func composeOrganisation(name string, value []byte, change *ChangeRecord) ([]byte, error) {
+	if _, err := DecodeOrganisation(carawaybeam.OrganisationID(name), value); err != nil {
+		return nil, err
+	}
+	var document OrganisationDocument
+	if err := decodeStrict(value, &document); err != nil {
+		return nil, err
+	}
+	document.Change = change
+	return json.Marshal(document)
+}
+
+func checkName(name string) error {
+	valid := name != "" && len(name) <= maxNameBytes
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		valid = valid && (letter || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r))
+	}
+	if valid {
+		return nil
+	}
+	return &FieldError{Field: "name", Value: name, Want: "up to 128 letters, digits, dots, hyphens and underscores"}
+}
+
+// checkFields explains why weights and addresses are refused.
+func checkFields(document []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(document, &fields); err != nil {
+		return err
+	}
+	for _, refused := range refusedFields {
+		for field := range fields {
+			if strings.EqualFold(field, refused) {
+				return &RefusedFieldError{Field: field}
+			}
+		}
+	}
+	return nil
+}
+
+// isDeleted tells whether the object is gone from the store or marked so.
+func isDeleted(object carawaybeam.Object) bool {
+	return object.Deleted || Record(object).Deleted
+}
+
+// IsTruncated tells whether changes before the recorded ones have been dropped
+// from the record.
+func (r ChangeRecord) IsTruncated() bool { return len(r.Previous) >= maxPrevious }
+
+// Rewrite returns the document of an object with another record.
+func Rewrite(object carawaybeam.Object, change *ChangeRecord) ([]byte, error) {
+	if change.Deleted {
+		return json.Marshal(recorded{Change: change})
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(object.Value, &fields); err != nil {
+		return nil, err
+	}
+	record, err := json.Marshal(change)
+	if err != nil {
+		return nil, err
+	}
+	fields["change"] = record
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/configurer/configurer_test.go
@@ -0,0 +1,153 @@
+package configurer_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/configurer"
+)
+
+const service = `{"kind":"service","pool":"p","idempotent":false,"targets":{"completed":"2s","completion":"99%"}}`
+
+func class(name string, version carawaybeam.StoreVersion) carawaybeam.Object {
+	return carawaybeam.Object{Kind: carawaybeam.KindClass, Name: name, Version: version, Value: []byte(service)}
+}
+
+func full(complete carawaybeam.ConfigVersion, objects ...carawaybeam.Object) configurer.Delta {
+	return configurer.Delta{Full: true, Complete: complete, Objects: objects}
+}
+
+func TestVersionIsThatOfNewestHeldChange(t *testing.T) {
+	is := is.New(t)
+	c := configurer.New()
+	c.Take(full(100, class("a", 7), class("b", 9)))
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(9)) // writes of other kinds do not move it
+	c.Take(configurer.Delta{Since: 150, Complete: 200, Objects: []carawaybeam.Object{class("c", 180)}})
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(9)) // changes from 100 to 150 are missing
+	_, ok := c.Class("c")
+	is.True(ok) // the object is in force all the same
+	c.Take(configurer.Delta{Since: 100, Complete: 160})
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(9))
+	c.Take(configurer.Delta{Since: 160, Complete: 200})
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(180))
+}
+
+func TestObservedVersionWithinCompletePartIsClaimed(t *testing.T) {
+	is := is.New(t)
+	c := configurer.New()
+	c.Take(full(100, class("a", 7)))
+	c.Observe(50)
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(50)) // such as a deletion that the store has forgotten
+	is.True(!c.IsBehind())
+	c.Observe(101)
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(50))
+	is.True(c.IsBehind())
+}
+
+func TestFullReadNoticesDeletions(t *testing.T) {
+	is := is.New(t)
+	c, late := configurer.New(), configurer.New()
+	c.Take(full(10, class("a", 7), class("b", 9)))
+	late.Take(full(10, class("a", 7), class("b", 9)))
+	c.Take(full(8)) // an older answer deletes nothing
+	_, ok := c.Class("b")
+	is.True(ok)
+	c.Take(full(20, class("b", 9)))
+	_, ok = c.Class("a")
+	is.True(!ok)
+	late.Take(c.Delta(late.Complete()))
+	_, ok = late.Class("a")
+	is.True(!ok) // a peer learns of it too
+	is.Equal(late.Version(), c.Version())
+	late.Take(full(10, class("a", 7), class("b", 9)))
+	_, ok = late.Class("a")
+	is.True(!ok)
+}
+
+func TestPeerWithoutTombstonesSendsAll(t *testing.T) {
+	is := is.New(t)
+	fresh, late := configurer.New(), configurer.New()
+	late.Take(full(10, class("a", 7), class("b", 9)))
+	fresh.Take(full(20, class("b", 9))) // never held a
+	late.Take(fresh.Delta(late.Complete()))
+	_, ok := late.Class("a")
+	is.True(!ok)
+}
+
+func TestInvalidObjectIsReportedAndLeavesLastValidOne(t *testing.T) {
+	is := is.New(t)
+	c := configurer.New()
+	c.Take(full(10, class("a", 7)))
+	bad := class("a", 12)
+	bad.Value = []byte(`{"kind":"service","weights":[1]}`)
+	is.Equal(len(c.Take(configurer.Delta{Since: 10, Complete: 12, Objects: []carawaybeam.Object{bad}})), 1)
+	is.Equal(c.Version(), carawaybeam.ConfigVersion(12))
+	is.Equal(len(c.Invalid()), 1)
+	_, ok := c.Class("a")
+	is.True(ok)
+	c.Take(configurer.Delta{Since: 12, Complete: 13, Objects: []carawaybeam.Object{class("a", 13)}})
+	is.Equal(len(c.Invalid()), 0)
+}
+
+func TestOrganisationsThatShareTokenAreToldApart(t *testing.T) {
+	is := is.New(t)
+	c := configurer.New()
+	value := []byte(`{"tokenHash":"` + configurer.HashToken("t") + `"}`)
+	org := func(name string, v carawaybeam.StoreVersion, deleted bool) carawaybeam.Object {
+		o := carawaybeam.Object{Kind: carawaybeam.KindOrganisation, Name: name, Version: v, Deleted: deleted}
+		if !deleted {
+			o.Value = value
+		}
+		return o
+	}
+	c.Take(full(5, org("x", 1, false), org("y", 2, false)))
+	held, _ := c.Authenticate("t")
+	is.Equal(held.ID, carawaybeam.OrganisationID("x"))
+	c.Take(configurer.Delta{Since: 5, Complete: 6, Objects: []carawaybeam.Object{org("x", 6, true)}})
+	held, ok := c.Authenticate("t")
+	is.True(ok)
+	is.Equal(held.ID, carawaybeam.OrganisationID("y"))
+}
+
+func TestComposeRefusesWhatOperatorsMayNotSet(t *testing.T) {
+	targets := func(first, between, completed, completion string) string {
+		return `{"kind":"model","pool":"p","targets":{"firstToken":"` + first + `","betweenTokens":"` + between +
+			`","completed":"` + completed + `","completion":"` + completion + `"}}`
+	}
+	for _, test := range []struct{ document, want string }{
+		{targets("1.3s", "67ms", "30s", "99.9%"), ""},
+		{targets("31s", "67ms", "30s", "99.9%"), "less than targets.completed"},
+		{targets("1.3s", "40s", "30s", "99.9%"), "less than targets.completed"},
+		{targets("1.3", "67ms", "30s", "99.9%"), "targets.firstToken"},
+		{targets("0s", "67ms", "30s", "99.9%"), "targets.firstToken"},
+		{targets("1.3s", "67ms", "48h", "99.9%"), "targets.completed"},
+		{targets("1.3s", "67ms", "30s", "0.999"), "targets.completion"},
+		{targets("1.3s", "67ms", "30s", "101%"), "targets.completion"},
+		{targets("1.3s", "67ms", "30s", "NaN%"), "targets.completion"},
+		{`{"kind":"service","pool":"p","targets":{"firstToken":"1s","completed":"2s","completion":"99%"}}`, "token"},
+		{`{"kind":"service","pool":"p","weights":{"a":1}}`, "not for operators to set"},
+		{`{"kind":"service","pool":"p","Address":"10.0.0.1:1"}`, "not for operators to set"},
+		{`{"kind":"service","pool":"p","speed":1}`, "speed"},
+		{`[]`, "cannot unmarshal"},
+	} {
+		t.Run(test.document, func(t *testing.T) {
+			is := is.New(t)
+			change := configurer.ChangeRecord{}.Next("id", "ann", time.Now())
+			_, err := configurer.Compose(carawaybeam.KindClass, "a", []byte(test.document), change)
+			if test.want == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), test.want))
+		})
+	}
+	var field *configurer.FieldError
+	_, err := configurer.Compose(carawaybeam.KindClass, "../a", []byte(service), &configurer.ChangeRecord{})
+	is.New(t).True(errors.As(err, &field))
+}
--- /dev/null
+++ b/configurer/delta.go
@@ -0,0 +1,287 @@
+package configurer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/framer"
+)
+
+// Delta is a part of the configuration, as read from the store or a peer.
+type Delta struct {
+	// Since is the version behind which the delta holds all changes. A process
+	// that is not complete up to it takes the objects and stays incomplete.
+	Since carawaybeam.ConfigVersion
+	// Version is the newest version that the sender claims.
+	Version carawaybeam.ConfigVersion
+	// Complete is the store version up to which the delta holds all changes.
+	Complete carawaybeam.ConfigVersion
+	// Full tells that Objects lists all that exist at Complete, so that those
+	// held but absent have been deleted.
+	Full bool
+	// Objects are the changed objects, those beyond Complete among them.
+	Objects []carawaybeam.Object
+}
+
+// Take merges a delta. Each object goes in force unless a newer one is held; one
+// that cannot be understood is held, reported, and leaves the last valid one in
+// force. It returns the objects reported so.
+func (c *Configurer) Take(delta Delta) []*InvalidObjectError {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var invalid []*InvalidObjectError
+	before, version := c.sequence, c.version
+	for _, object := range delta.Objects {
+		if err := c.takeOne(object); err != nil {
+			invalid = append(invalid, err)
+		}
+	}
+	if delta.Full && delta.Complete > c.complete {
+		c.dropAbsent(delta)
+		c.floor = delta.Complete
+	}
+	if delta.Full || delta.Since <= c.complete {
+		c.complete = max(c.complete, delta.Complete)
+	}
+	c.claim(delta.Version)
+	if c.taken.IsZero() && c.complete > 0 {
+		c.taken = time.Now()
+	}
+	if c.sequence != before || c.version != version {
+		c.pulled = time.Time{}
+		c.signal()
+	}
+	return invalid
+}
+
+// TakeWritten puts an object in force that this process has just written to the
+// store. The changes before it may be missing; Behind is signalled so that they
+// are read.
+func (c *Configurer) TakeWritten(object carawaybeam.Object) {
+	c.Take(Delta{Since: carawaybeam.ConfigVersion(object.Version), Objects: []carawaybeam.Object{object}})
+	select {
+	case c.behind <- struct{}{}:
+	default:
+	}
+}
+
+// claim moves the version to that of the newest change within the complete part.
+// The caller holds mu.
+func (c *Configurer) claim(version carawaybeam.ConfigVersion) {
+	for _, held := range c.objects {
+		if v := carawaybeam.ConfigVersion(held.Version); v <= c.complete {
+			c.version = max(c.version, v)
+		}
+	}
+	if version <= c.complete {
+		c.version = max(c.version, version)
+	}
+	if c.wanted <= c.complete {
+		c.version = max(c.version, c.wanted)
+	}
+}
+
+// dropAbsent deletes the held objects that a full delta no longer lists. The
+// version of such a deletion is unknown; that of the delta is not below it. The
+// caller holds mu.
+func (c *Configurer) dropAbsent(delta Delta) {
+	listed := make(map[objectKey]bool, len(delta.Objects))
+	for _, object := range delta.Objects {
+		listed[objectKey{kind: object.Kind, name: object.Name}] = true
+	}
+	for key, held := range c.objects {
+		absent := !listed[key] && !held.Deleted
+		if !absent || carawaybeam.ConfigVersion(held.Version) > delta.Complete {
+			continue
+		}
+		deletion := carawaybeam.Object{
+			Kind:    key.kind,
+			Name:    key.name,
+			Version: carawaybeam.StoreVersion(delta.Complete),
+			Deleted: true,
+		}
+		c.hold(key, deletion)
+		c.remove(key)
+	}
+}
+
+// Delta returns what a peer lacks that is complete up to since.
+func (c *Configurer) Delta(since carawaybeam.ConfigVersion) Delta {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	delta := Delta{Since: since, Version: c.version, Complete: c.complete}
+	if since < c.floor {
+		delta.Since = 0
+		delta.Full = true
+	}
+	for _, held := range c.objects {
+		if carawaybeam.ConfigVersion(held.Version) > delta.Since {
+			delta.Objects = append(delta.Objects, held.Object)
+		}
+	}
+	slices.SortFunc(delta.Objects, func(a, b carawaybeam.Object) int {
+		return int(int64(a.Version) - int64(b.Version))
+	})
+	return delta
+}
+
+// Sequence returns the number of objects put in force so far.
+func (c *Configurer) Sequence() uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.sequence
+}
+
+// HasNews tells whether an object newer than the version was put in force after
+// the sequence number.
+func (c *Configurer) HasNews(sequence uint64, version carawaybeam.ConfigVersion) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if sequence == c.sequence {
+		return false
+	}
+	for _, held := range c.objects {
+		if held.sequence > sequence && carawaybeam.ConfigVersion(held.Version) > version {
+			return true
+		}
+	}
+	return false
+}
+
+// State returns what a control stream tells of the configuration.
+func (c *Configurer) State() *framer.ConfigState {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	state := &framer.ConfigState{}
+	for _, held := range c.objects {
+		state.Newest = max(state.Newest, uint64(held.Version))
+		if carawaybeam.ConfigVersion(held.Version) > c.version {
+			state.Ahead ^= mix(uint64(held.Version))
+		}
+	}
+	if !c.fresh.IsZero() {
+		state.AgeMs = uint64(max(1, time.Since(c.fresh).Milliseconds()))
+	}
+	return state
+}
+
+// mix spreads the bits of a version. It is the finaliser of SplitMix64.
+func mix(v uint64) uint64 {
+	v += 0x9e3779b97f4a7c15
+	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
+	v = (v ^ v>>27) * 0x94d049bb133111eb
+	return v ^ v>>31
+}
+
+// Frame returns the message that carries the delta.
+func (d Delta) Frame() *framer.ConfigDelta {
+	message := &framer.ConfigDelta{
+		Version:  uint64(d.Version),
+		Full:     d.Full,
+		Since:    uint64(d.Since),
+		Complete: uint64(d.Complete),
+		Objects:  make([]*framer.ConfigObject, 0, len(d.Objects)),
+	}
+	for _, object := range d.Objects {
+		message.Objects = append(message.Objects, &framer.ConfigObject{
+			Kind:    string(object.Kind),
+			Name:    object.Name,
+			Version: uint64(object.Version),
+			Value:   object.Value,
+			Deleted: object.Deleted,
+		})
+	}
+	return message
+}
+
+// DeltaOf returns the delta that a message carries.
+func DeltaOf(message *framer.ConfigDelta) Delta {
+	delta := Delta{
+		Since:    carawaybeam.ConfigVersion(message.GetSince()),
+		Version:  carawaybeam.ConfigVersion(message.GetVersion()),
+		Complete: carawaybeam.ConfigVersion(message.GetComplete()),
+		Full:     message.GetFull(),
+		Objects:  make([]carawaybeam.Object, 0, len(message.GetObjects())),
+	}
+	for _, object := range message.GetObjects() {
+		delta.Objects = append(delta.Objects, carawaybeam.Object{
+			Kind:    carawaybeam.StoreKind(object.GetKind()),
+			Name:    object.GetName(),
+			Version: carawaybeam.StoreVersion(object.GetVersion()),
+			Value:   object.GetValue(),
+			Deleted: object.GetDeleted(),
+		})
+	}
+	return delta
+}
+
+func (c *Configurer) takeOne(object carawaybeam.Object) *InvalidObjectError {
+	key := objectKey{kind: object.Kind, name: object.Name}
+	if held, ok := c.objects[key]; ok && held.Version >= object.Version {
+		return nil
+	}
+	c.hold(key, object)
+	if isDeleted(object) {
+		c.remove(key)
+		return nil
+	}
+	err := c.apply(key, object)
+	if err == nil {
+		delete(c.invalid, key)
+		return nil
+	}
+	invalid := &InvalidObjectError{Kind: object.Kind, Name: object.Name, Version: object.Version, Cause: err}
+	c.invalid[key] = invalid
+	return invalid
+}
+
+func (c *Configurer) hold(key objectKey, object carawaybeam.Object) {
+	c.sequence++
+	c.objects[key] = heldObject{Object: object, sequence: c.sequence}
+}
+
+// remove takes a deleted object out of force.
+func (c *Configurer) remove(key objectKey) {
+	delete(c.invalid, key)
+	switch key.kind {
+	case carawaybeam.KindClass:
+		delete(c.classes, carawaybeam.ClassID(key.name))
+	case carawaybeam.KindOrganisation:
+		c.removeOrganisation(carawaybeam.OrganisationID(key.name))
+	}
+}
+
+func (c *Configurer) removeOrganisation(id carawaybeam.OrganisationID) {
+	old, ok := c.organisations[id]
+	if !ok {
+		return
+	}
+	delete(c.organisations, id)
+	holders := slices.DeleteFunc(c.tokens[old.TokenHash], func(o carawaybeam.OrganisationID) bool { return o == id })
+	c.tokens[old.TokenHash] = holders
+	if len(holders) == 0 {
+		delete(c.tokens, old.TokenHash)
+	}
+}
+
+// apply puts one object in force.
+func (c *Configurer) apply(key objectKey, object carawaybeam.Object) error {
+	switch key.kind {
+	case carawaybeam.KindClass:
+		class, err := DecodeClass(carawaybeam.ClassID(key.name), object.Value)
+		if err != nil {
+			return err
+		}
+		c.classes[class.ID] = class
+	case carawaybeam.KindOrganisation:
+		org, err := DecodeOrganisation(carawaybeam.OrganisationID(key.name), object.Value)
+		if err != nil {
+			return err
+		}
+		c.removeOrganisation(org.ID)
+		c.organisations[org.ID] = org
+		c.tokens[org.TokenHash] = append(c.tokens[org.TokenHash], org.ID)
+	}
+	return nil
+}
--- a/configurer/document.go
+++ b/configurer/document.go
@@ -15,10 +15,11 @@
 type (
 	// ClassDocument is a class as operators write it and the store holds it.
 	ClassDocument struct {
-		Kind       carawaybeam.WorkKind `json:"kind"       toml:"kind"`
-		Pool       carawaybeam.PoolID   `json:"pool"       toml:"pool"`
-		Idempotent bool                 `json:"idempotent" toml:"idempotent"`
-		Targets    TargetsDocument      `json:"targets"    toml:"targets"`
+		Kind       carawaybeam.WorkKind `json:"kind"             toml:"kind"`
+		Pool       carawaybeam.PoolID   `json:"pool"             toml:"pool"`
+		Idempotent bool                 `json:"idempotent"       toml:"idempotent"`
+		Targets    TargetsDocument      `json:"targets"          toml:"targets"`
+		Change     *ChangeRecord        `json:"change,omitempty" toml:"-"`
 	}
 
 	// TargetsDocument holds targets with their units, such as "1.3s" and
@@ -34,6 +35,7 @@
 	OrganisationDocument struct {
 		TokenHash string                `json:"tokenHash"         toml:"tokenHash"`
 		Classes   []carawaybeam.ClassID `json:"classes,omitempty" toml:"classes"`
+		Change    *ChangeRecord         `json:"change,omitempty"  toml:"-"`
 	}
 
 	// FieldError reports a wrong value in a document.
@@ -45,15 +47,26 @@
 
 	// InvalidObjectError reports an object that could not be understood.
 	InvalidObjectError struct {
-		Kind  carawaybeam.StoreKind
-		Name  string
-		Cause error
+		Kind    carawaybeam.StoreKind
+		Name    string
+		Version carawaybeam.StoreVersion
+		Cause   error
 	}
 )
 
 const (
 	percent       = "%"
 	percentFactor = 100
+
+	// minTarget and maxTarget bound every duration among the targets.
+	minTarget = time.Millisecond
+	maxTarget = 24 * time.Hour
+
+	// minCompletion is the least share of requests to be answered.
+	minCompletion = 0.5
+
+	// maxNameBytes bounds the name of an object.
+	maxNameBytes = 128
 )
 
 func (e *FieldError) Error() string {
@@ -61,7 +74,7 @@
 }
 
 func (e *InvalidObjectError) Error() string {
-	return fmt.Sprintf("%s %q is not understood: %v", e.Kind, e.Name, e.Cause)
+	return fmt.Sprintf("%s %q at version %d is not understood: %v", e.Kind, e.Name, e.Version, e.Cause)
 }
 
 func (e *InvalidObjectError) Unwrap() error { return e.Cause }
@@ -106,24 +119,52 @@
 	if targets.Completed, err = duration("targets.completed", d.Completed); err != nil {
 		return targets, err
 	}
-	targets.Completion, err = share("targets.completion", d.Completion)
-	return targets, err
+	if targets.Completion, err = share("targets.completion", d.Completion); err != nil {
+		return targets, err
+	}
+	return targets, d.compare(kind, targets)
+}
+
+// compare checks the targets against each other.
+func (d TargetsDocument) compare(kind carawaybeam.WorkKind, targets carawaybeam.Targets) error {
+	switch {
+	case kind == carawaybeam.WorkService && d.FirstToken != "":
+		return &FieldError{
+			Field: "targets.firstToken",
+			Value: d.FirstToken,
+			Want:  "nothing, since a service has no tokens",
+		}
+	case kind == carawaybeam.WorkService && d.BetweenTokens != "":
+		return &FieldError{
+			Field: "targets.betweenTokens", Value: d.BetweenTokens, Want: "nothing, since a service has no tokens",
+		}
+	case targets.FirstToken >= targets.Completed:
+		return &FieldError{
+			Field: "targets.firstToken", Value: d.FirstToken, Want: "less than targets.completed, " + d.Completed,
+		}
+	case targets.BetweenTokens >= targets.Completed:
+		return &FieldError{
+			Field: "targets.betweenTokens", Value: d.BetweenTokens, Want: "less than targets.completed, " + d.Completed,
+		}
+	}
+	return nil
 }
 
 func duration(field, value string) (time.Duration, error) {
 	d, err := time.ParseDuration(value)
-	if err != nil || d <= 0 {
-		return 0, &FieldError{Field: field, Value: value, Want: `a positive duration such as "1.3s"`}
+	if err != nil || d < minTarget || d > maxTarget {
+		return 0, &FieldError{Field: field, Value: value, Want: `a duration from "1ms" to "24h", such as "1.3s"`}
 	}
 	return d, nil
 }
 
 func share(field, value string) (float64, error) {
 	number, err := strconv.ParseFloat(strings.TrimSuffix(value, percent), 64)
-	if err != nil || !strings.HasSuffix(value, percent) || !(number > 0 && number <= percentFactor) {
-		return 0, &FieldError{Field: field, Value: value, Want: `a share above 0% and up to 100%, such as "99.9%"`}
+	number /= percentFactor
+	if err != nil || !strings.HasSuffix(value, percent) || !(number >= minCompletion && number <= 1) {
+		return 0, &FieldError{Field: field, Value: value, Want: `a share from "50%" to "100%", such as "99.9%"`}
 	}
-	return number / percentFactor, nil
+	return number, nil
 }
 
 // DecodeOrganisation reads the document of an organisation.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -70,10 +70,13 @@
 		Members    Members
 		Binder     Binder
 		Config     tracker.ConfigObserver
-		Router     carawaybeam.Router
-		Limiter    carawaybeam.Limiter
-		Retrier    carawaybeam.Retrier
-		Log        zerolog.Logger
+		// Configuration lets requests that an agent refused as decided on an
+		// old configuration be decided on anew. It may be nil.
+		Configuration Configuration
+		Router        carawaybeam.Router
+		Limiter       carawaybeam.Limiter
+		Retrier       carawaybeam.Retrier
+		Log           zerolog.Logger
 	}
 
 	// Dispatcher serves requests. Its methods may be used by several goroutines
@@ -165,6 +168,11 @@
 		if answer.written > 0 && !request.Class.Idempotent {
 			return failure
 		}
+		if failure.Reason == carawaybeam.ReasonStaleConfig {
+			if refused := d.refresh(ctx, &request); refused != nil {
+				return refused
+			}
+		}
 		if backend != "" {
 			tried = append(tried, backend)
 		}
--- a/fakes/linker/linker.go
+++ b/fakes/linker/linker.go
@@ -32,6 +32,8 @@
 		// Delay holds the frame back. Frames behind it may overtake it, unless
 		// they are held back too.
 		Delay time.Duration
+		// Latency is the time that the frame takes. Frames keep their order.
+		Latency time.Duration
 		// Cut ends the stream in place of carrying the frame.
 		Cut bool
 	}
@@ -60,10 +62,16 @@
 	// half is one direction of a stream.
 	half struct {
 		mu     sync.Mutex
-		frames []*framer.Frame
+		frames []arrival
 		wake   chan struct{}
 	}
 
+	// arrival is a frame and when it can be read.
+	arrival struct {
+		frame *framer.Frame
+		at    time.Time
+	}
+
 	stream struct {
 		link      *link
 		direction Direction
@@ -211,20 +219,21 @@
 		return nil
 	}
 	for range v.Copies + 1 {
-		s.deliver(proto.CloneOf(frame), v.Delay)
+		s.deliver(proto.CloneOf(frame), v)
 	}
 	return nil
 }
 
-func (s *stream) deliver(frame *framer.Frame, delay time.Duration) {
-	if delay == 0 {
-		s.out.push(frame)
+func (s *stream) deliver(frame *framer.Frame, v Verdict) {
+	at := time.Now().Add(v.Delay + v.Latency)
+	if v.Delay == 0 {
+		s.out.push(arrival{frame: frame, at: at})
 		return
 	}
 	s.link.network.wait.Go(func() {
 		select {
-		case <-time.After(delay):
-			s.out.push(frame)
+		case <-time.After(v.Delay):
+			s.out.push(arrival{frame: frame, at: at})
 		case <-s.ctx.Done():
 		}
 	})
@@ -240,22 +249,40 @@
 		expired = timer.C
 	}
 	for {
-		if frame := s.in.pop(); frame != nil {
+		frame, wait := s.in.pop()
+		if frame != nil {
 			return frame, nil
 		}
+		var arrived <-chan time.Time
+		if wait > 0 {
+			timer := time.NewTimer(wait)
+			defer timer.Stop()
+			arrived = timer.C
+		}
 		select {
 		case <-s.in.wake:
+		case <-arrived:
 		case <-expired:
 			return nil, &carawaybeam.SilenceError{After: timeout}
 		case <-s.ctx.Done():
-			if frame := s.in.pop(); frame != nil {
-				return frame, nil
-			}
-			return nil, io.EOF
+			return s.drain()
 		}
 	}
 }
 
+// drain reads what was still on its way at the end of the stream.
+func (s *stream) drain() (*framer.Frame, error) {
+	frame, wait := s.in.pop()
+	if wait > 0 {
+		time.Sleep(wait)
+		frame, _ = s.in.pop()
+	}
+	if frame == nil {
+		return nil, io.EOF
+	}
+	return frame, nil
+}
+
 // Close ends both directions.
 func (s *stream) Close() error {
 	s.cancel()
@@ -264,9 +291,9 @@
 
 func newHalf() *half { return &half{wake: make(chan struct{}, 1)} }
 
-func (h *half) push(frame *framer.Frame) {
+func (h *half) push(next arrival) {
 	h.mu.Lock()
-	h.frames = append(h.frames, frame)
+	h.frames = append(h.frames, next)
 	h.mu.Unlock()
 	select {
 	case h.wake <- struct{}{}:
@@ -274,13 +301,18 @@
 	}
 }
 
-func (h *half) pop() *framer.Frame {
+// pop returns the next frame that has arrived, or how long the next one still
+// takes, or neither.
+func (h *half) pop() (*framer.Frame, time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.frames) == 0 {
-		return nil
+		return nil, 0
+	}
+	next := h.frames[0]
+	if wait := time.Until(next.at); wait > 0 {
+		return nil, wait
 	}
-	frame := h.frames[0]
 	h.frames = h.frames[1:]
-	return frame
+	return next.frame, 0
 }
--- a/fakes/storer/storer.go
+++ b/fakes/storer/storer.go
@@ -24,6 +24,14 @@
 	FaultSlow FaultMode = "slow"
 	// FaultLostAnswer lets writes take effect and loses their answers.
 	FaultLostAnswer FaultMode = "lostAnswer"
+	// FaultLateWrite loses the answers of writes, which take effect only after
+	// the delay.
+	FaultLateWrite FaultMode = "lateWrite"
+	// FaultStaleWatch lets watches answer that nothing has changed. Other calls
+	// are served.
+	FaultStaleWatch FaultMode = "staleWatch"
+	// FaultSilentWatch lets watches never answer. Other calls are served.
+	FaultSilentWatch FaultMode = "silentWatch"
 )
 
 // maxHistory is how many changes a watch may lag behind.
@@ -100,9 +108,8 @@
 	return s.counts
 }
 
-// enter applies the fault in force to one call. It tells whether the answer of
-// a write is to be lost.
-func (s *Storer) enter(ctx context.Context, count *int) (lost bool, err error) {
+// enter applies the fault in force to one call and returns it.
+func (s *Storer) enter(ctx context.Context, count *int) (Fault, error) {
 	s.mu.Lock()
 	fault := s.fault
 	*count++
@@ -117,15 +124,15 @@
 	s.mu.Unlock()
 	switch fault.Mode {
 	case FaultDown:
-		return false, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "store is down"}
+		return fault, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "store is down"}
 	case FaultSlow:
 		select {
 		case <-time.After(fault.Delay):
 		case <-ctx.Done():
-			return false, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
+			return fault, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
 		}
 	}
-	return fault.Mode == FaultLostAnswer, nil
+	return fault, nil
 }
 
 // Get returns one object.
@@ -187,10 +194,22 @@
 	object carawaybeam.Object,
 	expect carawaybeam.StoreVersion,
 ) (carawaybeam.StoreVersion, error) {
-	lost, err := s.enter(ctx, &s.counts.Writes)
+	fault, err := s.enter(ctx, &s.counts.Writes)
 	if err != nil {
 		return 0, err
 	}
+	if fault.Mode == FaultLateWrite {
+		time.AfterFunc(fault.Delay, func() { _, _ = s.writeNow(object, expect, true) })
+		return 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUncertain, Detail: "answer was lost"}
+	}
+	return s.writeNow(object, expect, fault.Mode == FaultLostAnswer)
+}
+
+func (s *Storer) writeNow(
+	object carawaybeam.Object,
+	expect carawaybeam.StoreVersion,
+	lost bool,
+) (carawaybeam.StoreVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{object.Kind, object.Name}
@@ -237,9 +256,13 @@
 	since carawaybeam.StoreVersion,
 	wait time.Duration,
 ) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if _, err := s.enter(ctx, &s.counts.Watches); err != nil {
+	fault, err := s.enter(ctx, &s.counts.Watches)
+	if err != nil {
 		return nil, 0, err
 	}
+	if fault.Mode == FaultStaleWatch || fault.Mode == FaultSilentWatch {
+		return s.watchNothing(ctx, since, wait, fault.Mode)
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -257,6 +280,25 @@
 	}
 }
 
+// watchNothing answers a watch that does not see the changes, or never answers.
+func (s *Storer) watchNothing(
+	ctx context.Context,
+	since carawaybeam.StoreVersion,
+	wait time.Duration,
+	mode FaultMode,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	var expired <-chan time.Time
+	if mode == FaultStaleWatch {
+		expired = time.After(wait)
+	}
+	select {
+	case <-expired:
+		return nil, since, nil
+	case <-ctx.Done():
+		return nil, 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
+	}
+}
+
 func (s *Storer) since(
 	kinds []carawaybeam.StoreKind,
 	since carawaybeam.StoreVersion,
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/spreader"
 )
 
 // member follows one agent over its control stream.
@@ -83,24 +84,21 @@
 
 // control speaks on the control stream until it fails or goes silent.
 func (m *member) control(link carawaybeam.Link, stream carawaybeam.Stream) {
-	hello := &framer.Hello{
-		Process:     m.tracker.options.Process,
-		Incarnation: string(m.tracker.options.Incarnation),
-		DataCentre:  string(m.tracker.options.DataCentre),
-		Role:        carawaybeam.RoleEntry,
-	}
-	if m.send(stream, &framer.Frame{Body: &framer.Frame_Hello{Hello: hello}}) != nil {
-		return
-	}
+	exchange := spreader.NewExchange(m.tracker.options.Config, m.tracker.options.Log)
 	ctx, cancel := context.WithCancel(m.ctx)
+	var sender sync.WaitGroup
+	defer sender.Wait()
 	defer cancel()
-	m.tracker.wait.Go(func() { m.beat(ctx, stream) })
+	sender.Go(func() {
+		m.beat(ctx, exchange, stream)
+		_ = stream.Close()
+	})
 	for {
 		frame, err := stream.Receive(heartbeatSilence)
 		if err != nil {
 			return
 		}
-		m.tracker.options.Config.Observe(carawaybeam.ConfigVersion(frame.GetConfigVersion()))
+		exchange.Receive(frame)
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
 			m.record(heartbeat)
 			m.setLink(link)
@@ -108,27 +106,43 @@
 	}
 }
 
-// beat sends heartbeats, which carry the configuration version.
-func (m *member) beat(ctx context.Context, stream carawaybeam.Stream) {
+func (m *member) hello() *framer.Frame {
+	return &framer.Frame{Body: &framer.Frame_Hello{Hello: &framer.Hello{
+		Process:     m.tracker.options.Process,
+		Incarnation: string(m.tracker.options.Incarnation),
+		DataCentre:  string(m.tracker.options.DataCentre),
+		Role:        carawaybeam.RoleEntry,
+	}}}
+}
+
+// beat sends heartbeats and exchanges changes of the configuration.
+func (m *member) beat(ctx context.Context, exchange *spreader.Exchange, stream carawaybeam.Stream) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	if stream.Send(exchange.Mark(m.hello())) != nil {
+		return
+	}
 	for {
+		changed := m.tracker.options.Config.Changed()
+		for _, frame := range exchange.Outgoing() {
+			if stream.Send(frame) != nil {
+				return
+			}
+		}
 		select {
 		case <-ticker.C:
+			beat := &framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{}}}
+			if stream.Send(exchange.Mark(beat)) != nil {
+				return
+			}
+		case <-exchange.Wake():
+		case <-changed:
 		case <-ctx.Done():
 			return
 		}
-		if m.send(stream, &framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{}}}) != nil {
-			return
-		}
 	}
 }
 
-func (m *member) send(stream carawaybeam.Stream, frame *framer.Frame) error {
-	frame.ConfigVersion = uint64(m.tracker.options.Config.Version())
-	return stream.Send(frame)
-}
-
 func (m *member) record(heartbeat *framer.Heartbeat) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -8,12 +8,15 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/configurer"
 )
 
 const (
@@ -39,8 +42,9 @@
 		DataCentre  carawaybeam.DataCentre
 		Lister      carawaybeam.Lister
 		Dialer      carawaybeam.Dialer
-		// Config tells and takes configuration versions.
-		Config ConfigObserver
+		// Config is the configuration of the process, which it exchanges with
+		// the agents.
+		Config *configurer.Configurer
 		Log    zerolog.Logger
 	}
 
@@ -76,6 +80,7 @@
 
 		mu      sync.Mutex
 		members map[carawaybeam.VMID]*member
+		entries map[carawaybeam.Address]carawaybeam.VM
 		listed  time.Time
 		failing bool
 	}
@@ -92,6 +97,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		members: make(map[carawaybeam.VMID]*member),
+		entries: make(map[carawaybeam.Address]carawaybeam.VM),
 	}
 	t.wait.Go(t.follow)
 	return t
@@ -128,6 +134,18 @@
 	return members
 }
 
+// Entries returns the entries that the platform lists, in the order of their
+// addresses.
+func (t *Tracker) Entries() []carawaybeam.VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entries := make([]carawaybeam.VM, 0, len(t.entries))
+	for _, address := range slices.Sorted(maps.Keys(t.entries)) {
+		entries = append(entries, t.entries[address])
+	}
+	return entries
+}
+
 // Ready tells whether the platform's list has been read.
 func (t *Tracker) Ready() bool {
 	t.mu.Lock()
@@ -207,6 +225,7 @@
 	defer t.mu.Unlock()
 	t.listed = time.Now()
 	listed := make(map[carawaybeam.VMID]bool, len(vms))
+	t.updateEntries(vms)
 	for _, vm := range vms {
 		if vm.Role != carawaybeam.RoleAgent {
 			continue
@@ -227,3 +246,17 @@
 		}
 	}
 }
+
+// updateEntries takes the listed entries. A list without any changes nothing,
+// since the process itself is one.
+func (t *Tracker) updateEntries(vms []carawaybeam.VM) {
+	entries := make(map[carawaybeam.Address]carawaybeam.VM)
+	for _, vm := range vms {
+		if vm.Role == carawaybeam.RoleEntry {
+			entries[vm.Address] = vm
+		}
+	}
+	if len(entries) > 0 {
+		t.entries = entries
+	}
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -1,5 +1,9 @@
 // Package watcher follows the configuration in the platform's store and puts
 // each change in force.
+//
+// Only a few chosen processes watch all the time. The others watch once their
+// peers have not vouched for the configuration for a while, and read the store
+// when a peer claims a version that no peer gives them.
 package watcher
 
 import (
@@ -16,10 +20,30 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change.
-	watchWait = 30 * time.Second
+	// watchWait is how long one watch waits for a change. It bounds how long a
+	// connection that has gone silent goes unnoticed.
+	watchWait = time.Second
 
-	// minPause and maxPause bound the wait after a failed call.
+	// silentWatch is when a watch that has not answered is given up.
+	silentWatch = 2500 * time.Millisecond
+
+	// takeoverAge is how old the configuration of a process may be before the
+	// process watches the store though it was not chosen to.
+	takeoverAge = 5 * time.Second
+
+	// idlePause is how often a process that does not watch looks whether it
+	// should.
+	idlePause = 500 * time.Millisecond
+
+	// peerTime is how long peers get to deliver a version before the store is
+	// read for it.
+	peerTime = 300 * time.Millisecond
+
+	// readTimeout bounds one full read.
+	readTimeout = 5 * time.Second
+
+	// minPause and maxPause bound the wait after a failed call. Calls that
+	// succeed are at least minPause apart.
 	minPause = 100 * time.Millisecond
 	maxPause = 3 * time.Second
 )
@@ -29,7 +53,10 @@
 	Options struct {
 		Store      carawaybeam.Store
 		Configurer *configurer.Configurer
-		Log        zerolog.Logger
+		// Chosen tells whether this process is to watch all the time. Nil
+		// stands for always.
+		Chosen func() bool
+		Log    zerolog.Logger
 	}
 
 	// Watcher follows the store until Close.
@@ -46,6 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watcher{options: options, ctx: ctx, cancel: cancel}
 	w.wait.Go(w.follow)
+	w.wait.Go(w.catchUp)
 	return w
 }
 
@@ -56,38 +84,81 @@
 	return nil
 }
 
-// follow reads everything once and then waits for changes.
+// follow watches the store for as long as this process is to.
 func (w *Watcher) follow() {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = minPause
-	pause.MaxInterval = maxPause
+	pause := newPause()
 	failing := false
-	var since carawaybeam.StoreVersion
+	var at *carawaybeam.StoreVersion
 	for w.ctx.Err() == nil {
-		next, err := w.advance(since)
+		if !w.active() {
+			at = nil
+			w.sleep(idlePause)
+			continue
+		}
+		begun := time.Now()
+		next, err := w.advance(at)
 		if err == nil {
-			since = next
+			at = &next
 			failing = false
 			pause.Reset()
+			w.sleep(minPause - time.Since(begun))
 			continue
 		}
 		if !failing && w.ctx.Err() == nil {
 			w.options.Log.Warn().Err(err).Msg("watcher: store is unavailable")
 		}
 		failing = true
+		w.sleep(pause.NextBackOff())
+	}
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = minPause
+	pause.MaxInterval = maxPause
+	return pause
+}
+
+func (w *Watcher) sleep(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-w.ctx.Done():
+	}
+}
+
+// active tells whether this process watches the store now.
+func (w *Watcher) active() bool {
+	return w.options.Chosen == nil || w.options.Chosen() || time.Since(w.options.Configurer.Fresh()) > takeoverAge
+}
+
+// catchUp reads the store when peers claim a version but do not deliver it.
+func (w *Watcher) catchUp() {
+	for {
 		select {
-		case <-time.After(pause.NextBackOff()):
+		case <-w.options.Configurer.Behind():
 		case <-w.ctx.Done():
+			return
+		}
+		pause := newPause()
+		w.sleep(peerTime)
+		for w.options.Configurer.IsLacking() && w.ctx.Err() == nil {
+			if _, err := w.readAll(); err != nil || w.options.Configurer.IsLacking() {
+				w.sleep(pause.NextBackOff())
+			}
 		}
 	}
 }
 
-// advance brings the configuration from version since to a later one.
-func (w *Watcher) advance(since carawaybeam.StoreVersion) (carawaybeam.StoreVersion, error) {
-	if since == 0 {
+// advance brings the configuration from a version to a later one, or reads it
+// all if no version is given.
+func (w *Watcher) advance(at *carawaybeam.StoreVersion) (carawaybeam.StoreVersion, error) {
+	if at == nil {
 		return w.readAll()
 	}
-	objects, version, err := w.options.Store.Watch(w.ctx, configurer.Kinds, since, watchWait)
+	since := *at
+	ctx, cancel := context.WithTimeout(w.ctx, silentWatch)
+	defer cancel()
+	objects, version, err := w.options.Store.Watch(ctx, configurer.Kinds, since, watchWait)
 	var failed *carawaybeam.StoreError
 	if errors.As(err, &failed) && failed.Failure == carawaybeam.StoreExpired {
 		return w.readAll()
@@ -95,17 +166,25 @@
 	if err != nil {
 		return since, err
 	}
-	w.take(objects)
-	return version, nil
+	w.take(configurer.Delta{
+		Since:    carawaybeam.ConfigVersion(since),
+		Complete: carawaybeam.ConfigVersion(version),
+		Objects:  objects,
+	}, time.Now())
+	return max(since, version), nil
 }
 
+// readAll reads all objects. It returns the version from which to watch.
 func (w *Watcher) readAll() (carawaybeam.StoreVersion, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, readTimeout)
+	defer cancel()
+	begun := time.Now()
 	var (
 		all    []carawaybeam.Object
 		lowest carawaybeam.StoreVersion
 	)
 	for i, kind := range configurer.Kinds {
-		objects, version, err := w.options.Store.List(w.ctx, kind)
+		objects, version, err := w.options.Store.List(ctx, kind)
 		if err != nil {
 			return 0, err
 		}
@@ -114,18 +193,17 @@
 		}
 		all = append(all, objects...)
 	}
-	w.take(all)
+	w.take(configurer.Delta{Complete: carawaybeam.ConfigVersion(lowest), Full: true, Objects: all}, begun)
 	return lowest, nil
 }
 
-// take puts objects in force. The configuration version is that of the newest
-// object and not of the store, which other kinds of objects move on.
-func (w *Watcher) take(objects []carawaybeam.Object) {
-	var newest carawaybeam.StoreVersion
-	for _, object := range objects {
-		newest = max(newest, object.Version)
+// take puts a delta in force. An answer that is older than what is held does not
+// count as a sign that the configuration is fresh.
+func (w *Watcher) take(delta configurer.Delta, at time.Time) {
+	for _, invalid := range w.options.Configurer.Take(delta) {
+		w.options.Log.Error().Err(invalid).Msg("watcher: object is not in force")
 	}
-	for _, invalid := range w.options.Configurer.Take(objects, carawaybeam.ConfigVersion(newest)) {
-		w.options.Log.Error().Err(invalid).Msg("watcher: object is ignored")
+	if delta.Complete >= w.options.Configurer.Complete() && !w.options.Configurer.IsBehind() {
+		w.options.Configurer.MarkFresh(at)
 	}
 }
