Let agents be the judge of who is leaving, and link to a subset of each pool

Cause: an agent was dropped as soon as the platform's list, which lags and may be empty, did not name it; two VMs in turn at one address were two members; an old list could clear leaving; every entry linked to every agent and was told each second.

Ruled out: trusting a shrunken list after some repeats (an outage lasts longer); a fixed slow heartbeat (15 agents need no saving); reports only on answers (an idle entry would learn nothing).

Change: members go by address and stay while they speak, or for a minute unlisted; leaving is final for one VM and one life of an agent. Pools of up to 32 agents are linked whole, larger ones to a rendezvous subset of 8; a key bound outside it is reached by a link on demand. Each entry tells its agents how often to report, so that all links together stay within 3 KB/s, and answers carry the load.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,12 +17,17 @@
 )
 
 const (
-	// heartbeatInterval is how often the agent speaks on a control stream.
+	// heartbeatInterval is how often the agent reads the load, and speaks on a
+	// control stream unless the entry asks for less.
 	heartbeatInterval = time.Second
 
 	// heartbeatSilence is how long an entry may be silent on a control stream.
 	heartbeatSilence = 10 * time.Second
 
+	// silentBeats is how many of its beats an entry may miss that speaks less
+	// often.
+	silentBeats = 3
+
 	// loadTimeout bounds the question for the load of the backend server.
 	loadTimeout = 500 * time.Millisecond
 )
@@ -97,47 +102,65 @@
 	case *framer.Frame_Hello:
 		a.serveControl(ctx, first, stream)
 	case *framer.Frame_Dispatch:
-		a.options.Executor.ServeDispatch(ctx, first, stream)
+		a.options.Executor.ServeDispatch(ctx, first, &reportingStream{Stream: stream, agent: a})
 	case *framer.Frame_Resolve:
-		a.options.Executor.ServeResolve(ctx, first, stream)
+		a.options.Executor.ServeResolve(ctx, first, &reportingStream{Stream: stream, agent: a})
 	default:
 		a.options.Log.Warn().Msg("agent: stream begins with an unexpected frame")
 	}
 }
 
-// serveControl sends heartbeats, at once when the agent begins to leave, and
-// exchanges changes of the configuration.
+// serveControl sends heartbeats as often as the entry asks, and at once when the
+// agent begins to leave. It exchanges changes of the configuration.
 func (a *Agent) serveControl(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	exchange := spreader.NewExchange(a.options.Configurer, a.options.Log)
 	exchange.Receive(first)
+	interval := make(chan time.Duration, 1)
 	var listener sync.WaitGroup
 	defer listener.Wait()
 	defer func() { _ = stream.Close() }()
-	listener.Go(func() { a.listen(exchange, stream, cancel) })
-	ticker := time.NewTicker(heartbeatInterval)
+	listener.Go(func() { a.listen(exchange, stream, interval, cancel) })
+	ticker := time.NewTicker(max(heartbeatInterval, wantedInterval(first)))
 	defer ticker.Stop()
 	for {
 		heartbeat, changed := a.heartbeat()
 		if stream.Send(exchange.Mark(heartbeat)) != nil {
 			return
 		}
-		if !a.converse(ctx, exchange, stream, ticker.C, changed) {
+		if !a.converse(ctx, exchange, stream, ticker, interval, changed) {
 			return
 		}
 	}
 }
 
 // listen takes the frames of an entry until it goes silent.
-func (a *Agent) listen(exchange *spreader.Exchange, stream carawaybeam.Stream, cancel context.CancelFunc) {
+func (a *Agent) listen(
+	exchange *spreader.Exchange,
+	stream carawaybeam.Stream,
+	interval chan<- time.Duration,
+	cancel context.CancelFunc,
+) {
 	defer cancel()
+	silence := heartbeatSilence
+	var told time.Duration
 	for {
-		frame, err := stream.Receive(heartbeatSilence)
+		frame, err := stream.Receive(silence)
 		if err != nil {
 			return
 		}
 		exchange.Receive(frame)
+		wanted := wantedInterval(frame)
+		if wanted == 0 || wanted == told {
+			continue
+		}
+		told = wanted
+		silence = max(heartbeatSilence, silentBeats*wanted)
+		select {
+		case interval <- wanted:
+		default:
+		}
 	}
 }
 
--- a/agent/config.go
+++ b/agent/config.go
@@ -29,7 +29,8 @@
 	ctx context.Context,
 	exchange *spreader.Exchange,
 	stream carawaybeam.Stream,
-	due <-chan time.Time,
+	due *time.Ticker,
+	interval <-chan time.Duration,
 	changed <-chan struct{},
 ) bool {
 	for {
@@ -40,8 +41,10 @@
 			}
 		}
 		select {
-		case <-due:
+		case <-due.C:
 			return true
+		case wanted := <-interval:
+			due.Reset(wanted)
 		case <-changed:
 			return true
 		case <-news:
--- a/applier/replay_test.go
+++ b/applier/replay_test.go
@@ -308,9 +308,12 @@
 		}
 	}
 	time.Sleep(forceBound)
+	written := r.written(ctx)
 	for _, o := range r.outcomes {
-		object, err := r.fleet.store.Get(ctx, o.change.Kind, o.change.Name)
-		follows := err == nil && configurer.Record(object).Follows(o.change.ID)
+		follows := written[o.change.ID] > 0
+		if written[o.change.ID] > 1 {
+			r.violate("change %s of %s took effect %d times", o.change.ID, o.change.Name, written[o.change.ID])
+		}
 		accepted := o.result.Status == applier.StatusAccepted || o.settled == applier.StatusAccepted
 		if accepted && !follows {
 			r.violate("accepted change %s of %s is lost", o.change.ID, o.change.Name)
@@ -333,6 +336,19 @@
 	}
 }
 
+// written counts how often the store took each change.
+func (r *replay) written(ctx context.Context) map[configurer.ChangeID]int {
+	objects, _, err := r.fleet.store.Watch(ctx, configurer.Kinds, 0, 0)
+	if err != nil {
+		r.violate("store gives no history: %v", err)
+	}
+	counts := make(map[configurer.ChangeID]int)
+	for _, object := range objects {
+		counts[configurer.Record(object).ID]++
+	}
+	return counts
+}
+
 // figures returns what the outcome files bound.
 func (r *replay) figures() map[string]float64 {
 	figures := map[string]float64{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -274,7 +274,7 @@
 	if bound.BodyHash != want.BodyHash {
 		return target{}, notRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
-	if d.member(request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
+	if d.reach(ctx, request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
 		return target{}, &carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeUnknown,
 			Reason:  carawaybeam.ReasonWrongIncarnation,
--- /dev/null
+++ b/fakes/assembler/count.go
@@ -0,0 +1,12 @@
+package assembler
+
+// Started returns how many calls the backend server has taken.
+func (b *Backend) Started() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for _, n := range b.runs {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/tracker/bytes_test.go
@@ -0,0 +1,113 @@
+package tracker_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/agent"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/fakes/assembler"
+	"github.com/carawaybeam/carawaybeam/fakes/linker"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/tracker"
+)
+
+const (
+	// frameOverhead is what a frame costs beyond its own bytes: its length, a
+	// yamux header, and TCP and IP headers with time stamps.
+	frameOverhead = 2 + 12 + 52
+
+	// byteBudget is what a node may spend on control in a second (letter 1).
+	byteBudget = 6 << 10
+
+	// poolSize is the number of agents of a pool at the size of letter 1: 3,600
+	// runners for 29 models.
+	poolSize = 124
+)
+
+// TestControlBytesStayWithinBudget measures what one entry and its agents say to
+// each other while nothing happens.
+func TestControlBytesStayWithinBudget(t *testing.T) {
+	for _, agents := range []int{15, 60, 240, 960, 3600} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				links, perSecond := measureControl(t, agents)
+				t.Logf("agents %d links %d bytes/s %.0f", agents, links, perSecond)
+				is.True(links > 0)
+				is.True(perSecond <= byteBudget)
+			})
+		})
+	}
+}
+
+func measureControl(t *testing.T, agents int) (links int, perSecond float64) {
+	t.Helper()
+	const period = time.Minute
+	var (
+		mu      sync.Mutex
+		counted int
+		network linker.Network
+	)
+	network.Inject(func(_ carawaybeam.Address, _ linker.Direction, frame *framer.Frame) linker.Verdict {
+		mu.Lock()
+		defer mu.Unlock()
+		counted += proto.Size(frame) + frameOverhead
+		return linker.Verdict{}
+	})
+	store := storer.New()
+	vms := make([]carawaybeam.VM, 0, agents)
+	for i := range agents {
+		vm := carawaybeam.VM{
+			ID: carawaybeam.VMID(fmt.Sprintf("vm-%d", i)), State: carawaybeam.VMLive, Role: carawaybeam.RoleAgent,
+			Address: carawaybeam.Address(fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)),
+			Pool:    carawaybeam.PoolID(fmt.Sprintf("pool-%d", i/poolSize)),
+		}
+		vms = append(vms, vm)
+		backend := assembler.NewBackend(time.Second)
+		e := executor.New(executor.Options{
+			Backend: backend, BackendID: carawaybeam.BackendID(vm.ID), Concurrency: 1, Log: zerolog.Nop(),
+		})
+		a := agent.New(agent.Options{
+			BackendID: carawaybeam.BackendID(vm.ID), Incarnation: carawaybeam.NewIncarnation(), Backend: backend,
+			Executor: e, Log: zerolog.Nop(),
+		})
+		network.Listen(vm.Address, a)
+		defer func() { _ = e.Close() }()
+		defer func() { _ = a.Close() }()
+	}
+	store.SetVMs(vms)
+	tr := tracker.New(tracker.Options{
+		Process: "entry", Lister: store.VMList(), Dialer: &network, Config: configurer.New(), Log: zerolog.Nop(),
+	})
+	time.Sleep(period)
+	mu.Lock()
+	before := counted
+	mu.Unlock()
+	time.Sleep(period)
+	mu.Lock()
+	perSecond = float64(counted-before) / period.Seconds()
+	mu.Unlock()
+	for _, m := range tr.All() {
+		if m.Linked {
+			links++
+		}
+	}
+	if err := tr.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := network.Close(); err != nil {
+		t.Error(err)
+	}
+	return links, perSecond
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -1,15 +1,14 @@
 // Package tracker keeps an entry's view of the backend servers: which exist,
-// which are leaving, how loaded they are, and a link to each.
+// which are leaving, how loaded they are, and links to a subset of each pool.
 //
-// The platform's list of VMs lags, so it only seeds the view. What an agent
-// says of itself on its link goes first.
+// The platform's list of VMs lags and may be wrong, so it only seeds the view.
+// What an agent says of itself on its link goes first: an agent that speaks is
+// never dropped because the list does not name it.
 package tracker
 
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,15 +22,22 @@
 	// listInterval is how often the platform's list is read.
 	listInterval = 2 * time.Second
 
-	// heartbeatInterval is how often each side speaks on a control stream.
-	heartbeatInterval = time.Second
-
-	// heartbeatSilence is how long a peer may be silent before its link is
-	// replaced.
-	heartbeatSilence = 3 * time.Second
+	// minSilence is how long a peer may at least be silent before its link is
+	// replaced. One that reports less often may be silent for silentBeats
+	// reports.
+	minSilence  = 3 * time.Second
+	silentBeats = 3
 
 	// redialInterval is the pause before a link is made anew.
 	redialInterval = 500 * time.Millisecond
+
+	// pinTime is how long a link outside the subset is kept after its use.
+	pinTime = 5 * time.Minute
+
+	// reachTimeout bounds the search for an agent outside the subset, and
+	// reachInterval is how often its progress is looked at.
+	reachTimeout  = 2 * time.Second
+	reachInterval = 20 * time.Millisecond
 )
 
 type (
@@ -45,6 +51,10 @@
 		// Config is the configuration of the process, which it exchanges with
 		// the agents.
 		Config *configurer.Configurer
+		// Subset is how many agents of a pool are linked to that has more than
+		// Whole. Both are 0 for the usual numbers.
+		Subset int
+		Whole  int
 		Log    zerolog.Logger
 	}
 
@@ -68,6 +78,8 @@
 		Leaving bool
 		// Linked is set while a link to the agent works.
 		Linked bool
+		// ConfigVersion is the version that the agent holds.
+		ConfigVersion carawaybeam.ConfigVersion
 	}
 
 	// Tracker follows the backend servers. Its methods may be used by several
@@ -79,10 +91,12 @@
 		wait    sync.WaitGroup
 
 		mu      sync.Mutex
-		members map[carawaybeam.VMID]*member
+		members map[carawaybeam.Address]*member
 		entries map[carawaybeam.Address]carawaybeam.VM
-		listed  time.Time
-		failing bool
+		// interval is how often agents are to report.
+		interval time.Duration
+		listed   time.Time
+		failing  bool
 	}
 )
 
@@ -91,13 +105,20 @@
 
 // New returns a Tracker that follows the platform's list until Close.
 func New(options Options) *Tracker {
+	if options.Subset == 0 {
+		options.Subset = subsetSize
+	}
+	if options.Whole == 0 {
+		options.Whole = wholePool
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tracker{
-		options: options,
-		ctx:     ctx,
-		cancel:  cancel,
-		members: make(map[carawaybeam.VMID]*member),
-		entries: make(map[carawaybeam.Address]carawaybeam.VM),
+		options:  options,
+		ctx:      ctx,
+		cancel:   cancel,
+		members:  make(map[carawaybeam.Address]*member),
+		entries:  make(map[carawaybeam.Address]carawaybeam.VM),
+		interval: minInterval,
 	}
 	t.wait.Go(t.follow)
 	return t
@@ -123,7 +144,7 @@
 	return members
 }
 
-// All returns every agent that the platform lists.
+// All returns every agent known, those without a link among them.
 func (t *Tracker) All() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -134,18 +155,6 @@
 	return members
 }
 
-// Entries returns the entries that the platform lists, in the order of their
-// addresses.
-func (t *Tracker) Entries() []carawaybeam.VM {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	entries := make([]carawaybeam.VM, 0, len(t.entries))
-	for _, address := range slices.Sorted(maps.Keys(t.entries)) {
-		entries = append(entries, t.entries[address])
-	}
-	return entries
-}
-
 // Ready tells whether the platform's list has been read.
 func (t *Tracker) Ready() bool {
 	t.mu.Lock()
@@ -155,11 +164,15 @@
 
 // Open starts a stream to the agent of a backend server.
 func (t *Tracker) Open(ctx context.Context, backend carawaybeam.BackendID) (carawaybeam.Stream, error) {
-	link := t.link(backend)
+	m, link := t.link(backend)
 	if link == nil {
 		return nil, ErrNoLink
 	}
-	return link.Open(ctx)
+	stream, err := link.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &reportingStream{Stream: stream, member: m}, nil
 }
 
 // Known tells whether the backend server is still among the members.
@@ -177,86 +190,70 @@
 // Suspect replaces the link to a backend server, since a stream on it went
 // silent.
 func (t *Tracker) Suspect(backend carawaybeam.BackendID) {
-	if link := t.link(backend); link != nil {
+	if _, link := t.link(backend); link != nil {
 		_ = link.Close()
 	}
 }
 
-func (t *Tracker) link(backend carawaybeam.BackendID) carawaybeam.Link {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, m := range t.members {
-		if link, id := m.current(); id == backend && link != nil {
-			return link
-		}
+// Reach makes a link to a backend server of the pool that is outside the subset,
+// and keeps it for a while. It reports whether there is one now.
+func (t *Tracker) Reach(ctx context.Context, pool carawaybeam.PoolID, backend carawaybeam.BackendID) bool {
+	if _, link := t.link(backend); link != nil {
+		return true
 	}
-	return nil
-}
-
-// follow reads the platform's list until Close.
-func (t *Tracker) follow() {
-	ticker := time.NewTicker(listInterval)
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
-	for {
-		t.readList()
+	for pinned := t.pin(pool, backend); pinned; {
+		if _, link := t.link(backend); link != nil {
+			return true
+		}
 		select {
 		case <-ticker.C:
-		case <-t.ctx.Done():
-			return
+		case <-ctx.Done():
+			return false
 		}
 	}
+	return false
 }
 
-func (t *Tracker) readList() {
-	vms, err := t.options.Lister.List(t.ctx)
-	if err != nil {
-		if !t.failing && t.ctx.Err() == nil {
-			t.options.Log.Warn().Err(err).Msg("tracker: list of VMs is unavailable")
+// pin links to the agent of a backend server, or to all agents of the pool whose
+// backend server is not known yet. It reports false if there are none.
+func (t *Tracker) pin(pool carawaybeam.PoolID, backend carawaybeam.BackendID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unnamed []*member
+	for _, m := range t.members {
+		snapshot := m.snapshot()
+		switch {
+		case snapshot.Backend == backend:
+			m.pin(pinTime)
+			return true
+		case snapshot.VM.Pool == pool && snapshot.Backend == "":
+			unnamed = append(unnamed, m)
 		}
-		t.failing = true
-		return
 	}
-	t.failing = false
-	t.update(vms)
+	for _, m := range unnamed {
+		m.pin(reachTimeout)
+	}
+	return len(unnamed) > 0
 }
 
-func (t *Tracker) update(vms []carawaybeam.VM) {
+func (t *Tracker) link(backend carawaybeam.BackendID) (*member, carawaybeam.Link) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listed = time.Now()
-	listed := make(map[carawaybeam.VMID]bool, len(vms))
-	t.updateEntries(vms)
-	for _, vm := range vms {
-		if vm.Role != carawaybeam.RoleAgent {
-			continue
-		}
-		listed[vm.ID] = true
-		if known, ok := t.members[vm.ID]; ok {
-			known.setVM(vm)
-			continue
-		}
-		m := newMember(t, vm)
-		t.members[vm.ID] = m
-		t.wait.Go(m.run)
-	}
-	for id, m := range t.members {
-		if !listed[id] {
-			m.cancel()
-			delete(t.members, id)
+	for _, m := range t.members {
+		if link, id := m.current(); id == backend && link != nil {
+			return m, link
 		}
 	}
+	return nil, nil
 }
 
-// updateEntries takes the listed entries. A list without any changes nothing,
-// since the process itself is one.
-func (t *Tracker) updateEntries(vms []carawaybeam.VM) {
-	entries := make(map[carawaybeam.Address]carawaybeam.VM)
-	for _, vm := range vms {
-		if vm.Role == carawaybeam.RoleEntry {
-			entries[vm.Address] = vm
-		}
-	}
-	if len(entries) > 0 {
-		t.entries = entries
-	}
+// beatInterval returns how often agents are to report.
+func (t *Tracker) beatInterval() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.interval
 }
