--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,17 +10,24 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/spreader"
 )
 
 const (
-	// heartbeatInterval is how often the agent speaks on a control stream.
+	// heartbeatInterval is how often the agent reads the load, and speaks on a
+	// control stream unless the entry asks for less.
 	heartbeatInterval = time.Second
 
 	// heartbeatSilence is how long an entry may be silent on a control stream.
 	heartbeatSilence = 10 * time.Second
 
+	// silentBeats is how many of its beats an entry may miss that speaks less
+	// often.
+	silentBeats = 3
+
 	// loadTimeout bounds the question for the load of the backend server.
 	loadTimeout = 500 * time.Millisecond
 )
@@ -32,7 +39,12 @@
 		Incarnation carawaybeam.Incarnation
 		Backend     carawaybeam.Backend
 		Executor    *executor.Executor
-		Log         zerolog.Logger
+		// Configurer holds the configuration that entries gave. Nil stands for
+		// a new one.
+		Configurer *configurer.Configurer
+		// Answerer answers operators' questions that entries pass on.
+		Answerer spreader.Answerer
+		Log      zerolog.Logger
 	}
 
 	// Agent serves the streams of entries.
@@ -53,9 +65,13 @@
 
 // New returns an Agent that asks its backend server for its load until Close.
 func New(options Options) *Agent {
+	if options.Configurer == nil {
+		options.Configurer = configurer.New()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{options: options, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
 	a.wait.Go(a.pollLoad)
+	a.wait.Go(a.followConfig)
 	return a
 }
 
@@ -83,51 +99,73 @@
 
 // ServeStream handles one stream of an entry.
 func (a *Agent) ServeStream(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
-	a.options.Executor.ObserveConfig(carawaybeam.ConfigVersion(first.GetConfigVersion()))
+	a.options.Configurer.Observe(carawaybeam.ConfigVersion(first.GetConfigVersion()))
+	if a.options.Answerer.Answer(a.options.Configurer, first, stream) {
+		return
+	}
 	switch first.GetBody().(type) {
 	case *framer.Frame_Hello:
-		a.serveControl(ctx, stream)
+		a.serveControl(ctx, first, stream)
 	case *framer.Frame_Dispatch:
-		a.options.Executor.ServeDispatch(ctx, first, stream)
+		a.options.Executor.ServeDispatch(ctx, first, &reportingStream{Stream: stream, agent: a})
 	case *framer.Frame_Resolve:
-		a.options.Executor.ServeResolve(ctx, first, stream)
+		a.options.Executor.ServeResolve(ctx, first, &reportingStream{Stream: stream, agent: a})
 	default:
 		a.options.Log.Warn().Msg("agent: stream begins with an unexpected frame")
 	}
 }
 
-// serveControl sends heartbeats, at once when the agent begins to leave.
-func (a *Agent) serveControl(ctx context.Context, stream carawaybeam.Stream) {
+// serveControl sends heartbeats as often as the entry asks, and at once when the
+// agent begins to leave. It exchanges changes of the configuration.
+func (a *Agent) serveControl(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go a.listen(stream, cancel)
-	ticker := time.NewTicker(heartbeatInterval)
+	exchange := spreader.NewExchange(a.options.Configurer, a.options.Log)
+	exchange.Receive(first)
+	interval := make(chan time.Duration, 1)
+	var listener sync.WaitGroup
+	defer listener.Wait()
+	defer func() { _ = stream.Close() }()
+	listener.Go(func() { a.listen(exchange, stream, interval, cancel) })
+	ticker := time.NewTicker(max(heartbeatInterval, wantedInterval(first)))
 	defer ticker.Stop()
 	for {
 		heartbeat, changed := a.heartbeat()
-		if stream.Send(heartbeat) != nil {
+		if stream.Send(exchange.Mark(heartbeat)) != nil {
 			return
 		}
-		select {
-		case <-ticker.C:
-		case <-changed:
-		case <-ctx.Done():
-			return
-		case <-a.ctx.Done():
+		if !a.converse(ctx, exchange, stream, ticker, interval, changed) {
 			return
 		}
 	}
 }
 
-// listen takes the configuration versions of an entry until it goes silent.
-func (a *Agent) listen(stream carawaybeam.Stream, cancel context.CancelFunc) {
+// listen takes the frames of an entry until it goes silent.
+func (a *Agent) listen(
+	exchange *spreader.Exchange,
+	stream carawaybeam.Stream,
+	interval chan<- time.Duration,
+	cancel context.CancelFunc,
+) {
 	defer cancel()
+	silence := heartbeatSilence
+	var told time.Duration
 	for {
-		frame, err := stream.Receive(heartbeatSilence)
+		frame, err := stream.Receive(silence)
 		if err != nil {
 			return
 		}
-		a.options.Executor.ObserveConfig(carawaybeam.ConfigVersion(frame.GetConfigVersion()))
+		exchange.Receive(frame)
+		wanted := wantedInterval(frame)
+		if wanted == 0 || wanted == told {
+			continue
+		}
+		told = wanted
+		silence = max(heartbeatSilence, silentBeats*wanted)
+		select {
+		case interval <- wanted:
+		default:
+		}
 	}
 }
 
@@ -142,10 +180,7 @@
 		Incarnation:   string(a.options.Incarnation),
 		Backend:       string(a.options.BackendID),
 	}
-	return &framer.Frame{
-		ConfigVersion: uint64(a.options.Executor.ConfigVersion()),
-		Body:          &framer.Frame_Heartbeat{Heartbeat: heartbeat},
-	}, a.changed
+	return &framer.Frame{Body: &framer.Frame_Heartbeat{Heartbeat: heartbeat}}, a.changed
 }
 
 func (a *Agent) notify() {
--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -18,6 +18,7 @@
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
+	"github.com/carawaybeam/carawaybeam/spreader"
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
@@ -37,6 +38,8 @@
 	agent    *agent.Agent
 	links    *messenger.Listener
 	closers  starter.Closers
+	// shutDown begins the graceful stop.
+	shutDown func()
 }
 
 // state is the state dump of an agent.
@@ -56,7 +59,7 @@
 	}
 	stop, cancel := starter.StopSignal()
 	defer cancel()
-	d := &daemon{settings: settings, log: starter.NewLog(settings.Process)}
+	d := &daemon{settings: settings, log: starter.NewLog(settings.Process), shutDown: cancel}
 	if err := d.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
 	}
@@ -96,7 +99,11 @@
 		Incarnation: incarnation,
 		Backend:     backend,
 		Executor:    d.executor,
-		Log:         d.log,
+		Answerer: spreader.Answerer{
+			Stop: d.shutDown,
+			Dump: func() ([]byte, error) { return d.dumpOptions().Dump() },
+		},
+		Log: d.log,
 	})
 	d.closers.Add(d.agent)
 	d.links = messenger.New(links, d.agent)
@@ -122,13 +129,17 @@
 	if err != nil {
 		return err
 	}
-	d.closers.Add(dumper.New(admin, dumper.Options{
+	d.closers.Add(dumper.New(admin, d.dumpOptions()))
+	return nil
+}
+
+func (d *daemon) dumpOptions() dumper.Options {
+	return dumper.Options{
 		Process: d.settings.Process,
 		Ready:   d.agent.Ready,
 		State:   func() any { return state{Executor: d.executor.State(), Links: d.links.Traffic().State()} },
 		Log:     d.log,
-	}))
-	return nil
+	}
 }
 
 // stop refuses new work, finishes what runs and closes all parts.
--- /dev/null
+++ b/cmd/cbentry/config.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/administrator"
+	"github.com/carawaybeam/carawaybeam/applier"
+	"github.com/carawaybeam/carawaybeam/certifier"
+	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/spreader"
+	"github.com/carawaybeam/carawaybeam/watcher"
+)
+
+// spreadConfig makes the parts that keep the configuration up to date: links to
+// other entries, and the watch of the store.
+func (e *entry) spreadConfig(incarnation carawaybeam.Incarnation) error {
+	links, err := e.listenLinks()
+	if err != nil {
+		return err
+	}
+	e.spreader = spreader.New(spreader.Options{
+		Process:     e.settings.Process,
+		Incarnation: incarnation,
+		DataCentre:  e.settings.DataCentre,
+		Address:     e.settings.Links,
+		Configurer:  e.configurer,
+		Dialer:      e.dialer(certifier.RoleEntry),
+		Entries:     e.tracker.Entries,
+		Answerer: spreader.Answerer{
+			Stop: e.shutDown,
+			Dump: func() ([]byte, error) { return e.dumpOptions().Dump() },
+		},
+		Log: e.log,
+	})
+	e.closers.Add(e.spreader)
+	e.closers.Add(messenger.New(links, e.spreader))
+	e.closers.Add(watcher.New(watcher.Options{
+		Store:      e.store,
+		Configurer: e.configurer,
+		Chosen:     e.spreader.Chosen,
+		Log:        e.log,
+	}))
+	return nil
+}
+
+// administrator serves operators.
+func (e *entry) administrator() *administrator.Administrator {
+	return administrator.New(administrator.Options{
+		TokenHash: e.settings.Operators.TokenHash,
+		Applier: applier.New(applier.Options{
+			Store:      e.store,
+			Configurer: e.configurer,
+			Spreader:   e.spreader,
+			Log:        e.log,
+		}),
+		Configurer: e.configurer,
+		Tracker:    e.tracker,
+		Dialer:     e.dialer(certifier.RoleEntry, certifier.RoleAgent),
+	})
+}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -5,12 +5,15 @@
 import (
 	"context"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/certifier"
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/dumper"
@@ -19,12 +22,17 @@
 	"github.com/carawaybeam/carawaybeam/recorder"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
+	"github.com/carawaybeam/carawaybeam/spreader"
 	"github.com/carawaybeam/carawaybeam/starter"
 	"github.com/carawaybeam/carawaybeam/tracker"
-	"github.com/carawaybeam/carawaybeam/watcher"
 )
 
-const program = "cbentry"
+const (
+	program = "cbentry"
+
+	// maxDumpedMembers bounds the state dump.
+	maxDumpedMembers = 1000
+)
 
 // entry is the running daemon.
 type entry struct {
@@ -35,10 +43,14 @@
 	configurer *configurer.Configurer
 	recorder   *recorder.Recorder
 	tracker    *tracker.Tracker
+	spreader   *spreader.Spreader
 	dispatcher *dispatcher.Dispatcher
 	server     *server.Server
 	traffic    messenger.Traffic
+	security   *certifier.Certifier
 	closers    starter.Closers
+	// shutDown begins the graceful stop.
+	shutDown func()
 }
 
 // state is the state dump of an entry.
@@ -46,8 +58,15 @@
 	DataCentre    carawaybeam.DataCentre    `json:"dataCentre"`
 	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 	Links         messenger.TrafficState    `json:"links"`
-	Members       []memberState             `json:"members"`
 	Policies      dispatcher.PolicyState    `json:"policies"`
+	// Complete is the store version up to which all changes are held.
+	Complete carawaybeam.ConfigVersion `json:"complete"`
+	// Invalid tells of objects that are held but not understood.
+	Invalid []string             `json:"invalid,omitempty"`
+	Peers   []spreader.PeerState `json:"peers"`
+	Members []memberState        `json:"members"`
+	// OmittedMembers counts the members beyond the bound of the dump.
+	OmittedMembers int `json:"omittedMembers"`
 }
 
 type memberState struct {
@@ -74,7 +93,7 @@
 	}
 	stop, cancel := starter.StopSignal()
 	defer cancel()
-	e := &entry{settings: settings, log: starter.NewLog(settings.Process)}
+	e := &entry{settings: settings, log: starter.NewLog(settings.Process), shutDown: cancel}
 	if err := e.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
 	}
@@ -88,27 +107,29 @@
 
 // start makes all parts, those first on which others depend.
 func (e *entry) start() error {
-	if err := e.connect(); err != nil {
+	err := e.connect()
+	if err != nil {
 		return err
 	}
 	e.configurer = configurer.New()
 	e.recorder = recorder.New(recorder.Options{Process: e.settings.Process})
 	incarnation := carawaybeam.NewIncarnation()
-	dialer, err := e.dialer()
-	if err != nil {
+	if e.security, err = e.linkSecurity(); err != nil {
 		return err
 	}
-	e.closers.Add(watcher.New(watcher.Options{Store: e.store, Configurer: e.configurer, Log: e.log}))
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
 		DataCentre:  e.settings.DataCentre,
 		Lister:      e.lister,
-		Dialer:      dialer,
+		Dialer:      e.dialer(certifier.RoleAgent),
 		Config:      e.configurer,
 		Log:         e.log,
 	})
 	e.closers.Add(e.tracker)
+	if err := e.spreadConfig(incarnation); err != nil {
+		return err
+	}
 	if err := e.makeDispatcher(); err != nil {
 		return err
 	}
@@ -154,14 +175,15 @@
 		return err
 	}
 	e.dispatcher = dispatcher.New(dispatcher.Options{
-		DataCentre: e.settings.DataCentre,
-		Members:    e.tracker,
-		Binder:     binder.New(e.store),
-		Config:     e.configurer,
-		Router:     e.recorder.Router(newRouter()),
-		Limiter:    e.recorder.Limiter(newLimiter()),
-		Retrier:    e.recorder.Retrier(newRetrier()),
-		Log:        e.log,
+		DataCentre:    e.settings.DataCentre,
+		Members:       e.tracker,
+		Binder:        binder.New(e.store),
+		Config:        e.configurer,
+		Configuration: e.configurer,
+		Router:        e.recorder.Router(newRouter()),
+		Limiter:       e.recorder.Limiter(newLimiter()),
+		Retrier:       e.recorder.Retrier(newRetrier()),
+		Log:           e.log,
 	})
 	e.closers.Add(e.dispatcher)
 	return nil
@@ -172,13 +194,7 @@
 	if err != nil {
 		return err
 	}
-	e.closers.Add(dumper.New(admin, dumper.Options{
-		Process: e.settings.Process,
-		Ready:   e.ready,
-		State:   e.state,
-		Routes:  e.routes,
-		Log:     e.log,
-	}))
+	e.closers.Add(dumper.New(admin, e.dumpOptions()))
 	callers, err := e.listenCallers()
 	if err != nil {
 		return err
@@ -213,14 +229,35 @@
 	return e.configurer.Loaded() && e.tracker.Ready()
 }
 
+func (e *entry) dumpOptions() dumper.Options {
+	return dumper.Options{
+		Process: e.settings.Process,
+		Ready:   e.ready,
+		State:   e.state,
+		Routes:  e.routes,
+		Log:     e.log,
+	}
+}
+
+// state returns the state dump, in the order of the VMs and bounded.
 func (e *entry) state() any {
 	s := state{
 		DataCentre:    e.settings.DataCentre,
 		ConfigVersion: e.configurer.Version(),
 		Links:         e.traffic.State(),
 		Policies:      e.dispatcher.Policies(),
+		Complete:      e.configurer.Complete(),
+		Peers:         e.spreader.Peers(),
+	}
+	for _, invalid := range e.configurer.Invalid() {
+		s.Invalid = append(s.Invalid, invalid.Error())
 	}
-	for _, m := range e.tracker.All() {
+	members := e.tracker.All()
+	slices.SortFunc(members, func(a, b tracker.Member) int {
+		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
+	})
+	s.OmittedMembers = max(0, len(members)-maxDumpedMembers)
+	for _, m := range members[:len(members)-s.OmittedMembers] {
 		s.Members = append(s.Members, memberState{
 			VM:          m.VM.ID,
 			Backend:     m.Backend,
--- a/cmd/cbentry/tls.go
+++ b/cmd/cbentry/tls.go
@@ -10,23 +10,37 @@
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
-// dialer returns what makes links to agents, over TLS if the settings ask for
-// it.
-func (e *entry) dialer() (messenger.Dialer, error) {
+// linkSecurity returns what proves the entry to its peers, or nil if the
+// settings ask for no TLS.
+func (e *entry) linkSecurity() (*certifier.Certifier, error) {
 	if !e.settings.LinkTLS.Enabled() {
-		return messenger.Dialer{Traffic: &e.traffic}, nil
+		return nil, nil
 	}
-	c, err := e.certifier(e.settings.LinkTLS)
-	if err != nil {
-		return messenger.Dialer{}, err
-	}
-	return messenger.Dialer{TLS: c.Client(certifier.RoleAgent), Traffic: &e.traffic}, nil
+	return e.certifier(e.settings.LinkTLS)
 }
 
 func (e *entry) certifier(files loader.TLS) (*certifier.Certifier, error) {
 	return certifier.New(certifier.Files(files), e.log)
 }
 
+// dialer returns what makes links to peers of the roles.
+func (e *entry) dialer(roles ...string) messenger.Dialer {
+	dialer := messenger.Dialer{Traffic: &e.traffic}
+	if e.security != nil {
+		dialer.TLS = e.security.Client(roles...)
+	}
+	return dialer
+}
+
+// listenLinks listens for links of other entries.
+func (e *entry) listenLinks() (net.Listener, error) {
+	listener, err := starter.Listen("links", e.settings.Links)
+	if err != nil || e.security == nil {
+		return listener, err
+	}
+	return certifier.Listen(listener, e.security.Server(certifier.RoleEntry), e.log), nil
+}
+
 // listenCallers listens for callers, over TLS if the settings ask for it.
 func (e *entry) listenCallers() (net.Listener, error) {
 	listener, err := starter.Listen("callers", e.settings.Callers)
--- a/cmd/cbentry/trace.go
+++ b/cmd/cbentry/trace.go
@@ -14,8 +14,9 @@
 // mediaTypeTrace is the media type of JSON lines.
 const mediaTypeTrace = "application/jsonl"
 
-// routes adds the traces of the recorder to the admin port.
+// routes adds operators' calls and the traces of the recorder to the admin port.
 func (e *entry) routes(router *echo.Echo) {
+	e.administrator().Route(router)
 	router.GET("/traces/:kind", e.serveTrace)
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -74,10 +74,13 @@
 		Members    Members
 		Binder     Binder
 		Config     tracker.ConfigObserver
-		Router     carawaybeam.Router
-		Limiter    carawaybeam.Limiter
-		Retrier    carawaybeam.Retrier
-		Log        zerolog.Logger
+		// Configuration lets requests that an agent refused as decided on an
+		// old configuration be decided on anew. It may be nil.
+		Configuration Configuration
+		Router        carawaybeam.Router
+		Limiter       carawaybeam.Limiter
+		Retrier       carawaybeam.Retrier
+		Log           zerolog.Logger
 	}
 
 	// Dispatcher serves requests. Its methods may be used by several goroutines
@@ -158,6 +161,11 @@
 		if answer.written > 0 && !request.Class.Idempotent {
 			return failure
 		}
+		if failure.Reason == carawaybeam.ReasonStaleConfig {
+			if refused := d.refresh(ctx, &request); refused != nil {
+				return refused
+			}
+		}
 		if backend != "" {
 			tried = append(tried, backend)
 		}
@@ -260,7 +268,7 @@
 	if bound.BodyHash != want.BodyHash {
 		return target{}, notRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
-	if d.member(request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
+	if d.reach(ctx, request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
 		return target{}, &carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeUnknown,
 			Reason:  carawaybeam.ReasonWrongIncarnation,
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -3,6 +3,8 @@
 package loader
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -30,6 +32,14 @@
 		Limits     Limits                 `toml:"limits"`
 		CallerTLS  TLS                    `toml:"callerTLS"`
 		LinkTLS    TLS                    `toml:"linkTLS"`
+		Operators  Operators              `toml:"operators"`
+	}
+
+	// Operators tells who may change the configuration.
+	Operators struct {
+		// TokenHash is the hexadecimal SHA-256 of the operators' token. Without
+		// one, no operator is served.
+		TokenHash string `toml:"tokenHash"`
 	}
 
 	// Agent holds the settings of cbagent.
@@ -194,6 +204,7 @@
 	faults = append(faults, registered("policies.retrier", &carawaybeam.Retriers, s.Policies.Retrier)...)
 	faults = append(faults, s.CallerTLS.faults("callerTLS", false)...)
 	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
+	faults = append(faults, tokenHash("operators.tokenHash", s.Operators.TokenHash)...)
 	if s.Limits.BodyBytes <= 0 || s.Limits.BodyBytes > maxBodyBytes {
 		faults = append(faults, fault{key: "limits.bodyBytes", detail: fmt.Sprintf("want 1 to %d bytes", maxBodyBytes)})
 	}
@@ -236,6 +247,14 @@
 	return faults
 }
 
+func tokenHash(key, value string) []fault {
+	hash, err := hex.DecodeString(value)
+	if value != "" && (err != nil || len(hash) != sha256.Size) {
+		return []fault{{key: key, detail: "want the hexadecimal SHA-256 of a token"}}
+	}
+	return nil
+}
+
 func required(key, value string) []fault {
 	if value != "" {
 		return nil
