--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 const (
@@ -91,6 +92,8 @@
 		a.options.Executor.ServeDispatch(ctx, first, stream)
 	case *framer.Frame_Resolve:
 		a.options.Executor.ServeResolve(ctx, first, stream)
+	case *framer.Frame_TicketRequest:
+		a.options.Executor.ServeTicket(first, stream)
 	default:
 		a.options.Log.Warn().Msg("agent: stream begins with an unexpected frame")
 	}
@@ -103,14 +106,19 @@
 	go a.listen(stream, cancel)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	suspects := quarantiner.NewSpreader(a.options.Executor.Quarantiner())
 	for {
 		heartbeat, changed := a.heartbeat()
 		if stream.Send(heartbeat) != nil {
 			return
 		}
+		if frame := suspects.Next(); frame != nil && stream.Send(frame) != nil {
+			return
+		}
 		select {
 		case <-ticker.C:
 		case <-changed:
+		case <-suspects.Changed():
 		case <-ctx.Done():
 			return
 		case <-a.ctx.Done():
@@ -128,6 +136,7 @@
 			return
 		}
 		a.options.Executor.ObserveConfig(carawaybeam.ConfigVersion(frame.GetConfigVersion()))
+		a.options.Executor.Quarantiner().Merge(frame.GetSuspects().GetSuspects())
 	}
 }
 
--- a/binder/binder.go
+++ b/binder/binder.go
@@ -1,90 +1,100 @@
 // Package binder ties each idempotency key to one life of one agent, whose
 // ledger then decides whether the request has run.
 //
-// A binding is made by a conditional create in the platform's store before
-// anything is sent, so two entries that bind one key agree on the agent.
+// Keys are spread over shards. The bindings of a shard made at about the same
+// time are written together, by a conditional update of the head of the shard,
+// so the writes to the platform's store are bounded by shards and time and not
+// by requests. Any number of entries may write to a shard: of two that write at
+// once, one meets a conflict, reads and tries again.
 package binder
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
+	"fmt"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/carawaybeam/carawaybeam"
 )
 
 const (
-	// storeRetryAfter is when to come back after the store did not answer.
-	storeRetryAfter = 2 * time.Second
+	// Shards is the number of shards of keys.
+	Shards = 8
 
-	// readBacks is how often an uncertain write is read back.
-	readBacks = 3
+	// commitInterval is the least time between two writes of an entry to one
+	// shard. A booking that comes after a longer pause is written at once.
+	commitInterval = 125 * time.Millisecond
 
-	// readBackPause is the wait between two of them.
-	readBackPause = 100 * time.Millisecond
+	// storeRetryAfter is when to come back after the store did not answer.
+	storeRetryAfter = 2 * time.Second
 )
 
 type (
 	// Binding tells which agent may run a keyed request.
 	Binding struct {
-		Backend     carawaybeam.BackendID   `json:"backend"`
-		Incarnation carawaybeam.Incarnation `json:"incarnation"`
+		Backend     carawaybeam.BackendID
+		Incarnation carawaybeam.Incarnation
 		// BodyHash tells requests with one key but other bodies apart.
-		BodyHash string `json:"bodyHash"`
+		BodyHash string
 	}
 
-	// Binder makes and reads bindings.
+	// Binder makes and reads bindings. Its methods may be used by several
+	// goroutines at once.
 	Binder struct {
-		store carawaybeam.Store
+		shards [Shards]*shard
+		ctx    context.Context
+		cancel context.CancelFunc
+		wait   sync.WaitGroup
 	}
 )
 
 // New returns a Binder that keeps its bindings in the store.
 func New(store carawaybeam.Store) *Binder {
-	return &Binder{store: store}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Binder{ctx: ctx, cancel: cancel}
+	for i := range b.shards {
+		b.shards[i] = newShard(store, fmt.Sprintf("shard-%02d", i))
+	}
+	return b
+}
+
+// Close ends the writes under way and waits for them.
+func (b *Binder) Close() error {
+	b.cancel()
+	b.wait.Wait()
+	return nil
 }
 
 // Bind ties the key to the wanted agent and returns the binding in force, which
-// is an earlier one if the key was bound before. Errors are of type
-// *carawaybeam.RequestError; nothing was sent to any agent then.
-func (b *Binder) Bind(ctx context.Context, key carawaybeam.AttemptID, want Binding) (Binding, error) {
-	value, err := json.Marshal(want)
-	if err != nil {
-		return Binding{}, err
+// is an earlier one if the key was bound before. An earlier one that equals
+// released is replaced: its agent has proved that it never will run the key.
+// Errors are of type *carawaybeam.RequestError; nothing was sent to any agent
+// then.
+func (b *Binder) Bind(
+	ctx context.Context,
+	key carawaybeam.AttemptID,
+	want, released Binding,
+) (Binding, error) {
+	s := b.shards[xxhash.Sum64String(string(key))%Shards]
+	c := &call{key: key, want: want, released: released, done: make(chan struct{})}
+	if bound, ok := s.lookup(c); ok {
+		return bound, nil
 	}
-	object := carawaybeam.Object{Kind: carawaybeam.KindBinding, Name: string(key), Value: value}
-	_, err = b.store.Put(ctx, object, 0)
-	var failed *carawaybeam.StoreError
-	switch {
-	case err == nil:
-		return want, nil
-	case !errors.As(err, &failed):
-		return Binding{}, unavailable(err)
-	case failed.Failure == carawaybeam.StoreConflict || failed.Failure == carawaybeam.StoreUncertain:
-		return b.readBack(ctx, key)
+	if s.enqueue(c) {
+		b.wait.Go(func() { s.flush(b.ctx) })
 	}
-	return Binding{}, unavailable(err)
-}
-
-// readBack learns what became of an uncertain or lost write.
-func (b *Binder) readBack(ctx context.Context, key carawaybeam.AttemptID) (Binding, error) {
-	var err error
-	for range readBacks {
-		var object carawaybeam.Object
-		if object, err = b.store.Get(ctx, carawaybeam.KindBinding, string(key)); err == nil {
-			var binding Binding
-			if err = json.Unmarshal(object.Value, &binding); err == nil {
-				return binding, nil
-			}
-		}
-		select {
-		case <-time.After(readBackPause):
-		case <-ctx.Done():
-			return Binding{}, unavailable(ctx.Err())
-		}
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		// The binding may still be made, but nothing is sent under it here.
+		return Binding{}, unavailable(ctx.Err())
+	}
+	if c.err != nil {
+		return Binding{}, unavailable(c.err)
 	}
-	return Binding{}, unavailable(err)
+	return c.bound, nil
 }
 
 func unavailable(err error) *carawaybeam.RequestError {
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
 	"github.com/carawaybeam/carawaybeam/starter"
@@ -27,21 +28,23 @@
 
 // entry is the running daemon.
 type entry struct {
-	settings   loader.Entry
-	log        zerolog.Logger
-	store      carawaybeam.Store
-	lister     carawaybeam.Lister
-	configurer *configurer.Configurer
-	tracker    *tracker.Tracker
-	dispatcher *dispatcher.Dispatcher
-	server     *server.Server
-	closers    starter.Closers
+	settings    loader.Entry
+	log         zerolog.Logger
+	store       carawaybeam.Store
+	lister      carawaybeam.Lister
+	configurer  *configurer.Configurer
+	tracker     *tracker.Tracker
+	dispatcher  *dispatcher.Dispatcher
+	quarantiner *quarantiner.Quarantiner
+	server      *server.Server
+	closers     starter.Closers
 }
 
 // state is the state dump of an entry.
 type state struct {
 	DataCentre    carawaybeam.DataCentre    `json:"dataCentre"`
 	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
+	Dispatcher    dispatcher.State          `json:"dispatcher"`
 	Members       []memberState             `json:"members"`
 }
 
@@ -89,6 +92,7 @@
 	e.configurer = configurer.New()
 	incarnation := carawaybeam.NewIncarnation()
 	e.closers.Add(watcher.New(watcher.Options{Store: e.store, Configurer: e.configurer, Log: e.log}))
+	e.quarantiner = quarantiner.New()
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -96,6 +100,7 @@
 		Lister:      e.lister,
 		Dialer:      messenger.Dialer{},
 		Config:      e.configurer,
+		Quarantiner: e.quarantiner,
 		Log:         e.log,
 	})
 	e.closers.Add(e.tracker)
@@ -143,15 +148,18 @@
 	if err != nil {
 		return err
 	}
+	keys := binder.New(e.store)
+	e.closers.Add(keys)
 	e.dispatcher = dispatcher.New(dispatcher.Options{
-		DataCentre: e.settings.DataCentre,
-		Members:    e.tracker,
-		Binder:     binder.New(e.store),
-		Config:     e.configurer,
-		Router:     newRouter(),
-		Limiter:    newLimiter(),
-		Retrier:    newRetrier(),
-		Log:        e.log,
+		DataCentre:  e.settings.DataCentre,
+		Members:     e.tracker,
+		Binder:      keys,
+		Config:      e.configurer,
+		Router:      newRouter(),
+		Limiter:     newLimiter(),
+		Retrier:     newRetrier(),
+		Quarantiner: e.quarantiner,
+		Log:         e.log,
 	})
 	e.closers.Add(e.dispatcher)
 	return nil
@@ -205,6 +213,7 @@
 	s := state{
 		DataCentre:    e.settings.DataCentre,
 		ConfigVersion: e.configurer.Version(),
+		Dispatcher:    e.dispatcher.State(),
 	}
 	for _, m := range e.tracker.All() {
 		s.Members = append(s.Members, memberState{
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 const (
@@ -30,6 +30,7 @@
 	answerState struct {
 		writer     AnswerWriter
 		headSent   bool
+		status     int
 		written    uint64
 		callerGone bool
 	}
@@ -44,9 +45,11 @@
 		// resume is how much of the answer earlier attempts delivered.
 		resume uint64
 
+		// released is set when the agent gave up the key for good.
+		released bool
+
 		sent     bool
 		offset   uint64
-		sequence uint64
 		checksum xxhash.Digest
 	}
 
@@ -54,21 +57,13 @@
 	verdict struct {
 		// final is set once the attempt is settled.
 		final bool
+		// broken is set when the stream carries no further useful frame.
+		broken bool
 		// failure is nil when the answer is whole.
 		failure *carawaybeam.RequestError
 	}
 )
 
-func bodyHash(request Request) string {
-	h := sha256.New()
-	for _, part := range []string{request.Method, request.Path, request.ContentType} {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
-	}
-	h.Write(request.Body)
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 // run dispatches the attempt, and settles it over new streams for as long as
 // that takes.
 func (a *attemptRun) run(ctx context.Context) *carawaybeam.RequestError {
@@ -128,6 +123,8 @@
 			Resume:       a.resume,
 			DeadlineMs:   uint64(max(0, time.Until(r.Deadline).Milliseconds())),
 			Key:          string(a.target.key),
+			Fingerprint:  []byte(a.request.fingerprint()),
+			Ticket:       a.target.ticket,
 		}},
 	}
 }
@@ -139,10 +136,20 @@
 			Attempt:     string(a.id),
 			Offset:      a.offset,
 			Incarnation: string(a.target.incarnation),
+			Key:         a.key(),
+			Fingerprint: []byte(a.request.fingerprint()),
 		}},
 	}
 }
 
+// key returns the name under which the agent runs the request at most once.
+func (a *attemptRun) key() string {
+	if a.target.ticket != 0 {
+		return executor.TicketKey(string(a.request.Organisation), string(a.request.Class.ID), a.target.ticket)
+	}
+	return string(a.target.key)
+}
+
 // exchange sends the first frame on a new stream and reads the answer.
 func (a *attemptRun) exchange(ctx context.Context, first *framer.Frame) verdict {
 	stream, err := a.dispatcher.options.Members.Open(ctx, a.target.backend)
@@ -156,7 +163,6 @@
 	if stream.Send(first) != nil {
 		return verdict{}
 	}
-	a.sequence = 0
 	for {
 		frame, err := stream.Receive(streamSilence)
 		if err != nil {
@@ -166,12 +172,22 @@
 			return verdict{}
 		}
 		a.dispatcher.options.Config.Observe(carawaybeam.ConfigVersion(frame.GetConfigVersion()))
-		if v := a.take(frame); v.final {
+		v := a.take(frame)
+		if v.final {
+			a.acknowledge(stream)
+		}
+		if v.final || v.broken {
 			return v
 		}
 	}
 }
 
+// acknowledge tells the agent that the last frame has arrived.
+func (a *attemptRun) acknowledge(stream carawaybeam.Stream) {
+	acknowledge := &framer.Acknowledge{Attempt: string(a.id)}
+	_ = stream.Send(&framer.Frame{Body: &framer.Frame_Acknowledge{Acknowledge: acknowledge}})
+}
+
 // leave tells the agent that the caller has gone.
 func (a *attemptRun) leave(stream carawaybeam.Stream) {
 	cancel := &framer.Cancel{Attempt: string(a.id)}
@@ -196,25 +212,51 @@
 	return verdict{}
 }
 
+// takeHead begins the answer. A further attempt must go on with the same kind of
+// answer, not with an error in its place.
 func (a *attemptRun) takeHead(head *framer.Head) verdict {
-	if head.GetAttempt() != string(a.id) || a.answer.headSent {
+	if !a.own(head.GetAttempt()) {
 		return verdict{}
 	}
+	status := int(head.GetStatus())
+	if a.answer.headSent {
+		if status == a.answer.status {
+			return verdict{}
+		}
+		return verdict{final: true, failure: &carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeUnknown,
+			Reason:  carawaybeam.ReasonBackendFailed,
+			Detail:  "backend server did not go on with the answer",
+		}}
+	}
 	a.answer.headSent = true
-	return a.written(a.answer.writer.Head(int(head.GetStatus()), head.GetContentType()))
+	a.answer.status = status
+	return a.written(a.answer.writer.Head(status, head.GetContentType()))
+}
+
+// own tells whether a frame is for this attempt. Others are dropped and counted.
+func (a *attemptRun) own(id string) bool {
+	if id == string(a.id) {
+		return true
+	}
+	a.dispatcher.counts.crossed.Add(1)
+	return false
 }
 
-// takeChunk passes the next part on. A part of another attempt is dropped, and
-// one that does not follow on ends the stream.
+// takeChunk passes the next part on. A part that came before is dropped, and a
+// gap ends the stream: the answer goes on over another one.
 func (a *attemptRun) takeChunk(chunk *framer.Chunk) verdict {
-	if chunk.GetAttempt() != string(a.id) {
+	switch {
+	case !a.own(chunk.GetAttempt()):
 		return verdict{}
-	}
-	if chunk.GetOffset() != a.offset || chunk.GetSequence() != a.sequence {
-		return a.corrupt("part of the answer is out of order")
+	case chunk.GetOffset() < a.offset:
+		a.dispatcher.counts.repeated.Add(1)
+		return verdict{}
+	case chunk.GetOffset() > a.offset || !a.answer.headSent:
+		a.dispatcher.counts.gaps.Add(1)
+		return verdict{broken: true}
 	}
 	data := chunk.GetData()
-	a.sequence++
 	a.offset += uint64(len(data))
 	a.answer.written += uint64(len(data))
 	_, _ = a.checksum.Write(data)
@@ -235,9 +277,13 @@
 }
 
 func (a *attemptRun) takeTail(tail *framer.Tail) verdict {
-	if tail.GetAttempt() != string(a.id) {
+	if !a.own(tail.GetAttempt()) {
 		return verdict{}
 	}
+	if tail.GetTotal() > a.offset || !a.answer.headSent {
+		a.dispatcher.counts.gaps.Add(1)
+		return verdict{broken: true}
+	}
 	if tail.GetTotal() != a.offset || tail.GetChecksum() != a.checksum.Sum64() {
 		return a.corrupt("answer differs from its checksum")
 	}
@@ -245,9 +291,10 @@
 }
 
 func (a *attemptRun) takeRefused(refused *framer.Refused) verdict {
-	if refused.GetAttempt() != string(a.id) {
+	if !a.own(refused.GetAttempt()) {
 		return verdict{}
 	}
+	a.released = refused.GetKeyReleased()
 	retryAfter := time.Duration(refused.GetRetryAfterMs()) * time.Millisecond
 	return verdict{
 		final:   true,
@@ -256,9 +303,11 @@
 }
 
 func (a *attemptRun) takeFailed(failed *framer.Failed) verdict {
-	if failed.GetAttempt() != string(a.id) {
+	if !a.own(failed.GetAttempt()) {
 		return verdict{}
 	}
+	crash := quarantiner.CrashID(failed.GetCrash())
+	a.dispatcher.options.Quarantiner.Add(a.request.fingerprint(), crash)
 	return verdict{final: true, failure: &carawaybeam.RequestError{
 		Outcome: carawaybeam.Outcome(failed.GetOutcome()),
 		Reason:  carawaybeam.Reason(failed.GetReason()),
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,15 +5,16 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/tracker"
 )
 
@@ -38,6 +39,9 @@
 		ContentType string
 		Body        []byte
 		Deadline    time.Time
+		// Ticket lets the request run once on the agent that minted it. The
+		// zero value is none.
+		Ticket Ticket
 		// DecidedOn is the configuration version that the request was read
 		// under.
 		DecidedOn carawaybeam.ConfigVersion
@@ -49,6 +53,9 @@
 		Head(status int, contentType string) error
 		// Chunk adds to the answer.
 		Chunk(data []byte) error
+		// Restart takes back what was written, if none of it has left yet, and
+		// tells whether it did.
+		Restart() bool
 	}
 
 	// Members is the view of the backend servers.
@@ -61,7 +68,13 @@
 
 	// Binder ties idempotency keys to agents.
 	Binder interface {
-		Bind(ctx context.Context, key carawaybeam.AttemptID, want binder.Binding) (binder.Binding, error)
+		// Bind returns the binding in force for the key. One that equals
+		// released is replaced.
+		Bind(
+			ctx context.Context,
+			key carawaybeam.AttemptID,
+			want, released binder.Binding,
+		) (binder.Binding, error)
 	}
 
 	// Options is what a Dispatcher is made from.
@@ -73,7 +86,10 @@
 		Router     carawaybeam.Router
 		Limiter    carawaybeam.Limiter
 		Retrier    carawaybeam.Retrier
-		Log        zerolog.Logger
+		// Quarantiner keeps the requests that crash backend servers. Nil stands
+		// for one of the Dispatcher's own.
+		Quarantiner *quarantiner.Quarantiner
+		Log         zerolog.Logger
 	}
 
 	// Dispatcher serves requests. Its methods may be used by several goroutines
@@ -85,6 +101,23 @@
 		mu       sync.Mutex
 		inFlight map[carawaybeam.BackendID]*inFlight
 		requests sync.WaitGroup
+		counts   counters
+	}
+
+	// counters counts frames that an answer had no use for.
+	counters struct {
+		crossed, repeated, gaps atomic.Uint64
+	}
+
+	// State is the state dump of a Dispatcher.
+	State struct {
+		// Crossed counts frames for another attempt.
+		Crossed uint64 `json:"crossed"`
+		// Repeated counts parts of an answer that came before.
+		Repeated uint64 `json:"repeated"`
+		// Gaps counts streams given up since a part was missing.
+		Gaps       uint64            `json:"gaps"`
+		Quarantine quarantiner.State `json:"quarantine"`
 	}
 
 	// inFlight counts the own requests on one backend server.
@@ -101,6 +134,9 @@
 
 // New returns a Dispatcher.
 func New(options Options) *Dispatcher {
+	if options.Quarantiner == nil {
+		options.Quarantiner = quarantiner.New()
+	}
 	return &Dispatcher{
 		options:  options,
 		random:   rand.New(lockedSource{}),
@@ -120,6 +156,16 @@
 	return nil
 }
 
+// State returns the state dump.
+func (d *Dispatcher) State() State {
+	return State{
+		Crossed:    d.counts.crossed.Load(),
+		Repeated:   d.counts.repeated.Load(),
+		Gaps:       d.counts.gaps.Load(),
+		Quarantine: d.options.Quarantiner.State(),
+	}
+}
+
 // Do serves one request and returns nil once its whole answer was written. The
 // error is the final word on the request; part of an answer may have been
 // written then.
@@ -152,21 +198,20 @@
 
 // serve runs attempts until one answers or no further one is allowed.
 func (d *Dispatcher) serve(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
-	answer := &answerState{writer: w}
-	var tried []carawaybeam.BackendID
+	p := &pursuit{answer: &answerState{writer: w}}
+	if d.quarantined(request) {
+		return quarantined(carawaybeam.OutcomeNotRun)
+	}
 	for try := 1; ; try++ {
-		backend, failure := d.try(ctx, request, try, tried, answer)
+		failure := d.try(ctx, request, try, p)
 		if failure == nil {
 			return nil
 		}
-		if ctx.Err() != nil || answer.callerGone {
-			return failure
-		}
-		if answer.written > 0 && !request.Class.Idempotent {
-			return failure
+		if ctx.Err() != nil || p.answer.callerGone || !p.mayGoOn(request, failure) {
+			return withRetryAfter(failure)
 		}
-		if backend != "" {
-			tried = append(tried, backend)
+		if d.quarantined(request) {
+			return quarantined(failure.Outcome)
 		}
 		decision := d.options.Retrier.Retry(time.Now(), carawaybeam.RetryRequest{
 			Class: request.Class, Try: try, Failure: failure, Deadline: request.Deadline,
@@ -182,6 +227,10 @@
 	}
 }
 
+func (d *Dispatcher) quarantined(request Request) bool {
+	return d.options.Quarantiner.Standing(request.fingerprint()) == quarantiner.Quarantined
+}
+
 // withRetryAfter tells the caller when to come back, if coming back may help.
 func withRetryAfter(failure *carawaybeam.RequestError) *carawaybeam.RequestError {
 	if failure.Outcome == carawaybeam.OutcomeNotRun && failure.RetryAfter == 0 &&
@@ -192,16 +241,10 @@
 }
 
 // try makes one attempt.
-func (d *Dispatcher) try(
-	ctx context.Context,
-	request Request,
-	try int,
-	tried []carawaybeam.BackendID,
-	answer *answerState,
-) (carawaybeam.BackendID, *carawaybeam.RequestError) {
-	target, failure := d.target(ctx, request, tried)
+func (d *Dispatcher) try(ctx context.Context, request Request, try int, p *pursuit) *carawaybeam.RequestError {
+	target, failure := d.target(ctx, request, p)
 	if failure != nil {
-		return "", failure
+		return failure
 	}
 	done := d.count(target.backend, promptTokens(request))
 	defer done()
@@ -210,70 +253,15 @@
 		request:    request,
 		id:         request.ID.Attempt(try),
 		target:     target,
-		answer:     answer,
-		resume:     answer.written,
+		answer:     p.answer,
+		resume:     p.answer.written,
 	}
-	return target.backend, a.run(ctx)
-}
-
-// target is where an attempt goes.
-type target struct {
-	backend     carawaybeam.BackendID
-	incarnation carawaybeam.Incarnation
-	// key is set when only this incarnation may run the request.
-	key carawaybeam.AttemptID
-}
-
-// target chooses a backend server, and binds the key of a request that has one.
-func (d *Dispatcher) target(
-	ctx context.Context,
-	request Request,
-	tried []carawaybeam.BackendID,
-) (target, *carawaybeam.RequestError) {
-	choice, ok := d.route(time.Now(), request, tried)
-	if !ok && len(tried) > 0 {
-		choice, ok = d.route(time.Now(), request, nil)
-	}
-	keyed := request.Key != "" && !request.Class.Idempotent
-	if !ok && !keyed {
-		return target{}, notRun(carawaybeam.ReasonNoBackend, "no backend server can take the request", comeBackAfter)
-	}
-	member := d.member(request.Class.Pool, choice.Backend)
-	if !keyed {
-		return target{backend: member.Backend, incarnation: member.Incarnation}, nil
-	}
-	return d.bind(ctx, request, member)
-}
-
-func (d *Dispatcher) bind(
-	ctx context.Context,
-	request Request,
-	member tracker.Member,
-) (target, *carawaybeam.RequestError) {
-	key := carawaybeam.KeyedAttempt(request.Organisation, request.Class.ID, request.Key)
-	if member.Backend == "" {
-		return target{}, notRun(carawaybeam.ReasonNoBackend, "no backend server can take the request", comeBackAfter)
-	}
-	want := binder.Binding{Backend: member.Backend, Incarnation: member.Incarnation, BodyHash: bodyHash(request)}
-	bound, err := d.options.Binder.Bind(ctx, key, want)
-	if err != nil {
-		var failure *carawaybeam.RequestError
-		if errors.As(err, &failure) {
-			return target{}, failure
-		}
-		return target{}, notRun(carawaybeam.ReasonStoreUnavailable, err.Error(), comeBackAfter)
+	failure = a.run(ctx)
+	p.tried = append(p.tried, target.backend)
+	if a.released {
+		p.released = target.binding
 	}
-	if bound.BodyHash != want.BodyHash {
-		return target{}, notRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
-	}
-	if d.member(request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
-		return target{}, &carawaybeam.RequestError{
-			Outcome: carawaybeam.OutcomeUnknown,
-			Reason:  carawaybeam.ReasonWrongIncarnation,
-			Detail:  "agent that the key is bound to is gone",
-		}
-	}
-	return target{backend: bound.Backend, incarnation: bound.Incarnation, key: key}, nil
+	return failure
 }
 
 func (d *Dispatcher) member(pool carawaybeam.PoolID, backend carawaybeam.BackendID) tracker.Member {
--- a/errors.go
+++ b/errors.go
@@ -57,6 +57,9 @@
 	ReasonAnswerGone Reason = "answerGone"
 	// ReasonDeadline means that the deadline passed.
 	ReasonDeadline Reason = "deadline"
+	// ReasonBadTicket means that no such ticket is open for the class and the
+	// organisation.
+	ReasonBadTicket Reason = "badTicket"
 	// ReasonCorrupt means that the answer failed its checksum.
 	ReasonCorrupt Reason = "corrupt"
 )
--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -1,12 +1,14 @@
 package executor
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 // answerWindow is how many bytes of an answer are held for an attempt. While an
@@ -19,10 +21,15 @@
 
 	// attempt is one row of the ledger.
 	attempt struct {
-		id         carawaybeam.AttemptID
-		key        string
-		idempotent bool
-		cancel     func()
+		id          carawaybeam.AttemptID
+		key         string
+		fingerprint quarantiner.Fingerprint
+		idempotent  bool
+		// released is set on a refused attempt whose key will never run here.
+		released bool
+		// ctx is that of the call to the backend server.
+		ctx    context.Context
+		cancel context.CancelFunc
 
 		mu      sync.Mutex
 		changed chan struct{}
@@ -30,6 +37,8 @@
 		// refusal is set in phaseRefused, failure in phaseFailed.
 		refusal carawaybeam.RequestError
 		failure carawaybeam.RequestError
+		// crash is set when the backend server crashed while the attempt ran.
+		crash quarantiner.CrashID
 
 		started     bool
 		status      int
@@ -41,7 +50,11 @@
 		read     uint64
 		checksum *xxhash.Digest
 		ended    time.Time
-		fetched  bool
+		// awaited names the readers that have not told that they have the answer
+		// or want it no more, by the identifier of their attempt.
+		awaited map[string]struct{}
+		// left is when the last reader detached.
+		left time.Time
 	}
 
 	// progress is what a reader may send next.
@@ -56,6 +69,8 @@
 		checksum    uint64
 		refusal     carawaybeam.RequestError
 		failure     carawaybeam.RequestError
+		released    bool
+		crash       quarantiner.CrashID
 		changed     <-chan struct{}
 	}
 )
@@ -68,7 +83,7 @@
 )
 
 func newAttempt(id carawaybeam.AttemptID) *attempt {
-	return &attempt{id: id, changed: make(chan struct{}), checksum: xxhash.New()}
+	return &attempt{id: id, changed: make(chan struct{}), checksum: xxhash.New(), awaited: make(map[string]struct{})}
 }
 
 // notify wakes all readers. The caller holds mu.
@@ -144,10 +159,11 @@
 	a.notify()
 }
 
-func (a *attempt) attach() {
+func (a *attempt) attach(reader string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers++
+	a.awaited[reader] = struct{}{}
 }
 
 // detach ends one reader and reports whether it was the last.
@@ -155,6 +171,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
+	a.left = time.Now()
 	a.notify()
 	return a.readers == 0
 }
@@ -173,6 +190,8 @@
 		checksum:    a.checksum.Sum64(),
 		refusal:     a.refusal,
 		failure:     a.failure,
+		released:    a.released,
+		crash:       a.crash,
 		changed:     a.changed,
 	}
 	switch {
@@ -194,22 +213,29 @@
 	}
 }
 
-func (a *attempt) markFetched() {
+// acknowledge notes that a reader needs the answer no more.
+func (a *attempt) acknowledge(reader string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fetched = true
+	delete(a.awaited, reader)
 }
 
-// drop forgets the answer and keeps the fact that the attempt ran.
-func (a *attempt) drop() {
+// owed tells whether an entry may still come for the answer.
+func (a *attempt) owed(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.base += uint64(len(a.held))
-	a.held = nil
+	if a.phase == phaseRunning || a.readers > 0 {
+		return true
+	}
+	last := a.ended
+	if a.left.After(last) {
+		last = a.left
+	}
+	return len(a.awaited) > 0 && now.Sub(last) < fetchGrace
 }
 
-func (a *attempt) snapshot() (p phase, ended time.Time, fetched bool, held int) {
+func (a *attempt) snapshot() (p phase, ended time.Time, readers, held int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.phase, a.ended, a.fetched, len(a.held)
+	return a.phase, a.ended, a.readers, len(a.held)
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 const (
@@ -32,19 +33,33 @@
 	// while no entry reads it.
 	abandonTimeout = 10 * time.Second
 
-	// retention is how long an ended attempt is remembered.
-	retention = 24 * time.Hour
+	// answerRetention is how long the answer of an attempt without a key is
+	// held for an entry that lost its link.
+	answerRetention = 2 * time.Minute
 
-	// fetchedRetention is how long the answer of an idempotent attempt is held
-	// once an entry has fetched it whole.
-	fetchedRetention = 30 * time.Second
+	// fetchedRetention is how long it is held once an entry has it whole.
+	fetchedRetention = 5 * time.Second
 
-	// answerBudget bounds the answers held for ended attempts, in bytes.
-	answerBudget = 12 << 20
+	// fetchGrace is how long a stop waits for an entry to fetch an answer, longer
+	// than an entry takes to make a new link and settle an attempt.
+	fetchGrace = 15 * time.Second
+
+	// acknowledgeTimeout is how long a stream stays open for an entry to tell
+	// that it has the last frame.
+	acknowledgeTimeout = 3 * time.Second
+
+	// answerBudget bounds the ended attempts held in full, in bytes.
+	answerBudget = 8 << 20
 
 	// sweepInterval is how often ended attempts are looked through.
 	sweepInterval = 5 * time.Second
 
+	// expireInterval is how often the compact part of the ledger is.
+	expireInterval = time.Minute
+
+	// drainInterval is how often a stop looks whether anything is left.
+	drainInterval = 50 * time.Millisecond
+
 	// busyRetryAfter is when to come back to a busy backend server.
 	busyRetryAfter = time.Second
 )
@@ -60,6 +75,9 @@
 		Incarnation carawaybeam.Incarnation
 		// Concurrency bounds the attempts that run at once.
 		Concurrency int
+		// Quarantiner keeps the requests that crash backend servers. Nil stands
+		// for one of the Executor's own.
+		Quarantiner *quarantiner.Quarantiner
 		// Log gets one line per fault.
 		Log zerolog.Logger
 	}
@@ -71,20 +89,27 @@
 		cancel  context.CancelFunc
 		wait    sync.WaitGroup
 
-		mu       sync.Mutex
-		attempts map[carawaybeam.AttemptID]*attempt
-		keyed    map[string]*attempt
-		running  int
-		serving  int
-		leaving  bool
-		idle     chan struct{}
+		mu      sync.Mutex
+		ledger  *ledger
+		running int
+		leaving bool
+		minted  ticketBook
+
+		// held counts the answer bytes of attempts that ended since the last
+		// sweep, and crowded asks for another one.
+		held    atomic.Int64
+		crowded chan struct{}
+
+		crashes     crashWatch
+		suspectTurn chan struct{}
+		inspectTurn chan struct{}
 
 		configVersion atomic.Uint64
 		counts        counters
 	}
 
 	counters struct {
-		started, done, failed, refused, tombstones, resumed atomic.Uint64
+		started, done, failed, refused, tombstones, resumed, crashes atomic.Uint64
 	}
 
 	// State is the state dump of an Executor.
@@ -95,6 +120,7 @@
 		Leaving       bool                      `json:"leaving"`
 		Running       int                       `json:"running"`
 		Remembered    int                       `json:"remembered"`
+		Compact       int                       `json:"compact"`
 		HeldBytes     int                       `json:"heldBytes"`
 		Started       uint64                    `json:"started"`
 		Done          uint64                    `json:"done"`
@@ -102,19 +128,25 @@
 		Refused       uint64                    `json:"refused"`
 		Tombstones    uint64                    `json:"tombstones"`
 		Resumed       uint64                    `json:"resumed"`
+		Crashes       uint64                    `json:"crashes"`
+		Quarantine    quarantiner.State         `json:"quarantine"`
 	}
 )
 
 // New returns an Executor that runs until Close.
 func New(options Options) *Executor {
+	if options.Quarantiner == nil {
+		options.Quarantiner = quarantiner.New()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Executor{
-		options:  options,
-		ctx:      ctx,
-		cancel:   cancel,
-		attempts: make(map[carawaybeam.AttemptID]*attempt),
-		keyed:    make(map[string]*attempt),
-		idle:     make(chan struct{}),
+		options:     options,
+		ctx:         ctx,
+		cancel:      cancel,
+		ledger:      newLedger(),
+		crowded:     make(chan struct{}, 1),
+		suspectTurn: make(chan struct{}, 1),
+		inspectTurn: make(chan struct{}, 1),
 	}
 	e.wait.Go(e.sweep)
 	return e
@@ -132,19 +164,38 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = true
-	e.closeIfIdle()
 }
 
-// Drain leaves and waits until the running attempts have ended and no entry
-// reads an answer any more, or ctx ends.
+// Drain leaves and waits until the running attempts have ended and their answers
+// have been fetched, or ctx ends. An entry that does not come for an answer in
+// time is not waited for any longer.
 func (e *Executor) Drain(ctx context.Context) error {
 	e.Leave()
-	select {
-	case <-e.idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for e.owing(time.Now()) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
+}
+
+// owing tells whether anything runs or an answer may still be fetched.
+func (e *Executor) owing(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running > 0 {
+		return true
+	}
+	for _, a := range e.ledger.attempts {
+		if a.owed(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // Leaving tells whether Drain has begun.
@@ -154,17 +205,8 @@
 	return e.leaving
 }
 
-// closeIfIdle ends the wait of Drain. The caller holds mu.
-func (e *Executor) closeIfIdle() {
-	if !e.leaving || e.running > 0 || e.serving > 0 {
-		return
-	}
-	select {
-	case <-e.idle:
-	default:
-		close(e.idle)
-	}
-}
+// Quarantiner returns what keeps the requests that crash backend servers.
+func (e *Executor) Quarantiner() *quarantiner.Quarantiner { return e.options.Quarantiner }
 
 // ConfigVersion returns the newest configuration version heard of.
 func (e *Executor) ConfigVersion() carawaybeam.ConfigVersion {
@@ -188,43 +230,77 @@
 	id := carawaybeam.AttemptID(d.GetAttempt())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if known, ok := e.attempts[id]; ok {
-		return known
-	}
-	if known, ok := e.keyed[d.GetKey()]; ok {
-		e.attempts[id] = known
-		return known
-	}
 	a := newAttempt(id)
 	a.idempotent = d.GetIdempotent()
-	if refusal, refused := e.refusal(d, decidedOn); refused {
-		e.counts.refused.Add(1)
-		a.refuse(refusal)
-		e.attempts[id] = a
+	a.fingerprint = quarantiner.Fingerprint(d.GetFingerprint())
+	a.key = keyOf(d)
+	if a.key != "" && !e.mine(d.GetIncarnation()) {
+		// An earlier sending under the key may have run before the restart.
+		a.finish(phaseFailed, wrongIncarnation())
 		return a
 	}
-	e.attempts[id] = a
-	if d.GetKey() != "" {
-		a.key = d.GetKey()
-		e.keyed[a.key] = a
+	if known, ok := e.ledger.find(a); ok {
+		return known
 	}
+	if refusal, refused := e.refusal(a, d, decidedOn); refused {
+		e.refuse(a, refusal)
+		return a
+	}
+	e.ledger.add(a)
+	e.ledger.claim(a)
+	e.minted.use(d)
 	e.running++
 	e.counts.started.Add(1)
+	a.ctx, a.cancel = context.WithCancel(e.ctx)
 	e.wait.Go(func() { e.run(a, d) })
 	return a
 }
 
+// refuse records that the attempt never will run. A leaving agent gives up the
+// key as well, so that another one may run the request.
+func (e *Executor) refuse(a *attempt, refusal carawaybeam.RequestError) {
+	e.counts.refused.Add(1)
+	a.refuse(refusal)
+	if e.ledger.full() {
+		// Nothing starts while the ledger is full, so nothing need be noted.
+		return
+	}
+	e.ledger.add(a)
+	if refusal.Reason == carawaybeam.ReasonLeaving && a.key != "" {
+		a.released = true
+		e.ledger.claim(a)
+	}
+}
+
+// mine tells whether a frame is meant for this incarnation.
+func (e *Executor) mine(incarnation string) bool {
+	return incarnation == "" || incarnation == string(e.options.Incarnation)
+}
+
+func wrongIncarnation() carawaybeam.RequestError {
+	return carawaybeam.RequestError{
+		Outcome: carawaybeam.OutcomeUnknown,
+		Reason:  carawaybeam.ReasonWrongIncarnation,
+		Detail:  "agent has restarted since the attempt was sent",
+	}
+}
+
 // refusal tells why a new attempt may not run. The caller holds mu.
-func (e *Executor) refusal(d *framer.Dispatch, decidedOn uint64) (carawaybeam.RequestError, bool) {
+func (e *Executor) refusal(a *attempt, d *framer.Dispatch, decidedOn uint64) (carawaybeam.RequestError, bool) {
 	refusal := carawaybeam.RequestError{Outcome: carawaybeam.OutcomeNotRun, RetryAfter: busyRetryAfter}
 	switch {
-	case d.GetIncarnation() != "" && d.GetIncarnation() != string(e.options.Incarnation):
+	case !e.mine(d.GetIncarnation()):
 		refusal.Reason = carawaybeam.ReasonWrongIncarnation
+	case e.options.Quarantiner.Standing(a.fingerprint) == quarantiner.Quarantined:
+		refusal = quarantined()
 	case e.leaving:
 		refusal.Reason = carawaybeam.ReasonLeaving
+	case !e.minted.allows(d):
+		refusal.Reason = carawaybeam.ReasonBadTicket
+		refusal.RetryAfter = 0
 	case decidedOn < e.configVersion.Load():
 		refusal.Reason = carawaybeam.ReasonStaleConfig
-	case e.running >= e.options.Concurrency:
+	case e.running >= e.options.Concurrency || e.ledger.full():
 		refusal.Reason = carawaybeam.ReasonBusy
 	default:
 		return refusal, false
@@ -233,60 +309,69 @@
 }
 
 // resolve returns the attempt, or records that it never will run.
-func (e *Executor) resolve(id carawaybeam.AttemptID, incarnation carawaybeam.Incarnation) *attempt {
+func (e *Executor) resolve(r *framer.Resolve) *attempt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if known, ok := e.attempts[id]; ok {
+	a := newAttempt(carawaybeam.AttemptID(r.GetAttempt()))
+	a.key = r.GetKey()
+	a.fingerprint = quarantiner.Fingerprint(r.GetFingerprint())
+	if known, ok := e.ledger.find(a); ok {
 		e.counts.resumed.Add(1)
 		return known
 	}
-	a := newAttempt(id)
-	if incarnation != "" && incarnation != e.options.Incarnation {
+	// The key is free for other attempts.
+	a.key = ""
+	switch {
+	case !e.mine(r.GetIncarnation()):
+		a.finish(phaseFailed, wrongIncarnation())
+	case e.ledger.full():
 		a.finish(phaseFailed, carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeUnknown,
-			Reason:  carawaybeam.ReasonWrongIncarnation,
-			Detail:  "agent has restarted since the attempt was sent",
+			Reason:  carawaybeam.ReasonBusy,
+			Detail:  "agent cannot record that the attempt never will run",
 		})
-		return a
+	default:
+		e.counts.tombstones.Add(1)
+		a.refuse(tombstoned())
+		e.ledger.add(a)
 	}
-	e.counts.tombstones.Add(1)
-	a.refuse(carawaybeam.RequestError{
-		Outcome:    carawaybeam.OutcomeNotRun,
-		Reason:     carawaybeam.ReasonTombstoned,
-		RetryAfter: busyRetryAfter,
-	})
-	e.attempts[id] = a
 	return a
 }
 
 // run puts one attempt to the backend server and records its answer.
 func (e *Executor) run(a *attempt, d *framer.Dispatch) {
-	ctx, cancel := context.WithCancel(e.ctx)
-	defer cancel()
-	a.mu.Lock()
-	a.cancel = cancel
-	a.mu.Unlock()
-	failure, failed := e.perform(ctx, a, d)
+	defer a.cancel()
+	failure, failed := e.runInTurn(a, d)
 	if failed {
 		e.counts.failed.Add(1)
 		e.options.Log.Warn().Str("attempt", string(a.id)).Str("detail", failure.Detail).Msg("executor: attempt failed")
-		a.finish(phaseFailed, failure)
 	} else {
 		e.counts.done.Add(1)
-		a.finish(phaseDone, carawaybeam.RequestError{})
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if failed && failure.Outcome == carawaybeam.OutcomeNotRun {
+		e.ledger.release(a)
+	}
+	if failed {
+		a.finish(phaseFailed, failure)
+	} else {
+		a.finish(phaseDone, carawaybeam.RequestError{})
+	}
 	e.running--
-	e.closeIfIdle()
+	e.crowd(a)
 }
 
-// addServing counts the streams on which answers are sent.
-func (e *Executor) addServing(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.serving += n
-	e.closeIfIdle()
+// crowd asks for a sweep when answers pile up.
+func (e *Executor) crowd(a *attempt) {
+	_, _, _, held := a.snapshot()
+	if e.held.Add(int64(held+rowBytes)) < answerBudget {
+		return
+	}
+	select {
+	case e.crowded <- struct{}{}:
+	default:
+	}
 }
 
 func (e *Executor) perform(ctx context.Context, a *attempt, d *framer.Dispatch) (carawaybeam.RequestError, bool) {
@@ -342,7 +427,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	held := 0
-	for _, a := range e.attempts {
+	for _, a := range e.ledger.attempts {
 		_, _, _, bytes := a.snapshot()
 		held += bytes
 	}
@@ -352,7 +437,8 @@
 		ConfigVersion: e.ConfigVersion(),
 		Leaving:       e.leaving,
 		Running:       e.running,
-		Remembered:    len(e.attempts),
+		Remembered:    len(e.ledger.attempts),
+		Compact:       len(e.ledger.compact),
 		HeldBytes:     held,
 		Started:       e.counts.started.Load(),
 		Done:          e.counts.done.Load(),
@@ -360,5 +446,7 @@
 		Refused:       e.counts.refused.Load(),
 		Tombstones:    e.counts.tombstones.Load(),
 		Resumed:       e.counts.resumed.Load(),
+		Crashes:       e.counts.crashes.Load(),
+		Quarantine:    e.options.Quarantiner.State(),
 	}
 }
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 // ServeDispatch runs the attempt of the frame, or attaches to it, and sends its
@@ -19,16 +20,14 @@
 // offset.
 func (e *Executor) ServeResolve(ctx context.Context, frame *framer.Frame, stream carawaybeam.Stream) {
 	r := frame.GetResolve()
-	a := e.resolve(carawaybeam.AttemptID(r.GetAttempt()), carawaybeam.Incarnation(r.GetIncarnation()))
+	a := e.resolve(r)
 	e.serveAnswer(ctx, a, r.GetAttempt(), r.GetOffset(), stream)
 }
 
 // serveAnswer sends an answer to one reader until its end, the reader's
 // departure or its cancellation.
 func (e *Executor) serveAnswer(ctx context.Context, a *attempt, id string, offset uint64, stream carawaybeam.Stream) {
-	e.addServing(1)
-	defer e.addServing(-1)
-	a.attach()
+	a.attach(id)
 	defer func() {
 		if a.detach() {
 			e.wait.Go(func() { e.abandon(a) })
@@ -37,10 +36,24 @@
 	left := make(chan struct{})
 	go e.receive(a, id, stream, left)
 	sender := answerSender{executor: e, attempt: a, id: id, stream: stream, offset: offset}
-	sender.run(ctx, left)
+	if sender.run(ctx, left) {
+		awaitEnd(ctx, left)
+	}
+}
+
+// awaitEnd waits until the reader has told that it has the last frame, or is
+// gone.
+func awaitEnd(ctx context.Context, left <-chan struct{}) {
+	timer := time.NewTimer(acknowledgeTimeout)
+	defer timer.Stop()
+	select {
+	case <-left:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
-// receive waits for the reader to cancel or to leave.
+// receive waits for the reader to acknowledge the answer, to cancel or to leave.
 func (e *Executor) receive(a *attempt, id string, stream carawaybeam.Stream, left chan<- struct{}) {
 	defer close(left)
 	for {
@@ -48,8 +61,15 @@
 		if err != nil {
 			return
 		}
-		if frame.GetCancel().GetAttempt() == id && a.idempotent {
-			a.stop()
+		if frame.GetAcknowledge().GetAttempt() == id {
+			a.acknowledge(id)
+			return
+		}
+		if frame.GetCancel().GetAttempt() == id {
+			a.acknowledge(id)
+			if a.idempotent {
+				a.stop()
+			}
 			return
 		}
 	}
@@ -81,11 +101,8 @@
 
 // stop cancels the call to the backend server.
 func (a *attempt) stop() {
-	a.mu.Lock()
-	cancel := a.cancel
-	a.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if a.cancel != nil {
+		a.cancel()
 	}
 }
 
@@ -102,13 +119,14 @@
 	headSent bool
 }
 
-func (s *answerSender) run(ctx context.Context, left <-chan struct{}) {
+// run sends the answer and tells whether it reached the last frame.
+func (s *answerSender) run(ctx context.Context, left <-chan struct{}) bool {
 	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
 	for {
 		p := s.attempt.next(s.offset)
 		if sent, ended := s.step(p); ended {
-			return
+			return true
 		} else if sent {
 			continue
 		}
@@ -116,12 +134,12 @@
 		case <-p.changed:
 		case <-ticker.C:
 			if s.send(&framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{}}}) != nil {
-				return
+				return false
 			}
 		case <-left:
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
@@ -131,11 +149,11 @@
 	id := s.id
 	switch {
 	case p.phase == phaseRefused:
-		return true, s.sendLast(&framer.Frame{Body: &framer.Frame_Refused{Refused: refusedFrame(id, p.refusal)}})
+		return true, s.sendLast(&framer.Frame{Body: &framer.Frame_Refused{Refused: refusedFrame(id, p)}})
 	case p.started && p.gone:
 		return true, s.sendLast(failedFrame(id, carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeRan, Reason: carawaybeam.ReasonAnswerGone,
-		}))
+		}, ""))
 	case p.started && !s.headSent:
 		s.headSent = true
 		head := &framer.Head{Attempt: id, Status: int32(p.status), ContentType: p.contentType}
@@ -143,9 +161,8 @@
 	case len(p.data) > 0:
 		return true, s.sendChunk(p.data) != nil
 	case p.phase == phaseFailed:
-		return true, s.sendLast(failedFrame(id, p.failure))
+		return true, s.sendLast(failedFrame(id, p.failure, p.crash))
 	case p.phase == phaseDone:
-		s.attempt.markFetched()
 		tail := &framer.Tail{Attempt: id, Total: p.total, Checksum: p.checksum}
 		return true, s.sendLast(&framer.Frame{Body: &framer.Frame_Tail{Tail: tail}})
 	}
@@ -173,20 +190,22 @@
 	return s.stream.Send(frame)
 }
 
-func refusedFrame(id string, refusal carawaybeam.RequestError) *framer.Refused {
+func refusedFrame(id string, p progress) *framer.Refused {
 	return &framer.Refused{
 		Attempt:      id,
-		Reason:       string(refusal.Reason),
-		Detail:       refusal.Detail,
-		RetryAfterMs: uint64(refusal.RetryAfter.Milliseconds()),
+		Reason:       string(p.refusal.Reason),
+		Detail:       p.refusal.Detail,
+		RetryAfterMs: uint64(p.refusal.RetryAfter.Milliseconds()),
+		KeyReleased:  p.released,
 	}
 }
 
-func failedFrame(id string, failure carawaybeam.RequestError) *framer.Frame {
+func failedFrame(id string, failure carawaybeam.RequestError, crash quarantiner.CrashID) *framer.Frame {
 	return &framer.Frame{Body: &framer.Frame_Failed{Failed: &framer.Failed{
 		Attempt: id,
 		Outcome: string(failure.Outcome),
 		Reason:  string(failure.Reason),
 		Detail:  failure.Detail,
+		Crash:   string(crash),
 	}}}
 }
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"github.com/carawaybeam/carawaybeam/fakes/linker"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/retrier/proof"
 	"github.com/carawaybeam/carawaybeam/router/leastinflight"
 	"github.com/carawaybeam/carawaybeam/tracker"
@@ -46,6 +47,7 @@
 	Entry struct {
 		Configurer *configurer.Configurer
 		Tracker    *tracker.Tracker
+		Binder     *binder.Binder
 		Dispatcher *dispatcher.Dispatcher
 	}
 
@@ -85,7 +87,7 @@
 func (a *Assembler) Close() error {
 	errs := make([]error, 0, len(a.Entries)+len(a.Slots)+1)
 	for _, e := range a.Entries {
-		errs = append(errs, errors.Join(e.Dispatcher.Close(), e.Tracker.Close()))
+		errs = append(errs, errors.Join(e.Dispatcher.Close(), e.Binder.Close(), e.Tracker.Close()))
 	}
 	errs = append(errs, a.Network.Close())
 	for _, s := range a.Slots {
@@ -96,24 +98,28 @@
 
 func (a *Assembler) addEntry(i int) {
 	config := configurer.New()
+	suspects := quarantiner.New()
 	t := tracker.New(tracker.Options{
 		Process:     fmt.Sprintf("entry-%d", i),
 		Incarnation: carawaybeam.NewIncarnation(),
 		Lister:      a.Store.VMList(),
 		Dialer:      a.Network,
 		Config:      config,
+		Quarantiner: suspects,
 		Log:         zerolog.Nop(),
 	})
+	b := binder.New(a.Store)
 	d := dispatcher.New(dispatcher.Options{
-		Members: t,
-		Binder:  binder.New(a.Store),
-		Config:  config,
-		Router:  leastinflight.Router{},
-		Limiter: unlimited.Limiter{},
-		Retrier: proof.Retrier{},
-		Log:     zerolog.Nop(),
+		Members:     t,
+		Binder:      b,
+		Config:      config,
+		Router:      leastinflight.Router{},
+		Limiter:     unlimited.Limiter{},
+		Retrier:     proof.Retrier{},
+		Quarantiner: suspects,
+		Log:         zerolog.Nop(),
 	})
-	a.Entries = append(a.Entries, &Entry{Configurer: config, Tracker: t, Dispatcher: d})
+	a.Entries = append(a.Entries, &Entry{Configurer: config, Tracker: t, Binder: b, Dispatcher: d})
 }
 
 func (a *Assembler) addSlot(i int) {
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -193,3 +193,6 @@
 	a.Body.Write(data)
 	return nil
 }
+
+// Restart takes back nothing, as a caller that has read the answer.
+func (a *Answer) Restart() bool { return false }
--- a/server/answer.go
+++ b/server/answer.go
@@ -136,6 +136,15 @@
 	return nil
 }
 
+// Restart takes back an answer of which nothing has left yet.
+func (a *answerWriter) Restart() bool {
+	if a.sent {
+		return false
+	}
+	a.held = nil
+	return true
+}
+
 // send writes the head and what was held back.
 func (a *answerWriter) send() {
 	a.sent = true
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 // member follows one agent over its control stream.
@@ -101,6 +102,7 @@
 			return
 		}
 		m.tracker.options.Config.Observe(carawaybeam.ConfigVersion(frame.GetConfigVersion()))
+		m.tracker.options.Quarantiner.Merge(frame.GetSuspects().GetSuspects())
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
 			m.record(heartbeat)
 			m.setLink(link)
@@ -108,13 +110,18 @@
 	}
 }
 
-// beat sends heartbeats, which carry the configuration version.
+// beat sends heartbeats, which carry the configuration version, and suspects.
 func (m *member) beat(ctx context.Context, stream carawaybeam.Stream) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	suspects := quarantiner.NewSpreader(m.tracker.options.Quarantiner)
 	for {
+		if frame := suspects.Next(); frame != nil && m.send(stream, frame) != nil {
+			return
+		}
 		select {
 		case <-ticker.C:
+		case <-suspects.Changed():
 		case <-ctx.Done():
 			return
 		}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 const (
@@ -41,7 +42,10 @@
 		Dialer      carawaybeam.Dialer
 		// Config tells and takes configuration versions.
 		Config ConfigObserver
-		Log    zerolog.Logger
+		// Quarantiner keeps the requests that crash backend servers. Nil stands
+		// for one of the Tracker's own.
+		Quarantiner *quarantiner.Quarantiner
+		Log         zerolog.Logger
 	}
 
 	// ConfigObserver holds the configuration of the process.
@@ -86,6 +90,9 @@
 
 // New returns a Tracker that follows the platform's list until Close.
 func New(options Options) *Tracker {
+	if options.Quarantiner == nil {
+		options.Quarantiner = quarantiner.New()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tracker{
 		options: options,
