--- /dev/null
+++ b/dispatcher/promise_test.go
@@ -0,0 +1,325 @@
+package dispatcher_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/fakes/assembler"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/prover"
+	"github.com/carawaybeam/carawaybeam/tracer"
+)
+
+const (
+	traceDirectory = "../traces/promises"
+
+	// proofAgents and proofEntries are those of today's contract desk.
+	proofAgents  = 3
+	proofEntries = 2
+)
+
+// script collects the events of one trace.
+type script struct {
+	random *rand.Rand
+	events []assembler.Event
+}
+
+func newScript(seed uint64) *script { return &script{random: rand.New(rand.NewPCG(seed, 0))} }
+
+func (s *script) add(at time.Duration, event assembler.Event) {
+	event.At = tracer.Duration(at)
+	s.events = append(s.events, event)
+}
+
+// sorted returns the events in the order of their times.
+func (s *script) sorted() []assembler.Event {
+	slices.SortStableFunc(s.events, func(a, b assembler.Event) int { return cmp.Compare(a.At, b.At) })
+	return s.events
+}
+
+// within returns a random time of the trace in steps of a millisecond.
+func (s *script) within(span time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(span/time.Millisecond))) * time.Millisecond
+}
+
+func (s *script) entry() int { return s.random.IntN(proofEntries) }
+
+func (s *script) slot() int { return s.random.IntN(proofAgents) }
+
+// frameFault adds one fault of frames.
+func (s *script) frameFault(span time.Duration) {
+	actions := []assembler.Action{
+		assembler.ActionLoseFrames, assembler.ActionDelayFrames, assembler.ActionCopyFrames,
+		assembler.ActionCrossFrames, assembler.ActionCutStreams,
+	}
+	frames := []string{"", "dispatch", "resolve", "refused", "chunk", "tail", "head", "acknowledge", "heartbeat"}
+	s.add(s.within(span), assembler.Event{
+		Do:    actions[s.random.IntN(len(actions))],
+		Frame: frames[s.random.IntN(len(frames))],
+		Share: 0.05 + 0.9*s.random.Float64(),
+		For:   tracer.Duration(100*time.Millisecond + s.within(4*time.Second)),
+		Delay: tracer.Duration(s.within(15 * time.Second)),
+	})
+}
+
+// processFault adds a fault of one agent or its links.
+func (s *script) processFault(span time.Duration) {
+	at, slot := s.within(span), s.slot()
+	switch s.random.IntN(5) {
+	case 0:
+		s.add(at, assembler.Event{Do: assembler.ActionCutLinks, Slot: slot})
+	case 1:
+		s.add(at, assembler.Event{Do: assembler.ActionSilenceLinks, Slot: slot})
+	case 2:
+		pause := tracer.Duration(100*time.Millisecond + s.within(12*time.Second))
+		s.add(at, assembler.Event{Do: assembler.ActionPauseAgent, Slot: slot, For: pause})
+	case 3:
+		s.add(at, assembler.Event{Do: assembler.ActionKillAgent, Slot: slot})
+		s.add(at+s.within(3*time.Second), assembler.Event{Do: assembler.ActionStartAgent, Slot: slot})
+	case 4:
+		s.add(at, assembler.Event{Do: assembler.ActionCrashBackend, Slot: slot})
+		s.add(at+s.within(3*time.Second), assembler.Event{Do: assembler.ActionRecoverBackend, Slot: slot})
+	}
+}
+
+// storeFault adds a fault of the platform's store.
+func (s *script) storeFault(span time.Duration) {
+	modes := []storer.FaultMode{storer.FaultDown, storer.FaultLostAnswer, storer.FaultSlow}
+	s.add(s.within(span), assembler.Event{
+		Do:    assembler.ActionStoreFault,
+		Mode:  modes[s.random.IntN(len(modes))],
+		Delay: tracer.Duration(s.within(2 * time.Second)),
+		For:   tracer.Duration(100*time.Millisecond + s.within(4*time.Second)),
+	})
+}
+
+// play replays events in a bubble of its own.
+func play(t *testing.T, name string, seed uint64, events []assembler.Event) assembler.Verdict {
+	t.Helper()
+	var verdict assembler.Verdict
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a := assembler.New(assembler.Options{
+				Entries: proofEntries, Agents: proofAgents, Concurrency: 64, Pace: 100 * time.Millisecond,
+			})
+			sendings, errs := assembler.Replay(a, seed, events)
+			a.Network.Inject(nil)
+			verdict = assembler.Judge(a, sendings)
+			for _, err := range append(errs, a.Close()) {
+				if err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	})
+	return verdict
+}
+
+// proof runs one promise over all seeds.
+type proof struct {
+	promise prover.Promise
+	// generate makes the trace of a seed, and broken counts the violations.
+	generate func(s *script)
+	broken   func(v assembler.Verdict) int
+}
+
+func (p proof) run(t *testing.T) {
+	t.Helper()
+	violations, requests, completed := 0, 0, 0
+	for seed := range prover.Seeds() {
+		s := newScript(uint64(seed + 1))
+		p.generate(s)
+		verdict := play(t, fmt.Sprintf("seed%d", seed+1), uint64(seed+1), s.sorted())
+		requests += verdict.Requests
+		completed += verdict.Completed
+		if broken := p.broken(verdict); broken > 0 {
+			violations += broken
+			keep(t, p.promise, uint64(seed+1), s.events)
+		}
+	}
+	fmt.Printf("completed %s requests %d completed %d\n", p.promise, requests, completed)
+	prover.Report(t, p.promise, prover.Seeds(), violations)
+}
+
+// keep writes the trace of a violating run where it can be replayed from.
+func keep(t *testing.T, promise prover.Promise, seed uint64, events []assembler.Event) {
+	t.Helper()
+	path := filepath.Join(traceDirectory, fmt.Sprintf("violated-%s-%d.jsonl", promise, seed))
+	file, err := os.Create(path)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = file.Close() }()
+	header := tracer.Header{
+		Kind: assembler.TraceKind, Name: string(promise), Source: "seeded run of " + t.Name(), Seed: seed,
+	}
+	if err := tracer.Write(file, header, events); err != nil {
+		t.Error(err)
+	}
+	t.Log("run was written to", path)
+}
+
+// TestPromiseTraces replays the kept traces against their outcomes.
+func TestPromiseTraces(t *testing.T) {
+	paths, err := filepath.Glob(filepath.Join(traceDirectory, "*.jsonl"))
+	if err != nil || len(paths) == 0 {
+		t.Fatal("no traces are kept", err)
+	}
+	trials, violations := make(map[prover.Promise]int), make(map[prover.Promise]int)
+	for _, path := range paths {
+		header, verdict, ok := replayFile(t, path)
+		if !ok {
+			continue
+		}
+		promise := prover.Promise(header.Name)
+		trials[promise]++
+		for _, miss := range outcomeOf(t, path).Check(verdict.Figures()) {
+			violations[promise]++
+			t.Errorf("%s: %s", path, miss)
+		}
+	}
+	for promise, n := range trials {
+		prover.Report(t, promise, n, violations[promise])
+	}
+}
+
+func replayFile(t *testing.T, path string) (tracer.Header, assembler.Verdict, bool) {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	header, events, err := tracer.Read[assembler.Event](file, assembler.TraceKind)
+	if err != nil {
+		// Traces of other kinds lie in the same directory.
+		t.Log("not replayed here:", path, err)
+		return header, assembler.Verdict{}, false
+	}
+	return header, play(t, filepath.Base(path), header.Seed, events), true
+}
+
+func outcomeOf(t *testing.T, path string) tracer.Outcome {
+	t.Helper()
+	file, err := os.Open(path[:len(path)-len(".jsonl")] + ".outcome.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	outcome, err := tracer.ReadOutcome(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return outcome
+}
+
+func TestPromiseNotRunMeansNotRun(t *testing.T) {
+	proof{
+		promise: prover.NotRun,
+		generate: func(s *script) {
+			const span = 15 * time.Second
+			for i := range 40 {
+				s.add(s.within(span), assembler.Event{
+					Do: assembler.ActionRequest, Entry: s.entry(),
+					Class: assembler.ClassBookings, Body: fmt.Sprintf("n%d", i),
+				})
+			}
+			for range 4 {
+				s.frameFault(span)
+				s.processFault(span)
+			}
+			s.add(s.within(span), assembler.Event{
+				Do: assembler.ActionDelayFrames, Frame: "dispatch", Share: 0.5,
+				For: tracer.Duration(3 * time.Second), Delay: tracer.Duration(12 * time.Second),
+			})
+			if s.random.IntN(2) == 0 {
+				s.add(s.within(span), assembler.Event{Do: assembler.ActionKillEntry, Entry: 1})
+			}
+		},
+		broken: func(v assembler.Verdict) int { return v.FalseNotRuns + v.DoubleRuns },
+	}.run(t)
+}
+
+func TestPromiseAtMostOnce(t *testing.T) {
+	proof{
+		promise: prover.AtMostOnce,
+		generate: func(s *script) {
+			const span = 15 * time.Second
+			for i := range 25 {
+				s.keyed(span, i)
+			}
+			for range 3 {
+				s.frameFault(span)
+				s.processFault(span)
+				s.storeFault(span)
+			}
+			if s.random.IntN(3) == 0 {
+				s.add(s.within(span), assembler.Event{Do: assembler.ActionDrainAgent, Slot: 0})
+			}
+			if s.random.IntN(3) == 0 {
+				s.add(s.within(span), assembler.Event{Do: assembler.ActionRemoveVM, Slot: 1})
+			}
+			if s.random.IntN(2) == 0 {
+				s.add(s.within(span), assembler.Event{Do: assembler.ActionKillEntry, Entry: 1})
+			}
+		},
+		broken: func(v assembler.Verdict) int { return v.DoubleRuns + v.FalseNotRuns + v.WrongAnswers },
+	}.run(t)
+}
+
+// keyed adds one booking that is sent up to four times under one key or ticket,
+// at the same time and later, through all entries, now and then with another
+// body.
+func (s *script) keyed(span time.Duration, i int) {
+	event := assembler.Event{
+		Do: assembler.ActionRequest, Class: assembler.ClassBookings, Body: fmt.Sprintf("k%d", i),
+	}
+	if s.random.IntN(4) == 0 {
+		event.Ticket = fmt.Sprintf("t%d", i)
+	} else {
+		event.Key = fmt.Sprintf("k%d", i)
+	}
+	at := s.within(span)
+	for n := range 1 + s.random.IntN(4) {
+		event.Entry = s.entry()
+		if n > 0 && s.random.IntN(8) == 0 {
+			event.Body += "x"
+		}
+		s.add(at, event)
+		if s.random.IntN(2) == 0 {
+			at += s.within(20 * time.Second)
+		}
+	}
+}
+
+func TestPromiseWholeAnswer(t *testing.T) {
+	classes := []carawaybeam.ClassID{assembler.ClassBookings, assembler.ClassLookups, assembler.ClassDrafting}
+	proof{
+		promise: prover.WholeAnswer,
+		generate: func(s *script) {
+			const span = 15 * time.Second
+			for i := range 40 {
+				s.add(s.within(span), assembler.Event{
+					Do: assembler.ActionRequest, Entry: s.entry(),
+					Class: classes[i%len(classes)], Body: fmt.Sprintf("w%d", i),
+				})
+			}
+			for range 5 {
+				s.frameFault(span)
+			}
+			for range 3 {
+				s.processFault(span)
+			}
+		},
+		broken: func(v assembler.Verdict) int { return v.WrongAnswers },
+	}.run(t)
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -93,6 +93,7 @@
 		ledger  *ledger
 		running int
 		leaving bool
+		closed  bool
 		minted  ticketBook
 
 		// held counts the answer bytes of attempts that ended since the last
@@ -154,6 +155,9 @@
 
 // Close cancels what runs and waits for it. Drain first to cut off nothing.
 func (e *Executor) Close() error {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
 	e.cancel()
 	e.wait.Wait()
 	return nil
@@ -293,7 +297,7 @@
 		refusal.Reason = carawaybeam.ReasonWrongIncarnation
 	case e.options.Quarantiner.Standing(a.fingerprint) == quarantiner.Quarantined:
 		refusal = quarantined()
-	case e.leaving:
+	case e.leaving || e.closed:
 		refusal.Reason = carawaybeam.ReasonLeaving
 	case !e.minted.allows(d):
 		refusal.Reason = carawaybeam.ReasonBadTicket
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -30,7 +30,7 @@
 	a.attach(id)
 	defer func() {
 		if a.detach() {
-			e.wait.Go(func() { e.abandon(a) })
+			e.abandonLater(a)
 		}
 	}()
 	left := make(chan struct{})
@@ -75,12 +75,17 @@
 	}
 }
 
+func (e *Executor) abandonLater(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.idempotent && !e.closed {
+		e.wait.Go(func() { e.abandon(a) })
+	}
+}
+
 // abandon cancels an idempotent attempt that nobody reads any more. Others
 // finish, since their effect matters more than their answer.
 func (e *Executor) abandon(a *attempt) {
-	if !a.idempotent {
-		return
-	}
 	timer := time.NewTimer(abandonTimeout)
 	defer timer.Stop()
 	select {
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,6 +58,9 @@
 		Backend  *Backend
 		Agent    *agent.Agent
 		Executor *executor.Executor
+
+		// mu guards the changes of Agent and Executor.
+		mu sync.Mutex
 	}
 
 	// Assembler holds the parts. Its fields may be used directly.
@@ -146,9 +150,22 @@
 	a.Store.SetVMs(vms)
 }
 
+// RemoveVM takes the VM of a slot off the platform's list.
+func (a *Assembler) RemoveVM(i int) {
+	vms := make([]carawaybeam.VM, 0, len(a.Slots))
+	for n, s := range a.Slots {
+		if n != i && s.VM.State == carawaybeam.VMLive {
+			vms = append(vms, s.VM)
+		}
+	}
+	a.Store.SetVMs(vms)
+}
+
 // StartAgent starts a new incarnation of the agent of a slot.
 func (a *Assembler) StartAgent(i int) {
 	s := a.Slots[i]
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	id := carawaybeam.BackendID(fmt.Sprintf("desk-%d", i))
 	incarnation := carawaybeam.NewIncarnation()
 	s.Executor = executor.New(executor.Options{
@@ -177,16 +194,39 @@
 	return s.closeAgent()
 }
 
+func (s *Slot) running() *agent.Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Agent
+}
+
 func (s *Slot) closeAgent() error {
-	if s.Agent == nil {
+	s.mu.Lock()
+	stopped, executor := s.Agent, s.Executor
+	s.Agent, s.Executor = nil, nil
+	s.mu.Unlock()
+	if stopped == nil {
 		return nil
 	}
-	err := errors.Join(s.Agent.Close(), s.Executor.Close())
-	s.Agent, s.Executor = nil, nil
-	return err
+	return errors.Join(stopped.Close(), executor.Close())
 }
 
 // Drain stops the agent of a slot gracefully.
 func (a *Assembler) Drain(ctx context.Context, i int) error {
 	return a.Slots[i].Agent.Drain(ctx)
 }
+
+// StopAgent stops the agent of a slot gracefully and ends its process.
+func (a *Assembler) StopAgent(ctx context.Context, i int) error {
+	s := a.Slots[i]
+	stopping := s.running()
+	if stopping == nil {
+		return nil
+	}
+	err := stopping.Drain(ctx)
+	if s.running() != stopping {
+		return nil
+	}
+	a.Network.Unlisten(s.VM.Address)
+	return errors.Join(err, s.closeAgent())
+}
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -29,6 +29,7 @@
 
 		mu       sync.Mutex
 		runs     map[string]int
+		attempts map[carawaybeam.AttemptID]int
 		down     bool
 		crashes  int
 		poison   string
@@ -51,7 +52,12 @@
 
 // NewBackend returns a Backend that takes the given time for each part.
 func NewBackend(pace time.Duration) *Backend {
-	return &Backend{pace: pace, runs: make(map[string]int), detached: make(chan struct{})}
+	return &Backend{
+		pace:     pace,
+		runs:     make(map[string]int),
+		attempts: make(map[carawaybeam.AttemptID]int),
+		detached: make(chan struct{}),
+	}
 }
 
 // Whole returns the whole answer to a request with the body.
@@ -72,6 +78,19 @@
 	return b.runs[body]
 }
 
+// Started returns how often attempts of a request were started.
+func (b *Backend) Started(request carawaybeam.RequestID) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for id, runs := range b.attempts {
+		if strings.HasPrefix(string(id), string(request)+".") {
+			n += runs
+		}
+	}
+	return n
+}
+
 // Crashes returns how often the backend server crashed.
 func (b *Backend) Crashes() int {
 	b.mu.Lock()
@@ -118,7 +137,7 @@
 	b.detached = make(chan struct{})
 }
 
-// Start puts a call. The answer goes on behind call.Resume.
+// Start puts a call. Only answers of ClassDrafting go on behind call.Resume.
 func (b *Backend) Start(ctx context.Context, call carawaybeam.Call) (*carawaybeam.Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -127,6 +146,7 @@
 	}
 	body := string(call.Body)
 	b.runs[body]++
+	b.attempts[call.Attempt]++
 	if b.poison != "" && body == b.poison {
 		b.crash()
 		return nil, errCut
@@ -135,7 +155,10 @@
 	for i := range Parts {
 		left = append(left, part(body, i))
 	}
-	reader := &partReader{ctx: ctx, backend: b, cut: b.detached, left: skip(left, int(call.Resume))}
+	if strings.HasPrefix(call.Path, "/"+string(ClassDrafting)) {
+		left = skip(left, int(call.Resume))
+	}
+	reader := &partReader{ctx: ctx, backend: b, cut: b.detached, left: left}
 	return &carawaybeam.Answer{Status: 200, ContentType: "text/plain", Body: reader}, nil
 }
 
--- /dev/null
+++ b/fakes/assembler/judge.go
@@ -0,0 +1,116 @@
+package assembler
+
+import "github.com/carawaybeam/carawaybeam"
+
+// Verdict counts what a replay shows, by the counts of the backend servers.
+type Verdict struct {
+	Sendings int
+	// Whole counts sendings that got their whole answer.
+	Whole int
+	// Requests counts distinct requests, where those with one key or ticket are
+	// one, and Completed those of which at least one sending got its answer.
+	Requests  int
+	Completed int
+	// WrongAnswers counts answers that are not the caller's own or look whole
+	// without being so.
+	WrongAnswers int
+	// FalseNotRuns counts sendings refused as not run that a backend server ran.
+	FalseNotRuns int
+	// DoubleRuns counts requests that are not idempotent and ran twice or more.
+	DoubleRuns int
+	// Crashes counts crashes of backend servers.
+	Crashes int
+}
+
+// Judge compares what callers were told with what backend servers ran.
+func Judge(a *Assembler, sendings []*Sending) Verdict {
+	v := Verdict{Sendings: len(sendings)}
+	completed := make(map[string]bool)
+	runs := make(map[string]map[string]int)
+	for _, s := range sendings {
+		name := s.name()
+		completed[name] = completed[name] || s.Whole()
+		v.count(a, s)
+		if s.Event.Class == ClassBookings {
+			if runs[name] == nil {
+				runs[name] = make(map[string]int)
+			}
+			runs[name][s.Event.Body] = a.Runs(s.Event.Body)
+		}
+	}
+	for _, whole := range completed {
+		v.Requests++
+		if whole {
+			v.Completed++
+		}
+	}
+	for _, bodies := range runs {
+		total := 0
+		for _, n := range bodies {
+			total += n
+		}
+		if total > 1 {
+			v.DoubleRuns++
+		}
+	}
+	for _, slot := range a.Slots {
+		v.Crashes += slot.Backend.Crashes()
+	}
+	return v
+}
+
+func (v *Verdict) count(a *Assembler, s *Sending) {
+	if s.Whole() {
+		v.Whole++
+	}
+	if s.Wrong() {
+		v.WrongAnswers++
+	}
+	if s.Lost || s.Failure == nil || s.Failure.Outcome != carawaybeam.OutcomeNotRun {
+		return
+	}
+	for _, slot := range a.Slots {
+		if slot.Backend.Started(s.Request) > 0 {
+			v.FalseNotRuns++
+			return
+		}
+	}
+}
+
+// name returns what identifies the request among all sendings. Bodies are
+// distinct unless a request is sent again.
+func (s *Sending) name() string {
+	switch {
+	case s.Event.Key != "":
+		return "key " + s.Event.Key
+	case s.Event.Ticket != "":
+		return "ticket " + s.Event.Ticket
+	}
+	return "body " + s.Event.Body
+}
+
+// Runs adds up the runs of a body on all backend servers.
+func (a *Assembler) Runs(body string) int {
+	n := 0
+	for _, s := range a.Slots {
+		n += s.Backend.Runs(body)
+	}
+	return n
+}
+
+// Figures returns the counts by the names used in outcome files.
+func (v Verdict) Figures() map[string]float64 {
+	share := 1.0
+	if v.Requests > 0 {
+		share = float64(v.Completed) / float64(v.Requests)
+	}
+	return map[string]float64{
+		"sendings":       float64(v.Sendings),
+		"whole":          float64(v.Whole),
+		"completedShare": share,
+		"wrongAnswers":   float64(v.WrongAnswers),
+		"falseNotRuns":   float64(v.FalseNotRuns),
+		"doubleRuns":     float64(v.DoubleRuns),
+		"crashes":        float64(v.Crashes),
+	}
+}
--- /dev/null
+++ b/fakes/assembler/replayer.go
@@ -0,0 +1,247 @@
+package assembler
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+)
+
+const (
+	// requestTimeout is the deadline of a replayed request.
+	requestTimeout = 30 * time.Second
+
+	// aftermath is how long late frames get to arrive after the last answer.
+	aftermath = time.Minute
+)
+
+type (
+	// Sending is one request as it was sent, with its end.
+	Sending struct {
+		Event   Event
+		Request carawaybeam.RequestID
+		Answer  Answer
+		Failure *carawaybeam.RequestError
+		// Lost is set when the entry died under the request.
+		Lost bool
+	}
+
+	// replay is one replay under way.
+	replay struct {
+		assembler *Assembler
+		injector  *injector
+		wait      sync.WaitGroup
+
+		mu       sync.Mutex
+		sendings []*Sending
+		tickets  map[string]dispatcher.Ticket
+		dead     map[int]bool
+		errs     []error
+	}
+)
+
+// Replay plays the events of a trace on the real parts and returns what became
+// of each request. It must run in a testing/synctest bubble.
+func Replay(a *Assembler, seed uint64, events []Event) ([]*Sending, []error) {
+	r := &replay{
+		assembler: a,
+		injector:  newInjector(seed),
+		tickets:   make(map[string]dispatcher.Ticket),
+		dead:      make(map[int]bool),
+	}
+	a.Network.Inject(r.injector.verdict)
+	start := time.Now()
+	for _, event := range events {
+		time.Sleep(time.Until(start.Add(event.When())))
+		r.do(event)
+	}
+	r.wait.Wait()
+	time.Sleep(aftermath)
+	return r.sendings, r.errs
+}
+
+func (r *replay) do(event Event) {
+	switch event.Do {
+	case ActionRequest:
+		r.request(event)
+	case ActionKillEntry, ActionDrainEntry:
+		r.doEntry(event)
+	case ActionStoreFault:
+		r.storeFault(event)
+	case ActionLoseFrames, ActionDelayFrames, ActionCopyFrames, ActionCrossFrames, ActionCutStreams:
+		r.injector.add(fault{event: event, until: time.Now().Add(time.Duration(event.For))})
+	default:
+		r.doSlot(event)
+	}
+}
+
+func (r *replay) doSlot(event Event) {
+	a := r.assembler
+	slot := a.Slots[event.Slot]
+	switch event.Do {
+	case ActionCutLinks:
+		a.Network.Cut(slot.VM.Address)
+	case ActionSilenceLinks:
+		a.Network.Silence(slot.VM.Address)
+	case ActionPauseAgent:
+		until := time.Now().Add(time.Duration(event.For))
+		r.injector.add(fault{event: event, until: until, address: slot.VM.Address})
+	case ActionKillAgent:
+		r.note(a.KillAgent(event.Slot))
+	case ActionStartAgent:
+		if slot.running() == nil {
+			a.StartAgent(event.Slot)
+		}
+	case ActionRemoveVM:
+		r.note(a.KillAgent(event.Slot))
+		slot.VM.State = carawaybeam.VMLeaving
+		a.RemoveVM(event.Slot)
+	case ActionDrainAgent:
+		r.wait.Go(func() { r.note(a.StopAgent(context.Background(), event.Slot)) })
+	case ActionCrashBackend:
+		slot.Backend.Crash()
+	case ActionRecoverBackend:
+		slot.Backend.Recover()
+	case ActionPoison:
+		for _, s := range a.Slots {
+			s.Backend.Poison(event.Body)
+		}
+	}
+}
+
+func (r *replay) note(err error) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errs = append(r.errs, err)
+}
+
+func (r *replay) storeFault(event Event) {
+	store := r.assembler.Store
+	store.Order(storer.Fault{Mode: event.Mode, Delay: time.Duration(event.Delay), Calls: event.Calls})
+	if event.For == 0 {
+		return
+	}
+	r.wait.Go(func() {
+		time.Sleep(time.Duration(event.For))
+		store.Order(storer.Fault{})
+	})
+}
+
+func (r *replay) doEntry(event Event) {
+	entry := r.assembler.Entries[event.Entry]
+	r.mu.Lock()
+	already := r.dead[event.Entry]
+	r.dead[event.Entry] = r.dead[event.Entry] || event.Do == ActionKillEntry
+	r.mu.Unlock()
+	if already {
+		return
+	}
+	if event.Do == ActionKillEntry {
+		r.note(entry.Tracker.Close())
+		return
+	}
+	r.wait.Go(func() {
+		r.note(entry.Dispatcher.Close())
+		r.note(entry.Tracker.Close())
+	})
+}
+
+// request sends one request as a caller does.
+func (r *replay) request(event Event) {
+	s := &Sending{Event: event, Request: carawaybeam.NewRequestID()}
+	r.mu.Lock()
+	r.sendings = append(r.sendings, s)
+	dead := r.dead[event.Entry]
+	r.mu.Unlock()
+	if dead {
+		s.Lost = true
+		return
+	}
+	r.wait.Go(func() { r.send(s) })
+}
+
+func (r *replay) send(s *Sending) {
+	entry := r.assembler.Entries[s.Event.Entry]
+	request := dispatcher.Request{
+		ID:           s.Request,
+		Class:        ClassOf(s.Event.Class),
+		Organisation: "org",
+		Key:          carawaybeam.IdempotencyKey(s.Event.Key),
+		Method:       "POST",
+		Path:         "/" + string(s.Event.Class),
+		Body:         []byte(s.Event.Body),
+		Deadline:     time.Now().Add(requestTimeout),
+	}
+	if s.Event.Ticket != "" {
+		ticket, failure := r.ticket(entry, request, s.Event.Ticket)
+		if failure != nil {
+			s.Failure = failure
+			return
+		}
+		request.Ticket = ticket
+	}
+	failure := entry.Dispatcher.Do(context.Background(), request, &s.Answer)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.Failure = failure
+	s.Lost = r.dead[s.Event.Entry]
+}
+
+// ticket returns the ticket of a name, and gets it if there is none yet.
+func (r *replay) ticket(
+	entry *Entry,
+	request dispatcher.Request,
+	name string,
+) (dispatcher.Ticket, *carawaybeam.RequestError) {
+	r.mu.Lock()
+	ticket, ok := r.tickets[name]
+	r.mu.Unlock()
+	if ok {
+		return ticket, nil
+	}
+	ticket, failure := entry.Dispatcher.Mint(context.Background(), request.Class, request.Organisation)
+	if failure != nil {
+		return ticket, failure
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.tickets[name]; ok {
+		return known, nil
+	}
+	r.tickets[name] = ticket
+	return ticket, nil
+}
+
+// ClassOf returns the class of a name.
+func ClassOf(id carawaybeam.ClassID) carawaybeam.Class {
+	class := carawaybeam.Class{ID: id, Kind: carawaybeam.WorkService, Pool: Pool, Idempotent: id != ClassBookings}
+	if id == ClassDrafting {
+		class.Kind = carawaybeam.WorkModel
+	}
+	return class
+}
+
+// Whole tells whether the whole answer arrived.
+func (s *Sending) Whole() bool {
+	return !s.Lost && s.Failure == nil && s.Answer.Body.String() == Whole(s.Event.Body)
+}
+
+// Wrong tells whether something that is no part of the own answer arrived, or an
+// answer that is not whole looks so.
+func (s *Sending) Wrong() bool {
+	if s.Lost {
+		return false
+	}
+	got := s.Answer.Body.String()
+	if s.Failure == nil {
+		return got != Whole(s.Event.Body)
+	}
+	return !strings.HasPrefix(Whole(s.Event.Body), got)
+}
--- a/fakes/linker/linker.go
+++ b/fakes/linker/linker.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -34,6 +35,8 @@
 		Delay time.Duration
 		// Cut ends the stream in place of carrying the frame.
 		Cut bool
+		// Cross delivers a copy on another open stream to the same address too.
+		Cross bool
 	}
 
 	// Injector decides on each frame. It may be called by several goroutines at
@@ -46,6 +49,7 @@
 		mu       sync.Mutex
 		handlers map[carawaybeam.Address]carawaybeam.StreamHandler
 		links    map[*link]struct{}
+		streams  map[*stream]struct{}
 		injector Injector
 		wait     sync.WaitGroup
 	}
@@ -55,13 +59,16 @@
 		address carawaybeam.Address
 		ctx     context.Context
 		cancel  context.CancelFunc
+		silent  atomic.Bool
 	}
 
 	// half is one direction of a stream.
 	half struct {
 		mu     sync.Mutex
 		frames []*framer.Frame
-		wake   chan struct{}
+		// late counts frames held back.
+		late int
+		wake chan struct{}
 	}
 
 	stream struct {
@@ -123,6 +130,18 @@
 	}
 }
 
+// Silence loses all further frames of the present links to the address, which
+// stay open, while new links work.
+func (n *Network) Silence(address carawaybeam.Address) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l.address == address {
+			l.silent.Store(true)
+		}
+	}
+}
+
 // Close ends all links and waits for their handlers.
 func (n *Network) Close() error {
 	n.mu.Lock()
@@ -172,7 +191,11 @@
 	there, back := newHalf(), newHalf()
 	near := &stream{link: l, direction: ToListener, in: back, out: there, ctx: ctx, cancel: cancel}
 	far := &stream{link: l, direction: ToDialer, in: there, out: back, ctx: ctx, cancel: cancel}
-	l.network.wait.Go(func() { far.serve(handler) })
+	l.network.track(near, far)
+	l.network.wait.Go(func() {
+		defer l.network.untrack(near, far)
+		far.serve(handler)
+	})
 	return near, nil
 }
 
@@ -188,10 +211,54 @@
 	return nil
 }
 
+func (n *Network) track(streams ...*stream) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.streams == nil {
+		n.streams = make(map[*stream]struct{})
+	}
+	for _, s := range streams {
+		n.streams[s] = struct{}{}
+	}
+}
+
+func (n *Network) untrack(streams ...*stream) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range streams {
+		delete(n.streams, s)
+	}
+}
+
+// other returns another open stream to the same address in the same direction.
+func (n *Network) other(than *stream) *stream {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for s := range n.streams {
+		if s != than && s.direction == than.direction && s.link.address == than.link.address && s.ctx.Err() == nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// listens tells whether the handler still listens at the address.
+func (n *Network) listens(address carawaybeam.Address, handler carawaybeam.StreamHandler) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.handlers[address] == handler
+}
+
+// serve hands the stream to the handler with its first frame. A frame that was
+// held back reaches the handler even after the dialer has closed the stream, as
+// one in the buffers of a paused process does.
 func (s *stream) serve(handler carawaybeam.StreamHandler) {
 	defer func() { _ = s.Close() }()
 	first, err := s.Receive(0)
-	if err != nil {
+	for err != nil && s.in.awaitLate() {
+		first, err = s.Receive(0)
+	}
+	if err != nil || !s.link.network.listens(s.link.address, handler) {
 		return
 	}
 	handler.ServeStream(s.ctx, first, s)
@@ -207,9 +274,14 @@
 		s.cancel()
 		return io.ErrClosedPipe
 	}
-	if v.Drop {
+	if v.Drop || s.link.silent.Load() {
 		return nil
 	}
+	if v.Cross {
+		if other := s.link.network.other(s); other != nil {
+			other.out.push(proto.CloneOf(frame))
+		}
+	}
 	for range v.Copies + 1 {
 		s.deliver(proto.CloneOf(frame), v.Delay)
 	}
@@ -221,12 +293,11 @@
 		s.out.push(frame)
 		return
 	}
+	s.out.hold(1)
 	s.link.network.wait.Go(func() {
-		select {
-		case <-time.After(delay):
-			s.out.push(frame)
-		case <-s.ctx.Done():
-		}
+		time.Sleep(delay)
+		s.out.push(frame)
+		s.out.hold(-1)
 	})
 }
 
@@ -264,6 +335,34 @@
 
 func newHalf() *half { return &half{wake: make(chan struct{}, 1)} }
 
+// hold counts frames held back.
+func (h *half) hold(n int) {
+	h.mu.Lock()
+	h.late += n
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// awaitLate waits for a frame that was held back. It reports false when there is
+// none.
+func (h *half) awaitLate() bool {
+	for {
+		h.mu.Lock()
+		late, arrived := h.late, len(h.frames)
+		h.mu.Unlock()
+		if arrived > 0 {
+			return true
+		}
+		if late == 0 {
+			return false
+		}
+		<-h.wake
+	}
+}
+
 func (h *half) push(frame *framer.Frame) {
 	h.mu.Lock()
 	h.frames = append(h.frames, frame)
