--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -42,6 +42,9 @@
 		Concurrency int
 		// Pace is the time for one part of an answer.
 		Pace time.Duration
+		// Restart is how long a crashed backend server is down, or 0 for until it is
+		// started again.
+		Restart time.Duration
 	}
 
 	// Entry is one entry with its parts.
@@ -135,7 +138,7 @@
 			Address: carawaybeam.Address(fmt.Sprintf("10.0.0.%d:7000", i)),
 			Pool:    Pool,
 		},
-		Backend: NewBackend(a.options.Pace),
+		Backend: NewBackend(a.options.Pace, a.options.Restart),
 	}
 	a.Slots = append(a.Slots, s)
 	a.StartAgent(i)
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,8 +13,14 @@
 	"github.com/carawaybeam/carawaybeam"
 )
 
-// Parts is how many parts each answer has.
-const Parts = 8
+const (
+	// Parts is how many parts each answer has.
+	Parts = 8
+
+	// LongPrefix begins the bodies whose answers take longFactor times as long.
+	LongPrefix = "long"
+	longFactor = 20
+)
 
 var (
 	_ carawaybeam.Backend = (*Backend)(nil)
@@ -26,12 +33,15 @@
 	// Backend is a backend server in memory that counts the runs of each body.
 	Backend struct {
 		pace time.Duration
+		// restart is how long the backend server is down after it crashed by
+		// itself, or 0 for until Recover.
+		restart time.Duration
 
 		mu       sync.Mutex
 		runs     map[string]int
 		attempts map[carawaybeam.AttemptID]int
 		down     bool
-		crashes  int
+		crashes  []time.Time
 		poison   string
 		detached chan struct{}
 	}
@@ -40,20 +50,25 @@
 	Answer struct {
 		Status int
 		Body   strings.Builder
+		// Held is set when the answer reaches the caller only as a whole, as one
+		// that is no event stream.
+		Held bool
 	}
 
 	partReader struct {
-		ctx     context.Context
-		backend *Backend
-		cut     <-chan struct{}
-		left    []string
+		ctx  context.Context
+		cut  <-chan struct{}
+		left []string
+		pace time.Duration
 	}
 )
 
-// NewBackend returns a Backend that takes the given time for each part.
-func NewBackend(pace time.Duration) *Backend {
+// NewBackend returns a Backend that takes the given time for each part, and for a
+// restart.
+func NewBackend(pace, restart time.Duration) *Backend {
 	return &Backend{
 		pace:     pace,
+		restart:  restart,
 		runs:     make(map[string]int),
 		attempts: make(map[carawaybeam.AttemptID]int),
 		detached: make(chan struct{}),
@@ -91,11 +106,11 @@
 	return n
 }
 
-// Crashes returns how often the backend server crashed.
-func (b *Backend) Crashes() int {
+// Crashes returns when the backend server crashed.
+func (b *Backend) Crashes() []time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.crashes
+	return slices.Clone(b.crashes)
 }
 
 // Poison makes every request with the body crash the backend server.
@@ -113,7 +128,7 @@
 }
 
 func (b *Backend) crash() {
-	b.crashes++
+	b.crashes = append(b.crashes, time.Now())
 	b.down = true
 	b.cutAnswers()
 }
@@ -149,6 +164,9 @@
 	b.attempts[call.Attempt]++
 	if b.poison != "" && body == b.poison {
 		b.crash()
+		if b.restart > 0 {
+			time.AfterFunc(b.restart, b.Recover)
+		}
 		return nil, errCut
 	}
 	left := make([]string, 0, Parts)
@@ -158,10 +176,17 @@
 	if strings.HasPrefix(call.Path, "/"+string(ClassDrafting)) {
 		left = skip(left, int(call.Resume))
 	}
-	reader := &partReader{ctx: ctx, backend: b, cut: b.detached, left: left}
+	reader := &partReader{ctx: ctx, cut: b.detached, left: left, pace: b.paceOf(body)}
 	return &carawaybeam.Answer{Status: 200, ContentType: "text/plain", Body: reader}, nil
 }
 
+func (b *Backend) paceOf(body string) time.Duration {
+	if strings.HasPrefix(body, LongPrefix) {
+		return longFactor * b.pace
+	}
+	return b.pace
+}
+
 func skip(parts []string, n int) []string {
 	for len(parts) > 0 && n >= len(parts[0]) {
 		n -= len(parts[0])
@@ -189,7 +214,7 @@
 		return 0, io.EOF
 	}
 	select {
-	case <-time.After(r.backend.pace):
+	case <-time.After(r.pace):
 	case <-r.cut:
 		return 0, errCut
 	case <-r.ctx.Done():
@@ -217,5 +242,10 @@
 	return nil
 }
 
-// Restart takes back nothing, as a caller that has read the answer.
-func (a *Answer) Restart() bool { return false }
+// Restart takes back a held answer.
+func (a *Answer) Restart() bool {
+	if a.Held {
+		a.Body.Reset()
+	}
+	return a.Held
+}
--- a/fakes/assembler/judge.go
+++ b/fakes/assembler/judge.go
@@ -1,6 +1,14 @@
 package assembler
 
-import "github.com/carawaybeam/carawaybeam"
+import (
+	"slices"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// refusalTime is within what time a request known as poison is refused.
+const refusalTime = 100 * time.Millisecond
 
 // Verdict counts what a replay shows, by the counts of the backend servers.
 type Verdict struct {
@@ -18,13 +26,28 @@
 	FalseNotRuns int
 	// DoubleRuns counts requests that are not idempotent and ran twice or more.
 	DoubleRuns int
+	// Unanswered counts sendings without their whole answer, but for those whose
+	// entry died or that were refused since the store was down, and
+	// UnansweredIdempotent those of them of idempotent classes that were not
+	// quarantined.
+	Unanswered           int
+	UnansweredIdempotent int
+	// Quarantined counts sendings refused for good as poison, and
+	// SlowQuarantines those of them not refused with a time to retry at once
+	// after the second crash.
+	Quarantined     int
+	SlowQuarantines int
 	// Crashes counts crashes of backend servers.
 	Crashes int
+
+	// second is when the second crash was.
+	second time.Time
 }
 
 // Judge compares what callers were told with what backend servers ran.
 func Judge(a *Assembler, sendings []*Sending) Verdict {
 	v := Verdict{Sendings: len(sendings)}
+	v.countCrashes(a)
 	completed := make(map[string]bool)
 	runs := make(map[string]map[string]int)
 	for _, s := range sendings {
@@ -53,10 +76,19 @@
 			v.DoubleRuns++
 		}
 	}
+	return v
+}
+
+func (v *Verdict) countCrashes(a *Assembler) {
+	var crashes []time.Time
 	for _, slot := range a.Slots {
-		v.Crashes += slot.Backend.Crashes()
+		crashes = append(crashes, slot.Backend.Crashes()...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	v.Crashes = len(crashes)
+	if len(crashes) > 1 {
+		v.second = crashes[1]
 	}
-	return v
 }
 
 func (v *Verdict) count(a *Assembler, s *Sending) {
@@ -66,6 +98,7 @@
 	if s.Wrong() {
 		v.WrongAnswers++
 	}
+	v.countUnanswered(s)
 	if s.Lost || s.Failure == nil || s.Failure.Outcome != carawaybeam.OutcomeNotRun {
 		return
 	}
@@ -77,6 +110,30 @@
 	}
 }
 
+func (v *Verdict) countUnanswered(s *Sending) {
+	if s.Lost || s.Failure == nil {
+		return
+	}
+	switch s.Failure.Reason {
+	case carawaybeam.ReasonStoreUnavailable:
+		return
+	case carawaybeam.ReasonQuarantined:
+		v.Quarantined++
+		known := s.Began
+		if v.second.After(known) {
+			known = v.second
+		}
+		if s.Ended.Sub(known) > refusalTime || s.Failure.RetryAfter == 0 {
+			v.SlowQuarantines++
+		}
+		return
+	}
+	v.Unanswered++
+	if ClassOf(s.Event.Class).Idempotent {
+		v.UnansweredIdempotent++
+	}
+}
+
 // name returns what identifies the request among all sendings. Bodies are
 // distinct unless a request is sent again.
 func (s *Sending) name() string {
@@ -112,5 +169,7 @@
 		"falseNotRuns":   float64(v.FalseNotRuns),
 		"doubleRuns":     float64(v.DoubleRuns),
 		"crashes":        float64(v.Crashes),
+		"unanswered":     float64(v.Unanswered),
+		"quarantined":    float64(v.Quarantined),
 	}
 }
--- a/fakes/assembler/replayer.go
+++ b/fakes/assembler/replayer.go
@@ -28,6 +28,8 @@
 		Failure *carawaybeam.RequestError
 		// Lost is set when the entry died under the request.
 		Lost bool
+		// Began and Ended tell when the sending was under way.
+		Began, Ended time.Time
 	}
 
 	// replay is one replay under way.
@@ -156,6 +158,7 @@
 // request sends one request as a caller does.
 func (r *replay) request(event Event) {
 	s := &Sending{Event: event, Request: carawaybeam.NewRequestID()}
+	s.Answer.Held = ClassOf(event.Class).Kind == carawaybeam.WorkService
 	r.mu.Lock()
 	r.sendings = append(r.sendings, s)
 	dead := r.dead[event.Entry]
@@ -187,10 +190,12 @@
 		}
 		request.Ticket = ticket
 	}
+	s.Began = time.Now()
 	failure := entry.Dispatcher.Do(context.Background(), request, &s.Answer)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.Failure = failure
+	s.Ended = time.Now()
 	s.Lost = r.dead[s.Event.Entry]
 }
 
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -47,32 +47,39 @@
 	}
 }
 
-// run keeps a link to the agent until the member goes.
+// run keeps a link to the agent until the member goes. A link that worked is
+// replaced sooner.
 func (m *member) run() {
 	for m.ctx.Err() == nil {
-		m.connect()
+		pause := redialInterval
+		if m.connect() {
+			pause = replaceInterval
+		}
 		select {
-		case <-time.After(redialInterval):
+		case <-time.After(pause):
 		case <-m.ctx.Done():
 		}
 	}
 }
 
-func (m *member) connect() {
+// connect uses one link until it fails and tells whether the agent spoke on it.
+func (m *member) connect() bool {
 	link, err := m.tracker.options.Dialer.Dial(m.ctx, m.snapshot().VM.Address)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = link.Close() }()
 	stream, err := link.Open(m.ctx)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(m.ctx, func() { _ = link.Close() })
 	defer stop()
 	m.control(link, stream)
+	worked := m.snapshot().Linked
 	m.setLink(nil)
+	return worked
 }
 
 func (m *member) setLink(link carawaybeam.Link) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -30,6 +30,9 @@
 
 	// redialInterval is the pause before a link is made anew.
 	redialInterval = 500 * time.Millisecond
+
+	// replaceInterval is the pause before a link that worked is replaced.
+	replaceInterval = 20 * time.Millisecond
 )
 
 type (
