--- /dev/null
+++ b/fakes/launcher/launcher.go
@@ -0,0 +1,352 @@
+// Package launcher starts the programs as real processes on loopback addresses
+// for tests: a platform, backend servers with their agents behind forwarders,
+// and entries. It serves tests only.
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
+)
+
+const (
+	// Token is the bearer token of the one organisation.
+	Token = "org-token"
+
+	stopTimeout   = 60 * time.Second
+	readyInterval = 50 * time.Millisecond
+)
+
+type (
+	// Process is one running program.
+	Process struct {
+		program string
+		args    []string
+		command *exec.Cmd
+		ended   chan struct{}
+		err     error
+	}
+
+	// Slot is a backend server with its agent behind a forwarder.
+	Slot struct {
+		Backend *Process
+		Agent   *Process
+		Links   *forwarder.Forwarder
+		// URL is that of the backend server.
+		URL string
+		vm  string
+	}
+
+	// Entry is one entry.
+	Entry struct {
+		*Process
+
+		// URL is that for callers.
+		URL   string
+		admin string
+	}
+
+	// Fleet is all processes of a test.
+	Fleet struct {
+		directory string
+		programs  string
+		platform  *Process
+		storeURL  string
+		Slots     []*Slot
+		Entries   []*Entry
+	}
+
+	// Options tells what to start.
+	Options struct {
+		// Directory takes the programs and settings.
+		Directory string
+		// Module is the directory of the module.
+		Module   string
+		Services int
+		Engines  int
+		Entries  int
+		// ServiceDelay and TokenTime pace the backend servers.
+		ServiceDelay, TokenTime time.Duration
+	}
+)
+
+var errNotReady = errors.New("entries are not ready in time")
+
+// Start builds the programs and starts all processes.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	f := &Fleet{directory: options.Directory, programs: filepath.Join(options.Directory, "bin")}
+	build := exec.CommandContext(ctx, "go", "build", "-o", f.programs+"/", "./cmd/...")
+	build.Dir = options.Module
+	if output, err := build.CombinedOutput(); err != nil {
+		return f, fmt.Errorf("build: %w: %s", err, output)
+	}
+	for i := range options.Services + options.Engines {
+		if err := f.addSlot(i, options); err != nil {
+			return f, err
+		}
+	}
+	if err := f.startPlatform(); err != nil {
+		return f, err
+	}
+	for i := range options.Entries {
+		if err := f.addEntry(i); err != nil {
+			return f, err
+		}
+	}
+	return f, f.waitReady(ctx, len(f.Slots))
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		var err error
+		if addresses[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return addresses, nil
+}
+
+func (f *Fleet) addSlot(i int, options Options) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	pool, role, backendArgs := "desk", "service", []string{"-delay", options.ServiceDelay.String()}
+	if i >= options.Services {
+		pool, role, backendArgs = "drafting", "engine", []string{"-tokenTime", options.TokenTime.String()}
+	}
+	s := &Slot{URL: "http://" + addresses[0], Links: forwarder.New(listener, addresses[1])}
+	s.vm = fmt.Sprintf(
+		"[[vm]]\nid = \"vm-%d\"\ndataCentre = \"dc\"\nrole = \"agent\"\naddress = %q\npool = %q\n",
+		i, listener.Addr().String(), pool,
+	)
+	f.Slots = append(f.Slots, s)
+	settings, err := f.write(fmt.Sprintf("agent-%d.toml", i), fmt.Sprintf(
+		"process = \"agent-%d\"\ndataCentre = \"dc\"\nlinks = %q\nadmin = %q\n\n"+
+			"[backend]\nid = \"backend-%d\"\nprotocol = %q\nurl = %q\nconcurrency = 64\n",
+		i, addresses[1], addresses[2], i, role, s.URL,
+	))
+	if err != nil {
+		return err
+	}
+	s.Backend, err = f.start("cbfake", append([]string{"-role", role, "-listen", addresses[0]}, backendArgs...)...)
+	if err != nil {
+		return err
+	}
+	s.Agent, err = f.start("cbagent", "-settings", settings)
+	return err
+}
+
+const classes = `
+[class.bookings]
+kind = "service"
+pool = "desk"
+idempotent = false
+targets = { completed = "5s", completion = "99.9%" }
+
+[class.drafting]
+kind = "model"
+pool = "drafting"
+idempotent = true
+targets = { firstToken = "1.3s", betweenTokens = "67ms", completed = "15s", completion = "99.9%" }
+`
+
+func (f *Fleet) startPlatform() error {
+	hash := sha256.Sum256([]byte(Token))
+	seed := classes + fmt.Sprintf("\n[organisation.org]\ntokenHash = %q\n\n", hex.EncodeToString(hash[:]))
+	for _, s := range f.Slots {
+		seed += s.vm + "\n"
+	}
+	path, err := f.write("platform.toml", seed)
+	if err != nil {
+		return err
+	}
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	f.storeURL = "http://" + address
+	f.platform, err = f.start("cbfake", "-role", "platform", "-listen", address, "-seed", path)
+	return err
+}
+
+func (f *Fleet) addEntry(i int) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	settings, err := f.write(fmt.Sprintf("entry-%d.toml", i), fmt.Sprintf(
+		"process = \"entry-%d\"\ndataCentre = \"dc\"\ncallers = %q\nlinks = %q\nadmin = %q\n\n"+
+			"[store]\nprotocol = \"rest\"\nurl = %q\n\n[vmList]\nprotocol = \"rest\"\nurl = %q\n",
+		i, addresses[0], addresses[1], addresses[2], f.storeURL, f.storeURL,
+	))
+	if err != nil {
+		return err
+	}
+	process, err := f.start("cbentry", "-settings", settings)
+	if err != nil {
+		return err
+	}
+	f.Entries = append(f.Entries, &Entry{Process: process, URL: "http://" + addresses[0], admin: addresses[2]})
+	return nil
+}
+
+func (f *Fleet) write(name, text string) (string, error) {
+	path := filepath.Join(f.directory, name)
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+func (f *Fleet) start(program string, args ...string) (*Process, error) {
+	p := &Process{program: filepath.Join(f.programs, program), args: args}
+	return p, p.Start()
+}
+
+// waitReady waits until each entry is linked to all agents.
+func (f *Fleet) waitReady(ctx context.Context, agents int) error {
+	for _, e := range f.Entries {
+		for e.linked(ctx) < agents {
+			select {
+			case <-time.After(readyInterval):
+			case <-ctx.Done():
+				return errNotReady
+			}
+		}
+	}
+	return nil
+}
+
+func (e *Entry) linked(ctx context.Context) int {
+	var dump struct {
+		Ready bool `json:"ready"`
+		State struct {
+			Members []struct {
+				Linked bool `json:"linked"`
+			} `json:"members"`
+		} `json:"state"`
+	}
+	if Fetch(ctx, "http://"+e.admin+"/state", &dump) != nil || !dump.Ready {
+		return 0
+	}
+	linked := 0
+	for _, member := range dump.State.Members {
+		if member.Linked {
+			linked++
+		}
+	}
+	return linked
+}
+
+// Fetch reads a JSON document.
+func Fetch(ctx context.Context, url string, result any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	return json.NewDecoder(bytes.NewReader(data)).Decode(result)
+}
+
+// OrderStore tells the platform's store to fail, as the stand-in reads it.
+func (f *Fleet) OrderStore(ctx context.Context, order string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.storeURL+"/fault", bytes.NewBufferString(order))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// Close stops all processes, entries first, and reports those that did not end
+// cleanly.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, e := range f.Entries {
+		errs = append(errs, e.Stop())
+	}
+	for _, s := range f.Slots {
+		errs = append(errs, s.Agent.Stop(), s.Links.Close(), s.Backend.Stop())
+	}
+	return errors.Join(append(errs, f.platform.Stop())...)
+}
+
+// Start starts the program, again after it has ended.
+func (p *Process) Start() error {
+	p.command = exec.Command(p.program, p.args...)
+	p.ended = make(chan struct{})
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
+
+// Kill kills the process and waits for its end.
+func (p *Process) Kill() error {
+	err := p.command.Process.Kill()
+	<-p.ended
+	return err
+}
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Stop asks the process to stop and waits. It reports an exit code other than 0.
+func (p *Process) Stop() error {
+	if p == nil || p.command == nil {
+		return nil
+	}
+	if err := p.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	select {
+	case <-p.ended:
+		return p.err
+	case <-time.After(stopTimeout):
+		return errors.Join(fmt.Errorf("%s did not stop", p.program), p.Kill())
+	}
+}
