--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/spreader"
 )
 
@@ -110,6 +111,8 @@
 		a.options.Executor.ServeDispatch(ctx, first, &reportingStream{Stream: stream, agent: a})
 	case *framer.Frame_Resolve:
 		a.options.Executor.ServeResolve(ctx, first, &reportingStream{Stream: stream, agent: a})
+	case *framer.Frame_TicketRequest:
+		a.options.Executor.ServeTicket(first, stream)
 	default:
 		a.options.Log.Warn().Msg("agent: stream begins with an unexpected frame")
 	}
@@ -129,12 +132,16 @@
 	listener.Go(func() { a.listen(exchange, stream, interval, cancel) })
 	ticker := time.NewTicker(max(heartbeatInterval, wantedInterval(first)))
 	defer ticker.Stop()
+	suspects := quarantiner.NewSpreader(a.options.Executor.Quarantiner())
 	for {
 		heartbeat, changed := a.heartbeat()
 		if stream.Send(exchange.Mark(heartbeat)) != nil {
 			return
 		}
-		if !a.converse(ctx, exchange, stream, ticker, interval, changed) {
+		if frame := suspects.Next(); frame != nil && stream.Send(exchange.Mark(frame)) != nil {
+			return
+		}
+		if !a.converse(ctx, exchange, stream, ticker, interval, changed, suspects.Changed()) {
 			return
 		}
 	}
@@ -156,6 +163,7 @@
 			return
 		}
 		exchange.Receive(frame)
+		a.options.Executor.Quarantiner().Merge(frame.GetSuspects().GetSuspects())
 		wanted := wantedInterval(frame)
 		if wanted == 0 || wanted == told {
 			continue
--- a/agent/config.go
+++ b/agent/config.go
@@ -31,7 +31,7 @@
 	stream carawaybeam.Stream,
 	due *time.Ticker,
 	interval <-chan time.Duration,
-	changed <-chan struct{},
+	changed, suspects <-chan struct{},
 ) bool {
 	for {
 		news := a.options.Configurer.Changed()
@@ -47,6 +47,8 @@
 			due.Reset(wanted)
 		case <-changed:
 			return true
+		case <-suspects:
+			return true
 		case <-news:
 		case <-exchange.Wake():
 		case <-ctx.Done():
--- a/applier/fleet_test.go
+++ b/applier/fleet_test.go
@@ -216,7 +216,7 @@
 }
 
 func (f *fleet) newAgent(vm carawaybeam.VM) *agentNode {
-	backend := assembler.NewBackend(10 * time.Millisecond)
+	backend := assembler.NewBackend(10*time.Millisecond, time.Second)
 	incarnation := carawaybeam.NewIncarnation()
 	id := carawaybeam.BackendID(vm.ID)
 	e := executor.New(executor.Options{
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +20,7 @@
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/recorder"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
 	"github.com/carawaybeam/carawaybeam/server"
@@ -36,19 +38,21 @@
 
 // entry is the running daemon.
 type entry struct {
-	settings   loader.Entry
-	log        zerolog.Logger
-	store      carawaybeam.Store
-	lister     carawaybeam.Lister
-	configurer *configurer.Configurer
-	recorder   *recorder.Recorder
-	tracker    *tracker.Tracker
-	spreader   *spreader.Spreader
-	dispatcher *dispatcher.Dispatcher
-	server     *server.Server
-	traffic    messenger.Traffic
-	security   *certifier.Certifier
-	closers    starter.Closers
+	settings    loader.Entry
+	log         zerolog.Logger
+	store       carawaybeam.Store
+	lister      carawaybeam.Lister
+	configurer  *configurer.Configurer
+	recorder    *recorder.Recorder
+	tracker     *tracker.Tracker
+	spreader    *spreader.Spreader
+	dispatcher  *dispatcher.Dispatcher
+	quarantiner *quarantiner.Quarantiner
+	server      *server.Server
+	traffic     messenger.Traffic
+	security    *certifier.Certifier
+	leaving     atomic.Bool
+	closers     starter.Closers
 	// shutDown begins the graceful stop.
 	shutDown func()
 }
@@ -59,6 +63,7 @@
 	ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 	Links         messenger.TrafficState    `json:"links"`
 	Policies      dispatcher.PolicyState    `json:"policies"`
+	Dispatcher    dispatcher.State          `json:"dispatcher"`
 	// Complete is the store version up to which all changes are held.
 	Complete carawaybeam.ConfigVersion `json:"complete"`
 	// Invalid tells of objects that are held but not understood.
@@ -117,6 +122,7 @@
 	if e.security, err = e.linkSecurity(); err != nil {
 		return err
 	}
+	e.quarantiner = quarantiner.New()
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -124,6 +130,7 @@
 		Lister:      e.lister,
 		Dialer:      e.dialer(certifier.RoleAgent),
 		Config:      e.configurer,
+		Quarantiner: e.quarantiner,
 		Log:         e.log,
 	})
 	e.closers.Add(e.tracker)
@@ -174,15 +181,18 @@
 	if err != nil {
 		return err
 	}
+	keys := binder.New(e.store)
+	e.closers.Add(keys)
 	e.dispatcher = dispatcher.New(dispatcher.Options{
 		DataCentre:    e.settings.DataCentre,
 		Members:       e.tracker,
-		Binder:        binder.New(e.store),
+		Binder:        keys,
 		Config:        e.configurer,
 		Configuration: e.configurer,
 		Router:        e.recorder.Router(newRouter()),
 		Limiter:       e.recorder.Limiter(newLimiter()),
 		Retrier:       e.recorder.Retrier(newRetrier()),
+		Quarantiner:   e.quarantiner,
 		Log:           e.log,
 	})
 	e.closers.Add(e.dispatcher)
@@ -216,6 +226,7 @@
 // stop refuses new requests, finishes those that run and closes all parts.
 func (e *entry) stop() error {
 	e.log.Info().Msg("entry: draining")
+	e.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), starter.DrainTimeout)
 	defer cancel()
 	drained := e.server.Drain(ctx)
@@ -248,6 +259,7 @@
 		Policies:      e.dispatcher.Policies(),
 		Complete:      e.configurer.Complete(),
 		Peers:         e.spreader.Peers(),
+		Dispatcher:    e.dispatcher.State(),
 	}
 	for _, invalid := range e.configurer.Invalid() {
 		s.Invalid = append(s.Invalid, invalid.Error())
--- a/dispatcher/candidates_test.go
+++ b/dispatcher/candidates_test.go
@@ -16,7 +16,7 @@
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/fakes/assembler"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
-	"github.com/carawaybeam/carawaybeam/retrier/proof"
+	baseline "github.com/carawaybeam/carawaybeam/retrier/proof"
 )
 
 // watchedRouter takes the first candidate and notes what it sees.
@@ -58,7 +58,7 @@
 		Config:  p.Entries[0].Configurer,
 		Router:  router,
 		Limiter: unlimited.Limiter{},
-		Retrier: proof.Retrier{},
+		Retrier: baseline.Retrier{},
 		Log:     zerolog.Nop(),
 	})
 }
--- a/executor/limit_test.go
+++ b/executor/limit_test.go
@@ -57,8 +57,8 @@
 	return nil
 }
 
-// dispatch runs one attempt to its end and returns the last frame.
-func dispatch(e *executor.Executor, id string) *framer.Frame {
+// runOnce runs one attempt to its end and returns the last frame.
+func runOnce(e *executor.Executor, id string) *framer.Frame {
 	s := &recordedStream{closed: make(chan struct{})}
 	defer func() { _ = s.Close() }()
 	e.ServeDispatch(context.Background(), &framer.Frame{
@@ -74,19 +74,19 @@
 		e := executor.New(executor.Options{Backend: backend, Concurrency: 64, Log: zerolog.Nop()})
 		defer func() { is.NoErr(e.Close()) }()
 		for i := range 50 {
-			is.True(dispatch(e, fmt.Sprintf("usual-%d", i)).GetTail() != nil)
+			is.True(runOnce(e, fmt.Sprintf("usual-%d", i)).GetTail() != nil)
 		}
 		is.Equal(e.State().Limit, 64)
 		backend.wait = 5 * time.Second
 		for i := range 100 {
-			dispatch(e, fmt.Sprintf("slow-%d", i))
+			runOnce(e, fmt.Sprintf("slow-%d", i))
 		}
 		is.True(e.State().Limit < 16)
 		for i := range 64 {
-			go dispatch(e, fmt.Sprintf("many-%d", i))
+			go runOnce(e, fmt.Sprintf("many-%d", i))
 		}
 		synctest.Wait()
-		refused := dispatch(e, "one more").GetRefused()
+		refused := runOnce(e, "one more").GetRefused()
 		is.Equal(refused.GetReason(), string(carawaybeam.ReasonBusy))
 		time.Sleep(time.Minute)
 	})
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/fakes/linker"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/retrier/proof"
 	"github.com/carawaybeam/carawaybeam/router/leastinflight"
 	"github.com/carawaybeam/carawaybeam/tracker"
@@ -40,12 +42,16 @@
 		Concurrency int
 		// Pace is the time for one part of an answer.
 		Pace time.Duration
+		// Restart is how long a crashed backend server is down, or 0 for until it is
+		// started again.
+		Restart time.Duration
 	}
 
 	// Entry is one entry with its parts.
 	Entry struct {
 		Configurer *configurer.Configurer
 		Tracker    *tracker.Tracker
+		Binder     *binder.Binder
 		Dispatcher *dispatcher.Dispatcher
 	}
 
@@ -55,6 +61,9 @@
 		Backend  *Backend
 		Agent    *agent.Agent
 		Executor *executor.Executor
+
+		// mu guards the changes of Agent and Executor.
+		mu sync.Mutex
 	}
 
 	// Assembler holds the parts. Its fields may be used directly.
@@ -85,7 +94,7 @@
 func (a *Assembler) Close() error {
 	errs := make([]error, 0, len(a.Entries)+len(a.Slots)+1)
 	for _, e := range a.Entries {
-		errs = append(errs, errors.Join(e.Dispatcher.Close(), e.Tracker.Close()))
+		errs = append(errs, errors.Join(e.Dispatcher.Close(), e.Binder.Close(), e.Tracker.Close()))
 	}
 	errs = append(errs, a.Network.Close())
 	for _, s := range a.Slots {
@@ -96,24 +105,28 @@
 
 func (a *Assembler) addEntry(i int) {
 	config := configurer.New()
+	suspects := quarantiner.New()
 	t := tracker.New(tracker.Options{
 		Process:     fmt.Sprintf("entry-%d", i),
 		Incarnation: carawaybeam.NewIncarnation(),
 		Lister:      a.Store.VMList(),
 		Dialer:      a.Network,
 		Config:      config,
+		Quarantiner: suspects,
 		Log:         zerolog.Nop(),
 	})
+	b := binder.New(a.Store)
 	d := dispatcher.New(dispatcher.Options{
-		Members: t,
-		Binder:  binder.New(a.Store),
-		Config:  config,
-		Router:  leastinflight.Router{},
-		Limiter: unlimited.Limiter{},
-		Retrier: proof.Retrier{},
-		Log:     zerolog.Nop(),
+		Members:     t,
+		Binder:      b,
+		Config:      config,
+		Router:      leastinflight.Router{},
+		Limiter:     unlimited.Limiter{},
+		Retrier:     proof.Retrier{},
+		Quarantiner: suspects,
+		Log:         zerolog.Nop(),
 	})
-	a.Entries = append(a.Entries, &Entry{Configurer: config, Tracker: t, Dispatcher: d})
+	a.Entries = append(a.Entries, &Entry{Configurer: config, Tracker: t, Binder: b, Dispatcher: d})
 }
 
 func (a *Assembler) addSlot(i int) {
@@ -125,7 +138,7 @@
 			Address: carawaybeam.Address(fmt.Sprintf("10.0.0.%d:7000", i)),
 			Pool:    Pool,
 		},
-		Backend: NewBackend(a.options.Pace),
+		Backend: NewBackend(a.options.Pace, a.options.Restart),
 	}
 	a.Slots = append(a.Slots, s)
 	a.StartAgent(i)
@@ -140,9 +153,22 @@
 	a.Store.SetVMs(vms)
 }
 
+// RemoveVM takes the VM of a slot off the platform's list.
+func (a *Assembler) RemoveVM(i int) {
+	vms := make([]carawaybeam.VM, 0, len(a.Slots))
+	for n, s := range a.Slots {
+		if n != i && s.VM.State == carawaybeam.VMLive {
+			vms = append(vms, s.VM)
+		}
+	}
+	a.Store.SetVMs(vms)
+}
+
 // StartAgent starts a new incarnation of the agent of a slot.
 func (a *Assembler) StartAgent(i int) {
 	s := a.Slots[i]
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	id := carawaybeam.BackendID(fmt.Sprintf("desk-%d", i))
 	incarnation := carawaybeam.NewIncarnation()
 	s.Executor = executor.New(executor.Options{
@@ -171,16 +197,39 @@
 	return s.closeAgent()
 }
 
+func (s *Slot) running() *agent.Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Agent
+}
+
 func (s *Slot) closeAgent() error {
-	if s.Agent == nil {
+	s.mu.Lock()
+	stopped, executor := s.Agent, s.Executor
+	s.Agent, s.Executor = nil, nil
+	s.mu.Unlock()
+	if stopped == nil {
 		return nil
 	}
-	err := errors.Join(s.Agent.Close(), s.Executor.Close())
-	s.Agent, s.Executor = nil, nil
-	return err
+	return errors.Join(stopped.Close(), executor.Close())
 }
 
 // Drain stops the agent of a slot gracefully.
 func (a *Assembler) Drain(ctx context.Context, i int) error {
 	return a.Slots[i].Agent.Drain(ctx)
 }
+
+// StopAgent stops the agent of a slot gracefully and ends its process.
+func (a *Assembler) StopAgent(ctx context.Context, i int) error {
+	s := a.Slots[i]
+	stopping := s.running()
+	if stopping == nil {
+		return nil
+	}
+	err := stopping.Drain(ctx)
+	if s.running() != stopping {
+		return nil
+	}
+	a.Network.Unlisten(s.VM.Address)
+	return errors.Join(err, s.closeAgent())
+}
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,8 +13,14 @@
 	"github.com/carawaybeam/carawaybeam"
 )
 
-// Parts is how many parts each answer has.
-const Parts = 8
+const (
+	// Parts is how many parts each answer has.
+	Parts = 8
+
+	// LongPrefix begins the bodies whose answers take longFactor times as long.
+	LongPrefix = "long"
+	longFactor = 20
+)
 
 var (
 	_ carawaybeam.Backend = (*Backend)(nil)
@@ -26,11 +33,15 @@
 	// Backend is a backend server in memory that counts the runs of each body.
 	Backend struct {
 		pace time.Duration
+		// restart is how long the backend server is down after it crashed by
+		// itself, or 0 for until Recover.
+		restart time.Duration
 
 		mu       sync.Mutex
 		runs     map[string]int
+		attempts map[carawaybeam.AttemptID]int
 		down     bool
-		crashes  int
+		crashes  []time.Time
 		poison   string
 		detached chan struct{}
 	}
@@ -39,19 +50,29 @@
 	Answer struct {
 		Status int
 		Body   strings.Builder
+		// Held is set when the answer reaches the caller only as a whole, as one
+		// that is no event stream.
+		Held bool
 	}
 
 	partReader struct {
-		ctx     context.Context
-		backend *Backend
-		cut     <-chan struct{}
-		left    []string
+		ctx  context.Context
+		cut  <-chan struct{}
+		left []string
+		pace time.Duration
 	}
 )
 
-// NewBackend returns a Backend that takes the given time for each part.
-func NewBackend(pace time.Duration) *Backend {
-	return &Backend{pace: pace, runs: make(map[string]int), detached: make(chan struct{})}
+// NewBackend returns a Backend that takes the given time for each part, and for a
+// restart.
+func NewBackend(pace, restart time.Duration) *Backend {
+	return &Backend{
+		pace:     pace,
+		restart:  restart,
+		runs:     make(map[string]int),
+		attempts: make(map[carawaybeam.AttemptID]int),
+		detached: make(chan struct{}),
+	}
 }
 
 // Whole returns the whole answer to a request with the body.
@@ -72,11 +93,24 @@
 	return b.runs[body]
 }
 
-// Crashes returns how often the backend server crashed.
-func (b *Backend) Crashes() int {
+// Started returns how often attempts of a request were started.
+func (b *Backend) Started(request carawaybeam.RequestID) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for id, runs := range b.attempts {
+		if strings.HasPrefix(string(id), string(request)+".") {
+			n += runs
+		}
+	}
+	return n
+}
+
+// Crashes returns when the backend server crashed.
+func (b *Backend) Crashes() []time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.crashes
+	return slices.Clone(b.crashes)
 }
 
 // Poison makes every request with the body crash the backend server.
@@ -94,7 +128,7 @@
 }
 
 func (b *Backend) crash() {
-	b.crashes++
+	b.crashes = append(b.crashes, time.Now())
 	b.down = true
 	b.cutAnswers()
 }
@@ -118,7 +152,7 @@
 	b.detached = make(chan struct{})
 }
 
-// Start puts a call. The answer goes on behind call.Resume.
+// Start puts a call. Only answers of ClassDrafting go on behind call.Resume.
 func (b *Backend) Start(ctx context.Context, call carawaybeam.Call) (*carawaybeam.Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -127,18 +161,32 @@
 	}
 	body := string(call.Body)
 	b.runs[body]++
+	b.attempts[call.Attempt]++
 	if b.poison != "" && body == b.poison {
 		b.crash()
+		if b.restart > 0 {
+			time.AfterFunc(b.restart, b.Recover)
+		}
 		return nil, errCut
 	}
 	left := make([]string, 0, Parts)
 	for i := range Parts {
 		left = append(left, part(body, i))
 	}
-	reader := &partReader{ctx: ctx, backend: b, cut: b.detached, left: skip(left, int(call.Resume))}
+	if strings.HasPrefix(call.Path, "/"+string(ClassDrafting)) {
+		left = skip(left, int(call.Resume))
+	}
+	reader := &partReader{ctx: ctx, cut: b.detached, left: left, pace: b.paceOf(body)}
 	return &carawaybeam.Answer{Status: 200, ContentType: "text/plain", Body: reader}, nil
 }
 
+func (b *Backend) paceOf(body string) time.Duration {
+	if strings.HasPrefix(body, LongPrefix) {
+		return longFactor * b.pace
+	}
+	return b.pace
+}
+
 func skip(parts []string, n int) []string {
 	for len(parts) > 0 && n >= len(parts[0]) {
 		n -= len(parts[0])
@@ -166,7 +214,7 @@
 		return 0, io.EOF
 	}
 	select {
-	case <-time.After(r.backend.pace):
+	case <-time.After(r.pace):
 	case <-r.cut:
 		return 0, errCut
 	case <-r.ctx.Done():
@@ -193,3 +241,11 @@
 	a.Body.Write(data)
 	return nil
 }
+
+// Restart takes back a held answer.
+func (a *Answer) Restart() bool {
+	if a.Held {
+		a.Body.Reset()
+	}
+	return a.Held
+}
--- a/fakes/assembler/count.go
+++ b/fakes/assembler/count.go
@@ -1,7 +1,7 @@
 package assembler
 
-// Started returns how many calls the backend server has taken.
-func (b *Backend) Started() int {
+// Calls returns how many calls the backend server has taken.
+func (b *Backend) Calls() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	total := 0
--- a/server/answer.go
+++ b/server/answer.go
@@ -57,6 +57,7 @@
 	carawaybeam.ReasonTooLarge:         {http.StatusRequestEntityTooLarge, "Request is too large"},
 	carawaybeam.ReasonKeyReused:        {http.StatusUnprocessableEntity, "Idempotency key was used with another body"},
 	carawaybeam.ReasonBusy:             {http.StatusTooManyRequests, "Too many requests"},
+	carawaybeam.ReasonBadTicket:        {http.StatusConflict, "Ticket is not open"},
 	carawaybeam.ReasonQuarantined:      {http.StatusTooManyRequests, "Request crashed backend servers"},
 	carawaybeam.ReasonBackendFailed:    {http.StatusBadGateway, "Backend server failed"},
 	carawaybeam.ReasonAnswerGone:       {http.StatusBadGateway, "Answer is no longer held"},
@@ -142,6 +143,15 @@
 	return nil
 }
 
+// Restart takes back an answer of which nothing has left yet.
+func (a *answerWriter) Restart() bool {
+	if a.sent {
+		return false
+	}
+	a.held = nil
+	return true
+}
+
 // send writes the head and what was held back.
 func (a *answerWriter) send() {
 	a.sent = true
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -67,6 +67,14 @@
 	return d.answer(ctx, w)
 }
 
+func (d *dispatch) Mint(
+	context.Context,
+	carawaybeam.Class,
+	carawaybeam.OrganisationID,
+) (dispatcher.Ticket, *carawaybeam.RequestError) {
+	return dispatcher.Ticket{Backend: "b", Incarnation: "i", Number: 1}, nil
+}
+
 func text(parts ...string) func(context.Context, dispatcher.AnswerWriter) *carawaybeam.RequestError {
 	return func(_ context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError {
 		_ = w.Head(http.StatusOK, "text/plain")
--- a/tracker/bytes_test.go
+++ b/tracker/bytes_test.go
@@ -74,7 +74,7 @@
 			Pool:    carawaybeam.PoolID(fmt.Sprintf("pool-%d", i/poolSize)),
 		}
 		vms = append(vms, vm)
-		backend := assembler.NewBackend(time.Second)
+		backend := assembler.NewBackend(time.Second, time.Second)
 		e := executor.New(executor.Options{
 			Backend: backend, BackendID: carawaybeam.BackendID(vm.ID), Concurrency: 1, Log: zerolog.Nop(),
 		})
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/spreader"
 )
 
@@ -132,32 +133,37 @@
 	}
 }
 
-// run keeps a link to the agent until ctx ends.
+// run keeps a link to the agent until ctx ends. A link that worked is replaced
+// sooner.
 func (m *member) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.connect(ctx)
+		pause := redialInterval
+		if m.connect(ctx) {
+			pause = replaceInterval
+		}
 		select {
-		case <-time.After(redialInterval):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (m *member) connect(ctx context.Context) {
+// connect uses one link until it fails and tells whether the agent spoke on it.
+func (m *member) connect(ctx context.Context) bool {
 	link, err := m.tracker.options.Dialer.Dial(ctx, m.snapshot().VM.Address)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = link.Close() }()
 	stream, err := link.Open(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = link.Close() })
 	defer stop()
-	defer m.unlink(link)
 	m.control(ctx, link, stream)
+	return m.unlink(link)
 }
 
 func (m *member) setLink(link carawaybeam.Link) {
@@ -168,13 +174,15 @@
 }
 
 // unlink forgets a link unless a newer one has taken its place.
-func (m *member) unlink(link carawaybeam.Link) {
+func (m *member) unlink(link carawaybeam.Link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.link == link {
-		m.link = nil
-		m.state.Linked = false
+	if m.link != link {
+		return false
 	}
+	m.link = nil
+	m.state.Linked = false
+	return true
 }
 
 // control speaks on the control stream until it fails or goes silent.
@@ -194,6 +202,7 @@
 			return
 		}
 		exchange.Receive(frame)
+		m.tracker.options.Quarantiner.Merge(frame.GetSuspects().GetSuspects())
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
 			m.record(heartbeat, carawaybeam.ConfigVersion(frame.GetConfigVersion()))
 			m.setLink(link)
@@ -225,7 +234,8 @@
 	}}}
 }
 
-// beat speaks regularly and exchanges changes of the configuration.
+// beat speaks regularly, and exchanges changes of the configuration and
+// suspects.
 func (m *member) beat(ctx context.Context, exchange *spreader.Exchange, stream carawaybeam.Stream) {
 	interval := m.tracker.beatInterval()
 	ticker := time.NewTicker(interval)
@@ -234,6 +244,7 @@
 	if stream.Send(exchange.Mark(m.hello(interval))) != nil {
 		return
 	}
+	suspects := quarantiner.NewSpreader(m.tracker.options.Quarantiner)
 	for {
 		changed := m.tracker.options.Config.Changed()
 		for _, frame := range exchange.Outgoing() {
@@ -241,6 +252,9 @@
 				return
 			}
 		}
+		if frame := suspects.Next(); frame != nil && stream.Send(exchange.Mark(frame)) != nil {
+			return
+		}
 		select {
 		case <-ticker.C:
 			interval = m.tracker.beatInterval()
@@ -253,6 +267,7 @@
 			m.ask(interval)
 		case <-exchange.Wake():
 		case <-changed:
+		case <-suspects.Changed():
 		case <-ctx.Done():
 			return
 		}
--- a/tracker/promise_test.go
+++ b/tracker/promise_test.go
@@ -118,11 +118,11 @@
 			}
 		})
 		time.Sleep(time.Until(begun.Add(leaveBound)))
-		before := a.Slots[i].Backend.Started()
+		before := a.Slots[i].Backend.Calls()
 		trials++
 		drains.Go(func() {
 			time.Sleep(watchTime)
-			if late := a.Slots[i].Backend.Started() - before; late > 0 {
+			if late := a.Slots[i].Backend.Calls() - before; late > 0 {
 				t.Logf("backend server %d took %d calls too late", i, late)
 				violations++
 			}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -16,6 +16,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 const (
@@ -38,6 +39,8 @@
 	// reachInterval is how often its progress is looked at.
 	reachTimeout  = 2 * time.Second
 	reachInterval = 20 * time.Millisecond
+	// replaceInterval is the pause before a link that worked is replaced.
+	replaceInterval = 20 * time.Millisecond
 )
 
 type (
@@ -55,7 +58,10 @@
 		// Whole. Both are 0 for the usual numbers.
 		Subset int
 		Whole  int
-		Log    zerolog.Logger
+		// Quarantiner keeps the requests that crash backend servers. Nil stands
+		// for one of the Tracker's own.
+		Quarantiner *quarantiner.Quarantiner
+		Log         zerolog.Logger
 	}
 
 	// ConfigObserver holds the configuration of the process.
@@ -111,6 +117,9 @@
 	if options.Whole == 0 {
 		options.Whole = wholePool
 	}
+	if options.Quarantiner == nil {
+		options.Quarantiner = quarantiner.New()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tracker{
 		options:  options,
