--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -67,7 +67,9 @@
 		Members(pool carawaybeam.PoolID) []tracker.Member
 		Open(ctx context.Context, backend carawaybeam.BackendID) (carawaybeam.Stream, error)
 		Suspect(backend carawaybeam.BackendID)
-		Known(backend carawaybeam.BackendID) bool
+		// Reach makes a link to a backend server outside the entry's subset and
+		// tells whether there is one.
+		Reach(ctx context.Context, pool carawaybeam.PoolID, backend carawaybeam.BackendID) bool
 	}
 
 	// Binder ties idempotency keys to agents.
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -57,7 +57,7 @@
 // target chooses a backend server, and binds the key of a request that has one.
 func (d *Dispatcher) target(ctx context.Context, request Request, p *pursuit) (target, *carawaybeam.RequestError) {
 	if request.Ticket.Number != 0 {
-		return d.ticketTarget(request)
+		return d.ticketTarget(ctx, request)
 	}
 	member, failure := d.choose(request, p.tried)
 	if failure != nil {
@@ -134,7 +134,7 @@
 	if bound.BodyHash != want.BodyHash {
 		return target{}, notRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
-	if d.member(request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
+	if d.reach(ctx, request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
 		return target{}, incarnationGone("agent that the key is bound to is gone")
 	}
 	return target{backend: bound.Backend, incarnation: bound.Incarnation, key: key, binding: bound}, nil
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -109,9 +109,9 @@
 }
 
 // ticketTarget sends a request with a ticket where the ticket was minted.
-func (d *Dispatcher) ticketTarget(request Request) (target, *carawaybeam.RequestError) {
+func (d *Dispatcher) ticketTarget(ctx context.Context, request Request) (target, *carawaybeam.RequestError) {
 	ticket := request.Ticket
-	if d.member(request.Class.Pool, ticket.Backend).Incarnation != ticket.Incarnation {
+	if d.reach(ctx, request.Class.Pool, ticket.Backend).Incarnation != ticket.Incarnation {
 		return target{}, incarnationGone("agent that minted the ticket is gone")
 	}
 	return target{backend: ticket.Backend, incarnation: ticket.Incarnation, ticket: ticket.Number}, nil
