Publish metrics, make the settings page from the code, test the loader

Counters of requests by class, outcome and reason, of attempts by event, and gauges of configuration version, age and links. docs/SETTINGS.md comes from the loader's tags (make settings) and a test compares it; a setting without a text fails the test.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_LINT = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS = $(CURDIR)/.tools
 
-.PHONY: build demo demo-full test lint format generate tools
+.PHONY: build demo demo-full test lint format generate settings tools
 
 build:
 	go build -o bin/ ./cmd/... ./examples/demo
@@ -38,3 +38,7 @@
 
 generate: $(TOOLS)/buf $(TOOLS)/protoc-gen-go
 	PATH="$(TOOLS):$$PATH" $(TOOLS)/buf generate
+
+# The settings reference is made from the loader's tags.
+settings:
+	UPDATE_SETTINGS=1 go test -count=1 -run TestSettingsPageIsThatOfTheCode ./loader
--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -106,7 +106,9 @@
 	if err != nil {
 		return err
 	}
-	d.closers.Add(dumper.New(admin, d.dumpOptions()))
+	operators := dumper.New(admin, d.dumpOptions())
+	d.closers.Add(operators)
+	d.closers.Add(newGauges(d.executor, operators.Scope()))
 	return nil
 }
 
--- /dev/null
+++ b/cmd/cbagent/metrics.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carawaybeam/carawaybeam/executor"
+)
+
+// gaugeInterval is how often metrics are brought up to date.
+const gaugeInterval = time.Second
+
+// gauges publishes the state of the executor until Close.
+type gauges struct {
+	executor *executor.Executor
+	scope    tally.Scope
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+	last     executor.State
+}
+
+func newGauges(e *executor.Executor, scope tally.Scope) *gauges {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &gauges{executor: e, scope: scope, cancel: cancel}
+	g.wait.Go(func() { g.follow(ctx) })
+	return g
+}
+
+// Close stops publishing and waits.
+func (g *gauges) Close() error {
+	g.cancel()
+	g.wait.Wait()
+	return nil
+}
+
+func (g *gauges) follow(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		g.publish()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *gauges) publish() {
+	state := g.executor.State()
+	g.scope.Gauge("config_version").Update(float64(state.ConfigVersion))
+	g.scope.Gauge("attempts_running").Update(float64(state.Running))
+	g.scope.Gauge("attempts_remembered").Update(float64(state.Remembered))
+	g.scope.Gauge("answer_bytes_held").Update(float64(state.HeldBytes))
+	g.count("started", state.Started, g.last.Started)
+	g.count("done", state.Done, g.last.Done)
+	g.count("failed", state.Failed, g.last.Failed)
+	g.count("refused", state.Refused, g.last.Refused)
+	g.count("tombstoned", state.Tombstones, g.last.Tombstones)
+	g.count("resolved", state.Resumed, g.last.Resumed)
+	g.last = state
+}
+
+func (g *gauges) count(event string, now, before uint64) {
+	g.scope.Tagged(map[string]string{"event": event}).Counter("attempts").Inc(int64(now - before))
+}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -182,14 +182,16 @@
 	if err != nil {
 		return err
 	}
-	e.closers.Add(dumper.New(admin, e.dumpOptions()))
+	operators := dumper.New(admin, e.dumpOptions())
+	e.closers.Add(operators)
+	e.closers.Add(newGauges(e, operators.Scope()))
 	callers, err := starter.Listen("callers", e.settings.Callers)
 	if err != nil {
 		return err
 	}
 	e.server = server.New(callers, server.Options{
 		Configuration: e.configurer,
-		Dispatcher:    e.dispatcher,
+		Dispatcher:    meteredDispatcher{Dispatcher: e.dispatcher, scope: operators.Scope()},
 		BodyBytes:     e.settings.Limits.BodyBytes,
 		HeaderBytes:   e.settings.Limits.HeaderBytes,
 		ReadTimeout:   time.Duration(e.settings.Limits.ReadTimeout),
--- /dev/null
+++ b/cmd/cbentry/metrics.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/server"
+)
+
+// gaugeInterval is how often gauges are set.
+const gaugeInterval = time.Second
+
+type (
+	// meteredDispatcher counts requests by class and by what became of them.
+	meteredDispatcher struct {
+		server.Dispatcher
+		scope tally.Scope
+	}
+
+	// gauges sets the gauges of an entry until Close.
+	gauges struct {
+		entry  *entry
+		scope  tally.Scope
+		cancel context.CancelFunc
+		wait   sync.WaitGroup
+	}
+)
+
+// answered stands for the reason of a request that got its whole answer.
+const answered = "answered"
+
+// Do serves one request.
+func (m meteredDispatcher) Do(
+	ctx context.Context,
+	request dispatcher.Request,
+	w dispatcher.AnswerWriter,
+) *carawaybeam.RequestError {
+	begun := time.Now()
+	failure := m.Dispatcher.Do(ctx, request, w)
+	tags := map[string]string{
+		"class": string(request.Class.ID), "outcome": string(carawaybeam.OutcomeRan), "reason": answered,
+	}
+	if failure != nil {
+		tags["outcome"] = string(failure.Outcome)
+		tags["reason"] = string(failure.Reason)
+	}
+	m.scope.Tagged(tags).Counter("requests").Inc(1)
+	m.scope.Tagged(map[string]string{"class": string(request.Class.ID)}).
+		Timer("request_duration").Record(time.Since(begun))
+	return failure
+}
+
+func newGauges(e *entry, scope tally.Scope) *gauges {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &gauges{entry: e, scope: scope, cancel: cancel}
+	g.wait.Go(func() { g.follow(ctx) })
+	return g
+}
+
+// Close stops setting the gauges and waits.
+func (g *gauges) Close() error {
+	g.cancel()
+	g.wait.Wait()
+	return nil
+}
+
+func (g *gauges) follow(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		g.set()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *gauges) set() {
+	held := g.entry.configurer
+	g.scope.Gauge("config_version").Update(float64(held.Version()))
+	g.scope.Gauge("config_invalid_objects").Update(float64(len(held.Invalid())))
+	if fresh := held.Fresh(); !fresh.IsZero() {
+		g.scope.Gauge("config_age_seconds").Update(time.Since(fresh).Seconds())
+	}
+	linked, leaving := 0, 0
+	for _, m := range g.entry.tracker.All() {
+		if m.Linked {
+			linked++
+		}
+		if m.Leaving {
+			leaving++
+		}
+	}
+	g.scope.Gauge("agents_linked").Update(float64(linked))
+	g.scope.Gauge("agents_leaving").Update(float64(leaving))
+	g.scope.Gauge("entries_linked").Update(float64(len(g.entry.spreader.Peers())))
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -21,11 +21,11 @@
 type (
 	// Entry holds the settings of cbentry.
 	Entry struct {
-		Process    string                 `toml:"process"`
-		DataCentre carawaybeam.DataCentre `toml:"dataCentre"`
-		Callers    carawaybeam.Address    `toml:"callers"`
-		Links      carawaybeam.Address    `toml:"links"`
-		Admin      carawaybeam.Address    `toml:"admin"`
+		Process    string                 `toml:"process"    doc:"Name of the process in logs, dumps and metrics."`
+		DataCentre carawaybeam.DataCentre `toml:"dataCentre" doc:"Data centre of the VM."`
+		Callers    carawaybeam.Address    `toml:"callers"    doc:"Address for callers."`
+		Links      carawaybeam.Address    `toml:"links"      doc:"Address for links, as in the list of VMs."`
+		Admin      carawaybeam.Address    `toml:"admin"      doc:"Address for operators and metrics."`
 		Store      Service                `toml:"store"`
 		VMList     Service                `toml:"vmList"`
 		Policies   Policies               `toml:"policies"`
@@ -37,46 +37,46 @@
 	Operators struct {
 		// TokenHash is the hexadecimal SHA-256 of the operators' token. Without
 		// one, no operator is served.
-		TokenHash string `toml:"tokenHash"`
+		TokenHash string `toml:"tokenHash" doc:"SHA-256 of the operators' token. Unless it is set, nobody is served."`
 	}
 
 	// Agent holds the settings of cbagent.
 	Agent struct {
-		Process    string                 `toml:"process"`
-		DataCentre carawaybeam.DataCentre `toml:"dataCentre"`
-		Links      carawaybeam.Address    `toml:"links"`
-		Admin      carawaybeam.Address    `toml:"admin"`
+		Process    string                 `toml:"process"    doc:"Name of the process in logs, dumps and metrics."`
+		DataCentre carawaybeam.DataCentre `toml:"dataCentre" doc:"Data centre of the VM."`
+		Links      carawaybeam.Address    `toml:"links"      doc:"Address for links, as in the list of VMs."`
+		Admin      carawaybeam.Address    `toml:"admin"      doc:"Address for operators and metrics."`
 		Backend    Backend                `toml:"backend"`
 	}
 
 	// Service tells how to reach an outside system.
 	Service struct {
-		Protocol string   `toml:"protocol"`
-		URL      string   `toml:"url"`
-		Token    string   `toml:"token"`
-		Timeout  Duration `toml:"timeout"`
+		Protocol string   `toml:"protocol" doc:"Plug-in that speaks to it."`
+		URL      string   `toml:"url"      doc:"Base address, such as http://10.0.0.1:6000."`
+		Token    string   `toml:"token"    doc:"Bearer token, or empty."`
+		Timeout  Duration `toml:"timeout"  doc:"Bound on one call."`
 	}
 
 	// Backend tells how to reach the backend server beside an agent.
 	Backend struct {
-		ID          carawaybeam.BackendID `toml:"id"`
-		Protocol    string                `toml:"protocol"`
-		URL         string                `toml:"url"`
-		Concurrency int                   `toml:"concurrency"`
+		ID          carawaybeam.BackendID `toml:"id"          doc:"Name of the backend server."`
+		Protocol    string                `toml:"protocol"    doc:"Plug-in that speaks to it: engine or service."`
+		URL         string                `toml:"url"         doc:"Base address, such as http://127.0.0.1:5000."`
+		Concurrency int                   `toml:"concurrency" doc:"How many requests it runs at once."`
 	}
 
 	// Policies names the decision plug-ins.
 	Policies struct {
-		Router  string `toml:"router"`
-		Limiter string `toml:"limiter"`
-		Retrier string `toml:"retrier"`
+		Router  string `toml:"router"  doc:"Plug-in that chooses a backend server."`
+		Limiter string `toml:"limiter" doc:"Plug-in that admits requests."`
+		Retrier string `toml:"retrier" doc:"Plug-in that decides on further tries."`
 	}
 
 	// Limits bounds what callers send.
 	Limits struct {
-		BodyBytes   int64    `toml:"bodyBytes"`
-		HeaderBytes int      `toml:"headerBytes"`
-		ReadTimeout Duration `toml:"readTimeout"`
+		BodyBytes   int64    `toml:"bodyBytes"   doc:"Largest body of a caller's request."`
+		HeaderBytes int      `toml:"headerBytes" doc:"Largest header of a caller's request."`
+		ReadTimeout Duration `toml:"readTimeout" doc:"Time in which a caller sends its request."`
 	}
 
 	// Duration is a time.Duration written as in "2.5s".
