Give an entry that starts while the platform is down the list of its peers

Cause: such an entry had its configuration from peers but no list of VMs, and refused all requests until the platform was back. Change: it asks the peers that link to it. The proofs' store now takes 2 ms a call, so that operators race on one processor too.

--- a/applier/fleet_test.go
+++ b/applier/fleet_test.go
@@ -29,8 +29,13 @@
 	"github.com/carawaybeam/carawaybeam/watcher"
 )
 
-// linkDelay is the time that a frame takes one way.
-const linkDelay = 5 * time.Millisecond
+const (
+	// linkDelay is the time that a frame takes one way.
+	linkDelay = 5 * time.Millisecond
+
+	// storeDelay is the time that a call to the store takes.
+	storeDelay = 2 * time.Millisecond
+)
 
 var errCut = errors.New("cut off")
 
@@ -90,7 +95,9 @@
 	}
 )
 
+// err takes the time of a call and fails it if the store is cut off.
 func (s *cutStore) err() error {
+	time.Sleep(storeDelay)
 	if !s.cut.Load() {
 		return nil
 	}
@@ -247,7 +254,7 @@
 	})
 	n.spreader = spreader.New(spreader.Options{
 		Process: string(n.vm.ID), Incarnation: incarnation, DataCentre: n.vm.DataCentre, Address: n.vm.Address,
-		Configurer: n.configurer, Dialer: n.dialer, Entries: n.tracker.Entries, Log: zerolog.Nop(),
+		Configurer: n.configurer, Dialer: n.dialer, Entries: n.tracker.Entries, List: n.tracker, Log: zerolog.Nop(),
 	})
 	n.watcher = watcher.New(watcher.Options{
 		Store: n.store, Configurer: n.configurer, Chosen: n.spreader.Chosen, Log: zerolog.Nop(),
--- a/cmd/cbentry/config.go
+++ b/cmd/cbentry/config.go
@@ -25,6 +25,7 @@
 		Configurer:  e.configurer,
 		Dialer:      messenger.Dialer{},
 		Entries:     e.tracker.Entries,
+		List:        e.tracker,
 		Answerer: spreader.Answerer{
 			Stop: e.shutDown,
 			Dump: func() ([]byte, error) { return e.dumpOptions().Dump() },
--- a/spreader/exchange.go
+++ b/spreader/exchange.go
@@ -97,6 +97,13 @@
 	x.queue(&framer.Frame{Body: &framer.Frame_ConfigDelta{ConfigDelta: delta}})
 }
 
+// Queue adds a frame to those that Outgoing returns.
+func (x *Exchange) Queue(frame *framer.Frame) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.queue(frame)
+}
+
 func (x *Exchange) queue(frame *framer.Frame) {
 	x.waiting = append(x.waiting, frame)
 	select {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -40,11 +40,24 @@
 		Dialer     carawaybeam.Dialer
 		// Entries returns the entries that are known.
 		Entries func() []carawaybeam.VM
+		// List shares the list of VMs with peers, for those that start while
+		// the platform gives none.
+		List VMList
 		// Answerer answers operators' questions from other entries.
 		Answerer Answerer
 		Log      zerolog.Logger
 	}
 
+	// VMList is the list of VMs as a process knows it.
+	VMList interface {
+		// Ready tells whether the list is known.
+		Ready() bool
+		// Rows returns the VMs known.
+		Rows() []carawaybeam.VM
+		// Seed takes the rows of a peer.
+		Seed(vms []carawaybeam.VM)
+	}
+
 	// Spreader keeps links to some of the other entries and exchanges changes
 	// of the configuration with them.
 	Spreader struct {
@@ -231,6 +244,7 @@
 
 func (s *Spreader) receive(from *session, frame *framer.Frame) {
 	from.exchange.Receive(frame)
+	s.shareList(from.exchange, frame)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	from.version = carawaybeam.ConfigVersion(frame.GetConfigVersion())
