Prove that old lists of the store and lost news change nothing

Cause: with one processor the guards configNeverReverts and configSpreads no longer broke any proof: no scenario brought an older object behind a newer one, or lost a push without a watch to make up for it.

--- a/applier/fleet_test.go
+++ b/applier/fleet_test.go
@@ -73,7 +73,8 @@
 		agents  []*agentNode
 	}
 
-	// silence loses all frames of the links to an address until a time.
+	// silence loses all frames of the links to an address, or of all links if
+	// it is empty, until a time.
 	silence struct {
 		address carawaybeam.Address
 		until   time.Time
@@ -218,7 +219,7 @@
 // over a silent one.
 func (f *fleet) carry(address carawaybeam.Address, _ linker.Direction, _ *framer.Frame) linker.Verdict {
 	s := f.silence.Load()
-	silent := s != nil && s.address == address && time.Now().Before(s.until)
+	silent := s != nil && (s.address == "" || s.address == address) && time.Now().Before(s.until)
 	return linker.Verdict{Drop: silent, Latency: linkDelay}
 }
 
--- a/applier/replay_test.go
+++ b/applier/replay_test.go
@@ -89,6 +89,7 @@
 	actKill      action = "killEntry"
 	actStart     action = "startEntry"
 	actSilence   action = "silence"
+	actHush      action = "silenceAll"
 )
 
 // When returns the time of the event since the start of the trace.
@@ -183,6 +184,8 @@
 		r.fleet.silence.Store(
 			&silence{address: r.fleet.vms[event.Entry].Address, until: time.Now().Add(time.Duration(event.Delay))},
 		)
+	case actHush:
+		r.fleet.silence.Store(&silence{until: time.Now().Add(time.Duration(event.Delay))})
 	default:
 		t.Fatalf("unknown action %q", event.Action)
 	}
@@ -396,7 +399,7 @@
 		case 4:
 			modes := []storer.FaultMode{
 				storer.FaultDown, storer.FaultLostAnswer, storer.FaultLateWrite, storer.FaultStaleWatch,
-				storer.FaultSilentWatch, storer.FaultSlow,
+				storer.FaultSilentWatch, storer.FaultSlow, storer.FaultStaleList,
 			}
 			mode := modes[draw.IntN(len(modes))]
 			add(configEvent{
--- a/fakes/storer/storer.go
+++ b/fakes/storer/storer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,10 @@
 	FaultStaleWatch FaultMode = "staleWatch"
 	// FaultSilentWatch lets watches never answer. Other calls are served.
 	FaultSilentWatch FaultMode = "silentWatch"
+	// FaultStaleList lets lists answer what there was when the fault was
+	// ordered, as a replica of the store that lags does, and sends watches there.
+	// Other calls are served.
+	FaultStaleList FaultMode = "staleList"
 )
 
 // maxHistory is how many changes a watch may lag behind.
@@ -71,7 +76,10 @@
 		version   carawaybeam.StoreVersion
 		changed   chan struct{}
 		fault     Fault
-		counts    Counts
+		// stale and staleVersion are what FaultStaleList answers.
+		stale        map[key]carawaybeam.Object
+		staleVersion carawaybeam.StoreVersion
+		counts       Counts
 
 		vms     []carawaybeam.VM
 		listLag time.Duration
@@ -99,6 +107,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
+	if fault.Mode == FaultStaleList {
+		s.stale, s.staleVersion = maps.Clone(s.objects), s.version
+	}
 }
 
 // Counts returns the calls so far.
@@ -154,19 +165,24 @@
 	ctx context.Context,
 	kind carawaybeam.StoreKind,
 ) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if _, err := s.enter(ctx, &s.counts.Reads); err != nil {
+	fault, err := s.enter(ctx, &s.counts.Reads)
+	if err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	held, version := s.objects, s.version
+	if fault.Mode == FaultStaleList {
+		held, version = s.stale, s.staleVersion
+	}
 	var objects []carawaybeam.Object
-	for k, object := range s.objects {
+	for k, object := range held {
 		if k.kind == kind {
 			objects = append(objects, object)
 		}
 	}
 	slices.SortFunc(objects, func(a, b carawaybeam.Object) int { return int(a.Version) - int(b.Version) })
-	return objects, s.version, nil
+	return objects, version, nil
 }
 
 // Put writes an object if the present version is expect.
@@ -260,6 +276,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if fault.Mode == FaultStaleList {
+		return nil, 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreExpired, Detail: "changes are forgotten"}
+	}
 	if fault.Mode == FaultStaleWatch || fault.Mode == FaultSilentWatch {
 		return s.watchNothing(ctx, since, wait, fault.Mode)
 	}
