Measure the spread of a change at size, choose peers only when the list changes, bound the log

Cause: choosing peers sorted all entries each second; the diameter of the graph of entries was only reasoned; a failure could flood the log. Change: peers are chosen anew with a new list; each level of the log writes at most 50 lines a second.

--- /dev/null
+++ b/spreader/size_test.go
@@ -0,0 +1,141 @@
+package spreader_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/fakes/linker"
+	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/spreader"
+)
+
+const (
+	// entries and dataCentres are the size of letter 1.
+	entries     = 460
+	dataCentres = 11
+
+	// forceBound is how soon a change is to be in force everywhere.
+	forceBound = 6 * time.Second
+
+	// byteBudget is what a node may spend on control in a second (letter 1).
+	byteBudget = 6 << 10
+
+	// frameOverhead is what a frame costs beyond its own bytes: its length, a
+	// yamux header, and TCP and IP headers with time stamps.
+	frameOverhead = 2 + 12 + 52
+
+	linkDelay = 20 * time.Millisecond
+)
+
+// fixedList is a list of VMs that never changes.
+type fixedList []carawaybeam.VM
+
+func (fixedList) Ready() bool              { return true }
+func (l fixedList) Rows() []carawaybeam.VM { return l }
+func (fixedList) Seed([]carawaybeam.VM)    {}
+
+func list(n int) fixedList {
+	vms := make(fixedList, 0, n)
+	for i := range n {
+		vms = append(vms, carawaybeam.VM{
+			ID: carawaybeam.VMID(fmt.Sprintf("entry-%d", i)), State: carawaybeam.VMLive, Role: carawaybeam.RoleEntry,
+			DataCentre: carawaybeam.DataCentre(fmt.Sprintf("dc-%d", i%dataCentres)),
+			Address:    carawaybeam.Address(fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250)),
+		})
+	}
+	return vms
+}
+
+func TestSelectionAgreesAndMovesLittle(t *testing.T) {
+	is := is.New(t)
+	vms := list(entries)
+	before := spreader.Watchers(vms, "dc-3")
+	is.Equal(len(before), 2)
+	shuffled := slices.Clone(vms)
+	slices.Reverse(shuffled)
+	is.Equal(spreader.Watchers(shuffled, "dc-3"), before)
+	without := slices.DeleteFunc(slices.Clone(vms), func(vm carawaybeam.VM) bool { return vm.ID == before[0].ID })
+	is.True(slices.Contains(spreader.Watchers(without, "dc-3"), before[1]))
+	for _, vm := range vms {
+		peers := spreader.Peers(vms, vm.Address, vm.DataCentre)
+		is.True(len(peers) >= 3 && len(peers) <= 6)
+		is.True(!slices.Contains(peers, vm))
+	}
+}
+
+// TestChangeReachesAllEntriesAtSize gives a change to one entry while no entry
+// has the store, and measures when the last one has it.
+func TestChangeReachesAllEntriesAtSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var (
+			mu      sync.Mutex
+			counted int
+			network linker.Network
+		)
+		network.Inject(func(_ carawaybeam.Address, _ linker.Direction, frame *framer.Frame) linker.Verdict {
+			mu.Lock()
+			defer mu.Unlock()
+			counted += proto.Size(frame) + frameOverhead
+			return linker.Verdict{Latency: linkDelay}
+		})
+		vms := list(entries)
+		held := make([]*configurer.Configurer, 0, entries)
+		parts := make([]*spreader.Spreader, 0, entries)
+		for _, vm := range vms {
+			c := configurer.New()
+			c.Take(configurer.Delta{Full: true, Complete: 1})
+			s := spreader.New(spreader.Options{
+				Process: string(vm.ID), DataCentre: vm.DataCentre, Address: vm.Address, Configurer: c,
+				Dialer: &network, Entries: vms.Rows, List: vms, Log: zerolog.Nop(),
+			})
+			network.Listen(vm.Address, s)
+			held = append(held, c)
+			parts = append(parts, s)
+		}
+		time.Sleep(4 * time.Second)
+		perSecond := measure(&mu, &counted, 10*time.Second) / entries
+		t.Logf("idle bytes/s of an entry: %.0f", perSecond)
+		is.True(perSecond <= byteBudget)
+
+		value := `{"kind":"service","pool":"p","targets":{"completed":"2s","completion":"99%"}}`
+		begun := time.Now()
+		held[0].TakeWritten(carawaybeam.Object{
+			Kind: carawaybeam.KindClass, Name: "a", Version: 2, Value: []byte(value),
+		})
+		last := begun
+		for i := range held {
+			for _, ok := held[i].Class("a"); !ok; _, ok = held[i].Class("a") {
+				<-held[i].Changed()
+				last = time.Now()
+			}
+		}
+		t.Logf("in force on all %d entries after %v", entries, last.Sub(begun))
+		is.True(last.Sub(begun) <= forceBound)
+		for _, s := range parts {
+			is.NoErr(s.Close())
+		}
+		is.NoErr(network.Close())
+	})
+}
+
+// measure returns the bytes counted in a second.
+func measure(mu *sync.Mutex, counted *int, period time.Duration) float64 {
+	mu.Lock()
+	before := *counted
+	mu.Unlock()
+	time.Sleep(period)
+	mu.Lock()
+	defer mu.Unlock()
+	return 2 * float64(*counted-before) / period.Seconds() // each frame is sent by one and received by another
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -66,8 +66,12 @@
 		cancel  context.CancelFunc
 		wait    sync.WaitGroup
 
-		mu       sync.Mutex
-		heard    chan struct{}
+		mu    sync.Mutex
+		heard chan struct{}
+		// entries is the list from which peers were last chosen, and chosen
+		// tells whether this entry is one of its watchers.
+		entries  []carawaybeam.VM
+		chosen   bool
 		links    map[carawaybeam.Address]context.CancelFunc
 		sessions map[*session]struct{}
 	}
@@ -114,8 +118,10 @@
 
 // Chosen tells whether this entry is one of those that watch the store.
 func (s *Spreader) Chosen() bool {
-	watchers := Watchers(s.options.Entries(), s.options.DataCentre)
-	return slices.ContainsFunc(watchers, func(vm carawaybeam.VM) bool { return vm.Address == s.options.Address })
+	s.selectPeers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chosen
 }
 
 // Peers returns the peers that speak now, in the order of their names.
@@ -155,10 +161,18 @@
 	}
 }
 
+// selectPeers chooses peers anew if the list of entries has changed.
 func (s *Spreader) selectPeers() {
-	peers := Peers(s.options.Entries(), s.options.Address, s.options.DataCentre)
+	entries := s.options.Entries()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slices.Equal(entries, s.entries) || s.ctx.Err() != nil {
+		return
+	}
+	s.entries = entries
+	watchers := Watchers(entries, s.options.DataCentre)
+	s.chosen = slices.ContainsFunc(watchers, func(vm carawaybeam.VM) bool { return vm.Address == s.options.Address })
+	peers := Peers(entries, s.options.Address, s.options.DataCentre)
 	chosen := make(map[carawaybeam.Address]bool, len(peers))
 	for _, vm := range peers {
 		chosen[vm.Address] = true
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -31,6 +31,12 @@
 // DrainTimeout bounds a graceful stop. The platform kills the VM later.
 const DrainTimeout = 10 * time.Minute
 
+const (
+	// logBurst is how many lines of one level are written in logPeriod.
+	logBurst  = 50
+	logPeriod = time.Second
+)
+
 type (
 	// Flags holds the flags common to the daemons.
 	Flags struct {
@@ -76,8 +82,18 @@
 }
 
 // NewLog returns the log of a process, on standard error.
-func NewLog(process string) zerolog.Logger {
-	return zerolog.New(os.Stderr).With().Timestamp().Str("process", process).Logger()
+func NewLog(process string) zerolog.Logger { return newLog(os.Stderr, process) }
+
+// newLog returns a log that drops lines of a level beyond a burst a second, so
+// that a failure under load does not become a flood.
+func newLog(w io.Writer, process string) zerolog.Logger {
+	sampler := func() zerolog.Sampler { return &zerolog.BurstSampler{Burst: logBurst, Period: logPeriod} }
+	return zerolog.New(w).With().Timestamp().Str("process", process).Logger().Sample(zerolog.LevelSampler{
+		DebugSampler: sampler(),
+		InfoSampler:  sampler(),
+		WarnSampler:  sampler(),
+		ErrorSampler: sampler(),
+	})
 }
 
 // Fail prints the error and exits.
