--- a/applier/fleet_test.go
+++ b/applier/fleet_test.go
@@ -29,8 +29,13 @@
 	"github.com/carawaybeam/carawaybeam/watcher"
 )
 
-// linkDelay is the time that a frame takes one way.
-const linkDelay = 5 * time.Millisecond
+const (
+	// linkDelay is the time that a frame takes one way.
+	linkDelay = 5 * time.Millisecond
+
+	// storeDelay is the time that a call to the store takes.
+	storeDelay = 2 * time.Millisecond
+)
 
 var errCut = errors.New("cut off")
 
@@ -68,7 +73,8 @@
 		agents  []*agentNode
 	}
 
-	// silence loses all frames of the links to an address until a time.
+	// silence loses all frames of the links to an address, or of all links if
+	// it is empty, until a time.
 	silence struct {
 		address carawaybeam.Address
 		until   time.Time
@@ -90,7 +96,9 @@
 	}
 )
 
+// err takes the time of a call and fails it if the store is cut off.
 func (s *cutStore) err() error {
+	time.Sleep(storeDelay)
 	if !s.cut.Load() {
 		return nil
 	}
@@ -211,7 +219,7 @@
 // over a silent one.
 func (f *fleet) carry(address carawaybeam.Address, _ linker.Direction, _ *framer.Frame) linker.Verdict {
 	s := f.silence.Load()
-	silent := s != nil && s.address == address && time.Now().Before(s.until)
+	silent := s != nil && (s.address == "" || s.address == address) && time.Now().Before(s.until)
 	return linker.Verdict{Drop: silent, Latency: linkDelay}
 }
 
@@ -247,7 +255,7 @@
 	})
 	n.spreader = spreader.New(spreader.Options{
 		Process: string(n.vm.ID), Incarnation: incarnation, DataCentre: n.vm.DataCentre, Address: n.vm.Address,
-		Configurer: n.configurer, Dialer: n.dialer, Entries: n.tracker.Entries, Log: zerolog.Nop(),
+		Configurer: n.configurer, Dialer: n.dialer, Entries: n.tracker.Entries, List: n.tracker, Log: zerolog.Nop(),
 	})
 	n.watcher = watcher.New(watcher.Options{
 		Store: n.store, Configurer: n.configurer, Chosen: n.spreader.Chosen, Log: zerolog.Nop(),
--- a/loader/tls.go
+++ b/loader/tls.go
@@ -7,12 +7,9 @@
 // TLS names the files with which a process proves who it is. All are PEM. They
 // may be replaced while the process runs.
 type TLS struct {
-	// Certificate is the certificate with its chain.
-	Certificate string `toml:"certificate"`
-	// Key is the private key of the certificate.
-	Key string `toml:"key"`
-	// Authority holds the certificates that sign those of peers.
-	Authority string `toml:"authority"`
+	Certificate string `toml:"certificate" doc:"File with the certificate and its chain."`
+	Key         string `toml:"key"         doc:"File with the private key of the certificate."`
+	Authority   string `toml:"authority"   doc:"File with the certificates that sign those of peers."`
 }
 
 // Enabled tells whether TLS is asked for.
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -40,11 +40,24 @@
 		Dialer     carawaybeam.Dialer
 		// Entries returns the entries that are known.
 		Entries func() []carawaybeam.VM
+		// List shares the list of VMs with peers, for those that start while
+		// the platform gives none.
+		List VMList
 		// Answerer answers operators' questions from other entries.
 		Answerer Answerer
 		Log      zerolog.Logger
 	}
 
+	// VMList is the list of VMs as a process knows it.
+	VMList interface {
+		// Ready tells whether the list is known.
+		Ready() bool
+		// Rows returns the VMs known.
+		Rows() []carawaybeam.VM
+		// Seed takes the rows of a peer.
+		Seed(vms []carawaybeam.VM)
+	}
+
 	// Spreader keeps links to some of the other entries and exchanges changes
 	// of the configuration with them.
 	Spreader struct {
@@ -53,8 +66,12 @@
 		cancel  context.CancelFunc
 		wait    sync.WaitGroup
 
-		mu       sync.Mutex
-		heard    chan struct{}
+		mu    sync.Mutex
+		heard chan struct{}
+		// entries is the list from which peers were last chosen, and chosen
+		// tells whether this entry is one of its watchers.
+		entries  []carawaybeam.VM
+		chosen   bool
 		links    map[carawaybeam.Address]context.CancelFunc
 		sessions map[*session]struct{}
 	}
@@ -101,8 +118,10 @@
 
 // Chosen tells whether this entry is one of those that watch the store.
 func (s *Spreader) Chosen() bool {
-	watchers := Watchers(s.options.Entries(), s.options.DataCentre)
-	return slices.ContainsFunc(watchers, func(vm carawaybeam.VM) bool { return vm.Address == s.options.Address })
+	s.selectPeers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chosen
 }
 
 // Peers returns the peers that speak now, in the order of their names.
@@ -142,10 +161,18 @@
 	}
 }
 
+// selectPeers chooses peers anew if the list of entries has changed.
 func (s *Spreader) selectPeers() {
-	peers := Peers(s.options.Entries(), s.options.Address, s.options.DataCentre)
+	entries := s.options.Entries()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slices.Equal(entries, s.entries) || s.ctx.Err() != nil {
+		return
+	}
+	s.entries = entries
+	watchers := Watchers(entries, s.options.DataCentre)
+	s.chosen = slices.ContainsFunc(watchers, func(vm carawaybeam.VM) bool { return vm.Address == s.options.Address })
+	peers := Peers(entries, s.options.Address, s.options.DataCentre)
 	chosen := make(map[carawaybeam.Address]bool, len(peers))
 	for _, vm := range peers {
 		chosen[vm.Address] = true
@@ -231,6 +258,7 @@
 
 func (s *Spreader) receive(from *session, frame *framer.Frame) {
 	from.exchange.Receive(frame)
+	s.shareList(from.exchange, frame)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	from.version = carawaybeam.ConfigVersion(frame.GetConfigVersion())
