Start suspects one after another, not run them one after another

No stop was slow (2.0 s an entry, 2 ms an agent). A suspect now keeps others back until its answer has been under way for 1 s, and while one is on probation a crash is not laid to those that have passed theirs.

A poison request that crashes its backend server later than 1 s into its answer, beside other suspects on probation, may crash more than 2; not proved.

--- a/dispatcher/promise_test.go
+++ b/dispatcher/promise_test.go
@@ -416,10 +416,14 @@
 			const span = 12 * time.Second
 			s.add(0, assembler.Event{Do: assembler.ActionPoison, Body: "poison"})
 			for i := range 40 {
-				s.add(s.within(span), assembler.Event{
+				event := assembler.Event{
 					Do: assembler.ActionRequest, Entry: s.entry(),
 					Class: classes[i%len(classes)], Body: fmt.Sprintf("p%d", i),
-				})
+				}
+				if i%4 == 3 {
+					event.Body = fmt.Sprintf("%s%d", assembler.LongPrefix, i)
+				}
+				s.add(s.within(span), event)
 			}
 			class := []carawaybeam.ClassID{assembler.ClassBookings, assembler.ClassDrafting}[s.random.IntN(2)]
 			at := time.Second
--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -38,7 +38,8 @@
 		refusal carawaybeam.RequestError
 		failure carawaybeam.RequestError
 		// crash is set when the backend server crashed while the attempt ran.
-		crash quarantiner.CrashID
+		crash       quarantiner.CrashID
+		crashJudged bool
 
 		started     bool
 		status      int
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -19,24 +19,37 @@
 	// probes is how often it is asked after a cut answer, probePause apart.
 	probes     = 2
 	probePause = 50 * time.Millisecond
+
+	// probation is how long after the beginning of its answer a suspect keeps
+	// other suspects from being started.
+	probation = time.Second
 )
 
-// crashWatch tells which attempts a crash of the backend server hit.
-type crashWatch struct {
-	mu sync.Mutex
-	// active tells since when each attempt is with the backend server.
-	active map[*attempt]time.Time
-	number int
-}
+type (
+	// crashWatch tells which attempts a crash of the backend server hit.
+	crashWatch struct {
+		mu     sync.Mutex
+		active map[*attempt]*activity
+		number int
+	}
+
+	// activity is an attempt that is with the backend server.
+	activity struct {
+		since   time.Time
+		suspect bool
+		// onProbation is set while a suspect keeps its turn.
+		onProbation bool
+	}
+)
 
 // enter notes that an attempt is put to the backend server.
-func (c *crashWatch) enter(a *attempt) {
+func (c *crashWatch) enter(a *attempt, suspect bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active == nil {
-		c.active = make(map[*attempt]time.Time)
+		c.active = make(map[*attempt]*activity)
 	}
-	c.active[a] = time.Now()
+	c.active[a] = &activity{since: time.Now(), suspect: suspect, onProbation: suspect}
 }
 
 func (c *crashWatch) leave(a *attempt) {
@@ -45,12 +58,22 @@
 	delete(c.active, a)
 }
 
-// runInTurn runs the attempt, a suspect one only while no other suspect runs.
+// endProbation notes that a suspect has run for long enough.
+func (c *crashWatch) endProbation(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if activity, ok := c.active[a]; ok {
+		activity.onProbation = false
+	}
+}
+
+// runInTurn runs the attempt. A suspect one begins only while no other suspect
+// is on probation.
 func (e *Executor) runInTurn(a *attempt, d *framer.Dispatch) (carawaybeam.RequestError, bool) {
-	if e.options.Quarantiner.Standing(a.fingerprint) != quarantiner.Clear {
+	suspect := e.options.Quarantiner.Standing(a.fingerprint) != quarantiner.Clear
+	if suspect {
 		select {
 		case e.suspectTurn <- struct{}{}:
-			defer func() { <-e.suspectTurn }()
 		case <-a.ctx.Done():
 			return carawaybeam.RequestError{
 				Outcome: carawaybeam.OutcomeNotRun,
@@ -58,11 +81,16 @@
 				Detail:  "caller left before a suspect request had its turn",
 			}, true
 		}
+		release := sync.OnceFunc(func() { <-e.suspectTurn })
+		defer release()
+		ended := make(chan struct{})
+		defer close(ended)
+		e.wait.Go(func() { e.awaitProbation(a, ended, release) })
 	}
 	if e.options.Quarantiner.Standing(a.fingerprint) == quarantiner.Quarantined {
 		return quarantined(), true
 	}
-	e.crashes.enter(a)
+	e.crashes.enter(a, suspect)
 	defer e.crashes.leave(a)
 	failure, failed := e.perform(a.ctx, a, d)
 	if failed && failure.Outcome != carawaybeam.OutcomeNotRun && a.ctx.Err() == nil {
@@ -71,6 +99,30 @@
 	return failure, failed
 }
 
+// awaitProbation gives the turn of a suspect on once its answer has been under
+// way for long enough.
+func (e *Executor) awaitProbation(a *attempt, ended <-chan struct{}, release func()) {
+	for {
+		p := a.next(0)
+		if p.started {
+			break
+		}
+		select {
+		case <-p.changed:
+		case <-ended:
+			return
+		}
+	}
+	timer := time.NewTimer(probation)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		e.crashes.endProbation(a)
+		release()
+	case <-ended:
+	}
+}
+
 func quarantined() carawaybeam.RequestError {
 	return carawaybeam.RequestError{
 		Outcome:    carawaybeam.OutcomeNotRun,
@@ -90,7 +142,7 @@
 	case <-e.ctx.Done():
 		return
 	}
-	if a.crashID() != "" || e.alive() {
+	if a.judged() || e.alive() {
 		return
 	}
 	e.counts.crashes.Add(1)
@@ -102,15 +154,24 @@
 	}
 }
 
-// record names a new crash and returns the attempts that ran when the first of
-// them failed.
+// record names a new crash and returns the attempts that may have caused it:
+// those that ran when the first of them failed. While a suspect is on probation,
+// it is blamed rather than the suspects that have passed theirs.
 func (c *crashWatch) record(incarnation carawaybeam.Incarnation, failed time.Time) (quarantiner.CrashID, []*attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.number++
+	anyOnProbation := false
+	for _, activity := range c.active {
+		anyOnProbation = anyOnProbation || activity.onProbation
+	}
 	var hits []*attempt
-	for a, since := range c.active {
-		if !since.After(failed) && a.crashID() == "" {
+	for a, activity := range c.active {
+		if activity.since.After(failed) || a.judged() {
+			continue
+		}
+		a.setJudged()
+		if !anyOnProbation || !activity.suspect || activity.onProbation {
 			hits = append(hits, a)
 		}
 	}
@@ -147,8 +208,16 @@
 	a.crash = id
 }
 
-func (a *attempt) crashID() quarantiner.CrashID {
+func (a *attempt) setJudged() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crashJudged = true
+}
+
+// judged tells whether it has been found out what a crash has to do with the
+// attempt.
+func (a *attempt) judged() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.crash
+	return a.crashJudged
 }
--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,6 +37,8 @@
 	Process struct {
 		program string
 		args    []string
+
+		mu      sync.Mutex
 		command *exec.Cmd
 		ended   chan struct{}
 		err     error
@@ -310,41 +313,65 @@
 
 // Start starts the program, again after it has ended.
 func (p *Process) Start() error {
-	p.command = exec.Command(p.program, p.args...)
-	p.ended = make(chan struct{})
-	if err := p.command.Start(); err != nil {
+	command, ended := exec.Command(p.program, p.args...), make(chan struct{})
+	if err := command.Start(); err != nil {
 		return err
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command, p.ended = command, ended
 	go func() {
-		p.err = p.command.Wait()
-		close(p.ended)
+		err := command.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(ended)
 	}()
 	return nil
 }
 
+func (p *Process) current() (*exec.Cmd, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command, p.ended
+}
+
 // Signal sends a signal to the process.
-func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
+func (p *Process) Signal(signal syscall.Signal) error {
+	command, _ := p.current()
+	return command.Process.Signal(signal)
+}
 
 // Kill kills the process and waits for its end.
 func (p *Process) Kill() error {
-	err := p.command.Process.Kill()
-	<-p.ended
+	command, ended := p.current()
+	err := command.Process.Kill()
+	<-ended
 	return err
 }
 
 // Ended is closed when the process has ended.
-func (p *Process) Ended() <-chan struct{} { return p.ended }
+func (p *Process) Ended() <-chan struct{} {
+	_, ended := p.current()
+	return ended
+}
 
 // Stop asks the process to stop and waits. It reports an exit code other than 0.
 func (p *Process) Stop() error {
-	if p == nil || p.command == nil {
+	if p == nil {
+		return nil
+	}
+	command, ended := p.current()
+	if command == nil {
 		return nil
 	}
-	if err := p.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+	if err := command.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	select {
-	case <-p.ended:
+	case <-ended:
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		return p.err
 	case <-time.After(stopTimeout):
 		return errors.Join(fmt.Errorf("%s did not stop", p.program), p.Kill())
