--- a/dispatcher/promise_test.go
+++ b/dispatcher/promise_test.go
@@ -279,6 +279,9 @@
 				s.processFault(span)
 				s.storeFault(span)
 			}
+			s.add(s.within(span), assembler.Event{
+				Do: assembler.ActionStoreFault, Mode: storer.FaultLostAnswer, For: tracer.Duration(span / 2),
+			})
 			if s.random.IntN(3) == 0 {
 				s.add(s.within(span), assembler.Event{Do: assembler.ActionDrainAgent, Slot: 0})
 			}
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -205,13 +205,13 @@
 
 func (s *Slot) closeAgent() error {
 	s.mu.Lock()
-	stopped, executor := s.Agent, s.Executor
+	stopped, ledger := s.Agent, s.Executor
 	s.Agent, s.Executor = nil, nil
 	s.mu.Unlock()
 	if stopped == nil {
 		return nil
 	}
-	return errors.Join(stopped.Close(), executor.Close())
+	return errors.Join(stopped.Close(), ledger.Close())
 }
 
 // Drain stops the agent of a slot gracefully.
