Replay skewed clocks, replaced runners and cache events

Returns are told to come a quarter into their window, so that clocks may differ either way. New traces: entries with clocks 0.2 s and 1 s apart each, two runners replaced while the list of VMs is away, and cache events at 64 entries.

--- a/limiter/fair/limiter.go
+++ b/limiter/fair/limiter.go
@@ -116,7 +116,7 @@
 	if row.next.After(due) {
 		due = row.next
 	}
-	if latest := now.Add(maxRetryAfter - windows*window); due.After(latest) {
+	if latest := now.Add(maxRetryAfter - windows*window - aim); due.After(latest) {
 		due = latest
 	}
 	if rate := l.shares.rate(now) * returnShare; rate > 0 {
--- a/replayer/admissions/kind_test.go
+++ b/replayer/admissions/kind_test.go
@@ -40,7 +40,7 @@
 }
 
 func TestStatedOutcomesAreMet(t *testing.T) {
-	for _, name := range []string{"overload3Entries", "floodingOrganisation", "idleCapacity"} {
+	for _, name := range []string{"overload3Entries", "floodingOrganisation", "idleCapacity", "skewedClocks200ms"} {
 		t.Run(name, func(t *testing.T) {
 			figures, outcome := replay(t, name, "fair")
 			for _, miss := range outcome.Check(figures) {
--- a/replayer/queuer/event.go
+++ b/replayer/queuer/event.go
@@ -52,6 +52,10 @@
 		DataCentres []carawaybeam.DataCentre `json:"dataCentres"`
 		Within      tracer.Duration          `json:"within"`
 		Between     tracer.Duration          `json:"between"`
+		// CacheEvents tells whether the load reports carry cache events.
+		CacheEvents bool `json:"cacheEvents,omitempty"`
+		// Skew is how far the clock of each entry is ahead of the one before.
+		Skew tracer.Duration `json:"skew,omitempty"`
 	}
 
 	// RequestEvent tells of a request and its recorded demand.
@@ -85,9 +89,11 @@
 		Factor  float64               `json:"factor"`
 	}
 
-	// GoneEvent tells that a data centre goes, or comes back.
+	// GoneEvent tells that a data centre or one backend server goes, or comes
+	// back.
 	GoneEvent struct {
-		DataCentre carawaybeam.DataCentre `json:"dataCentre"`
+		DataCentre carawaybeam.DataCentre `json:"dataCentre,omitempty"`
+		Backend    carawaybeam.BackendID  `json:"backend,omitempty"`
 		Back       bool                   `json:"back,omitempty"`
 	}
 
@@ -95,7 +101,7 @@
 	CachesEvent struct{}
 
 	// StoreEvent tells that the platform's store and list of VMs go, or come
-	// back.
+	// back. While they are gone, no entry learns of new backend servers.
 	StoreEvent struct {
 		Back bool `json:"back,omitempty"`
 	}
--- a/replayer/queuer/server.go
+++ b/replayer/queuer/server.go
@@ -55,6 +55,8 @@
 
 		heads  map[prefixer.Hash]*list.Element
 		recent *list.List
+		// changes is what happened to the cache since the last CacheEvent.
+		changes prefixer.Event
 	}
 )
 
@@ -62,6 +64,7 @@
 func New(options Options) *Server {
 	s := &Server{options: options, slow: 1}
 	s.ClearCache()
+	s.changes = prefixer.Event{}
 	return s
 }
 
@@ -69,6 +72,15 @@
 func (s *Server) ClearCache() {
 	s.heads = make(map[prefixer.Hash]*list.Element)
 	s.recent = list.New()
+	s.changes = prefixer.Event{Sequence: s.changes.Sequence, Cleared: true}
+}
+
+// CacheEvent returns what happened to the prefix cache since the last call.
+func (s *Server) CacheEvent() prefixer.Event {
+	event := s.changes
+	event.Sequence++
+	s.changes = prefixer.Event{Sequence: event.Sequence}
+	return event
 }
 
 // SetSlow makes the server so many times slower than recorded.
@@ -174,9 +186,12 @@
 			continue
 		}
 		s.heads[p.Hash] = s.recent.PushFront(p.Hash)
+		s.changes.Stored = append(s.changes.Stored, p)
 		if s.recent.Len() > s.options.CacheHeads {
 			oldest := s.recent.Back()
-			delete(s.heads, s.recent.Remove(oldest).(prefixer.Hash))
+			evicted := s.recent.Remove(oldest).(prefixer.Hash)
+			delete(s.heads, evicted)
+			s.changes.Evicted = append(s.changes.Evicted, evicted)
 		}
 	}
 }
--- a/replayer/routes/entry.go
+++ b/replayer/routes/entry.go
@@ -21,12 +21,14 @@
 	entry struct {
 		fleet      *Fleet
 		dataCentre carawaybeam.DataCentre
-		router     carawaybeam.Router
-		limiter    carawaybeam.Limiter
-		random     *rand.Rand
-		counter    *counter.Counter
-		table      *prefixer.Table
-		views      map[*server]*view
+		// skew is how far the clock of the entry is ahead.
+		skew    time.Duration
+		router  carawaybeam.Router
+		limiter carawaybeam.Limiter
+		random  *rand.Rand
+		counter *counter.Counter
+		table   *prefixer.Table
+		views   map[*server]*view
 	}
 
 	// view is what an entry knows of a backend server.
@@ -75,17 +77,13 @@
 	e.table.Forget(s.id)
 }
 
-func (e *entry) cacheCleared(s *server) {
-	e.table.Apply(s.id, prefixer.Event{Sequence: s.sequence, Cleared: true})
-}
-
 func (e *entry) candidates(prefixes []prefixer.Prefix) []carawaybeam.Candidate {
 	now := e.fleet.now()
 	hits := e.table.Lookup(prefixes)
 	candidates := make([]carawaybeam.Candidate, 0, len(e.fleet.servers))
 	for _, s := range e.fleet.servers {
 		v := e.view(s)
-		if !v.linked {
+		if !v.linked || !s.listed {
 			continue
 		}
 		c := carawaybeam.Candidate{
@@ -137,13 +135,13 @@
 			Unloaded:     decision.Unloaded,
 			Idle:         decision.Idle,
 		}
-		verdict := e.limiter.Admit(now, admit)
+		verdict := e.limiter.Admit(now.Add(e.skew), admit)
 		t.Deciding = time.Since(began)
 		if !verdict.Admitted {
 			t.Refused, t.Idle = true, e.fleet.idle()
 			return roundUp(verdict.RetryAfter)
 		}
-		release = func() { e.limiter.Release(e.fleet.now(), admit, e.fleet.now().Sub(now)) }
+		release = func() { e.limiter.Release(e.fleet.now().Add(e.skew), admit, e.fleet.now().Sub(now)) }
 	}
 	e.dispatch(t, request, decision, release)
 	return 0
--- a/replayer/routes/fleet.go
+++ b/replayer/routes/fleet.go
@@ -56,6 +56,8 @@
 		within  time.Duration
 		between time.Duration
 		reports queuer.ReportsEvent
+		// cacheEvents is set when load reports carry cache events.
+		cacheEvents bool
 		// storeGone is set while the list of VMs is not available.
 		storeGone bool
 		// disturbed is when the last disturbance began.
@@ -67,7 +69,8 @@
 		queue      *queuer.Server
 		id         carawaybeam.BackendID
 		dataCentre carawaybeam.DataCentre
-		sequence   uint64
+		// listed is set once the list of VMs has it.
+		listed bool
 	}
 
 	// Try is one arrival of a request at an entry and what became of it.
@@ -153,7 +156,7 @@
 		f.disturbed = f.clock.Now()
 		f.clearCaches()
 	case e.Store != nil:
-		f.storeGone = !e.Store.Back
+		f.setStore(e.Store.Back)
 	}
 }
 
@@ -171,7 +174,7 @@
 }
 
 func (f *Fleet) addServer(e queuer.BackendEvent) {
-	s := &server{id: e.ID, dataCentre: e.DataCentre, queue: queuer.New(queuer.Options{
+	s := &server{id: e.ID, dataCentre: e.DataCentre, listed: !f.storeGone, queue: queuer.New(queuer.Options{
 		Clock:         &f.clock,
 		Slots:         e.Slots,
 		PromptRate:    e.PromptRate,
@@ -183,10 +186,20 @@
 	f.clock.After(time.Duration(f.random.Int64N(int64(reportInterval))), func() { f.report(s) })
 }
 
+func (f *Fleet) setStore(back bool) {
+	f.storeGone = !back
+	for _, s := range f.servers {
+		s.listed = s.listed || back
+	}
+}
+
 func (f *Fleet) addEntries(e queuer.EntriesEvent) {
+	f.cacheEvents = e.CacheEvents
 	f.within, f.between = time.Duration(e.Within), time.Duration(e.Between)
 	for i, dc := range e.DataCentres {
-		f.entries = append(f.entries, newEntry(f, dc, uint64(i)))
+		entry := newEntry(f, dc, uint64(i))
+		entry.skew = time.Duration(i) * time.Duration(e.Skew)
+		f.entries = append(f.entries, entry)
 	}
 }
 
@@ -204,12 +217,18 @@
 		return
 	}
 	load, made := s.queue.Load(), f.now()
+	cache := s.queue.CacheEvent()
 	for _, e := range f.entries {
 		if f.random.Float64() < f.reports.Lost {
 			continue
 		}
 		late := time.Duration(f.reports.Late) + f.distance(e.dataCentre, s.dataCentre)
-		f.clock.After(late, func() { e.take(s, load, made) })
+		f.clock.After(late, func() {
+			e.take(s, load, made)
+			if f.cacheEvents || cache.Cleared {
+				e.table.Apply(s.id, cache)
+			}
+		})
 	}
 }
 
@@ -223,7 +242,7 @@
 
 func (f *Fleet) gone(e queuer.GoneEvent) {
 	for _, s := range f.servers {
-		if s.dataCentre != e.DataCentre {
+		if s.dataCentre != e.DataCentre && s.id != e.Backend {
 			continue
 		}
 		s.queue.SetDown(!e.Back)
@@ -233,17 +252,9 @@
 	}
 }
 
-// clearCaches empties all prefix caches. The events that tell so fare like load
-// reports.
 func (f *Fleet) clearCaches() {
 	for _, s := range f.servers {
 		s.queue.ClearCache()
-		s.sequence++
-		for _, e := range f.entries {
-			if f.random.Float64() >= f.reports.Lost {
-				f.clock.After(time.Duration(f.reports.Late)+reportInterval, func() { e.cacheCleared(s) })
-			}
-		}
 	}
 }
 
--- a/traces/requests/limiter.go
+++ b/traces/requests/limiter.go
@@ -60,6 +60,16 @@
 			},
 		},
 	}
+	for _, skew := range []time.Duration{200 * time.Millisecond, time.Second} {
+		scenarios = append(scenarios, scenario{
+			name: "skewedClocks" + skew.String(),
+			about: "Kitami: twice what the runners take, the clock of each entry is " + skew.String() +
+				" ahead of the one before",
+			skew: skew,
+			rate: step(0.4*fullLoad, 2*fullLoad, 10*time.Second, 25*time.Second), length: 100 * time.Second,
+			bounds: overloaded(),
+		})
+	}
 	for i := range scenarios {
 		scenarios[i].kind, scenarios[i].site, scenarios[i].mix = "limiter", kitami, constant(0.3)
 		if scenarios[i].entries == 0 {
--- a/traces/requests/main.go
+++ b/traces/requests/main.go
@@ -31,10 +31,12 @@
 }
 
 func run(directory string, offset uint64) error {
-	for i, s := range append(routerScenarios(), limiterScenarios()...) {
-		seed := uint64(i+1) + offset
-		if err := write(directory, s.kind, s.name, s.about, seed, s.events(seed), s.bounds); err != nil {
-			return err
+	for _, scenarios := range [][]scenario{routerScenarios(), limiterScenarios()} {
+		for i, s := range scenarios {
+			seed := uint64(i+1) + offset
+			if err := write(directory, s.kind, s.name, s.about, seed, s.events(seed), s.bounds); err != nil {
+				return err
+			}
 		}
 	}
 	for i, f := range failureScenarios() {
--- a/traces/requests/router.go
+++ b/traces/requests/router.go
@@ -71,6 +71,19 @@
 			bounds:  inTarget(),
 		})
 	}
+	for _, lost := range []float64{0, 0.5} {
+		scenarios = append(scenarios, scenario{
+			name:        fmt.Sprintf("swings64CacheEvents%.0fLost", 100*lost),
+			about:       fmt.Sprintf("Repujados: swings, 64 entries, cache events, %.0f in 100 lost", 100*lost),
+			site:        repujados,
+			entries:     64,
+			cacheEvents: true,
+			rate:        square(0.75*normalLoad, 1.05*normalLoad, 20*time.Second),
+			mix:         square(0.1, 0.9, 20*time.Second),
+			also:        []queuer.Event{{Reports: &queuer.ReportsEvent{Lost: lost}}},
+			bounds:      inTarget(),
+		})
+	}
 	for i := range scenarios {
 		scenarios[i].kind = "router"
 		if scenarios[i].entries == 0 {
@@ -100,9 +113,16 @@
 			also: []queuer.Event{at(30, queuer.Event{Caches: &queuer.CachesEvent{}})},
 		},
 		{
-			name: "storeOutage", about: "Kitami: the platform's store is away", site: kitami,
-			rate: constant(normalLoad), mix: constant(0.3), bounds: inTarget(),
-			also: []queuer.Event{at(10, queuer.Event{Store: &queuer.StoreEvent{}})},
+			name: "storeOutage", about: "Kitami: the store is away while two runners are replaced", site: kitami,
+			rate: constant(calmLoad), mix: constant(0.3), bounds: inTargetSettled(),
+			also: []queuer.Event{
+				at(10, queuer.Event{Store: &queuer.StoreEvent{}}),
+				at(15, queuer.Event{Gone: &queuer.GoneEvent{Backend: "runner-2"}}),
+				at(15, queuer.Event{Gone: &queuer.GoneEvent{Backend: "runner-9"}}),
+				at(20, queuer.Event{Backend: runner(runners+1, kitami)}),
+				at(20, queuer.Event{Backend: runner(runners+2, kitami)}),
+				at(45, queuer.Event{Store: &queuer.StoreEvent{Back: true}}),
+			},
 		},
 		{
 			name: "slowBackend", about: "Kitami: two runners become 8 times slower and recover", site: kitami,
--- a/traces/requests/scenario.go
+++ b/traces/requests/scenario.go
@@ -61,7 +61,11 @@
 		about   string
 		site    site
 		entries int
-		length  time.Duration
+		// cacheEvents tells whether load reports carry cache events.
+		cacheEvents bool
+		// skew is how far the clock of each entry is ahead of the one before.
+		skew   time.Duration
+		length time.Duration
 		// rate returns requests a second.
 		rate func(at time.Duration) float64
 		// mix returns the weight of the second class, from 0 to 1.
@@ -153,19 +157,13 @@
 		}})
 	}
 	for i := range runners {
-		events = append(events, queuer.Event{Backend: &queuer.BackendEvent{
-			ID:            carawaybeam.BackendID(fmt.Sprintf("runner-%d", i+1)),
-			DataCentre:    g.scenario.site.dataCentres[i%len(g.scenario.site.dataCentres)],
-			Slots:         16,
-			PromptRate:    8000,
-			TokenTime:     tracer.Duration(20 * time.Millisecond),
-			TokenTimeEach: tracer.Duration(1500 * time.Microsecond),
-			CacheHeads:    96,
-		}})
+		events = append(events, queuer.Event{Backend: runner(i+1, g.scenario.site)})
 	}
 	entries := &queuer.EntriesEvent{
-		Within:  tracer.Duration(300 * time.Microsecond),
-		Between: tracer.Duration(g.scenario.site.between),
+		Within:      tracer.Duration(300 * time.Microsecond),
+		Between:     tracer.Duration(g.scenario.site.between),
+		CacheEvents: g.scenario.cacheEvents,
+		Skew:        tracer.Duration(g.scenario.skew),
 	}
 	for i := range g.scenario.entries {
 		dc := g.scenario.site.dataCentres[i%len(g.scenario.site.dataCentres)]
@@ -174,6 +172,19 @@
 	return append(events, queuer.Event{Entries: entries})
 }
 
+// runner returns the n-th backend server of a site.
+func runner(n int, s site) *queuer.BackendEvent {
+	return &queuer.BackendEvent{
+		ID:            carawaybeam.BackendID(fmt.Sprintf("runner-%d", n)),
+		DataCentre:    s.dataCentres[(n-1)%len(s.dataCentres)],
+		Slots:         16,
+		PromptRate:    8000,
+		TokenTime:     tracer.Duration(20 * time.Millisecond),
+		TokenTimeEach: tracer.Duration(1500 * time.Microsecond),
+		CacheHeads:    96,
+	}
+}
+
 // arrivals draws a Poisson process with a changing rate, by thinning.
 func (g *generator) arrivals(rate func(time.Duration) float64, organisation func() int) []queuer.Event {
 	var events []queuer.Event
