--- a/replayer/routes/kind_test.go
+++ b/replayer/routes/kind_test.go
@@ -41,7 +41,10 @@
 }
 
 func TestStatedOutcomesAreMet(t *testing.T) {
-	for _, name := range []string{"kitamiWinter", "noReports", "dataCentreGone", "slowBackend", "storeOutage", "swings8Entries"} {
+	names := []string{
+		"kitamiWinter", "noReports", "dataCentreGone", "slowBackend", "storeOutage", "swings8Entries",
+	}
+	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
 			figures, outcome := replay(t, name, "expected")
 			for _, miss := range outcome.Check(figures) {
--- a/traces/requests/limiter.go
+++ b/traces/requests/limiter.go
@@ -35,7 +35,7 @@
 		"idleRefusedShare":      atMost(0, idleWhy),
 	}
 	flooding := []queuer.Event{{Flooding: &queuer.FloodingEvent{Organisation: "org-1"}}}
-	scenarios := []scenario{
+	scenarios := append([]scenario{
 		{
 			name: "overload1Entry", about: "Kitami: twice what the runners take, then calm, one entry", entries: 1,
 			rate: step(0.4*fullLoad, 2*fullLoad, 10*time.Second, 25*time.Second), length: 100 * time.Second,
@@ -59,8 +59,24 @@
 				"refusedShare":          atMost(0, idleWhy),
 			},
 		},
+	}, skewScenarios()...)
+	for i := range scenarios {
+		scenarios[i].kind, scenarios[i].site, scenarios[i].mix = "limiter", kitami, constant(0.3)
+		if scenarios[i].entries == 0 {
+			scenarios[i].entries = 3
+		}
+		if scenarios[i].length == 0 {
+			scenarios[i].length = time.Minute
+		}
 	}
-	for _, skew := range []time.Duration{200 * time.Millisecond, time.Second} {
+	return scenarios
+}
+
+// skewScenarios lists traces in which the clocks of entries differ.
+func skewScenarios() []scenario {
+	skews := []time.Duration{200 * time.Millisecond, time.Second}
+	scenarios := make([]scenario, 0, len(skews))
+	for _, skew := range skews {
 		scenarios = append(scenarios, scenario{
 			name: "skewedClocks" + skew.String(),
 			about: "Kitami: twice what the runners take, the clock of each entry is " + skew.String() +
@@ -70,14 +86,5 @@
 			bounds: overloaded(),
 		})
 	}
-	for i := range scenarios {
-		scenarios[i].kind, scenarios[i].site, scenarios[i].mix = "limiter", kitami, constant(0.3)
-		if scenarios[i].entries == 0 {
-			scenarios[i].entries = 3
-		}
-		if scenarios[i].length == 0 {
-			scenarios[i].length = time.Minute
-		}
-	}
 	return scenarios
 }
--- a/traces/requests/router.go
+++ b/traces/requests/router.go
@@ -60,30 +60,7 @@
 			also: []queuer.Event{{Reports: &queuer.ReportsEvent{Lost: 1}}},
 		},
 	}...)
-	for _, entries := range []int{2, 8, 64} {
-		scenarios = append(scenarios, scenario{
-			name:    fmt.Sprintf("swings%dEntries", entries),
-			about:   fmt.Sprintf("Repujados: swings between quotes and drawing reads, %d entries", entries),
-			site:    repujados,
-			entries: entries,
-			rate:    square(0.75*normalLoad, 1.05*normalLoad, 20*time.Second),
-			mix:     square(0.1, 0.9, 20*time.Second),
-			bounds:  inTarget(),
-		})
-	}
-	for _, lost := range []float64{0, 0.5} {
-		scenarios = append(scenarios, scenario{
-			name:        fmt.Sprintf("swings64CacheEvents%.0fLost", 100*lost),
-			about:       fmt.Sprintf("Repujados: swings, 64 entries, cache events, %.0f in 100 lost", 100*lost),
-			site:        repujados,
-			entries:     64,
-			cacheEvents: true,
-			rate:        square(0.75*normalLoad, 1.05*normalLoad, 20*time.Second),
-			mix:         square(0.1, 0.9, 20*time.Second),
-			also:        []queuer.Event{{Reports: &queuer.ReportsEvent{Lost: lost}}},
-			bounds:      inTarget(),
-		})
-	}
+	scenarios = append(scenarios, swingScenarios()...)
 	for i := range scenarios {
 		scenarios[i].kind = "router"
 		if scenarios[i].entries == 0 {
@@ -136,3 +113,32 @@
 		},
 	}
 }
+
+// swingScenarios lists traces with swings between classes, for entries that do
+// not see each other.
+func swingScenarios() []scenario {
+	scenarios := make([]scenario, 0, 5)
+	for _, entries := range []int{2, 8, 64} {
+		scenarios = append(scenarios, scenario{
+			name:    fmt.Sprintf("swings%dEntries", entries),
+			about:   fmt.Sprintf("Repujados: swings between quotes and drawing reads, %d entries", entries),
+			entries: entries,
+		})
+	}
+	for _, lost := range []float64{0, 0.5} {
+		scenarios = append(scenarios, scenario{
+			name:        fmt.Sprintf("swings64CacheEvents%.0fLost", 100*lost),
+			about:       fmt.Sprintf("Repujados: swings, 64 entries, cache events, %.0f in 100 lost", 100*lost),
+			entries:     64,
+			cacheEvents: true,
+			also:        []queuer.Event{{Reports: &queuer.ReportsEvent{Lost: lost}}},
+		})
+	}
+	for i := range scenarios {
+		scenarios[i].site = repujados
+		scenarios[i].rate = swings(0.75*normalLoad, 1.05*normalLoad)
+		scenarios[i].mix = swings(0.1, 0.9)
+		scenarios[i].bounds = inTarget()
+	}
+	return scenarios
+}
--- a/traces/requests/scenario.go
+++ b/traces/requests/scenario.go
@@ -21,6 +21,8 @@
 	classHead = 512
 	orgHead   = 1024
 
+	swingPeriod = 20 * time.Second
+
 	organisations = 10
 	runners       = 12
 
@@ -111,10 +113,10 @@
 	return func(time.Duration) float64 { return value }
 }
 
-// square alternates between two values, each for half a period.
-func square(low, high float64, period time.Duration) func(time.Duration) float64 {
+// swings alternates between two values, each for half a period.
+func swings(low, high float64) func(time.Duration) float64 {
 	return func(at time.Duration) float64 {
-		if at%period < period/2 {
+		if at%swingPeriod < swingPeriod/2 {
 			return low
 		}
 		return high
