Count no failing backend server as idle capacity

Cause: a backend server that fails gets no requests, so it looked idle, and a known idle one makes the limiter admit whatever the wait is. Change: a slow or failing one is not idle. Found by reading; a test shows it. The router's file is split by job.

--- a/router/expected/router.go
+++ b/router/expected/router.go
@@ -11,14 +11,11 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/router/estimator"
 )
@@ -94,34 +91,6 @@
 		due  time.Time
 		wait time.Duration
 	}
-
-	// survey is what all candidates say together.
-	survey struct {
-		// ownShare is the part of all requests that this process sent.
-		ownShare float64
-		// idle is set when some candidate is known to have nothing to do.
-		idle bool
-		// others is the mean of what other processes have on a candidate.
-		others others
-	}
-
-	// others is what other processes have on a backend server.
-	others struct {
-		tokens  float64
-		waiting float64
-		running float64
-	}
-
-	// option is a candidate that is being weighed.
-	option struct {
-		candidate *carawaybeam.Candidate
-		work      carawaybeam.Work
-		// unread is the part of the prompt that is not cached, in tokens.
-		unread   float64
-		expected time.Duration
-		cost     time.Duration
-		slack    time.Duration
-	}
 )
 
 func init() {
@@ -149,7 +118,7 @@
 	if model.Len() > retainFactor*len(candidates)+retainMargin {
 		r.retain(model, candidates)
 	}
-	overview := look(candidates)
+	overview := look(now, model, candidates)
 	best, slow := r.choose(now, model, overview, request, candidates, shortlist(request, candidates, random))
 	if best == nil || best.wait(model) > overview.patience(request.Target) {
 		other, otherSlow := r.lookAgain(now, model, overview, request, candidates, random)
@@ -294,187 +263,3 @@
 // long as the target leaves room. A prompt that is read twice costs others more
 // than it costs itself.
 func (o *option) rank() time.Duration { return o.cost - o.slack }
-
-// wait returns the part of the expected time that other requests take.
-func (o *option) wait(model *estimator.Estimator) time.Duration {
-	return max(0, o.expected-model.Typical(carawaybeam.Work{Tokens: o.unread}))
-}
-
-// look sums up the candidates.
-func look(candidates []carawaybeam.Candidate) survey {
-	var own, all float64
-	idle := false
-	for i := range candidates {
-		c := &candidates[i]
-		own += float64(c.OwnRunning)
-		all += float64(max(c.OwnRunning, c.Load.Running+c.Load.Waiting-c.OwnReported+c.OwnRunning))
-		idle = idle || isIdle(c)
-	}
-	s := survey{ownShare: 1, idle: idle}
-	if all > 0 {
-		s.ownShare = own / all
-	}
-	n := float64(max(1, len(candidates)))
-	for i := range candidates {
-		o := s.othersOn(&candidates[i])
-		s.others.tokens += o.tokens / n
-		s.others.waiting += o.waiting / n
-		s.others.running += o.running / n
-	}
-	return s
-}
-
-// isIdle tells whether a candidate is known to have nothing to do.
-func isIdle(c *carawaybeam.Candidate) bool {
-	return c.ReportAge <= freshReport && c.OwnRunning == 0 && c.Load.Running+c.Load.Waiting <= c.OwnReported
-}
-
-// patience returns the expected wait above which idle candidates are looked for.
-func (s survey) patience(target time.Duration) time.Duration {
-	return time.Duration(secondLook * float64(target) / max(s.ownShare, minOwnShare))
-}
-
-// othersOn takes the own part off a report. A report does not tell whose the
-// waiting requests are, so the own share of them is that of all requests.
-func (s survey) othersOn(c *carawaybeam.Candidate) others {
-	all := max(0, c.Load.Running+c.Load.Waiting-c.OwnReported)
-	waiting := float64(c.Load.Waiting) * (1 - s.ownShare)
-	return others{
-		tokens:  float64(c.Load.WaitingTokens) * (1 - s.ownShare),
-		waiting: waiting,
-		running: max(0, float64(all)-waiting),
-	}
-}
-
-// weigh works out the expected time to the first token on a candidate.
-//
-// What this process has there it knows exactly. What others have is known from
-// the last report, which tells less the older it is: then the mean over all
-// candidates is the better guess.
-func weigh(
-	now time.Time,
-	model *estimator.Estimator,
-	s survey,
-	request carawaybeam.RouteRequest,
-	c *carawaybeam.Candidate,
-	home bool,
-) option {
-	trust := math.Exp(-c.ReportAge.Seconds() / forgetting.Seconds())
-	there := s.othersOn(c)
-	blend := func(mean, reported float64) float64 { return mean + (reported-mean)*trust }
-	unread := max(0, request.Prompt-c.CachedPrompt)
-	o := option{candidate: c, unread: float64(unread), work: carawaybeam.Work{
-		Tokens:  blend(s.others.tokens, there.tokens) + float64(c.OwnWaitingTokens+unread),
-		Waiting: blend(s.others.waiting, there.waiting) + float64(c.OwnWaiting),
-		Running: blend(s.others.running, there.running) + float64(c.OwnRunning-c.OwnWaiting),
-	}}
-	if slots := model.Slots(c.Backend, c.Load); slots > 0 {
-		o.work.Overflow = max(0, o.work.Waiting+o.work.Running+1-float64(slots))
-	}
-	if home {
-		o.work.Gathered = float64(unread)
-		o.slack = time.Duration(affinityShare * float64(request.Target))
-	}
-	o.expected = time.Duration(float64(model.Typical(o.work)) * model.Factor(now, c.Backend))
-	o.cost = o.expected + c.Distance
-	return o
-}
-
-// listed is the index of a candidate to be weighed.
-type listed struct {
-	index int
-	home  bool
-}
-
-// shortlist returns the candidates to be weighed, without repetition.
-func shortlist(request carawaybeam.RouteRequest, candidates []carawaybeam.Candidate, random *rand.Rand) []listed {
-	chosen := make([]listed, 0, sampleSize+2*homeCount+holderCount)
-	add := func(i int, home bool) {
-		if slices.Contains(request.Tried, candidates[i].Backend) ||
-			slices.ContainsFunc(chosen, func(l listed) bool { return l.index == i }) {
-			return
-		}
-		chosen = append(chosen, listed{index: i, home: home})
-	}
-	if request.Affinity != 0 {
-		for _, i := range homes(request, candidates) {
-			add(i, true)
-		}
-	}
-	for _, i := range holders(candidates) {
-		add(i, false)
-	}
-	for range sampleSize {
-		if len(candidates) > 0 {
-			add(random.IntN(len(candidates)), false)
-		}
-	}
-	if len(chosen) == 0 {
-		for i := range candidates {
-			add(i, false)
-		}
-	}
-	return chosen
-}
-
-// top keeps the indices with the highest scores.
-type top struct {
-	indices [homeCount]int
-	scores  [homeCount]uint64
-	length  int
-}
-
-func (t *top) add(index int, score uint64) {
-	at := t.length
-	for at > 0 && t.scores[at-1] < score {
-		at--
-	}
-	if at == homeCount {
-		return
-	}
-	t.length = min(t.length+1, homeCount)
-	copy(t.indices[at+1:], t.indices[at:])
-	copy(t.scores[at+1:], t.scores[at:])
-	t.indices[at], t.scores[at] = index, score
-}
-
-// homes returns where prompts with this head gather, by rendezvous hashing.
-func homes(request carawaybeam.RouteRequest, candidates []carawaybeam.Candidate) []int {
-	var all top
-	for i := range candidates {
-		if candidates[i].Distance > regionDistance {
-			continue
-		}
-		all.add(i, mix(xxhash.Sum64String(string(candidates[i].Backend))^request.Affinity))
-	}
-	return slices.Clone(all.indices[:all.length])
-}
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// holders returns the candidates with the most of the prompt cached.
-func holders(candidates []carawaybeam.Candidate) []int {
-	var most [holderCount]int
-	n := 0
-	for i := range candidates {
-		if candidates[i].CachedPrompt == 0 {
-			continue
-		}
-		at := n
-		for at > 0 && candidates[most[at-1]].CachedPrompt < candidates[i].CachedPrompt {
-			at--
-		}
-		if at == holderCount {
-			continue
-		}
-		n = min(n+1, holderCount)
-		copy(most[at+1:], most[at:])
-		most[at] = i
-	}
-	return slices.Clone(most[:n])
-}
--- a/router/expected/router_test.go
+++ b/router/expected/router_test.go
@@ -136,3 +136,21 @@
 	spread(r, now, carawaybeam.RouteRequest{}, candidates(3))
 	is.Equal(len(r.State().(expected.State).Slow), 0)
 }
+
+// A backend server that nobody uses because it fails is no idle capacity, or the
+// limiter would admit everything while one is broken.
+func TestSlowBackendIsNoIdleCapacity(t *testing.T) {
+	is := is.New(t)
+	r := expected.New()
+	now := time.Now()
+	list := candidates(3)
+	for i := range list[1:] {
+		list[i+1].Load = carawaybeam.Load{Running: 16, Waiting: 4, WaitingTokens: 8000}
+	}
+	random := rand.New(rand.NewPCG(1, 0))
+	decision, _ := r.Route(now, carawaybeam.RouteRequest{}, list, random)
+	is.True(decision.Idle)
+	r.Observe(now, carawaybeam.RouteDecision{Backend: "b0"}, carawaybeam.RouteOutcome{Failed: true})
+	decision, _ = r.Route(now, carawaybeam.RouteRequest{}, list, random)
+	is.True(!decision.Idle)
+}
