--- a/traces/requests/scenario.go
+++ b/traces/requests/scenario.go
@@ -21,6 +21,8 @@
 	classHead = 512
 	orgHead   = 1024
 
+	swingPeriod = 20 * time.Second
+
 	organisations = 10
 	runners       = 12
 
@@ -61,7 +63,11 @@
 		about   string
 		site    site
 		entries int
-		length  time.Duration
+		// cacheEvents tells whether load reports carry cache events.
+		cacheEvents bool
+		// skew is how far the clock of each entry is ahead of the one before.
+		skew   time.Duration
+		length time.Duration
 		// rate returns requests a second.
 		rate func(at time.Duration) float64
 		// mix returns the weight of the second class, from 0 to 1.
@@ -107,10 +113,10 @@
 	return func(time.Duration) float64 { return value }
 }
 
-// square alternates between two values, each for half a period.
-func square(low, high float64, period time.Duration) func(time.Duration) float64 {
+// swings alternates between two values, each for half a period.
+func swings(low, high float64) func(time.Duration) float64 {
 	return func(at time.Duration) float64 {
-		if at%period < period/2 {
+		if at%swingPeriod < swingPeriod/2 {
 			return low
 		}
 		return high
@@ -153,19 +159,13 @@
 		}})
 	}
 	for i := range runners {
-		events = append(events, queuer.Event{Backend: &queuer.BackendEvent{
-			ID:            carawaybeam.BackendID(fmt.Sprintf("runner-%d", i+1)),
-			DataCentre:    g.scenario.site.dataCentres[i%len(g.scenario.site.dataCentres)],
-			Slots:         16,
-			PromptRate:    8000,
-			TokenTime:     tracer.Duration(20 * time.Millisecond),
-			TokenTimeEach: tracer.Duration(1500 * time.Microsecond),
-			CacheHeads:    96,
-		}})
+		events = append(events, queuer.Event{Backend: runner(i+1, g.scenario.site)})
 	}
 	entries := &queuer.EntriesEvent{
-		Within:  tracer.Duration(300 * time.Microsecond),
-		Between: tracer.Duration(g.scenario.site.between),
+		Within:      tracer.Duration(300 * time.Microsecond),
+		Between:     tracer.Duration(g.scenario.site.between),
+		CacheEvents: g.scenario.cacheEvents,
+		Skew:        tracer.Duration(g.scenario.skew),
 	}
 	for i := range g.scenario.entries {
 		dc := g.scenario.site.dataCentres[i%len(g.scenario.site.dataCentres)]
@@ -174,6 +174,19 @@
 	return append(events, queuer.Event{Entries: entries})
 }
 
+// runner returns the n-th backend server of a site.
+func runner(n int, s site) *queuer.BackendEvent {
+	return &queuer.BackendEvent{
+		ID:            carawaybeam.BackendID(fmt.Sprintf("runner-%d", n)),
+		DataCentre:    s.dataCentres[(n-1)%len(s.dataCentres)],
+		Slots:         16,
+		PromptRate:    8000,
+		TokenTime:     tracer.Duration(20 * time.Millisecond),
+		TokenTimeEach: tracer.Duration(1500 * time.Microsecond),
+		CacheHeads:    96,
+	}
+}
+
 // arrivals draws a Poisson process with a changing rate, by thinning.
 func (g *generator) arrivals(rate func(time.Duration) float64, organisation func() int) []queuer.Event {
 	var events []queuer.Event
