planner/drift: weigh about as many changes however many slots a rank has

Cause: the search weighed every pair of slots of the slowest and 24 other ranks; with 24 slots that is 64 times the pairs of 3 slots. Change: at most eight experts leave the slowest rank, the number of target ranks falls as slots grow, and changes after which the target would be as slow as the slowest rank are left out before they are weighed.

--- a/planner/drift/bench_test.go
+++ b/planner/drift/bench_test.go
@@ -29,6 +29,7 @@
 		{ranks: 64, experts: 256, layers: 60, slots: 6},
 		{ranks: 128, experts: 64, layers: 60, slots: 3},
 		{ranks: 128, experts: 128, layers: 60, slots: 3},
+		{ranks: 128, experts: 192, layers: 60, slots: 3},
 		{ranks: 128, experts: 384, layers: 60, slots: 4},
 	}
 	for _, s := range sizes {
--- a/planner/drift/search.go
+++ b/planner/drift/search.go
@@ -1,6 +1,7 @@
 package drift
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -13,6 +14,15 @@
 	// targetRanks bounds the ranks that may take load from the slowest one.
 	targetRanks = 24
 
+	// leastTargetRanks is the least number of them, where ranks have many slots.
+	leastTargetRanks = 4
+
+	// sourceExperts bounds the experts of the slowest rank that may leave it.
+	sourceExperts = 8
+
+	// stepPairs is about how many pairs of experts one step weighs.
+	stepPairs = 512
+
 	// leastGain is the gain of time below which a change is none.
 	leastGain = 1e-6
 
@@ -83,8 +93,8 @@
 // propose lists the changes that take load from the slowest rank of a view.
 func (l *layer) propose(v *view, consider func(change)) {
 	slow := v.slowest[0]
-	targets := v.fastest()
-	for _, e := range l.held[slow] {
+	targets := v.fastest(l.targets())
+	for _, e := range l.hottest(v, slow) {
 		if len(l.holders[e]) > 1 {
 			consider(change{expert: e, leaves: slow, arrives: none, other: none})
 		}
@@ -92,42 +102,84 @@
 			if rank == slow || slices.Contains(l.held[rank], e) {
 				continue
 			}
-			l.proposeTo(e, slow, rank, consider)
+			l.proposeTo(v, e, slow, rank, consider)
 		}
 	}
 }
 
+// targets returns how many ranks may take load from the slowest one, so that
+// the changes of one step are about as many however many slots a rank has.
+func (l *layer) targets() int {
+	return min(targetRanks, max(leastTargetRanks, stepPairs/(l.slots*min(l.slots, sourceExperts))))
+}
+
+// hottest returns the experts of a rank with the largest load, at most
+// sourceExperts.
+func (l *layer) hottest(v *view, rank int) []carawaybeam.Expert {
+	experts := slices.Clone(l.held[rank])
+	slices.SortStableFunc(experts, func(a, b carawaybeam.Expert) int {
+		return cmp.Compare(l.part(v, b), l.part(v, a))
+	})
+	return experts[:min(len(experts), sourceExperts)]
+}
+
+// part returns the load of one replica of an expert.
+func (l *layer) part(v *view, e carawaybeam.Expert) float64 {
+	return v.load[e] / float64(len(l.holders[e]))
+}
+
 // proposeTo lists the changes that give load of an expert from one rank to
-// another: a further replica, a move, or a swap with another expert.
-func (l *layer) proposeTo(e carawaybeam.Expert, from, to int, consider func(change)) {
+// another: a further replica, a move, or a swap with another expert. It leaves
+// out those that make the other rank as slow as the slowest.
+func (l *layer) proposeTo(v *view, e carawaybeam.Expert, from, to int, consider func(change)) {
+	room := (v.time() - v.times[to]) * l.speeds[to]
+	moved := l.part(v, e)
+	copied := v.load[e] / float64(len(l.holders[e])+1)
 	if len(l.held[to]) < l.slots {
-		consider(change{expert: e, leaves: none, arrives: to, other: none})
-		consider(change{expert: e, leaves: from, arrives: to, other: none})
+		l.proposeArrival(e, from, to, none, copied < room, moved < room, consider)
 	}
 	for _, other := range l.held[to] {
+		freed := l.part(v, other)
 		if len(l.holders[other]) > 1 {
-			consider(change{expert: e, leaves: none, arrives: to, other: other})
-			consider(change{expert: e, leaves: from, arrives: to, other: other})
+			l.proposeArrival(e, from, to, other, copied-freed < room, moved-freed < room, consider)
 		}
-		if !slices.Contains(l.held[from], other) {
+		swaps := freed < moved && moved-freed < room
+		if swaps && !slices.Contains(l.held[from], other) {
 			consider(change{expert: e, leaves: from, arrives: to, other: other, swapped: true})
 		}
 	}
 }
 
-// fastest returns the ranks with the least time, the fastest first.
-func (v *view) fastest() []int {
-	ranks := make([]int, 0, targetRanks+1)
+// proposeArrival proposes a further replica and a move of an expert.
+func (l *layer) proposeArrival(
+	e carawaybeam.Expert,
+	from, to int,
+	other carawaybeam.Expert,
+	copies, moves bool,
+	consider func(change),
+) {
+	if copies {
+		consider(change{expert: e, leaves: none, arrives: to, other: other})
+	}
+	if moves {
+		consider(change{expert: e, leaves: from, arrives: to, other: other})
+	}
+}
+
+// fastest returns up to the given number of ranks with the least time, the
+// fastest first.
+func (v *view) fastest(most int) []int {
+	ranks := make([]int, 0, most+1)
 	for rank, t := range v.times {
 		at := len(ranks)
 		for at > 0 && t < v.times[ranks[at-1]] {
 			at--
 		}
-		if at == targetRanks {
+		if at == most {
 			continue
 		}
 		ranks = slices.Insert(ranks, at, rank)
-		ranks = ranks[:min(len(ranks), targetRanks)]
+		ranks = ranks[:min(len(ranks), most)]
 	}
 	return ranks
 }
