Refuse requests that come while the dispatcher closes

The race detector saw Do add to the wait group on which Close waited, in the proof of planned stops.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -115,6 +115,7 @@
 		// incarnations holds the last one seen of each agent.
 		incarnations map[carawaybeam.BackendID]carawaybeam.Incarnation
 		requests     sync.WaitGroup
+		closed       bool
 	}
 
 	// counters counts frames that an answer had no use for.
@@ -155,12 +156,27 @@
 // Uint64 returns a random number.
 func (lockedSource) Uint64() uint64 { return rand.Uint64() }
 
-// Close waits for the requests being served.
+// Close refuses further requests and waits for those being served.
 func (d *Dispatcher) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
 	d.requests.Wait()
 	return nil
 }
 
+// enter counts one more request. It reports false once the Dispatcher is
+// closed.
+func (d *Dispatcher) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	d.requests.Add(1)
+	return true
+}
+
 // State returns the state dump.
 func (d *Dispatcher) State() State {
 	return State{
@@ -175,7 +191,9 @@
 // error is the final word on the request; part of an answer may have been
 // written then.
 func (d *Dispatcher) Do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
-	d.requests.Add(1)
+	if !d.enter() {
+		return notRun(carawaybeam.ReasonLeaving, "entry is closed", comeBackAfter)
+	}
 	defer d.requests.Done()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
