Let a resumed answer take nothing from the retry budget

Cause: beside a poison request innocent streams on the crashed backend servers were given up, since the budget of further tries (a reserve of 10) ran out. A try that goes on behind what was delivered repeats no work, so it cannot make a retry storm, and takes nothing from the budget now.

--- a/decisions.go
+++ b/decisions.go
@@ -140,6 +140,9 @@
 		Try int
 		// Failure is the error of the last one.
 		Failure *RequestError
+		// Resumes is set when the last try delivered part of the answer and the
+		// next one goes on behind it.
+		Resumes bool
 		// Deadline is when the caller stops waiting.
 		Deadline time.Time
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -219,6 +219,7 @@
 		return quarantined(carawaybeam.OutcomeNotRun)
 	}
 	for try := 1; ; try++ {
+		delivered := p.answer.written
 		failure := d.try(ctx, request, try, p)
 		if failure == nil {
 			return nil
@@ -235,7 +236,11 @@
 			return quarantined(failure.Outcome)
 		}
 		decision := d.options.Retrier.Retry(time.Now(), carawaybeam.RetryRequest{
-			Class: request.Class, Try: try, Failure: failure, Deadline: request.Deadline,
+			Class:    request.Class,
+			Try:      try,
+			Failure:  failure,
+			Resumes:  p.answer.written > delivered,
+			Deadline: request.Deadline,
 		}, d.random)
 		if !decision.Retry {
 			return withRetryAfter(failure)
--- a/retrier/budget/retrier.go
+++ b/retrier/budget/retrier.go
@@ -4,7 +4,8 @@
 // Each first try of a class earns a part of a further one. In a total failure
 // the further tries thus stay a fixed share of the traffic, however many
 // requests fail. A request that may have run is tried again only when its class
-// is idempotent.
+// is idempotent. A try that goes on behind what an earlier one delivered repeats
+// no work and takes nothing from the budget.
 package budget
 
 import (
@@ -72,6 +73,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if request.Resumes {
+		return carawaybeam.RetryDecision{Retry: true, Wait: wait}
+	}
 	left := r.budget(request.Class.ID)
 	if left < 1 {
 		return carawaybeam.RetryDecision{}
