--- /dev/null
+++ b/applier/stale_test.go
@@ -0,0 +1,69 @@
+package applier_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/applier"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/fakes/assembler"
+	"github.com/carawaybeam/carawaybeam/fakes/linker"
+	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/prover"
+)
+
+// TestPromiseConfigInForceAtFirstContact cuts an entry off from the store and all
+// entries, and keeps its agents' news from it, so that only the refusal of its
+// request tells it of a change.
+func TestPromiseConfigInForceAtFirstContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, 2)
+		change := func(target time.Duration) applier.Result {
+			return f.entries[0].Load().applier.Apply(t.Context(), applier.Change{
+				ID: configurer.NewChangeID(), Kind: carawaybeam.KindClass, Name: "a", Document: classDocument(target),
+			})
+		}
+		org := []byte(`{"tokenHash":"` + configurer.HashToken("t") + `"}`)
+		f.entries[0].Load().applier.Apply(t.Context(), applier.Change{
+			ID: configurer.NewChangeID(), Kind: carawaybeam.KindOrganisation, Name: "org", Document: org,
+		})
+		is.Equal(change(2*time.Second).Status, applier.StatusAccepted)
+		time.Sleep(time.Second)
+
+		cut := f.entries[2].Load()
+		cut.store.cut.Store(true)
+		f.cutPeers(2, true)
+		until := time.Now().Add(2 * time.Second)
+		f.network.Inject(func(_ carawaybeam.Address, to linker.Direction, frame *framer.Frame) linker.Verdict {
+			news := frame.GetHeartbeat() != nil || frame.GetConfigDelta() != nil
+			return linker.Verdict{Drop: news && to == linker.ToDialer && time.Now().Before(until), Latency: linkDelay}
+		})
+		is.Equal(change(3*time.Second).Status, applier.StatusAccepted)
+		time.Sleep(500 * time.Millisecond)
+		old, _ := cut.configurer.Class("a")
+		is.Equal(old.Targets.Completed, 2*time.Second) // it has not heard of the change
+
+		var answer assembler.Answer
+		begun := time.Now()
+		failure := cut.dispatcher.Do(t.Context(), dispatcher.Request{
+			ID: carawaybeam.NewRequestID(), Class: old, Organisation: "org", Method: "POST", Path: "/",
+			Body: []byte("body"), Deadline: time.Now().Add(8 * time.Second), DecidedOn: cut.configurer.Version(),
+		}, &answer)
+		now, _ := cut.configurer.Class("a")
+		violations := 0
+		if now.Targets.Completed != 3*time.Second {
+			violations++ // the request was served as the old configuration has it
+		}
+		t.Log("answered after", time.Since(begun))
+		is.NoErr(f.close())
+		prover.Report(t, prover.ConfigInForce, 1, violations)
+		is.True(failure == nil)
+		is.Equal(answer.Body.String(), assembler.Whole("body"))
+	})
+}
