--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -47,6 +47,10 @@
 		floor carawaybeam.ConfigVersion
 		// wanted is the newest version that a peer claims to hold.
 		wanted carawaybeam.ConfigVersion
+		// newest is the version of the newest object held, and ahead the hash of
+		// the objects beyond version.
+		newest carawaybeam.ConfigVersion
+		ahead  uint64
 		// sequence counts the objects put in force.
 		sequence uint64
 		// fresh is when the configuration was last known to be the store's.
@@ -142,6 +146,7 @@
 func (c *Configurer) adopt() {
 	if c.wanted > c.version && c.wanted <= c.complete {
 		c.version = c.wanted
+		c.survey()
 		c.signal()
 	}
 }
--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -45,6 +45,9 @@
 		c.complete = max(c.complete, delta.Complete)
 	}
 	c.claim(delta.Version)
+	if c.sequence != before || c.version != version {
+		c.survey()
+	}
 	if c.taken.IsZero() && c.complete > 0 {
 		c.taken = time.Now()
 	}
@@ -153,19 +156,26 @@
 func (c *Configurer) State() *framer.ConfigState {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	state := &framer.ConfigState{}
-	for _, held := range c.objects {
-		state.Newest = max(state.Newest, uint64(held.Version))
-		if carawaybeam.ConfigVersion(held.Version) > c.version {
-			state.Ahead ^= mix(uint64(held.Version))
-		}
-	}
+	state := &framer.ConfigState{Newest: uint64(c.newest), Ahead: c.ahead}
 	if !c.fresh.IsZero() {
 		state.AgeMs = uint64(max(1, time.Since(c.fresh).Milliseconds()))
 	}
 	return state
 }
 
+// survey notes the newest object and what lies beyond the version. The caller
+// holds mu.
+func (c *Configurer) survey() {
+	c.newest, c.ahead = 0, 0
+	for _, held := range c.objects {
+		version := carawaybeam.ConfigVersion(held.Version)
+		c.newest = max(c.newest, version)
+		if version > c.version {
+			c.ahead ^= mix(uint64(version))
+		}
+	}
+}
+
 // mix spreads the bits of a version. It is the finaliser of SplitMix64.
 func mix(v uint64) uint64 {
 	v += 0x9e3779b97f4a7c15
