Keep a link outside the subset for as long as a stream uses it

Cause: an expired pin, or a subset that moved with the list, closed the link under running streams; their attempts could then not be settled. Change: a stream in use keeps its link. A test covers links on demand; it fails with the change taken back (1 link where 2 are due).

--- a/tracker/member.go
+++ b/tracker/member.go
@@ -30,6 +30,8 @@
 		agentLeaving bool
 		// absent is since when the platform does not list the agent.
 		absent time.Time
+		// streams counts the streams in use, which keep the link.
+		streams int
 		// cancel ends the link. It is nil while there is to be none.
 		cancel context.CancelFunc
 	}
@@ -38,6 +40,7 @@
 	reportingStream struct {
 		carawaybeam.Stream
 		member *member
+		closed sync.Once
 	}
 )
 
@@ -111,7 +114,7 @@
 
 // startOrStop is called with mu held.
 func (m *member) startOrStop() {
-	wanted := m.chosen || time.Now().Before(m.pinned)
+	wanted := m.chosen || m.streams > 0 || time.Now().Before(m.pinned)
 	switch {
 	case wanted && m.cancel == nil && m.tracker.ctx.Err() == nil:
 		ctx, cancel := context.WithCancel(m.tracker.ctx)
@@ -123,6 +126,13 @@
 	}
 }
 
+// use counts a stream that begins or ends.
+func (m *member) use(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.streams += n
+}
+
 // stop ends the link for good.
 func (m *member) stop() {
 	m.mu.Lock()
@@ -289,3 +299,9 @@
 	}
 	return frame, err
 }
+
+// Close ends the stream, which no longer keeps the link then.
+func (s *reportingStream) Close() error {
+	s.closed.Do(func() { s.member.use(-1) })
+	return s.Stream.Close()
+}
--- /dev/null
+++ b/tracker/reach_test.go
@@ -0,0 +1,54 @@
+package tracker_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/fakes/assembler"
+	"github.com/carawaybeam/carawaybeam/tracker"
+)
+
+func linked(tr *tracker.Tracker) int {
+	n := 0
+	for _, m := range tr.All() {
+		if m.Linked {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAgentOutsideSubsetIsReachedOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := assembler.New(assembler.Options{Agents: 4, Concurrency: 1, Pace: time.Millisecond})
+		tr := tracker.New(tracker.Options{
+			Process: "entry", Lister: a.Store.VMList(), Dialer: a.Network, Config: configurer.New(),
+			Subset: 1, Whole: 1, Log: zerolog.Nop(),
+		})
+		time.Sleep(10 * time.Second)
+		is.Equal(linked(tr), 1)
+		begun := time.Now()
+		is.True(tr.Reach(t.Context(), assembler.Pool, "desk-0"))
+		is.True(tr.Reach(t.Context(), assembler.Pool, "desk-1"))
+		is.True(tr.Reach(t.Context(), assembler.Pool, "desk-2"))
+		is.True(tr.Reach(t.Context(), assembler.Pool, "desk-3"))
+		is.True(time.Since(begun) < time.Second)
+		stream, err := tr.Open(t.Context(), "desk-3")
+		is.NoErr(err)
+		is.True(!tr.Reach(t.Context(), assembler.Pool, "desk-9"))
+		time.Sleep(10 * time.Minute)
+		is.Equal(linked(tr), 2) // the one in use is kept, the others are let go
+		is.NoErr(stream.Close())
+		is.NoErr(stream.Close())
+		time.Sleep(time.Minute)
+		is.Equal(linked(tr), 1)
+		is.NoErr(tr.Close())
+		is.NoErr(a.Close())
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -165,8 +165,10 @@
 	if link == nil {
 		return nil, ErrNoLink
 	}
+	m.use(1)
 	stream, err := link.Open(ctx)
 	if err != nil {
+		m.use(-1)
 		return nil, err
 	}
 	return &reportingStream{Stream: stream, member: m}, nil
