--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// listInterval is how often the platform's list is read.
-	listInterval = 2 * time.Second
-
 	// minSilence is how long a peer may at least be silent before its link is
 	// replaced. One that reports less often may be silent for silentBeats
 	// reports.
@@ -177,8 +174,10 @@
 	if link == nil {
 		return nil, ErrNoLink
 	}
+	m.use(1)
 	stream, err := link.Open(ctx)
 	if err != nil {
+		m.use(-1)
 		return nil, err
 	}
 	return &reportingStream{Stream: stream, member: m}, nil
