--- a/fakes/assembler/replayer.go
+++ b/fakes/assembler/replayer.go
@@ -150,6 +150,9 @@
 		return
 	}
 	r.wait.Go(func() {
+		// The requests of this moment have reached the dispatcher before it
+		// closes, as a server that stops sees to.
+		time.Sleep(time.Millisecond)
 		r.note(entry.Dispatcher.Close())
 		r.note(entry.Tracker.Close())
 	})
