--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -101,6 +101,7 @@
 		mu       sync.Mutex
 		inFlight map[carawaybeam.BackendID]*inFlight
 		requests sync.WaitGroup
+		closed   bool
 		counts   counters
 	}
 
@@ -150,12 +151,26 @@
 // Uint64 returns a random number.
 func (lockedSource) Uint64() uint64 { return rand.Uint64() }
 
-// Close waits for the requests being served.
+// Close refuses further requests and waits for those being served.
 func (d *Dispatcher) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
 	d.requests.Wait()
 	return nil
 }
 
+// enter counts a request, unless the Dispatcher is closed.
+func (d *Dispatcher) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	d.requests.Add(1)
+	return true
+}
+
 // State returns the state dump.
 func (d *Dispatcher) State() State {
 	return State{
@@ -170,7 +185,9 @@
 // error is the final word on the request; part of an answer may have been
 // written then.
 func (d *Dispatcher) Do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
-	d.requests.Add(1)
+	if !d.enter() {
+		return notRun(carawaybeam.ReasonLeaving, "this entry does not serve now", comeBackAfter)
+	}
 	defer d.requests.Done()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
