Run the process proofs anew when any source has changed

The cache of test results does not see what a test builds itself: after a change of the dispatcher, make test took the old result of ./prover. The launcher now looks at all sources, and a touched dispatcher/target.go makes the test run again.

--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -12,11 +12,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -92,6 +94,9 @@
 // Start builds the programs and starts all processes.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	f := &Fleet{directory: options.Directory, programs: filepath.Join(options.Directory, "bin")}
+	if err := noteSources(options.Module); err != nil {
+		return f, err
+	}
 	build := exec.CommandContext(ctx, "go", "build", "-o", f.programs+"/", "./cmd/...")
 	build.Dir = options.Module
 	if output, err := build.CombinedOutput(); err != nil {
@@ -113,6 +118,23 @@
 	return f, f.waitReady(ctx, len(f.Slots))
 }
 
+// noteSources looks at all sources of the module, so that the cache of test
+// results knows that the test depends on them.
+func noteSources(module string) error {
+	return filepath.WalkDir(module, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && path != module && strings.HasPrefix(entry.Name(), ".") {
+			return fs.SkipDir
+		}
+		if !entry.IsDir() && filepath.Ext(path) == ".go" && !strings.HasSuffix(path, "_test.go") {
+			_, err = os.Stat(path)
+		}
+		return err
+	})
+}
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
