--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -165,8 +165,7 @@
 	return nil
 }
 
-// enter counts one more request. It reports false once the Dispatcher is
-// closed.
+// enter counts a request, unless the Dispatcher is closed.
 func (d *Dispatcher) enter() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -192,7 +191,7 @@
 // written then.
 func (d *Dispatcher) Do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
 	if !d.enter() {
-		return notRun(carawaybeam.ReasonLeaving, "entry is closed", comeBackAfter)
+		return notRun(carawaybeam.ReasonLeaving, "this entry does not serve now", comeBackAfter)
 	}
 	defer d.requests.Done()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
