End a stream before waiting for its receiver

A proof in a bubble ended while an executor's goroutine still read a stream. The executor now closes the stream and waits for it, so that Close leaves nothing behind.

--- a/executor/limit_test.go
+++ b/executor/limit_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 	recordedStream struct {
 		sent   []*framer.Frame
 		closed chan struct{}
+		once   sync.Once
 	}
 )
 
@@ -53,7 +55,7 @@
 }
 
 func (s *recordedStream) Close() error {
-	close(s.closed)
+	s.once.Do(func() { close(s.closed) })
 	return nil
 }
 
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -39,6 +39,9 @@
 	if sender.run(ctx, left) {
 		awaitEnd(ctx, left)
 	}
+	// The stream has to end before receive does.
+	_ = stream.Close()
+	<-left
 }
 
 // awaitEnd waits until the reader has told that it has the last frame, or is
