Hold leases in the store with a growing epoch

The controller of a group must be one at a time as a rule, and a holder that was paused must know it. The store offers conditional updates and no leases, and no clock of another machine can be trusted.

Expiry is judged by the observer's own monotonic clock, a holder counts from before its renewal, an uncertain write is read back, and a lapsed lease is taken under a new epoch, also by its last holder.

--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,142 @@
+package leaser_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/leaser"
+)
+
+const duration = 10 * time.Second
+
+func newLeaser(store carawaybeam.Store, holder carawaybeam.Incarnation) *leaser.Leaser {
+	return leaser.New(leaser.Options{Store: store, Name: "group", Holder: holder, Duration: duration})
+}
+
+func TestPausedHolderLosesLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), context.Background(), storer.New()
+		a, b := newLeaser(store, "a"), newLeaser(store, "b")
+		is.NoErr(a.Try(ctx))
+		epoch, held := a.Held()
+		is.True(held)
+		is.Equal(epoch, carawaybeam.Epoch(1))
+		for range 4 {
+			is.NoErr(b.Try(ctx))
+			_, held = b.Held()
+			is.True(!held)
+			time.Sleep(duration / 3)
+		}
+		// a was paused all the time and wakes.
+		_, held = a.Held()
+		is.True(!held)
+		is.NoErr(b.Try(ctx))
+		epoch, held = b.Held()
+		is.True(held)
+		is.Equal(epoch, carawaybeam.Epoch(2))
+		is.NoErr(a.Try(ctx))
+		_, held = a.Held()
+		is.True(!held)
+	})
+}
+
+func TestRenewalKeepsEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), context.Background(), storer.New()
+		a, b := newLeaser(store, "a"), newLeaser(store, "b")
+		for range 20 {
+			is.NoErr(a.Try(ctx))
+			is.NoErr(b.Try(ctx))
+			epoch, held := a.Held()
+			is.True(held)
+			is.Equal(epoch, carawaybeam.Epoch(1))
+			time.Sleep(duration / 3)
+		}
+		// Its own lapsed lease is taken under a new epoch.
+		time.Sleep(duration)
+		is.NoErr(a.Try(ctx))
+		epoch, _ := a.Held()
+		is.Equal(epoch, carawaybeam.Epoch(2))
+	})
+}
+
+func TestUncertainWriteIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), context.Background(), storer.New()
+		a, b := newLeaser(store, "a"), newLeaser(store, "b")
+		is.NoErr(a.Try(ctx))
+		store.Order(storer.Fault{Mode: storer.FaultLostAnswer, Calls: 2})
+		is.NoErr(a.Try(ctx))
+		_, held := a.Held()
+		is.True(held)
+		store.Order(storer.Fault{Mode: storer.FaultDown})
+		is.True(a.Try(ctx) != nil)
+		_, held = a.Held()
+		is.True(held)
+		time.Sleep(duration + time.Second)
+		is.True(b.Try(ctx) != nil)
+		_, held = b.Held()
+		is.True(!held)
+		_, held = a.Held()
+		is.True(!held)
+	})
+}
+
+// TestSlowReadDoesNotShortenLease reads the lease late, after a renewal.
+func TestSlowReadDoesNotShortenLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), context.Background(), storer.New()
+		a, b := newLeaser(store, "a"), newLeaser(store, "b")
+		is.NoErr(a.Try(ctx))
+		store.Order(storer.Fault{Mode: storer.FaultSlow, Delay: 8 * time.Second, Calls: 1})
+		done := make(chan error)
+		go func() { done <- b.Try(ctx) }()
+		time.Sleep(7 * time.Second)
+		is.NoErr(a.Try(ctx))
+		is.NoErr(<-done)
+		time.Sleep(duration - 7*time.Second)
+		is.NoErr(b.Try(ctx))
+		_, held := b.Held()
+		is.True(!held)
+		_, held = a.Held()
+		is.True(held)
+	})
+}
+
+// TestNeverTwoHolders lets holders pause at random and store answers get lost.
+func TestNeverTwoHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), context.Background(), storer.New()
+		all := []*leaser.Leaser{newLeaser(store, "a"), newLeaser(store, "b"), newLeaser(store, "c")}
+		epochs := map[carawaybeam.Epoch]int{}
+		for round := range 3000 {
+			if round%7 == 0 {
+				store.Order(storer.Fault{Mode: storer.FaultLostAnswer, Calls: 1 + round%3})
+			}
+			if i := round * 31 % 17 % 3; (round/40)%4 != i {
+				_ = all[i].Try(ctx)
+			}
+			holders := 0
+			for i, l := range all {
+				epoch, held := l.Held()
+				if !held {
+					continue
+				}
+				holders++
+				if before, known := epochs[epoch]; known {
+					is.Equal(before, i)
+				}
+				epochs[epoch] = i
+			}
+			is.True(holders <= 1)
+			time.Sleep(time.Second)
+		}
+		is.True(len(epochs) > 3)
+	})
+}
