Test that ranks remember a commit when all agents restart

Cause: the path by which an agent learns the committed map from its own rank was run by no test of its own. One rank holds a grant on the new map, all agents restart, and all must go on with it.

--- a/mapper/mapper_test.go
+++ b/mapper/mapper_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -124,6 +125,33 @@
 	prover.Report(t, prover.OneMap, 2, violations)
 }
 
+// TestPromiseOneMapRanksRemember restarts all agents at once. One rank holds a
+// grant on the committed map, which all must go on with.
+func TestPromiseOneMapRanksRemember(t *testing.T) {
+	violations := 0
+	for holder := range 3 {
+		a := newAgents(3)
+		first := slices.Clone(a.grants)
+		proposal := assignment(1, lookahead+1)
+		a.propose(proposal)
+		held := first
+		held[holder] = a.grants[holder]
+		for i := range a.all {
+			a.restart(i, "b")
+			a.take(i, a.all[i].Report(mapper.Report{Grant: held[i]}))
+		}
+		a.grants = make([]mapper.Grant, 3)
+		a.settle()
+		for i, agent := range a.all {
+			schedule, known := agent.Schedule()
+			if !known || schedule.Current != proposal || i != holder && a.grants[i].Schedule.Current != proposal {
+				violations++
+			}
+		}
+	}
+	prover.Report(t, prover.OneMap, 3, violations)
+}
+
 // TestPromiseOneMapLateState repeats what an earlier incarnation answered to a
 // probe. The leader must not take it for the present one.
 func TestPromiseOneMapLateState(t *testing.T) {
