--- a/mapper/mapper_test.go
+++ b/mapper/mapper_test.go
@@ -202,6 +202,24 @@
 	is.True(!a.all[2].Holding())
 }
 
+// switchBytes estimates the bytes of the agents' messages of one switch by the
+// nearest frames: a record is three decisions and a query, which carries the
+// incarnation and the sequence, and an acknowledgement is a query.
+func switchBytes(ranks int) int {
+	incarnation, group := string(carawaybeam.NewIncarnation()), "drafting-kitami-1"
+	size := func(body *framer.Frame) int { return proto.Size(body) }
+	vote := size(&framer.Frame{Body: &framer.Frame_Vote{Vote: &framer.Vote{
+		Group: group, Epoch: 1000, MapVersion: 1000, Rank: 100, Incarnation: incarnation, Yes: true,
+	}}})
+	decision := size(&framer.Frame{Body: &framer.Frame_Decision{Decision: &framer.Decision{
+		Group: group, Epoch: 1000, MapVersion: 1000, Step: 1 << 30, Commit: true,
+	}}})
+	query := size(&framer.Frame{Body: &framer.Frame_Query{Query: &framer.Query{
+		Group: group, Epoch: 1000, MapVersion: 1000, FromRank: 100, FromIncarnation: incarnation,
+	}}})
+	return (ranks - 1) * (vote + 2*(3*decision+query) + 2*query)
+}
+
 // BenchmarkSwitch measures a switch without faults: the messages between agents,
 // the bytes of the proposal for one layer of 256 experts, and the memory of the
 // state machines.
@@ -241,6 +259,7 @@
 				layer.Ranks = append(layer.Ranks, experts)
 			}
 			b.ReportMetric(float64(a.messages)/float64(b.N), "messages/switch")
+			b.ReportMetric(float64(switchBytes(ranks)), "estimated-bytes/switch")
 			b.ReportMetric(float64(proto.Size(layer)), "bytes/layer")
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(ranks), "bytes/agent")
 			runtime.KeepAlive(a)
