--- a/explorer/explorer_test.go
+++ b/explorer/explorer_test.go
@@ -14,6 +14,10 @@
 	// fullSeeds is the number of seeds from which a proof explores the full set.
 	fullSeeds = 100
 
+	// deepSeeds is the same for explorations of many minutes, which need a
+	// longer timeout of the test.
+	deepSeeds = 1000
+
 	// maxStates bounds the memory of an exploration.
 	maxStates = 40_000_000
 )
@@ -41,8 +45,8 @@
 	restarts  []int
 	total     int
 	faults    int
-	// full leaves the exploration out of the smaller set that CI runs.
-	full bool
+	// seeds is the number of seeds from which a proof runs the exploration.
+	seeds int
 }
 
 func TestPromiseOneMapExhaustive(t *testing.T) {
@@ -52,42 +56,46 @@
 	for _, b := range []bounds{
 		{
 			name: "one proposal", proposals: one, restarts: []int{0, 0, 0},
-			total: 0, faults: 0, full: false,
+			total: 0, faults: 0,
 		},
 		{
 			name: "one proposal, one fault", proposals: one, restarts: []int{0, 0, 0},
-			total: 0, faults: 1, full: false,
+			total: 0, faults: 1,
 		},
 		{
 			name: "one proposal, member restarts", proposals: one, restarts: []int{0, 1, 0},
-			total: 1, faults: 0, full: false,
+			total: 1, faults: 0,
 		},
 		{
 			name: "one proposal, leader restarts", proposals: one, restarts: []int{1, 0, 0},
-			total: 1, faults: 0, full: false,
+			total: 1, faults: 0,
 		},
 		{
 			name: "one proposal, two faults", proposals: one, restarts: []int{0, 0, 0},
-			total: 0, faults: 2, full: true,
+			total: 0, faults: 2, seeds: fullSeeds,
 		},
 		{
 			name: "two proposals", proposals: two, restarts: []int{0, 0, 0},
-			total: 0, faults: 0, full: true,
+			total: 0, faults: 0, seeds: fullSeeds,
 		},
 		{
 			name: "member restarts, one fault", proposals: one, restarts: []int{0, 1, 0},
-			total: 1, faults: 1, full: true,
+			total: 1, faults: 1, seeds: fullSeeds,
 		},
 		{
 			name: "leader restarts, one fault", proposals: one, restarts: []int{1, 0, 0},
-			total: 1, faults: 1, full: true,
+			total: 1, faults: 1, seeds: fullSeeds,
 		},
 		{
 			name: "leader and member restart", proposals: one, restarts: []int{1, 1, 0},
-			total: 2, faults: 0, full: true,
+			total: 2, faults: 0, seeds: fullSeeds,
+		},
+		{
+			name: "two proposals, member restarts", proposals: two, restarts: []int{0, 1, 0},
+			total: 1, seeds: deepSeeds,
 		},
 	} {
-		if b.full && prover.Seeds() < fullSeeds {
+		if prover.Seeds() < b.seeds {
 			continue
 		}
 		result := explorer.New(explorer.Options{
