--- a/mapper/promise_test.go
+++ b/mapper/promise_test.go
@@ -308,7 +308,7 @@
 // TestPromiseOneMapTraces replays the kept traces against their outcomes.
 func TestPromiseOneMapTraces(t *testing.T) {
 	is := is.New(t)
-	paths, err := filepath.Glob("../traces/promises/oneMap*.trace.jsonl")
+	paths, err := filepath.Glob("../traces/promises/oneMap*.jsonl")
 	is.NoErr(err)
 	violations := 0
 	for _, path := range paths {
@@ -316,7 +316,7 @@
 		is.NoErr(err)
 		header, events, err := tracer.Read[event](bytes.NewReader(trace), kindMapSwitch)
 		is.NoErr(err)
-		text, err := os.ReadFile(strings.Replace(path, ".trace.jsonl", ".outcome.json", 1))
+		text, err := os.ReadFile(strings.Replace(path, ".jsonl", ".outcome.json", 1))
 		is.NoErr(err)
 		outcome, err := tracer.ReadOutcome(bytes.NewReader(text))
 		is.NoErr(err)
