--- /dev/null
+++ b/executor/run.go
@@ -0,0 +1,105 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/framer"
+)
+
+// buffers holds what answers are read into.
+var buffers = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
+// run puts one attempt to the backend server and records its answer.
+func (e *Executor) run(a *attempt, d *framer.Dispatch) {
+	defer a.cancel()
+	failure, failed := e.runInTurn(a, d)
+	if failed {
+		e.counts.failed.Add(1)
+		e.options.Log.Warn().Str("attempt", string(a.id)).Str("detail", failure.Detail).Msg("executor: attempt failed")
+	} else {
+		e.counts.done.Add(1)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if failed && failure.Outcome == carawaybeam.OutcomeNotRun {
+		e.ledger.release(a)
+	}
+	if failed {
+		a.finish(phaseFailed, failure)
+	} else {
+		a.finish(phaseDone, carawaybeam.RequestError{})
+	}
+	e.running--
+	e.crowd(a)
+}
+
+// crowd asks for a sweep when answers pile up.
+func (e *Executor) crowd(a *attempt) {
+	_, _, _, held := a.snapshot()
+	if e.held.Add(int64(held+rowBytes)) < answerBudget {
+		return
+	}
+	select {
+	case e.crowded <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Executor) perform(ctx context.Context, a *attempt, d *framer.Dispatch) (carawaybeam.RequestError, bool) {
+	began := time.Now()
+	answer, err := e.options.Backend.Start(ctx, carawaybeam.Call{
+		Attempt:     a.id,
+		Method:      d.GetMethod(),
+		Path:        d.GetPath(),
+		ContentType: d.GetContentType(),
+		Body:        d.GetBody(),
+		Priority:    int(d.GetPriority()),
+		Resume:      carawaybeam.Bytes(d.GetResume()),
+	})
+	if err != nil {
+		return startFailure(err), true
+	}
+	defer func() { _ = answer.Body.Close() }()
+	a.begin(answer.Status, answer.ContentType)
+	held := buffers.Get().(*[chunkBytes]byte)
+	defer buffers.Put(held)
+	buffer := held[:]
+	for first := true; ; first = false {
+		n, err := answer.Body.Read(buffer)
+		if first {
+			e.observeStart(answer.ContentType, time.Since(began))
+		}
+		if n > 0 && !a.append(buffer[:n], ctx.Done()) {
+			err = ctx.Err()
+		}
+		if errors.Is(err, io.EOF) {
+			return carawaybeam.RequestError{}, false
+		}
+		if err != nil {
+			return carawaybeam.RequestError{
+				Outcome: carawaybeam.OutcomeUnknown,
+				Reason:  carawaybeam.ReasonBackendFailed,
+				Detail:  "answer was cut: " + err.Error(),
+			}, true
+		}
+	}
+}
+
+func startFailure(err error) carawaybeam.RequestError {
+	failure := carawaybeam.RequestError{
+		Outcome: carawaybeam.OutcomeUnknown,
+		Reason:  carawaybeam.ReasonBackendFailed,
+		Detail:  err.Error(),
+	}
+	var notSent *carawaybeam.NotSentError
+	if errors.As(err, &notSent) {
+		failure.Outcome = carawaybeam.OutcomeNotRun
+		failure.RetryAfter = busyRetryAfter
+	}
+	return failure
+}
