--- a/cmd/cbslopes/fleet.go
+++ b/cmd/cbslopes/fleet.go
@@ -23,9 +23,12 @@
 )
 
 const (
-	// linkTimeout bounds the time until all entries and agents are linked.
+	// linkTimeout bounds the time until the links of all entries have settled.
 	linkTimeout = 2 * time.Minute
 
+	// stableTime is how long links stay as they are once they have settled.
+	stableTime = 3 * time.Second
+
 	pollInterval  = 100 * time.Millisecond
 	addressesByte = 250
 
@@ -72,15 +75,15 @@
 		command *exec.Cmd
 	}
 
+	// linkError reports an entry whose links do not settle.
 	linkError struct {
 		process string
-		linked  int
-		want    int
+		links   int
 	}
 )
 
 func (e *linkError) Error() string {
-	return fmt.Sprintf("%s has %d links, want %d", e.process, e.linked, e.want)
+	return fmt.Sprintf("%s: its links, %d now, do not settle", e.process, e.links)
 }
 
 // newFleet starts stand-ins and processes.
@@ -273,21 +276,29 @@
 	return &process{name: id, admin: admin, command: command}, nil
 }
 
-// waitLinked waits until each entry has a link to every agent it wants.
+// waitLinked waits until the links of each entry, which go to a subset of the
+// agents where there are many, have not changed for a while.
 func (f *fleet) waitLinked(ctx context.Context) error {
 	deadline := time.Now().Add(linkTimeout)
 	for _, p := range f.entries {
-		for {
-			linked, want := p.links(ctx)
-			if want > 0 && linked == want {
-				break
-			}
-			if time.Now().After(deadline) {
-				return &linkError{process: p.name, linked: linked, want: want}
-			}
-			if err := sleep(ctx, pollInterval); err != nil {
-				return err
-			}
+		if err := p.waitLinked(ctx, deadline); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *process) waitLinked(ctx context.Context, deadline time.Time) error {
+	links, since := 0, time.Now()
+	for links == 0 || time.Since(since) < stableTime {
+		if time.Now().After(deadline) {
+			return &linkError{process: p.name, links: links}
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+		if now := p.links(ctx); now != links {
+			links, since = now, time.Now()
 		}
 	}
 	return nil
--- a/cmd/cbslopes/reading.go
+++ b/cmd/cbslopes/reading.go
@@ -109,18 +109,19 @@
 	return d, err
 }
 
-// links returns how many links an entry has and how many it wants.
-func (p *process) links(ctx context.Context) (linked, want int) {
+// links returns how many agents an entry is linked to.
+func (p *process) links(ctx context.Context) int {
 	d, err := p.dump(ctx)
 	if err != nil {
-		return 0, 0
+		return 0
 	}
+	linked := 0
 	for _, member := range d.State.Members {
 		if member.Linked {
 			linked++
 		}
 	}
-	return linked, len(d.State.Members)
+	return linked
 }
 
 func (p *process) usage(ctx context.Context) (usage, error) {
