Tell by class and data centre whether targets are met

Cause: status named processes and counts of backend servers, but not whether a class is in target, since when, nor what is quarantined.

Change: package assessor counts, for each class and over 60 s in parts of 1 s, the requests that met firstToken and completed; the dispatcher feeds it. The entry shows it in its state dump. Status asks all entries for just that part of the dump (DumpRequest.part) and adds up by data centre. It also reads the list of entries once, so that a list that arrives in between cannot make an entry look silent.

Ruled out: asking for whole dumps, which hold up to 1000 members each; a time since when for the sum, which no entry can know.

Left out: betweenTokens; slow backend servers, as no part of the system quarantines those.

--- a/administrator/processes.go
+++ b/administrator/processes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -41,18 +42,23 @@
 		ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 		// Invalid lists the objects that this entry holds but cannot
 		// understand.
-		Invalid   []string  `json:"invalid,omitempty"`
-		Classes   []Class   `json:"classes"`
-		Processes []Process `json:"processes"`
+		Invalid []string `json:"invalid,omitempty"`
+		// QuarantinedRequests counts the requests refused for good since they
+		// crash backend servers.
+		QuarantinedRequests int       `json:"quarantinedRequests"`
+		Classes             []Class   `json:"classes"`
+		Processes           []Process `json:"processes"`
 	}
 
-	// Class tells how many backend servers a class has in one data centre.
+	// Class tells how many backend servers a class has in one data centre, and
+	// how its requests fared on the entries there.
 	Class struct {
 		Class      carawaybeam.ClassID    `json:"class"`
 		DataCentre carawaybeam.DataCentre `json:"dataCentre"`
 		Live       int                    `json:"live"`
 		Leaving    int                    `json:"leaving"`
 		Unlinked   int                    `json:"unlinked"`
+		Target     TargetState            `json:"target"`
 	}
 
 	// target is an object at a version that is to be in force.
@@ -77,18 +83,18 @@
 		return c.JSON(http.StatusBadRequest, failure{Detail: "version is no number"})
 	}
 	wanted := target{kind: c.Param("kind"), name: c.Param("name"), version: version}
-	return c.JSON(http.StatusOK, a.entries(c.Request().Context(), wanted))
+	return c.JSON(http.StatusOK, a.entries(c.Request().Context(), a.options.Tracker.Entries(), wanted))
 }
 
-// entries asks all entries what they hold.
-func (a *Administrator) entries(ctx context.Context, wanted target) []Process {
+// entries asks the entries what they hold.
+func (a *Administrator) entries(ctx context.Context, vms []carawaybeam.VM, wanted target) []Process {
 	var (
 		mu        sync.Mutex
 		processes []Process
 		group     errgroup.Group
 	)
 	group.SetLimit(maxQuestions)
-	for _, vm := range a.options.Tracker.Entries() {
+	for _, vm := range vms {
 		group.Go(func() error {
 			process := a.ask(ctx, vm, wanted)
 			mu.Lock()
@@ -139,11 +145,24 @@
 
 func (a *Administrator) status(c *echo.Context) error {
 	held := a.options.Configurer
-	status := Status{ConfigVersion: held.Version(), Classes: a.classes()}
+	ctx, vms := c.Request().Context(), a.options.Tracker.Entries()
+	var (
+		wait    sync.WaitGroup
+		told    *fleetTargets
+		entries []Process
+	)
+	wait.Go(func() { told = a.targets(ctx, vms) })
+	wait.Go(func() { entries = a.entries(ctx, vms, target{}) })
+	wait.Wait()
+	status := Status{
+		ConfigVersion:       held.Version(),
+		Classes:             a.classes(vms, told),
+		QuarantinedRequests: told.quarantined,
+		Processes:           append(entries, a.agents()...),
+	}
 	for _, invalid := range held.Invalid() {
 		status.Invalid = append(status.Invalid, invalid.Error())
 	}
-	status.Processes = append(a.entries(c.Request().Context(), target{}), a.agents()...)
 	return c.JSON(http.StatusOK, status)
 }
 
@@ -171,25 +190,27 @@
 	return stateUnlinked
 }
 
-// classes counts the backend servers of each class by data centre.
-func (a *Administrator) classes() []Class {
+// classes counts the backend servers of each class by data centre, those with
+// entries alone included.
+func (a *Administrator) classes(vms []carawaybeam.VM, told *fleetTargets) []Class {
 	agents := a.agents()
 	classes := make([]Class, 0, len(agents))
 	for _, class := range a.options.Configurer.Classes() {
 		counts := make(map[carawaybeam.DataCentre]*Class)
-		var order []carawaybeam.DataCentre
+		for _, vm := range vms {
+			counts[vm.DataCentre] = &Class{Class: class.ID, DataCentre: vm.DataCentre}
+		}
 		for _, p := range agents {
 			if p.Pool != class.Pool {
 				continue
 			}
 			if counts[p.DataCentre] == nil {
 				counts[p.DataCentre] = &Class{Class: class.ID, DataCentre: p.DataCentre}
-				order = append(order, p.DataCentre)
 			}
 			counts[p.DataCentre].add(p.State)
 		}
-		slices.Sort(order)
-		for _, dataCentre := range order {
+		for _, dataCentre := range slices.Sorted(maps.Keys(counts)) {
+			counts[dataCentre].Target = told.of(class, dataCentre)
 			classes = append(classes, *counts[dataCentre])
 		}
 	}
--- a/cmd/cbctl/main.go
+++ b/cmd/cbctl/main.go
@@ -46,7 +46,8 @@
                                     the same for organisations
   apply [-wait] FILE                make all objects of a file so
   settle KIND NAME CHANGE EXPECT    find out what became of an uncertain change
-  status                            processes, backend servers and versions
+  status                            targets met, backend servers, processes and
+                                    versions; times are in UTC
   dump PROCESS                      state dump of a process
   drain PROCESS                     begin the graceful stop of a process
 
@@ -55,6 +56,7 @@
 Examples:
   cbctl class set drafting targets.firstToken=1.2s
   cbctl apply -wait classes.toml
+  cbctl status
   cbctl -json status
 
 Exit codes:
--- a/cmd/cbctl/main_test.go
+++ b/cmd/cbctl/main_test.go
@@ -48,9 +48,10 @@
 	dir   string
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, vms ...carawaybeam.VM) *bench {
 	t.Helper()
 	store := storer.New()
+	store.SetVMs(vms)
 	held := configurer.New()
 	members := tracker.New(tracker.Options{
 		Process: "entry", Lister: store.VMList(), Dialer: messenger.Dialer{}, Config: held, Log: zerolog.Nop(),
--- a/cmd/cbctl/processes.go
+++ b/cmd/cbctl/processes.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"text/tabwriter"
+	"time"
 
 	"github.com/carawaybeam/carawaybeam/administrator"
 )
@@ -23,12 +25,9 @@
 	for _, invalid := range status.Invalid {
 		_, _ = fmt.Fprintln(c.out, "not understood:", invalid)
 	}
+	_, _ = fmt.Fprintf(c.out, "quarantined requests %d\n", status.QuarantinedRequests)
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "\nCLASS\tDATA CENTRE\tLIVE\tLEAVING\tUNLINKED")
-	for _, class := range status.Classes {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n",
-			class.Class, class.DataCentre, class.Live, class.Leaving, class.Unlinked)
-	}
+	printClasses(w, status.Classes)
 	_, _ = fmt.Fprintln(w, "\nPROCESS\tROLE\tDATA CENTRE\tBACKEND\tSTATE\tCONFIG")
 	for _, p := range status.Processes {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\n",
@@ -37,6 +36,27 @@
 	return w.Flush()
 }
 
+func printClasses(w io.Writer, classes []administrator.Class) {
+	header := "\nCLASS\tDATA CENTRE\tTARGET\tSINCE\tMET\tREQUESTS\tQUARANTINED\tLIVE\tLEAVING\tUNLINKED"
+	_, _ = fmt.Fprintln(w, header)
+	for i := range classes {
+		class := &classes[i]
+		target := &class.Target
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n",
+			class.Class, class.DataCentre, target.Standing, since(target.Since),
+			target.Met, target.Requests, target.Quarantined,
+			class.Live, class.Leaving, class.Unlinked)
+	}
+}
+
+// since returns a time in UTC, or a dash for one that is not known.
+func since(at *time.Time) string {
+	if at == nil {
+		return "-"
+	}
+	return at.UTC().Format(time.RFC3339)
+}
+
 // process passes an order or question on to one process.
 func (c *command) process(verb string, args []string) error {
 	if len(args) != 1 {
--- a/cmd/cbentry/config.go
+++ b/cmd/cbentry/config.go
@@ -29,6 +29,7 @@
 		Answerer: spreader.Answerer{
 			Stop: e.shutDown,
 			Dump: func() ([]byte, error) { return e.dumpOptions().Dump() },
+			Part: func(name string) ([]byte, error) { return e.dumpPart(e.dumpOptions(), name) },
 		},
 		Log: e.log,
 	})
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/administrator"
+	"github.com/carawaybeam/carawaybeam/assessor"
 	"github.com/carawaybeam/carawaybeam/binder"
 	"github.com/carawaybeam/carawaybeam/certifier"
 	"github.com/carawaybeam/carawaybeam/configurer"
@@ -48,6 +50,7 @@
 	spreader    *spreader.Spreader
 	dispatcher  *dispatcher.Dispatcher
 	quarantiner *quarantiner.Quarantiner
+	assessor    *assessor.Assessor
 	server      *server.Server
 	traffic     messenger.Traffic
 	security    *certifier.Certifier
@@ -64,6 +67,7 @@
 	Links         messenger.TrafficState    `json:"links"`
 	Policies      dispatcher.PolicyState    `json:"policies"`
 	Dispatcher    dispatcher.State          `json:"dispatcher"`
+	administrator.EntryTargets
 	// Complete is the store version up to which all changes are held.
 	Complete carawaybeam.ConfigVersion `json:"complete"`
 	// Invalid tells of objects that are held but not understood.
@@ -123,6 +127,7 @@
 		return err
 	}
 	e.quarantiner = quarantiner.New()
+	e.assessor = assessor.New()
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -193,6 +198,7 @@
 		Limiter:       e.recorder.Limiter(newLimiter()),
 		Retrier:       e.recorder.Retrier(newRetrier()),
 		Quarantiner:   e.quarantiner,
+		Assessor:      e.assessor,
 		Log:           e.log,
 	})
 	e.closers.Add(e.dispatcher)
@@ -262,6 +268,7 @@
 		Complete:      e.configurer.Complete(),
 		Peers:         e.spreader.Peers(),
 		Dispatcher:    e.dispatcher.State(),
+		EntryTargets:  e.targets(),
 	}
 	for _, invalid := range e.configurer.Invalid() {
 		s.Invalid = append(s.Invalid, invalid.Error())
--- a/cmd/cbentry/process_test.go
+++ b/cmd/cbentry/process_test.go
@@ -21,6 +21,7 @@
 	"github.com/matryer/is"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/administrator"
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/fakes/booker"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
@@ -309,4 +310,15 @@
 	defer func() { _ = server.Close() }()
 	await(t, "the booking runs", func() bool { return book(t, callers).status == http.StatusOK })
 	is.Equal(desk.Counts().Bookings["B-1"], 1)
+
+	var dump struct {
+		State administrator.EntryTargets `json:"state"`
+	}
+	response, err := http.Get("http://" + admin + "/state")
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.NoErr(json.NewDecoder(response.Body).Decode(&dump))
+	is.Equal(len(dump.State.Targets), 1)
+	is.Equal(dump.State.Targets[0].Class, carawaybeam.ClassID("bookings"))
+	is.True(dump.State.Targets[0].Requests >= 2) // the refused ones and the one that ran
 }
--- /dev/null
+++ b/cmd/cbentry/targets_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/administrator"
+	"github.com/carawaybeam/carawaybeam/assessor"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
+)
+
+func TestPartOfStateDumpHoldsTargets(t *testing.T) {
+	is := is.New(t)
+	e := &entry{assessor: assessor.New(), quarantiner: quarantiner.New()}
+	e.quarantiner.Add("request", "crash-1")
+	e.quarantiner.Add("request", "crash-2")
+	class := carawaybeam.Class{ID: "drafting", Targets: carawaybeam.Targets{Completion: 0.999}}
+	e.assessor.Assess(time.Now(), class, assessor.Result{})
+	options := e.dumpOptions()
+	options.Ready = func() bool { return true }
+	data, err := e.dumpPart(options, administrator.PartTargets)
+	is.NoErr(err)
+	var dump struct {
+		Ready bool                       `json:"ready"`
+		State administrator.EntryTargets `json:"state"`
+	}
+	is.NoErr(json.Unmarshal(data, &dump))
+	is.Equal(dump.State.QuarantinedRequests, 1)
+	is.Equal(len(dump.State.Targets), 1)
+	is.Equal(dump.State.Targets[0].Standing, assessor.StandingMissed)
+	is.Equal(dump.State.Targets[0].Completion, 0.999)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/assessor"
 	"github.com/carawaybeam/carawaybeam/binder"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/router/counter"
@@ -98,7 +99,10 @@
 		// Quarantiner keeps the requests that crash backend servers. Nil stands
 		// for one of the Dispatcher's own.
 		Quarantiner *quarantiner.Quarantiner
-		Log         zerolog.Logger
+		// Assessor measures requests against the targets of their classes. Nil
+		// stands for one of the Dispatcher's own.
+		Assessor *assessor.Assessor
+		Log      zerolog.Logger
 	}
 
 	// Dispatcher serves requests. Its methods may be used by several goroutines
@@ -140,6 +144,9 @@
 	if options.Quarantiner == nil {
 		options.Quarantiner = quarantiner.New()
 	}
+	if options.Assessor == nil {
+		options.Assessor = assessor.New()
+	}
 	return &Dispatcher{
 		options:  options,
 		random:   rand.New(lockedSource{}),
@@ -190,6 +197,13 @@
 // error is the final word on the request; part of an answer may have been
 // written then.
 func (d *Dispatcher) Do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
+	m := newMeasuredWriter(request, w)
+	failure := d.do(ctx, request, m)
+	d.assess(ctx, m, failure)
+	return failure
+}
+
+func (d *Dispatcher) do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
 	if !d.enter() {
 		return notRun(carawaybeam.ReasonLeaving, "this entry does not serve now", comeBackAfter)
 	}
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -14,6 +14,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/agent"
+	"github.com/carawaybeam/carawaybeam/assessor"
 	"github.com/carawaybeam/carawaybeam/binder"
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
@@ -53,6 +54,7 @@
 		Tracker    *tracker.Tracker
 		Binder     *binder.Binder
 		Dispatcher *dispatcher.Dispatcher
+		Assessor   *assessor.Assessor
 	}
 
 	// Slot is a VM with a backend server and, while it runs, an agent.
@@ -106,6 +108,7 @@
 func (a *Assembler) addEntry(i int) {
 	config := configurer.New()
 	suspects := quarantiner.New()
+	measured := assessor.New()
 	t := tracker.New(tracker.Options{
 		Process:     fmt.Sprintf("entry-%d", i),
 		Incarnation: carawaybeam.NewIncarnation(),
@@ -124,9 +127,12 @@
 		Limiter:     unlimited.Limiter{},
 		Retrier:     proof.Retrier{},
 		Quarantiner: suspects,
+		Assessor:    measured,
 		Log:         zerolog.Nop(),
 	})
-	a.Entries = append(a.Entries, &Entry{Configurer: config, Tracker: t, Binder: b, Dispatcher: d})
+	a.Entries = append(a.Entries, &Entry{
+		Configurer: config, Tracker: t, Binder: b, Dispatcher: d, Assessor: measured,
+	})
 }
 
 func (a *Assembler) addSlot(i int) {
--- a/spreader/answerer.go
+++ b/spreader/answerer.go
@@ -16,6 +16,9 @@
 // errNoAnswer reports a process that does not answer a question.
 var errNoAnswer = errors.New("process gave no answer")
 
+// errNoDump reports a process that gives no state dump.
+var errNoDump = errors.New("process gives no state dump")
+
 // Answerer answers the questions of operators that other processes pass on. Each
 // question is the first frame of a stream, the answer the only frame back.
 type Answerer struct {
@@ -23,6 +26,9 @@
 	Stop func()
 	// Dump returns the state dump. Nil refuses to.
 	Dump func() ([]byte, error)
+	// Part returns a part of the state dump by its name, in the form of the
+	// whole one. Nil stands for Dump.
+	Part func(name string) ([]byte, error)
 }
 
 // Answer answers the frame and reports whether it was such a question.
@@ -43,10 +49,7 @@
 		defer a.Stop()
 		answer = &framer.Frame{Body: &framer.Frame_Drained{Drained: &framer.Drained{}}}
 	case *framer.Frame_DumpRequest:
-		if a.Dump == nil {
-			return true
-		}
-		state, err := a.Dump()
+		state, err := a.dump(body.DumpRequest.GetPart())
 		if err != nil {
 			return true
 		}
@@ -61,6 +64,17 @@
 	return true
 }
 
+// dump returns the state dump, or a part of it.
+func (a Answerer) dump(part string) ([]byte, error) {
+	switch {
+	case part != "" && a.Part != nil:
+		return a.Part(part)
+	case a.Dump != nil:
+		return a.Dump()
+	}
+	return nil, errNoDump
+}
+
 // Ask puts a question to the process at the address and returns its answer.
 func Ask(
 	ctx context.Context,
