Explain why a request was routed or refused as it was

Cause: the recorder kept decisions by kind, but only those of the router bore the request, and nothing told where a try went in the end or how the request ended.

Change: limiter and retrier events bear the request; the dispatcher records each try and the end through a narrow interface. An admin route looks among the own records and then asks all entries, as a part of their state dump; the first that knows ends the search. cbctl explain prints it, and ends with code 9 when no entry has a record, naming the entries that gave no answer.

Ruled out: a table of requests beside the rings, which would hold all of it a second time.

Left out: refusals before the class of a request is known, which never reach the dispatcher.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -17,6 +17,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/applier"
 	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/recorder"
 	"github.com/carawaybeam/carawaybeam/tracker"
 )
 
@@ -51,6 +52,9 @@
 		Configurer *configurer.Configurer
 		Tracker    *tracker.Tracker
 		Dialer     carawaybeam.Dialer
+		// Explain returns what this process recorded of a request. Nil stands
+		// for nothing.
+		Explain func(request carawaybeam.RequestID) (recorder.Explanation, bool)
 	}
 
 	// Administrator serves operators.
@@ -77,6 +81,7 @@
 	group.POST("/objects/:kind/:name/settle", a.settle)
 	group.GET("/objects/:kind/:name/force", a.force)
 	group.GET("/status", a.status)
+	group.GET("/requests/:request/explanation", a.explain)
 	group.POST("/processes/:process/drain", a.drain)
 	group.GET("/processes/:process/dump", a.dump)
 }
--- a/cmd/cbctl/main.go
+++ b/cmd/cbctl/main.go
@@ -24,6 +24,7 @@
 	exitUncertain   = 6
 	exitNotInForce  = 7
 	exitNotFound    = 8
+	exitNotRecorded = 9
 )
 
 const (
@@ -48,16 +49,19 @@
   settle KIND NAME CHANGE EXPECT    find out what became of an uncertain change
   status                            targets met, backend servers, processes and
                                     versions; times are in UTC
+  explain REQUEST                   why a request was routed or refused as it was
   dump PROCESS                      state dump of a process
   drain PROCESS                     begin the graceful stop of a process
 
 PROCESS is the identifier of a VM or backend server, as status shows it.
+REQUEST is the identifier in the header Carawaybeam-Request of the answer.
 
 Examples:
   cbctl class set drafting targets.firstToken=1.2s
   cbctl apply -wait classes.toml
   cbctl status
   cbctl -json status
+  cbctl explain 0190a5c2-7d1e-4c39-9a53-5f2f0c6b8e11
 
 Exit codes:
   0 done    1 failed    2 wrong usage    3 refused as invalid
@@ -66,6 +70,7 @@
   6 uncertain: the change may have taken effect, see the command that settles it
   7 accepted, but not in force everywhere in time
   8 there is no such object or process
+  9 no entry has a record of the request, or no longer has
 
 Flags:
 `
@@ -167,6 +172,8 @@
 		return c.settle(rest)
 	case "status":
 		return c.status(rest)
+	case "explain":
+		return c.explain(rest)
 	case "dump", "drain":
 		return c.process(name, rest)
 	}
--- a/cmd/cbctl/status_test.go
+++ b/cmd/cbctl/status_test.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/framer"
 	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/recorder"
 	"github.com/carawaybeam/carawaybeam/spreader"
 )
 
@@ -27,11 +28,16 @@
 type peer struct {
 	held    *configurer.Configurer
 	targets administrator.EntryTargets
+	// records holds what it recorded of requests.
+	records map[string]*recorder.Explanation
 }
 
 // ServeStream answers one question.
 func (p peer) ServeStream(_ context.Context, first *framer.Frame, stream carawaybeam.Stream) {
-	spreader.Answerer{Part: func(string) ([]byte, error) {
+	spreader.Answerer{Part: func(name string) ([]byte, error) {
+		if request, ok := strings.CutPrefix(name, administrator.PartExplanation); ok {
+			return json.Marshal(map[string]any{"state": p.records[request]})
+		}
 		return json.Marshal(map[string]any{"state": p.targets})
 	}}.Answer(p.held, first, stream)
 }
--- a/cmd/cbentry/config.go
+++ b/cmd/cbentry/config.go
@@ -56,6 +56,7 @@
 		}),
 		Configurer: e.configurer,
 		Tracker:    e.tracker,
+		Explain:    e.recorder.Explain,
 		Dialer:     e.dialer(certifier.RoleEntry, certifier.RoleAgent),
 	})
 }
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -199,6 +199,7 @@
 		Retrier:       e.recorder.Retrier(newRetrier()),
 		Quarantiner:   e.quarantiner,
 		Assessor:      e.assessor,
+		Recorder:      e.recorder,
 		Log:           e.log,
 	})
 	e.closers.Add(e.dispatcher)
--- a/decisions.go
+++ b/decisions.go
@@ -103,6 +103,7 @@
 
 	// AdmitRequest is what a limiter knows of a request.
 	AdmitRequest struct {
+		Request      RequestID
 		Class        Class
 		Organisation OrganisationID
 		// Fingerprint is equal for a request and its resends.
@@ -135,7 +136,8 @@
 
 	// RetryRequest is what a retrier knows of a failed try.
 	RetryRequest struct {
-		Class Class
+		Request RequestID
+		Class   Class
 		// Try counts the tries made so far.
 		Try int
 		// Failure is the error of the last one.
--- a/dispatcher/candidates.go
+++ b/dispatcher/candidates.go
@@ -89,6 +89,7 @@
 // admit asks the limiter for a request.
 func (d *Dispatcher) admit(now time.Time, request Request) (carawaybeam.AdmitRequest, carawaybeam.AdmitDecision) {
 	admit := carawaybeam.AdmitRequest{
+		Request:      request.ID,
 		Class:        request.Class,
 		Organisation: request.Organisation,
 		Fingerprint:  request.routing.fingerprint,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -84,6 +84,26 @@
 		) (binder.Binding, error)
 	}
 
+	// Recorder keeps what became of requests.
+	Recorder interface {
+		// Attempted records a try that has ended, without a failure when it
+		// delivered the whole answer. The backend server is empty when none
+		// was chosen.
+		Attempted(
+			request carawaybeam.RequestID,
+			try int,
+			backend carawaybeam.BackendID,
+			failure *carawaybeam.RequestError,
+		)
+		// Ended records the end of a request.
+		Ended(
+			request carawaybeam.RequestID,
+			class carawaybeam.ClassID,
+			organisation carawaybeam.OrganisationID,
+			failure *carawaybeam.RequestError,
+		)
+	}
+
 	// Options is what a Dispatcher is made from.
 	Options struct {
 		DataCentre carawaybeam.DataCentre
@@ -102,6 +122,8 @@
 		// Assessor measures requests against the targets of their classes. Nil
 		// stands for one of the Dispatcher's own.
 		Assessor *assessor.Assessor
+		// Recorder keeps where tries went and how requests ended. It may be nil.
+		Recorder Recorder
 		Log      zerolog.Logger
 	}
 
@@ -200,6 +222,9 @@
 	m := newMeasuredWriter(request, w)
 	failure := d.do(ctx, request, m)
 	d.assess(ctx, m, failure)
+	if d.options.Recorder != nil {
+		d.options.Recorder.Ended(request.ID, request.Class.ID, request.Organisation, failure)
+	}
 	return failure
 }
 
@@ -233,7 +258,10 @@
 	}
 	for try := 1; ; try++ {
 		delivered := p.answer.written
-		failure := d.try(ctx, request, try, p)
+		failure, backend := d.try(ctx, request, try, p)
+		if d.options.Recorder != nil {
+			d.options.Recorder.Attempted(request.ID, try, backend, failure)
+		}
 		if failure == nil {
 			return nil
 		}
@@ -249,6 +277,7 @@
 			return quarantined(failure.Outcome)
 		}
 		decision := d.options.Retrier.Retry(time.Now(), carawaybeam.RetryRequest{
+			Request:  request.ID,
 			Class:    request.Class,
 			Try:      try,
 			Failure:  failure,
@@ -279,11 +308,16 @@
 	return failure
 }
 
-// try makes one attempt.
-func (d *Dispatcher) try(ctx context.Context, request Request, try int, p *pursuit) *carawaybeam.RequestError {
+// try makes one attempt and tells where.
+func (d *Dispatcher) try(
+	ctx context.Context,
+	request Request,
+	try int,
+	p *pursuit,
+) (*carawaybeam.RequestError, carawaybeam.BackendID) {
 	target, failure := d.target(ctx, request, p)
 	if failure != nil {
-		return failure
+		return failure, ""
 	}
 	run := d.follow(request, target.backend)
 	defer func() { run.end(failure) }()
@@ -300,7 +334,7 @@
 	if a.released {
 		p.released = target.binding
 	}
-	return failure
+	return failure, target.backend
 }
 
 func (d *Dispatcher) member(pool carawaybeam.PoolID, backend carawaybeam.BackendID) tracker.Member {
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -14,6 +14,10 @@
 	LimiterKind tracer.Kind = "limiterDecisions"
 	// RetrierKind is the kind of traces with the decisions of a retrier.
 	RetrierKind tracer.Kind = "retrierDecisions"
+	// AttemptKind is the kind of traces with the tries of requests.
+	AttemptKind tracer.Kind = "requestAttempts"
+	// OutcomeKind is the kind of traces with the ends of requests.
+	OutcomeKind tracer.Kind = "requestOutcomes"
 )
 
 type (
@@ -51,6 +55,7 @@
 	// LimiterEvent is what a limiter saw and chose.
 	LimiterEvent struct {
 		At           tracer.Duration            `json:"at"`
+		Request      carawaybeam.RequestID      `json:"request,omitempty"`
 		Class        carawaybeam.ClassID        `json:"class"`
 		Organisation carawaybeam.OrganisationID `json:"organisation"`
 		Prompt       carawaybeam.Tokens         `json:"prompt"`
@@ -63,17 +68,46 @@
 
 	// RetrierEvent is what a retrier saw and chose.
 	RetrierEvent struct {
-		At         tracer.Duration     `json:"at"`
-		Class      carawaybeam.ClassID `json:"class"`
-		Idempotent bool                `json:"idempotent"`
-		Try        int                 `json:"try"`
-		Outcome    carawaybeam.Outcome `json:"outcome"`
-		Reason     carawaybeam.Reason  `json:"reason"`
+		At         tracer.Duration       `json:"at"`
+		Request    carawaybeam.RequestID `json:"request,omitempty"`
+		Class      carawaybeam.ClassID   `json:"class"`
+		Idempotent bool                  `json:"idempotent"`
+		Try        int                   `json:"try"`
+		Outcome    carawaybeam.Outcome   `json:"outcome"`
+		Reason     carawaybeam.Reason    `json:"reason"`
 		// Left is the time left until the deadline.
 		Left  tracer.Duration `json:"left"`
 		Retry bool            `json:"retry"`
 		Wait  tracer.Duration `json:"wait"`
 	}
+
+	// AttemptEvent is one try of a request.
+	AttemptEvent struct {
+		At      tracer.Duration       `json:"at"`
+		Request carawaybeam.RequestID `json:"request"`
+		Try     int                   `json:"try"`
+		// Backend is empty when no backend server was chosen.
+		Backend carawaybeam.BackendID `json:"backend,omitempty"`
+		Failure *Failure              `json:"failure,omitempty"`
+	}
+
+	// OutcomeEvent is the end of a request.
+	OutcomeEvent struct {
+		At           tracer.Duration            `json:"at"`
+		Request      carawaybeam.RequestID      `json:"request"`
+		Class        carawaybeam.ClassID        `json:"class"`
+		Organisation carawaybeam.OrganisationID `json:"organisation"`
+		// Failure is absent when the whole answer was delivered.
+		Failure *Failure `json:"failure,omitempty"`
+	}
+
+	// Failure is why a try or a request got no whole answer.
+	Failure struct {
+		Outcome    carawaybeam.Outcome `json:"outcome"`
+		Reason     carawaybeam.Reason  `json:"reason"`
+		Detail     string              `json:"detail,omitempty"`
+		RetryAfter tracer.Duration     `json:"retryAfter"`
+	}
 )
 
 // When returns the time since the start of the trace.
@@ -85,6 +119,24 @@
 // When returns the time since the start of the trace.
 func (e RetrierEvent) When() time.Duration { return time.Duration(e.At) }
 
+// When returns the time since the start of the trace.
+func (e AttemptEvent) When() time.Duration { return time.Duration(e.At) }
+
+// When returns the time since the start of the trace.
+func (e OutcomeEvent) When() time.Duration { return time.Duration(e.At) }
+
+func newFailure(failure *carawaybeam.RequestError) *Failure {
+	if failure == nil {
+		return nil
+	}
+	return &Failure{
+		Outcome:    failure.Outcome,
+		Reason:     failure.Reason,
+		Detail:     failure.Detail,
+		RetryAfter: tracer.Duration(failure.RetryAfter),
+	}
+}
+
 func newCandidate(c carawaybeam.Candidate) Candidate {
 	return Candidate{
 		Backend:          c.Backend,
--- /dev/null
+++ b/recorder/explain.go
@@ -0,0 +1,95 @@
+package recorder
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/tracer"
+)
+
+// Explanation is what is still recorded of one request. Kinds of decisions keep
+// their events for different times, so each part may be absent. The times of its
+// events count from Start.
+type Explanation struct {
+	Request carawaybeam.RequestID `json:"request"`
+	Process string                `json:"process"`
+	Start   time.Time             `json:"start"`
+	// Admission is the decision of the limiter.
+	Admission *LimiterEvent `json:"admission,omitempty"`
+	// Routes are the decisions of the router. The first one serves the
+	// admission and the first try.
+	Routes   []RouterEvent  `json:"routes"`
+	Attempts []AttemptEvent `json:"attempts"`
+	Retries  []RetrierEvent `json:"retries"`
+	// Outcome is absent while the request runs.
+	Outcome *OutcomeEvent `json:"outcome,omitempty"`
+}
+
+// Attempted records a try that has ended.
+func (r *Recorder) Attempted(
+	request carawaybeam.RequestID,
+	try int,
+	backend carawaybeam.BackendID,
+	failure *carawaybeam.RequestError,
+) {
+	r.record(AttemptKind, func(at tracer.Duration) any {
+		return AttemptEvent{At: at, Request: request, Try: try, Backend: backend, Failure: newFailure(failure)}
+	})
+}
+
+// Ended records the end of a request.
+func (r *Recorder) Ended(
+	request carawaybeam.RequestID,
+	class carawaybeam.ClassID,
+	organisation carawaybeam.OrganisationID,
+	failure *carawaybeam.RequestError,
+) {
+	r.record(OutcomeKind, func(at tracer.Duration) any {
+		return OutcomeEvent{
+			At: at, Request: request, Class: class, Organisation: organisation, Failure: newFailure(failure),
+		}
+	})
+}
+
+// Explain returns what is recorded of a request, and false when that is nothing.
+func (r *Recorder) Explain(request carawaybeam.RequestID) (Explanation, bool) {
+	admissions := eventsOf[LimiterEvent](r, LimiterKind, request)
+	outcomes := eventsOf[OutcomeEvent](r, OutcomeKind, request)
+	e := Explanation{
+		Request:  request,
+		Process:  r.options.Process,
+		Start:    r.start.UTC(),
+		Routes:   eventsOf[RouterEvent](r, RouterKind, request),
+		Attempts: eventsOf[AttemptEvent](r, AttemptKind, request),
+		Retries:  eventsOf[RetrierEvent](r, RetrierKind, request),
+	}
+	if len(admissions) > 0 {
+		e.Admission = &admissions[0]
+	}
+	if len(outcomes) > 0 {
+		e.Outcome = &outcomes[0]
+	}
+	recorded := len(admissions) + len(outcomes) + len(e.Routes) + len(e.Attempts) + len(e.Retries)
+	return e, recorded > 0
+}
+
+// eventsOf returns the events of one kind that belong to a request. It decodes
+// only lines that hold the request's identifier.
+func eventsOf[E any](r *Recorder, kind tracer.Kind, request carawaybeam.RequestID) []E {
+	events := []E{}
+	quoted, err := json.Marshal(request)
+	if err != nil || request == "" {
+		return events
+	}
+	field := append([]byte(`"request":`), quoted...)
+	lines, _ := r.snapshot(kind)
+	for _, line := range lines {
+		var event E
+		if bytes.Contains(line, field) && json.Unmarshal(line, &event) == nil {
+			events = append(events, event)
+		}
+	}
+	return events
+}
--- a/recorder/plugin.go
+++ b/recorder/plugin.go
@@ -92,6 +92,7 @@
 	l.recorder.record(LimiterKind, func(at tracer.Duration) any {
 		return LimiterEvent{
 			At:           at,
+			Request:      request.Request,
 			Class:        request.Class.ID,
 			Organisation: request.Organisation,
 			Prompt:       request.Prompt,
@@ -115,6 +116,7 @@
 	r.recorder.record(RetrierKind, func(at tracer.Duration) any {
 		event := RetrierEvent{
 			At:         at,
+			Request:    request.Request,
 			Class:      request.Class.ID,
 			Idempotent: request.Class.Idempotent,
 			Try:        request.Try,
