--- a/cmd/cbentry/config.go
+++ b/cmd/cbentry/config.go
@@ -29,6 +29,7 @@
 		Answerer: spreader.Answerer{
 			Stop: e.shutDown,
 			Dump: func() ([]byte, error) { return e.dumpOptions().Dump() },
+			Part: func(name string) ([]byte, error) { return e.dumpPart(e.dumpOptions(), name) },
 		},
 		Log: e.log,
 	})
@@ -55,6 +56,7 @@
 		}),
 		Configurer: e.configurer,
 		Tracker:    e.tracker,
+		Explain:    e.recorder.Explain,
 		Dialer:     e.dialer(certifier.RoleEntry, certifier.RoleAgent),
 	})
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/assessor"
 	"github.com/carawaybeam/carawaybeam/binder"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/router/counter"
@@ -83,6 +84,26 @@
 		) (binder.Binding, error)
 	}
 
+	// Recorder keeps what became of requests.
+	Recorder interface {
+		// Attempted records a try that has ended, without a failure when it
+		// delivered the whole answer. The backend server is empty when none
+		// was chosen.
+		Attempted(
+			request carawaybeam.RequestID,
+			try int,
+			backend carawaybeam.BackendID,
+			failure *carawaybeam.RequestError,
+		)
+		// Ended records the end of a request.
+		Ended(
+			request carawaybeam.RequestID,
+			class carawaybeam.ClassID,
+			organisation carawaybeam.OrganisationID,
+			failure *carawaybeam.RequestError,
+		)
+	}
+
 	// Options is what a Dispatcher is made from.
 	Options struct {
 		DataCentre carawaybeam.DataCentre
@@ -98,7 +119,12 @@
 		// Quarantiner keeps the requests that crash backend servers. Nil stands
 		// for one of the Dispatcher's own.
 		Quarantiner *quarantiner.Quarantiner
-		Log         zerolog.Logger
+		// Assessor measures requests against the targets of their classes. Nil
+		// stands for one of the Dispatcher's own.
+		Assessor *assessor.Assessor
+		// Recorder keeps where tries went and how requests ended. It may be nil.
+		Recorder Recorder
+		Log      zerolog.Logger
 	}
 
 	// Dispatcher serves requests. Its methods may be used by several goroutines
@@ -140,6 +166,9 @@
 	if options.Quarantiner == nil {
 		options.Quarantiner = quarantiner.New()
 	}
+	if options.Assessor == nil {
+		options.Assessor = assessor.New()
+	}
 	return &Dispatcher{
 		options:  options,
 		random:   rand.New(lockedSource{}),
@@ -190,6 +219,16 @@
 // error is the final word on the request; part of an answer may have been
 // written then.
 func (d *Dispatcher) Do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
+	m := newMeasuredWriter(request, w)
+	failure := d.do(ctx, request, m)
+	d.assess(ctx, m, failure)
+	if d.options.Recorder != nil {
+		d.options.Recorder.Ended(request.ID, request.Class.ID, request.Organisation, failure)
+	}
+	return failure
+}
+
+func (d *Dispatcher) do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
 	if !d.enter() {
 		return notRun(carawaybeam.ReasonLeaving, "this entry does not serve now", comeBackAfter)
 	}
@@ -219,7 +258,10 @@
 	}
 	for try := 1; ; try++ {
 		delivered := p.answer.written
-		failure := d.try(ctx, request, try, p)
+		failure, backend := d.try(ctx, request, try, p)
+		if d.options.Recorder != nil {
+			d.options.Recorder.Attempted(request.ID, try, backend, failure)
+		}
 		if failure == nil {
 			return nil
 		}
@@ -235,6 +277,7 @@
 			return quarantined(failure.Outcome)
 		}
 		decision := d.options.Retrier.Retry(time.Now(), carawaybeam.RetryRequest{
+			Request:  request.ID,
 			Class:    request.Class,
 			Try:      try,
 			Failure:  failure,
@@ -265,11 +308,16 @@
 	return failure
 }
 
-// try makes one attempt.
-func (d *Dispatcher) try(ctx context.Context, request Request, try int, p *pursuit) *carawaybeam.RequestError {
+// try makes one attempt and tells where.
+func (d *Dispatcher) try(
+	ctx context.Context,
+	request Request,
+	try int,
+	p *pursuit,
+) (*carawaybeam.RequestError, carawaybeam.BackendID) {
 	target, failure := d.target(ctx, request, p)
 	if failure != nil {
-		return failure
+		return failure, ""
 	}
 	run := d.follow(request, target.backend)
 	defer func() { run.end(failure) }()
@@ -286,7 +334,7 @@
 	if a.released {
 		p.released = target.binding
 	}
-	return failure
+	return failure, target.backend
 }
 
 func (d *Dispatcher) member(pool carawaybeam.PoolID, backend carawaybeam.BackendID) tracker.Member {
