--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -62,8 +62,10 @@
 		Agent    *agent.Agent
 		Executor *executor.Executor
 
-		// mu guards the changes of Agent and Executor.
+		// mu guards leaving and the changes of Agent and Executor.
 		mu sync.Mutex
+		// leaving is when the agent began to stop, or zero.
+		leaving time.Time
 	}
 
 	// Assembler holds the parts. Its fields may be used directly.
@@ -226,6 +228,9 @@
 	if stopping == nil {
 		return nil
 	}
+	s.mu.Lock()
+	s.leaving = time.Now()
+	s.mu.Unlock()
 	err := stopping.Drain(ctx)
 	if s.running() != stopping {
 		return nil
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -40,6 +40,7 @@
 		mu       sync.Mutex
 		runs     map[string]int
 		attempts map[carawaybeam.AttemptID]int
+		starts   []time.Time
 		down     bool
 		crashes  []time.Time
 		poison   string
@@ -162,6 +163,7 @@
 	body := string(call.Body)
 	b.runs[body]++
 	b.attempts[call.Attempt]++
+	b.starts = append(b.starts, time.Now())
 	if b.poison != "" && body == b.poison {
 		b.crash()
 		if b.restart > 0 {
--- a/fakes/assembler/judge.go
+++ b/fakes/assembler/judge.go
@@ -39,6 +39,9 @@
 	SlowQuarantines int
 	// Crashes counts crashes of backend servers.
 	Crashes int
+	// LateStarts counts calls that started on a backend server more than 3 s
+	// after it began to leave.
+	LateStarts int
 
 	// second is when the second crash was.
 	second time.Time
@@ -48,6 +51,9 @@
 func Judge(a *Assembler, sendings []*Sending) Verdict {
 	v := Verdict{Sendings: len(sendings)}
 	v.countCrashes(a)
+	for _, slot := range a.Slots {
+		v.LateStarts += slot.lateStarts()
+	}
 	completed := make(map[string]bool)
 	runs := make(map[string]map[string]int)
 	for _, s := range sendings {
@@ -171,5 +177,6 @@
 		"crashes":        float64(v.Crashes),
 		"unanswered":     float64(v.Unanswered),
 		"quarantined":    float64(v.Quarantined),
+		"lateStarts":     float64(v.LateStarts),
 	}
 }
