Show the classes in force in the state dumps

The dump of an agent told only the newest version heard of, not what is in force. Both daemons' dumps now list each class with its version and target.

--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -13,6 +13,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/agent"
 	"github.com/carawaybeam/carawaybeam/certifier"
+	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/loader"
@@ -32,20 +33,22 @@
 
 // daemon is the running process.
 type daemon struct {
-	settings loader.Agent
-	log      zerolog.Logger
-	executor *executor.Executor
-	agent    *agent.Agent
-	links    *messenger.Listener
-	closers  starter.Closers
+	settings   loader.Agent
+	log        zerolog.Logger
+	executor   *executor.Executor
+	agent      *agent.Agent
+	links      *messenger.Listener
+	configurer *configurer.Configurer
+	closers    starter.Closers
 	// shutDown begins the graceful stop.
 	shutDown func()
 }
 
 // state is the state dump of an agent.
 type state struct {
-	Executor executor.State         `json:"executor"`
-	Links    messenger.TrafficState `json:"links"`
+	Executor executor.State          `json:"executor"`
+	Links    messenger.TrafficState  `json:"links"`
+	Classes  []configurer.ClassState `json:"classes"`
 }
 
 func main() {
@@ -94,7 +97,9 @@
 		Log:         d.log,
 	})
 	d.closers.Add(d.executor)
+	d.configurer = configurer.New()
 	d.agent = agent.New(agent.Options{
+		Configurer:  d.configurer,
 		BackendID:   d.settings.Backend.ID,
 		Incarnation: incarnation,
 		Backend:     backend,
@@ -139,11 +144,20 @@
 	return dumper.Options{
 		Process: d.settings.Process,
 		Ready:   d.agent.Ready,
-		State:   func() any { return state{Executor: d.executor.State(), Links: d.links.Traffic().State()} },
+		State:   d.state,
 		Log:     d.log,
 	}
 }
 
+// state returns the state dump.
+func (d *daemon) state() any {
+	return state{
+		Executor: d.executor.State(),
+		Links:    d.links.Traffic().State(),
+		Classes:  d.configurer.ClassStates(),
+	}
+}
+
 // stop refuses new work, finishes what runs and closes all parts.
 func (d *daemon) stop() error {
 	d.log.Info().Msg("agent: draining")
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -67,9 +67,10 @@
 	// Complete is the store version up to which all changes are held.
 	Complete carawaybeam.ConfigVersion `json:"complete"`
 	// Invalid tells of objects that are held but not understood.
-	Invalid []string             `json:"invalid,omitempty"`
-	Peers   []spreader.PeerState `json:"peers"`
-	Members []memberState        `json:"members"`
+	Invalid []string                `json:"invalid,omitempty"`
+	Classes []configurer.ClassState `json:"classes"`
+	Peers   []spreader.PeerState    `json:"peers"`
+	Members []memberState           `json:"members"`
 	// OmittedMembers counts the members beyond the bound of the dump.
 	OmittedMembers int `json:"omittedMembers"`
 }
@@ -260,6 +261,7 @@
 		Links:         e.traffic.State(),
 		Policies:      e.dispatcher.Policies(),
 		Complete:      e.configurer.Complete(),
+		Classes:       e.configurer.ClassStates(),
 		Peers:         e.spreader.Peers(),
 		Dispatcher:    e.dispatcher.State(),
 	}
