--- a/fakes/booker/booker.go
+++ b/fakes/booker/booker.go
@@ -19,12 +19,15 @@
 		mu       sync.Mutex
 		bookings map[string]int
 		lookups  int
+		last     time.Time
 	}
 
 	// Counts tells what ran.
 	Counts struct {
 		Bookings map[string]int `json:"bookings"`
 		Lookups  int            `json:"lookups"`
+		// LastStart is when the latest call started.
+		LastStart time.Time `json:"lastStart"`
 	}
 
 	booking struct {
@@ -53,7 +56,7 @@
 func (b *Booker) Counts() Counts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := Counts{Bookings: make(map[string]int, len(b.bookings)), Lookups: b.lookups}
+	counts := Counts{Bookings: make(map[string]int, len(b.bookings)), Lookups: b.lookups, LastStart: b.last}
 	for number, runs := range b.bookings {
 		counts.Bookings[number] = runs
 	}
@@ -78,6 +81,7 @@
 	b.mu.Lock()
 	b.bookings[request.Number]++
 	run := b.bookings[request.Number]
+	b.last = time.Now()
 	b.mu.Unlock()
 	time.Sleep(b.delay)
 	reply(w, confirmation{Number: request.Number, Confirmed: true, Run: run})
@@ -86,6 +90,7 @@
 func (b *Booker) serveOrder(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
 	b.lookups++
+	b.last = time.Now()
 	b.mu.Unlock()
 	time.Sleep(b.delay)
 	reply(w, order{ID: r.PathValue("id"), Status: "scheduled"})
--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -29,6 +29,8 @@
 const (
 	// Token is the bearer token of the one organisation.
 	Token = "org-token"
+	// OperatorToken is the bearer token of operators.
+	OperatorToken = "operator-token"
 
 	stopTimeout   = 60 * time.Second
 	readyInterval = 50 * time.Millisecond
@@ -53,7 +55,9 @@
 		Links   *forwarder.Forwarder
 		// URL is that of the backend server.
 		URL string
-		vm  string
+		// Admin is the URL of the agent's admin port.
+		Admin string
+		vm    string
 	}
 
 	// Entry is one entry.
@@ -61,8 +65,9 @@
 		*Process
 
 		// URL is that for callers.
-		URL   string
-		admin string
+		URL string
+		// Admin is the URL of the admin port.
+		Admin string
 	}
 
 	// Fleet is all processes of a test.
@@ -107,11 +112,15 @@
 			return f, err
 		}
 	}
-	if err := f.startPlatform(); err != nil {
+	links, err := freeAddresses(options.Entries)
+	if err != nil {
+		return f, err
+	}
+	if err := f.startPlatform(links); err != nil {
 		return f, err
 	}
-	for i := range options.Entries {
-		if err := f.addEntry(i); err != nil {
+	for i, address := range links {
+		if err := f.addEntry(i, address); err != nil {
 			return f, err
 		}
 	}
@@ -168,7 +177,9 @@
 	if i >= options.Services {
 		pool, role, backendArgs = "drafting", "engine", []string{"-tokenTime", options.TokenTime.String()}
 	}
-	s := &Slot{URL: "http://" + addresses[0], Links: forwarder.New(listener, addresses[1])}
+	s := &Slot{
+		URL: "http://" + addresses[0], Admin: "http://" + addresses[2], Links: forwarder.New(listener, addresses[1]),
+	}
 	s.vm = fmt.Sprintf(
 		"[[vm]]\nid = \"vm-%d\"\ndataCentre = \"dc\"\nrole = \"agent\"\naddress = %q\npool = %q\n",
 		i, listener.Addr().String(), pool,
@@ -197,6 +208,12 @@
 idempotent = false
 targets = { completed = "5s", completion = "99.9%" }
 
+[class.lookups]
+kind = "service"
+pool = "desk"
+idempotent = true
+targets = { completed = "5s", completion = "99.9%" }
+
 [class.drafting]
 kind = "model"
 pool = "drafting"
@@ -204,9 +221,18 @@
 targets = { firstToken = "1.3s", betweenTokens = "67ms", completed = "15s", completion = "99.9%" }
 `
 
-func (f *Fleet) startPlatform() error {
-	hash := sha256.Sum256([]byte(Token))
-	seed := classes + fmt.Sprintf("\n[organisation.org]\ntokenHash = %q\n\n", hex.EncodeToString(hash[:]))
+func hashToken(token string) string {
+	hash := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(hash[:])
+}
+
+func (f *Fleet) startPlatform(entries []string) error {
+	seed := classes + fmt.Sprintf("\n[organisation.org]\ntokenHash = %q\n\n", hashToken(Token))
+	for i, address := range entries {
+		seed += fmt.Sprintf(
+			"[[vm]]\nid = \"vm-entry-%d\"\ndataCentre = \"dc\"\nrole = \"entry\"\naddress = %q\n\n", i, address,
+		)
+	}
 	for _, s := range f.Slots {
 		seed += s.vm + "\n"
 	}
@@ -223,15 +249,16 @@
 	return err
 }
 
-func (f *Fleet) addEntry(i int) error {
-	addresses, err := freeAddresses(3)
+func (f *Fleet) addEntry(i int, links string) error {
+	addresses, err := freeAddresses(2)
 	if err != nil {
 		return err
 	}
 	settings, err := f.write(fmt.Sprintf("entry-%d.toml", i), fmt.Sprintf(
 		"process = \"entry-%d\"\ndataCentre = \"dc\"\ncallers = %q\nlinks = %q\nadmin = %q\n\n"+
-			"[store]\nprotocol = \"rest\"\nurl = %q\n\n[vmList]\nprotocol = \"rest\"\nurl = %q\n",
-		i, addresses[0], addresses[1], addresses[2], f.storeURL, f.storeURL,
+			"[store]\nprotocol = \"rest\"\nurl = %q\n\n[vmList]\nprotocol = \"rest\"\nurl = %q\n\n"+
+			"[operators]\ntokenHash = %q\n",
+		i, addresses[0], links, addresses[1], f.storeURL, f.storeURL, hashToken(OperatorToken),
 	))
 	if err != nil {
 		return err
@@ -240,7 +267,10 @@
 	if err != nil {
 		return err
 	}
-	f.Entries = append(f.Entries, &Entry{Process: process, URL: "http://" + addresses[0], admin: addresses[2]})
+	f.Entries = append(
+		f.Entries,
+		&Entry{Process: process, URL: "http://" + addresses[0], Admin: "http://" + addresses[1]},
+	)
 	return nil
 }
 
@@ -277,7 +307,7 @@
 			} `json:"members"`
 		} `json:"state"`
 	}
-	if Fetch(ctx, "http://"+e.admin+"/state", &dump) != nil || !dump.Ready {
+	if Fetch(ctx, e.Admin+"/state", &dump) != nil || !dump.Ready {
 		return 0
 	}
 	linked := 0
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -26,11 +26,16 @@
 
 // startFleet starts real processes, which end with the test.
 func startFleet(t *testing.T) *launcher.Fleet {
+	t.Helper()
+	return startFleetOf(t, services, engines, 2)
+}
+
+func startFleetOf(t *testing.T, services, engines, entries int) *launcher.Fleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	f, err := launcher.Start(ctx, launcher.Options{
-		Directory: t.TempDir(), Module: "..", Services: services, Engines: engines, Entries: 2,
+		Directory: t.TempDir(), Module: "..", Services: services, Engines: engines, Entries: entries,
 		ServiceDelay: 200 * time.Millisecond, TokenTime: 20 * time.Millisecond,
 	})
 	t.Cleanup(func() {
@@ -50,6 +55,7 @@
 	body    string
 	outcome carawaybeam.Outcome
 	retry   string
+	ticket  string
 	err     error
 }
 
@@ -60,6 +66,11 @@
 	}
 	request.Header = header.Clone()
 	request.Header.Set("Content-Type", "application/json")
+	return answer(request)
+}
+
+// answer sends a request as the organisation and reads what it gets.
+func answer(request *http.Request) reply {
 	request.Header.Set("Authorization", "Bearer "+launcher.Token)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -67,7 +78,13 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	r := reply{status: response.StatusCode, body: string(data), retry: response.Header.Get("Retry-After"), err: err}
+	r := reply{
+		status: response.StatusCode,
+		body:   string(data),
+		retry:  response.Header.Get("Retry-After"),
+		ticket: response.Header.Get(server.HeaderTicket),
+		err:    err,
+	}
 	var problem struct {
 		Outcome carawaybeam.Outcome `json:"outcome"`
 	}
