--- a/mapper/leader.go
+++ b/mapper/leader.go
@@ -60,7 +60,7 @@
 		if mb.acked < l.record.Sequence {
 			m.send(rank, mb.incarnation, l.record)
 		}
-		if l.tally.exists() && !mb.voted {
+		if l.tally.Exists() && !mb.voted {
 			m.send(rank, mb.incarnation, Query{Proposal: l.tally})
 		}
 	}
@@ -159,7 +159,7 @@
 	id := vote.Proposal.ID
 	switch {
 	case !l.record.Resolved.Less(id):
-	case !l.tally.exists():
+	case !l.tally.Exists():
 		l.startTally(vote.Proposal)
 		m.count(mb, vote)
 	case id.Less(l.tally.ID):
@@ -178,7 +178,7 @@
 
 // open tells whether votes are counted.
 func (l *leader) open() bool {
-	return l.record.Sequence > 0 && l.record.Stable && !l.record.Next.exists()
+	return l.record.Sequence > 0 && l.record.Stable && !l.record.Next.Exists()
 }
 
 func (l *leader) startTally(proposal Assignment) {
@@ -200,7 +200,7 @@
 // abort resolves a proposal that can never be accepted.
 func (m *Mapper) abort(id ProposalID) {
 	l := m.leader
-	if l.tally.exists() && !id.Less(l.tally.ID) {
+	if l.tally.Exists() && !id.Less(l.tally.ID) {
 		l.tally = Assignment{}
 	}
 	l.record.Resolved = maxID(l.record.Resolved, id)
@@ -227,18 +227,18 @@
 		}
 		return
 	}
-	if l.open() && l.tally.exists() && l.all(func(mb member) bool { return mb.voted }) {
+	if l.open() && l.tally.Exists() && l.all(func(mb member) bool { return mb.voted }) {
 		l.record.Next = l.tally
 		l.record.Resolved = l.tally.ID
 		l.tally = Assignment{}
 		m.broadcast()
 		return
 	}
-	settled := l.record.Stable && !l.record.Next.exists()
+	settled := l.record.Stable && !l.record.Next.Exists()
 	if settled || !l.all(func(mb member) bool { return mb.acked == l.record.Sequence }) {
 		return
 	}
-	if l.record.Next.exists() {
+	if l.record.Next.Exists() {
 		l.record.Schedule = Schedule{Previous: l.record.Schedule.Current, Current: l.record.Next}
 		l.record.Next = Assignment{}
 	}
--- a/mapper/mapper.go
+++ b/mapper/mapper.go
@@ -111,7 +111,7 @@
 	} else if !r.stable {
 		m.send(leaderRank, "", Hello{})
 	}
-	if r.vote.exists() {
+	if r.vote.Exists() {
 		m.sendVote(r.vote, true)
 	}
 	return m.finish()
@@ -251,7 +251,7 @@
 	if !record.Resolved.Less(r.vote.ID) {
 		r.vote = Assignment{}
 	}
-	if rejoined && r.vote.exists() {
+	if rejoined && r.vote.Exists() {
 		m.sendVote(r.vote, true)
 	}
 	m.send(leaderRank, r.leader, Ack{Sequence: record.Sequence})
@@ -288,7 +288,7 @@
 func (m *Mapper) castVote() {
 	r := &m.replica
 	proposal := r.offered
-	if !proposal.exists() || !r.stable || r.vote.exists() || r.next.exists() {
+	if !proposal.Exists() || !r.stable || r.vote.Exists() || r.next.Exists() {
 		return
 	}
 	if proposal.Step > r.promised && r.floor.Less(proposal.ID) && r.step < r.schedule.Current.Step {
@@ -308,10 +308,10 @@
 func (m *Mapper) limit() carawaybeam.Step {
 	r := &m.replica
 	limit := r.step + m.options.Lookahead
-	if r.vote.exists() {
+	if r.vote.Exists() {
 		limit = min(limit, r.vote.Step-1)
 	}
-	if r.next.exists() {
+	if r.next.Exists() {
 		limit = min(limit, r.next.Step-1)
 	}
 	return limit
--- a/mapper/types.go
+++ b/mapper/types.go
@@ -3,47 +3,23 @@
 import "github.com/carawaybeam/carawaybeam"
 
 type (
-	// ProposalID orders proposals: by the epoch of the controller, then by the
-	// version of the map. The zero value stands for no proposal.
-	ProposalID struct {
-		Epoch   carawaybeam.Epoch
-		Version carawaybeam.MapVersion
-	}
+	// ProposalID orders proposals.
+	ProposalID = carawaybeam.ProposalID
 
 	// Digest is the 64-bit hash of the content of a map.
-	Digest uint64
+	Digest = carawaybeam.MapDigest
 
 	// Assignment is a map and the first step that uses it.
-	Assignment struct {
-		ID     ProposalID
-		Step   carawaybeam.Step
-		Digest Digest
-	}
+	Assignment = carawaybeam.MapAssignment
 
-	// Schedule holds the last two assignments. Steps before the first one of
-	// Current use Previous.
-	Schedule struct {
-		Previous Assignment
-		Current  Assignment
-	}
+	// Schedule holds the last two assignments.
+	Schedule = carawaybeam.MapSchedule
 
-	// Grant lets a rank run all steps up to Through on the maps of Schedule. It
-	// states only what is decided for good, so that a late or repeated grant
-	// does no harm.
-	Grant struct {
-		Schedule Schedule
-		Through  carawaybeam.Step
-	}
+	// Grant lets a rank run its next steps.
+	Grant = carawaybeam.StepGrant
 
 	// Report is what a rank tells of itself.
-	Report struct {
-		// Step is the step that the rank has entered. It never decreases, even
-		// when the rank restarts.
-		Step carawaybeam.Step
-		// Grant is the last grant that the rank took. It is zero after a
-		// restart of the rank.
-		Grant Grant
-	}
+	Report = carawaybeam.RankReport
 
 	// Verdict tells what an agent knows of a proposal.
 	Verdict int
@@ -142,25 +118,6 @@
 func (Record) isBody()    {}
 func (Ack) isBody()       {}
 
-// Less tells whether the proposal comes before the other one.
-func (p ProposalID) Less(other ProposalID) bool {
-	if p.Epoch != other.Epoch {
-		return p.Epoch < other.Epoch
-	}
-	return p.Version < other.Version
-}
-
-// At returns the assignment whose map the step uses.
-func (s Schedule) At(step carawaybeam.Step) Assignment {
-	if step >= s.Current.Step {
-		return s.Current
-	}
-	return s.Previous
-}
-
-// exists tells whether the assignment is of a proposal.
-func (a Assignment) exists() bool { return a.ID != ProposalID{} }
-
 func maxID(a, b ProposalID) ProposalID {
 	if a.Less(b) {
 		return b
--- a/registry.go
+++ b/registry.go
@@ -27,6 +27,9 @@
 	// WeightStores holds the protocols spoken to the weight store.
 	WeightStores Registry[func(WeightStoreOptions) (WeightStore, error)]
 
+	// RankClients holds the protocols spoken to the ranks of a group.
+	RankClients Registry[func(RanksOptions) (Ranks, error)]
+
 	// Routers holds the policies that choose a backend server.
 	Routers Registry[func() Router]
 
