--- /dev/null
+++ b/fakes/stepper/handler.go
@@ -0,0 +1,59 @@
+package stepper
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// maxGrantBytes bounds the body of a grant.
+const maxGrantBytes = 64 << 10
+
+// Handler serves the report and the grant of each rank, and the figures.
+func (s *Stepper) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/ranks/{rank}/report", s.serveReport)
+	mux.HandleFunc("PUT /v1/ranks/{rank}/grant", s.serveGrant)
+	mux.HandleFunc("GET /figures", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Figures()) })
+	return mux
+}
+
+func (s *Stepper) serveReport(w http.ResponseWriter, r *http.Request) {
+	if n, ok := s.rankOf(w, r); ok {
+		reply(w, s.Report(n))
+	}
+}
+
+func (s *Stepper) serveGrant(w http.ResponseWriter, r *http.Request) {
+	n, ok := s.rankOf(w, r)
+	if !ok {
+		return
+	}
+	var grant carawaybeam.StepGrant
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxGrantBytes)).Decode(&grant); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !s.Order(n, grant) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// rankOf returns the rank in the path, or answers that there is none.
+func (s *Stepper) rankOf(w http.ResponseWriter, r *http.Request) (carawaybeam.Rank, bool) {
+	n, err := strconv.Atoi(r.PathValue("rank"))
+	if err != nil || n < 0 || n >= s.options.Ranks {
+		w.WriteHeader(http.StatusNotFound)
+		return 0, false
+	}
+	return carawaybeam.Rank(n), true
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/fakes/stepper/stepper.go
+++ b/fakes/stepper/stepper.go
@@ -78,16 +78,18 @@
 }
 
 // Order gives a rank a grant. A rank that does not check fencing numbers takes
-// any, also one that has been overtaken by a later one.
-func (s *Stepper) Order(n carawaybeam.Rank, grant mapper.Grant) {
+// any, also one that has been overtaken by a later one. Order tells whether the
+// rank took it.
+func (s *Stepper) Order(n carawaybeam.Rank, grant mapper.Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &s.ranks[n]
 	if s.options.CheckFencing && grant.Schedule.Current.ID.Epoch < r.grant.Schedule.Current.ID.Epoch {
 		s.figures.Refused++
-		return
+		return false
 	}
 	r.grant = grant
+	return true
 }
 
 // Report returns what the rank tells of itself.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -11,6 +11,7 @@
 	_ "github.com/carawaybeam/carawaybeam/planner/drift"
 	_ "github.com/carawaybeam/carawaybeam/planner/greedy"
 	_ "github.com/carawaybeam/carawaybeam/planner/static"
+	_ "github.com/carawaybeam/carawaybeam/ranker"
 	_ "github.com/carawaybeam/carawaybeam/retrier/budget"
 	_ "github.com/carawaybeam/carawaybeam/retrier/proof"
 	_ "github.com/carawaybeam/carawaybeam/router/expected"
