--- /dev/null
+++ b/granter/codec.go
@@ -0,0 +1,133 @@
+package granter
+
+import (
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/framer"
+	"github.com/carawaybeam/carawaybeam/mapper"
+)
+
+// encode returns the frame of a message.
+func encode(group carawaybeam.GroupID, message mapper.Message) *framer.Frame {
+	encoded := &framer.MapMessage{
+		Group:           string(group),
+		From:            uint32(message.From),
+		To:              uint32(message.To),
+		FromIncarnation: string(message.FromIncarnation),
+		ToIncarnation:   string(message.ToIncarnation),
+	}
+	encodeBody(encoded, message.Body)
+	return &framer.Frame{Body: &framer.Frame_MapMessage{MapMessage: encoded}}
+}
+
+func encodeBody(encoded *framer.MapMessage, body mapper.Body) {
+	switch b := body.(type) {
+	case mapper.Hello:
+		encoded.Body = &framer.MapMessage_Hello{Hello: &framer.MapHello{}}
+	case mapper.Probe:
+		encoded.Body = &framer.MapMessage_Probe{Probe: &framer.MapProbe{Nonce: b.Nonce, Echo: b.Echo}}
+	case mapper.Challenge:
+		encoded.Body = &framer.MapMessage_Challenge{Challenge: &framer.MapChallenge{Nonce: b.Nonce}}
+	case mapper.State:
+		encoded.Body = &framer.MapMessage_State{State: &framer.MapState{
+			Probe: b.Probe, Schedule: encodeSchedule(b.Schedule), Next: encodeAssignment(b.Next),
+		}}
+	case mapper.Vote:
+		encoded.Body = &framer.MapMessage_Vote{
+			Vote: &framer.MapVote{Proposal: encodeAssignment(b.Proposal), Yes: b.Yes},
+		}
+	case mapper.Query:
+		encoded.Body = &framer.MapMessage_Query{Query: &framer.MapQuery{Proposal: encodeAssignment(b.Proposal)}}
+	case mapper.Record:
+		encoded.Body = &framer.MapMessage_Record{Record: encodeRecord(b)}
+	case mapper.Ack:
+		encoded.Body = &framer.MapMessage_Ack{Ack: &framer.MapAck{Sequence: b.Sequence}}
+	}
+}
+
+func encodeRecord(r mapper.Record) *framer.MapRecord {
+	return &framer.MapRecord{
+		Sequence:        r.Sequence,
+		Schedule:        encodeSchedule(r.Schedule),
+		Next:            encodeAssignment(r.Next),
+		ResolvedEpoch:   uint64(r.Resolved.Epoch),
+		ResolvedVersion: uint64(r.Resolved.Version),
+		Stable:          r.Stable,
+	}
+}
+
+func encodeSchedule(s mapper.Schedule) *framer.MapSchedule {
+	return &framer.MapSchedule{Previous: encodeAssignment(s.Previous), Current: encodeAssignment(s.Current)}
+}
+
+func encodeAssignment(a mapper.Assignment) *framer.MapAssignment {
+	return &framer.MapAssignment{
+		Epoch: uint64(a.ID.Epoch), Version: uint64(a.ID.Version), Step: uint64(a.Step), Digest: uint64(a.Digest),
+	}
+}
+
+// decode returns the message of a frame, and whether it holds a known one.
+func decode(encoded *framer.MapMessage) (mapper.Message, bool) {
+	body := decodeBody(encoded)
+	return mapper.Message{
+		From:            carawaybeam.Rank(encoded.GetFrom()),
+		To:              carawaybeam.Rank(encoded.GetTo()),
+		FromIncarnation: carawaybeam.Incarnation(encoded.GetFromIncarnation()),
+		ToIncarnation:   carawaybeam.Incarnation(encoded.GetToIncarnation()),
+		Body:            body,
+	}, body != nil
+}
+
+func decodeBody(encoded *framer.MapMessage) mapper.Body {
+	switch b := encoded.GetBody().(type) {
+	case *framer.MapMessage_Hello:
+		return mapper.Hello{}
+	case *framer.MapMessage_Probe:
+		return mapper.Probe{Nonce: b.Probe.GetNonce(), Echo: b.Probe.GetEcho()}
+	case *framer.MapMessage_Challenge:
+		return mapper.Challenge{Nonce: b.Challenge.GetNonce()}
+	case *framer.MapMessage_State:
+		s := b.State
+		return mapper.State{
+			Probe:    s.GetProbe(),
+			Schedule: decodeSchedule(s.GetSchedule()),
+			Next:     decodeAssignment(s.GetNext()),
+		}
+	case *framer.MapMessage_Vote:
+		return mapper.Vote{Proposal: decodeAssignment(b.Vote.GetProposal()), Yes: b.Vote.GetYes()}
+	case *framer.MapMessage_Query:
+		return mapper.Query{Proposal: decodeAssignment(b.Query.GetProposal())}
+	case *framer.MapMessage_Record:
+		return decodeRecord(b.Record)
+	case *framer.MapMessage_Ack:
+		return mapper.Ack{Sequence: b.Ack.GetSequence()}
+	}
+	return nil
+}
+
+func decodeRecord(r *framer.MapRecord) mapper.Record {
+	return mapper.Record{
+		Sequence: r.GetSequence(),
+		Schedule: decodeSchedule(r.GetSchedule()),
+		Next:     decodeAssignment(r.GetNext()),
+		Resolved: mapper.ProposalID{
+			Epoch:   carawaybeam.Epoch(r.GetResolvedEpoch()),
+			Version: carawaybeam.MapVersion(r.GetResolvedVersion()),
+		},
+		Stable: r.GetStable(),
+	}
+}
+
+func decodeSchedule(s *framer.MapSchedule) mapper.Schedule {
+	return mapper.Schedule{Previous: decodeAssignment(s.GetPrevious()), Current: decodeAssignment(s.GetCurrent())}
+}
+
+func decodeAssignment(a *framer.MapAssignment) mapper.Assignment {
+	return mapper.Assignment{
+		ID: mapper.ProposalID{
+			Epoch:   carawaybeam.Epoch(a.GetEpoch()),
+			Version: carawaybeam.MapVersion(a.GetVersion()),
+		},
+		Step:   carawaybeam.Step(a.GetStep()),
+		Digest: mapper.Digest(a.GetDigest()),
+	}
+}
