Serve a rank in cbagent

Settings [group] name the group, the rank, the agents by rank and the rank's API. The number of ranks is that of the peers, so it is no setting of its own. The state dump shows the schedule and whether the rank holds. Wrong settings are refused with file, line and key (go test ./loader).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,7 +45,10 @@
 		Configurer *configurer.Configurer
 		// Answerer answers operators' questions that entries pass on.
 		Answerer spreader.Answerer
-		Log      zerolog.Logger
+		// Group serves the streams of other agents of the group. Nil means that
+		// the backend server is of no group.
+		Group carawaybeam.StreamHandler
+		Log   zerolog.Logger
 	}
 
 	// Agent serves the streams of entries.
@@ -98,7 +101,7 @@
 	return a.reachable
 }
 
-// ServeStream handles one stream of an entry.
+// ServeStream handles one stream of an entry or of another agent.
 func (a *Agent) ServeStream(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
 	a.options.Configurer.Observe(carawaybeam.ConfigVersion(first.GetConfigVersion()))
 	if a.options.Answerer.Answer(a.options.Configurer, first, stream) {
@@ -113,6 +116,10 @@
 		a.options.Executor.ServeResolve(ctx, first, &reportingStream{Stream: stream, agent: a})
 	case *framer.Frame_TicketRequest:
 		a.options.Executor.ServeTicket(first, stream)
+	case *framer.Frame_MapMessage:
+		if a.options.Group != nil {
+			a.options.Group.ServeStream(ctx, first, stream)
+		}
 	default:
 		a.options.Log.Warn().Msg("agent: stream begins with an unexpected frame")
 	}
--- /dev/null
+++ b/cmd/cbagent/group.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/certifier"
+	"github.com/carawaybeam/carawaybeam/granter"
+	"github.com/carawaybeam/carawaybeam/messenger"
+)
+
+// startGroup serves the rank that the settings name, if any.
+func (d *daemon) startGroup(incarnation carawaybeam.Incarnation) error {
+	settings := d.settings.Group
+	if !settings.Enabled() {
+		return nil
+	}
+	newRanks, err := carawaybeam.RankClients.Lookup(settings.Protocol)
+	if err != nil {
+		return err
+	}
+	ranks, err := newRanks(carawaybeam.RanksOptions{URL: settings.URL, Timeout: time.Duration(settings.Timeout)})
+	if err != nil {
+		return err
+	}
+	dialer, err := d.peerDialer()
+	if err != nil {
+		return err
+	}
+	d.granter = granter.New(granter.Options{
+		Group:       settings.ID,
+		Rank:        settings.Rank,
+		Incarnation: incarnation,
+		Lookahead:   settings.Lookahead,
+		Peers:       settings.Peers,
+		Dialer:      dialer,
+		Client:      ranks,
+		Log:         d.log,
+	})
+	d.closers.Add(d.granter)
+	return nil
+}
+
+// peerDialer returns what makes links to the other agents of the group.
+func (d *daemon) peerDialer() (messenger.Dialer, error) {
+	if !d.settings.LinkTLS.Enabled() {
+		return messenger.Dialer{}, nil
+	}
+	c, err := certifier.New(certifier.Files(d.settings.LinkTLS), d.log)
+	if err != nil {
+		return messenger.Dialer{}, err
+	}
+	return messenger.Dialer{TLS: c.Client(certifier.RoleAgent)}, nil
+}
+
+// rankHandler returns what serves streams of the group, or nil for no group.
+func (d *daemon) rankHandler() carawaybeam.StreamHandler {
+	if d.granter == nil {
+		return nil
+	}
+	return d.granter
+}
+
+// groupState returns the part of the group in the state dump.
+func (d *daemon) groupState() *granter.State {
+	if d.granter == nil {
+		return nil
+	}
+	state := d.granter.State()
+	return &state
+}
--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -15,6 +15,7 @@
 	"github.com/carawaybeam/carawaybeam/certifier"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/granter"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
@@ -36,8 +37,10 @@
 	log      zerolog.Logger
 	executor *executor.Executor
 	agent    *agent.Agent
-	links    *messenger.Listener
-	closers  starter.Closers
+	// granter is nil when the backend server is of no group.
+	granter *granter.Granter
+	links   *messenger.Listener
+	closers starter.Closers
 	// shutDown begins the graceful stop.
 	shutDown func()
 }
@@ -46,6 +49,8 @@
 type state struct {
 	Executor executor.State         `json:"executor"`
 	Links    messenger.TrafficState `json:"links"`
+	// Group is missing when the backend server is of no group.
+	Group *granter.State `json:"group,omitempty"`
 }
 
 func main() {
@@ -94,6 +99,9 @@
 		Log:         d.log,
 	})
 	d.closers.Add(d.executor)
+	if err := d.startGroup(incarnation); err != nil {
+		return err
+	}
 	d.agent = agent.New(agent.Options{
 		BackendID:   d.settings.Backend.ID,
 		Incarnation: incarnation,
@@ -103,7 +111,8 @@
 			Stop: d.shutDown,
 			Dump: func() ([]byte, error) { return d.dumpOptions().Dump() },
 		},
-		Log: d.log,
+		Group: d.rankHandler(),
+		Log:   d.log,
 	})
 	d.closers.Add(d.agent)
 	d.links = messenger.New(links, d.agent)
@@ -139,11 +148,15 @@
 	return dumper.Options{
 		Process: d.settings.Process,
 		Ready:   d.agent.Ready,
-		State:   func() any { return state{Executor: d.executor.State(), Links: d.links.Traffic().State()} },
+		State:   func() any { return d.state() },
 		Log:     d.log,
 	}
 }
 
+func (d *daemon) state() state {
+	return state{Executor: d.executor.State(), Links: d.links.Traffic().State(), Group: d.groupState()}
+}
+
 // stop refuses new work, finishes what runs and closes all parts.
 func (d *daemon) stop() error {
 	d.log.Info().Msg("agent: draining")
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -49,6 +49,7 @@
 		Links      carawaybeam.Address    `toml:"links"      doc:"Address for links, as in the list of VMs."`
 		Admin      carawaybeam.Address    `toml:"admin"      doc:"Address for operators and metrics."`
 		Backend    Backend                `toml:"backend"`
+		Group      Group                  `toml:"group"`
 		LinkTLS    TLS                    `toml:"linkTLS"`
 	}
 
@@ -138,7 +139,10 @@
 
 // DefaultAgent returns the settings in force where the file is silent.
 func DefaultAgent() Agent {
-	return Agent{Backend: Backend{Protocol: "engine", Concurrency: 64}}
+	return Agent{
+		Backend: Backend{Protocol: "engine", Concurrency: 64},
+		Group:   Group{Lookahead: 8, Protocol: "rest", Timeout: Duration(time.Second)},
+	}
 }
 
 // LoadEntry reads and checks the settings of cbentry. Errors are of type *Error.
@@ -233,6 +237,7 @@
 	faults = append(faults, baseURL("backend.url", s.Backend.URL)...)
 	faults = append(faults, registered("backend.protocol", &carawaybeam.Backends, s.Backend.Protocol)...)
 	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
+	faults = append(faults, s.Group.faults(s.Links)...)
 	if s.Backend.Concurrency <= 0 {
 		faults = append(faults, fault{key: "backend.concurrency", detail: "want a positive number"})
 	}
