--- a/cmd/cbfake/main.go
+++ b/cmd/cbfake/main.go
@@ -1,5 +1,5 @@
 // Command cbfake is a stand-in for one outside system, for tests and the demo:
-// the platform, a model engine or a plain service.
+// the platform, a model engine, a plain service or a group of ranks.
 package main
 
 import (
@@ -18,6 +18,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/fakes/booker"
 	"github.com/carawaybeam/carawaybeam/fakes/generator"
+	"github.com/carawaybeam/carawaybeam/fakes/stepper"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
 	"github.com/carawaybeam/carawaybeam/starter"
 )
@@ -41,6 +42,8 @@
 		slots     int
 		fencing   bool
 		tokenTime time.Duration
+		ranks     int
+		stepTime  time.Duration
 	}
 
 	// seed is the content of the platform at its start.
@@ -59,7 +62,7 @@
 	}
 )
 
-var errRole = errors.New("role is none of platform, engine and service")
+var errRole = errors.New("role is none of platform, engine, service and group")
 
 func main() {
 	o := parse()
@@ -85,14 +88,16 @@
 
 func parse() options {
 	var o options
-	flag.StringVar(&o.role, "role", "", "platform, engine or service")
+	flag.StringVar(&o.role, "role", "", "platform, engine, service or group")
 	flag.StringVar(&o.listen, "listen", "127.0.0.1:0", "address to listen on")
 	flag.StringVar(&o.seed, "seed", "", "TOML file with the platform's first objects and VMs")
 	flag.DurationVar(&o.delay, "delay", 0, "time that a plain service takes")
 	flag.DurationVar(&o.listLag, "listLag", 0, "how long a change of the VMs takes to show")
 	flag.IntVar(&o.slots, "slots", 64, "calls that an engine runs at once")
-	flag.BoolVar(&o.fencing, "fencing", true, "whether an engine refuses orders of older epochs")
+	flag.BoolVar(&o.fencing, "fencing", true, "whether an engine or rank refuses orders of older epochs")
 	flag.DurationVar(&o.tokenTime, "tokenTime", 5*time.Millisecond, "time that an engine takes for a token")
+	flag.IntVar(&o.ranks, "ranks", 8, "ranks of a group")
+	flag.DurationVar(&o.stepTime, "stepTime", 20*time.Millisecond, "time of one step of a group")
 	flag.Parse()
 	return o
 }
@@ -110,6 +115,10 @@
 		}).Handler(), nil
 	case "service":
 		return booker.New(o.delay).Handler(), nil
+	case "group":
+		return stepper.New(stepper.Options{
+			Ranks: o.ranks, StepTime: o.stepTime, CheckFencing: o.fencing, Record: true,
+		}).Handler(), nil
 	}
 	return nil, errRole
 }
--- a/fakes/stepper/handler.go
+++ b/fakes/stepper/handler.go
@@ -11,12 +11,13 @@
 // maxGrantBytes bounds the body of a grant.
 const maxGrantBytes = 64 << 10
 
-// Handler serves the report and the grant of each rank, and the figures.
+// Handler serves the report and the grant of each rank, and the
+// history.
 func (s *Stepper) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/ranks/{rank}/report", s.serveReport)
 	mux.HandleFunc("PUT /v1/ranks/{rank}/grant", s.serveGrant)
-	mux.HandleFunc("GET /figures", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Figures()) })
+	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.History()) })
 	return mux
 }
 
--- a/fakes/stepper/stepper.go
+++ b/fakes/stepper/stepper.go
@@ -4,6 +4,7 @@
 package stepper
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 		StepTime time.Duration
 		// CheckFencing makes ranks refuse grants of an older epoch.
 		CheckFencing bool
+		// Record keeps the map of each rank in each step.
+		Record bool
 	}
 
 	// Figures tells what the group did.
@@ -52,6 +55,24 @@
 		lead    mapper.Assignment
 		newest  carawaybeam.Step
 		figures Figures
+		history []Entered
+	}
+
+	// Entered tells that a rank entered a step on a map.
+	Entered struct {
+		Rank    carawaybeam.Rank       `json:"rank"`
+		Step    carawaybeam.Step       `json:"step"`
+		Version carawaybeam.MapVersion `json:"version"`
+		Epoch   carawaybeam.Epoch      `json:"epoch"`
+	}
+
+	// History is what the ranks did since the start.
+	History struct {
+		// Held counts the times that a rank was ready and had no grant.
+		Held int `json:"held"`
+		// Steps holds the maps of the ranks in the order of their steps. It is
+		// empty unless the group records them.
+		Steps []Entered `json:"steps"`
 	}
 
 	rank struct {
@@ -120,6 +141,13 @@
 	return s.figures
 }
 
+// History returns what the ranks did since the start.
+func (s *Stepper) History() History {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return History{Held: s.figures.Held, Steps: slices.Clone(s.history)}
+}
+
 func (s *Stepper) run() {
 	ticker := time.NewTicker(s.options.StepTime)
 	defer ticker.Stop()
@@ -153,6 +181,7 @@
 			continue
 		}
 		s.enter(r)
+		s.record(carawaybeam.Rank(i))
 	}
 }
 
@@ -174,3 +203,12 @@
 	}
 	r.last = assignment
 }
+
+// record notes the map with which a rank entered its step.
+func (s *Stepper) record(n carawaybeam.Rank) {
+	if !s.options.Record {
+		return
+	}
+	r := &s.ranks[n]
+	s.history = append(s.history, Entered{Rank: n, Step: r.step, Version: r.last.ID.Version, Epoch: r.last.ID.Epoch})
+}
