Fetch the weights of new experts before an agent votes

Plug-in rest behind carawaybeam.WeightStore, a budget of experts a second, and a stand-in route. A map whose weights cannot be had is voted down. Proposals come in a frame that holds the experts of the own rank and the digest of the whole map, so that a controller need not send a whole map to each agent; the answer tells the step, the schedule and the highest proposal seen.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,7 +116,7 @@
 		a.options.Executor.ServeResolve(ctx, first, &reportingStream{Stream: stream, agent: a})
 	case *framer.Frame_TicketRequest:
 		a.options.Executor.ServeTicket(first, stream)
-	case *framer.Frame_MapMessage:
+	case *framer.Frame_MapMessage, *framer.Frame_Propose:
 		if a.options.Group != nil {
 			a.options.Group.ServeStream(ctx, first, stream)
 		}
--- a/cmd/cbagent/group.go
+++ b/cmd/cbagent/group.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/certifier"
 	"github.com/carawaybeam/carawaybeam/granter"
+	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
 )
 
@@ -27,6 +30,10 @@
 	if err != nil {
 		return err
 	}
+	weights, err := newWeights(settings.Weights)
+	if err != nil {
+		return err
+	}
 	d.granter = granter.New(granter.Options{
 		Group:       settings.ID,
 		Rank:        settings.Rank,
@@ -35,12 +42,33 @@
 		Peers:       settings.Peers,
 		Dialer:      dialer,
 		Client:      ranks,
+		Weights:     weights,
 		Log:         d.log,
 	})
 	d.closers.Add(d.granter)
 	return nil
 }
 
+// newWeights makes the client of the weight store, if the settings name one.
+func newWeights(settings loader.Weights) (granter.Weights, error) {
+	if settings.URL == "" {
+		return granter.Weights{}, nil
+	}
+	newStore, err := carawaybeam.WeightStores.Lookup(settings.Protocol)
+	if err != nil {
+		return granter.Weights{}, err
+	}
+	store, err := newStore(carawaybeam.WeightStoreOptions{URL: settings.URL, Timeout: time.Duration(settings.Timeout)})
+	if err != nil {
+		return granter.Weights{}, err
+	}
+	return granter.Weights{
+		Store:  store,
+		Model:  settings.Model,
+		Budget: rate.NewLimiter(rate.Limit(settings.Rate), 1),
+	}, nil
+}
+
 // peerDialer returns what makes links to the other agents of the group.
 func (d *daemon) peerDialer() (messenger.Dialer, error) {
 	if !d.settings.LinkTLS.Enabled() {
--- a/fakes/storer/handler.go
+++ b/fakes/storer/handler.go
@@ -27,6 +27,7 @@
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.serveDelete)
 	mux.HandleFunc("GET /v1/watch", s.serveWatch)
 	mux.HandleFunc("GET /v1/vms", s.serveVMs)
+	mux.HandleFunc("GET /v1/weights/{model}/{layer}/{expert}", serveWeights)
 	mux.HandleFunc("PUT /v1/vms", s.servePutVMs)
 	mux.HandleFunc("POST /fault", s.serveFault)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counts(), nil) })
--- a/granter/codec.go
+++ b/granter/codec.go
@@ -131,3 +131,32 @@
 		Digest: mapper.Digest(a.GetDigest()),
 	}
 }
+
+func decodeProposal(encoded *framer.Propose) Proposal {
+	proposal := Proposal{MapAssignment: carawaybeam.MapAssignment{
+		ID: carawaybeam.ProposalID{
+			Epoch:   carawaybeam.Epoch(encoded.GetEpoch()),
+			Version: carawaybeam.MapVersion(encoded.GetMapVersion()),
+		},
+		Step:   carawaybeam.Step(encoded.GetStep()),
+		Digest: carawaybeam.MapDigest(encoded.GetDigest()),
+	}}
+	for _, layer := range encoded.GetOwn() {
+		experts := make([]carawaybeam.Expert, 0, len(layer.GetExperts()))
+		for _, expert := range layer.GetExperts() {
+			experts = append(experts, carawaybeam.Expert(expert))
+		}
+		proposal.Experts = append(proposal.Experts, experts)
+	}
+	return proposal
+}
+
+func encodeStatus(s State) *framer.MapStatus {
+	return &framer.MapStatus{
+		Step:         uint64(s.Step),
+		Schedule:     encodeSchedule(s.Schedule),
+		Stable:       s.Stable,
+		FloorEpoch:   uint64(s.Floor.Epoch),
+		FloorVersion: uint64(s.Floor.Version),
+	}
+}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -37,10 +37,11 @@
 		// the same in all agents of the group.
 		Lookahead carawaybeam.Step
 		// Peers holds the link addresses of all agents of the group, by rank.
-		Peers  []carawaybeam.Address
-		Dialer carawaybeam.Dialer
-		Client carawaybeam.Ranks
-		Log    zerolog.Logger
+		Peers   []carawaybeam.Address
+		Dialer  carawaybeam.Dialer
+		Client  carawaybeam.Ranks
+		Weights Weights
+		Log     zerolog.Logger
 	}
 
 	// Granter serves one rank until Close.
@@ -51,7 +52,9 @@
 		wait    sync.WaitGroup
 
 		inputs chan input
-		grants chan carawaybeam.StepGrant
+		// proposals holds the newest proposal whose weights are not fetched.
+		proposals chan Proposal
+		grants    chan carawaybeam.StepGrant
 		// senders is used by the goroutine of the Mapper only.
 		senders map[carawaybeam.Rank]*sender
 
@@ -69,7 +72,12 @@
 		// Holding tells whether the rank waits for a decision.
 		Holding bool                   `json:"holding"`
 		Floor   carawaybeam.ProposalID `json:"floor"`
-		Refused uint64                 `json:"refused"`
+		// Step is the one that the rank reported.
+		Step carawaybeam.Step `json:"step"`
+		// Refused counts grants that the rank did not take.
+		Refused uint64 `json:"refused"`
+		// Fetched counts experts whose weights were fetched.
+		Fetched uint64 `json:"fetched"`
 	}
 
 	// input is one event for the Mapper.
@@ -82,17 +90,19 @@
 func New(options Options) *Granter {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Granter{
-		options: options,
-		ctx:     ctx,
-		cancel:  cancel,
-		inputs:  make(chan input),
-		grants:  make(chan carawaybeam.StepGrant, 1),
-		senders: make(map[carawaybeam.Rank]*sender),
-		state:   State{Group: options.Group, Rank: options.Rank},
+		options:   options,
+		ctx:       ctx,
+		cancel:    cancel,
+		inputs:    make(chan input),
+		proposals: make(chan Proposal, 1),
+		grants:    make(chan carawaybeam.StepGrant, 1),
+		senders:   make(map[carawaybeam.Rank]*sender),
+		state:     State{Group: options.Group, Rank: options.Rank},
 	}
 	g.wait.Go(g.run)
 	g.wait.Go(g.pollRank)
 	g.wait.Go(g.orderRank)
+	g.wait.Go(g.prepare)
 	return g
 }
 
@@ -110,18 +120,13 @@
 	return g.state
 }
 
-// Propose takes a proposal of a controller. The weights for it must be in place.
-func (g *Granter) Propose(proposal carawaybeam.MapAssignment) {
-	g.feed(func(m *mapper.Mapper) mapper.Output { return m.Propose(proposal) })
-}
-
-// ServeStream takes the messages of a peer and acknowledges each.
+// ServeStream takes the messages of a peer, or the proposals of a controller, and
+// acknowledges each.
 func (g *Granter) ServeStream(ctx context.Context, first *framer.Frame, stream carawaybeam.Stream) {
 	release := context.AfterFunc(g.ctx, func() { _ = stream.Close() })
 	defer release()
 	for frame := first; ctx.Err() == nil; {
-		g.receive(frame.GetMapMessage())
-		if stream.Send(&framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{}}}) != nil {
+		if stream.Send(&framer.Frame{Body: &framer.Frame_MapStatus{MapStatus: g.take(frame)}}) != nil {
 			return
 		}
 		var err error
@@ -131,6 +136,27 @@
 	}
 }
 
+// take handles one frame and returns what acknowledges it.
+func (g *Granter) take(frame *framer.Frame) *framer.MapStatus {
+	switch body := frame.GetBody().(type) {
+	case *framer.Frame_MapMessage:
+		g.receive(body.MapMessage)
+	case *framer.Frame_Propose:
+		g.receiveProposal(body.Propose)
+		return encodeStatus(g.State())
+	}
+	return &framer.MapStatus{}
+}
+
+// receiveProposal takes a proposal. One without a version only asks for the
+// status.
+func (g *Granter) receiveProposal(encoded *framer.Propose) {
+	if carawaybeam.GroupID(encoded.GetGroup()) != g.options.Group || encoded.GetMapVersion() == 0 {
+		return
+	}
+	g.Propose(decodeProposal(encoded))
+}
+
 // receive takes a message of an agent of the group.
 func (g *Granter) receive(encoded *framer.MapMessage) {
 	if carawaybeam.GroupID(encoded.GetGroup()) != g.options.Group || int(encoded.GetFrom()) >= len(g.options.Peers) {
@@ -213,6 +239,7 @@
 	for {
 		if report, err := g.options.Client.Report(g.ctx, g.options.Rank); err == nil {
 			g.feed(func(m *mapper.Mapper) mapper.Output { return m.Report(report) })
+			g.noteStep(report.Step)
 		}
 		select {
 		case <-ticker.C:
@@ -222,6 +249,12 @@
 	}
 }
 
+func (g *Granter) noteStep(step carawaybeam.Step) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.Step = step
+}
+
 // orderRank gives the rank its grants. One that is lost is given again after
 // the next report.
 func (g *Granter) orderRank() {
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/fakes/linker"
@@ -42,13 +44,55 @@
 	peers   []carawaybeam.Address
 	agents  []*Granter
 	lives   int
+	weights Weights
 }
 
-func newBench() *bench {
+// shelf gives weights, unless it is closed.
+type shelf struct {
+	closed atomic.Bool
+	taken  atomic.Int64
+}
+
+func (s *shelf) Fetch(context.Context, string, int, carawaybeam.Expert) (carawaybeam.Bytes, error) {
+	if s.closed.Load() {
+		return 0, context.DeadlineExceeded
+	}
+	s.taken.Add(1)
+	return 1, nil
+}
+
+// TestWeightsBeforeVote fetches only new experts within the budget, and votes no
+// on a map whose weights cannot be had.
+func TestWeightsBeforeVote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		weights := &shelf{}
+		b := newBench(Weights{Store: weights, Budget: rate.NewLimiter(rate.Every(50*time.Millisecond), 1)})
+		defer b.close(is)
+		time.Sleep(2 * time.Second)
+		b.propose(3)
+		synctest.Wait()
+		is.Equal(weights.taken.Load(), int64(1)) // the budget allows one at once
+		time.Sleep(10 * time.Second)
+		is.Equal(weights.taken.Load(), int64(3*testRanks))
+		is.Equal(b.agents[1].State().Schedule.Current.ID.Version, carawaybeam.MapVersion(3))
+		b.propose(4)
+		time.Sleep(10 * time.Second)
+		is.Equal(weights.taken.Load(), int64(4*testRanks)) // one new expert
+		weights.closed.Store(true)
+		b.propose(5)
+		time.Sleep(10 * time.Second)
+		is.Equal(b.agents[1].State().Schedule.Current.ID.Version, carawaybeam.MapVersion(4))
+		is.Equal(b.agents[1].State().Floor.Version, carawaybeam.MapVersion(5))
+	})
+}
+
+func newBench(weights Weights) *bench {
 	b := &bench{
 		network: &linker.Network{},
 		group:   stepper.New(stepper.Options{Ranks: testRanks, StepTime: testStep}),
 		agents:  make([]*Granter, testRanks),
+		weights: weights,
 	}
 	for i := range testRanks {
 		b.peers = append(b.peers, carawaybeam.Address(fmt.Sprintf("agent%d", i)))
@@ -69,6 +113,7 @@
 		Peers:       b.peers,
 		Dialer:      b.network,
 		Client:      direct{b.group},
+		Weights:     b.weights,
 		Log:         zerolog.Nop(),
 	})
 	b.network.Listen(b.peers[i], b.agents[i])
@@ -84,7 +129,10 @@
 	id := carawaybeam.ProposalID{Epoch: 1, Version: version}
 	step := b.group.Figures().Steps + switchAhead
 	for _, agent := range b.agents {
-		agent.Propose(carawaybeam.MapAssignment{ID: id, Step: step, Digest: carawaybeam.MapDigest(version)})
+		assignment := carawaybeam.MapAssignment{ID: id, Step: step, Digest: carawaybeam.MapDigest(version)}
+		agent.Propose(
+			Proposal{MapAssignment: assignment, Experts: [][]carawaybeam.Expert{{1, 2}, {carawaybeam.Expert(version)}}},
+		)
 	}
 }
 
@@ -109,7 +157,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				b := newBench()
+				b := newBench(Weights{})
 				defer b.close(is)
 				time.Sleep(2 * time.Second)
 				for version := range carawaybeam.MapVersion(3) {
--- a/loader/group.go
+++ b/loader/group.go
@@ -16,6 +16,16 @@
 	Protocol  string                `toml:"protocol"  doc:"Plug-in that speaks to the rank."`
 	URL       string                `toml:"url"       doc:"Base address of the rank, such as http://127.0.0.1:5000."`
 	Timeout   Duration              `toml:"timeout"   doc:"Bound on one call to the rank."`
+	Weights   Weights               `toml:"weights"`
+}
+
+// Weights tells where the weights of newly held experts come from.
+type Weights struct {
+	Protocol string   `toml:"protocol" doc:"Plug-in that speaks to the weight store."`
+	URL      string   `toml:"url"      doc:"Base address of the weight store, or empty if all weights are in place."`
+	Timeout  Duration `toml:"timeout"  doc:"Bound on one call to the weight store."`
+	Model    string   `toml:"model"    doc:"Model whose experts the group holds."`
+	Rate     float64  `toml:"rate"     doc:"Experts fetched a second at most."`
 }
 
 // Enabled tells whether the agent serves a rank.
@@ -42,5 +52,19 @@
 		faults = append(faults, fault{key: "group.lookahead", detail: "want a positive number of steps"})
 	}
 	faults = append(faults, registered("group.protocol", &carawaybeam.RankClients, g.Protocol)...)
-	return append(faults, Service{URL: g.URL, Timeout: g.Timeout}.faults("group")...)
+	faults = append(faults, Service{URL: g.URL, Timeout: g.Timeout}.faults("group")...)
+	return append(faults, g.Weights.faults()...)
+}
+
+func (w Weights) faults() []fault {
+	if w.URL == "" {
+		return nil
+	}
+	faults := registered("group.weights.protocol", &carawaybeam.WeightStores, w.Protocol)
+	faults = append(faults, Service{URL: w.URL, Timeout: w.Timeout}.faults("group.weights")...)
+	faults = append(faults, required("group.weights.model", w.Model)...)
+	if w.Rate <= 0 {
+		faults = append(faults, fault{key: "group.weights.rate", detail: "want a positive number"})
+	}
+	return faults
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -141,7 +141,12 @@
 func DefaultAgent() Agent {
 	return Agent{
 		Backend: Backend{Protocol: "engine", Concurrency: 64},
-		Group:   Group{Lookahead: 8, Protocol: "rest", Timeout: Duration(time.Second)},
+		Group: Group{
+			Lookahead: 8,
+			Protocol:  "rest",
+			Timeout:   Duration(time.Second),
+			Weights:   Weights{Protocol: "rest", Timeout: Duration(30 * time.Second), Rate: 10},
+		},
 	}
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 import (
 	// Each plug-in registers itself.
 	_ "github.com/carawaybeam/carawaybeam/caller"
+	_ "github.com/carawaybeam/carawaybeam/fetcher"
 	_ "github.com/carawaybeam/carawaybeam/keeper"
 	_ "github.com/carawaybeam/carawaybeam/limiter/fair"
 	_ "github.com/carawaybeam/carawaybeam/limiter/unlimited"
