Control groups from entries

Package proposer: the holder of a group's lease plans from the loads that the group gives and proposes to each agent the experts of its own rank and the digest of the map. The maps that may be in use are kept in the store before they are proposed, since the next controller must know the content of the one in force; without the store nothing is rebalanced and nothing else changes. Keeping them in the agents was ruled out: one that restarts forgets them.

--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -137,6 +137,9 @@
 	if err := e.spreadConfig(incarnation); err != nil {
 		return err
 	}
+	if err := e.controlGroups(incarnation); err != nil {
+		return err
+	}
 	if err := e.makeDispatcher(); err != nil {
 		return err
 	}
--- a/cmd/cbfake/main.go
+++ b/cmd/cbfake/main.go
@@ -30,6 +30,10 @@
 	exitCrash = 9
 
 	shutdownTimeout = time.Second
+
+	// groupLayers and groupExperts are the size of a group's maps.
+	groupLayers  = 2
+	groupExperts = 16
 )
 
 type (
@@ -117,7 +121,12 @@
 		return booker.New(o.delay).Handler(), nil
 	case "group":
 		return stepper.New(stepper.Options{
-			Ranks: o.ranks, StepTime: o.stepTime, CheckFencing: o.fencing, Record: true,
+			Ranks:        o.ranks,
+			StepTime:     o.stepTime,
+			CheckFencing: o.fencing,
+			Record:       true,
+			Layers:       groupLayers,
+			Experts:      groupExperts,
 		}).Handler(), nil
 	}
 	return nil, errRole
--- a/fakes/stepper/handler.go
+++ b/fakes/stepper/handler.go
@@ -17,6 +17,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/ranks/{rank}/report", s.serveReport)
 	mux.HandleFunc("PUT /v1/ranks/{rank}/grant", s.serveGrant)
+	mux.HandleFunc("GET /v1/loads", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Loads()) })
 	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.History()) })
 	return mux
 }
--- a/fakes/stepper/stepper.go
+++ b/fakes/stepper/stepper.go
@@ -12,6 +12,14 @@
 	"github.com/carawaybeam/carawaybeam/mapper"
 )
 
+const (
+	// popularSteps is how long an expert is popular.
+	popularSteps = 100
+
+	// popularLoad is the load of a popular expert, where 1 is usual.
+	popularLoad = 20
+)
+
 type (
 	// Options is what a Stepper is made from.
 	Options struct {
@@ -22,6 +30,8 @@
 		CheckFencing bool
 		// Record keeps the map of each rank in each step.
 		Record bool
+		// Layers and Experts are the size of the loads.
+		Layers, Experts int
 	}
 
 	// Figures tells what the group did.
@@ -148,6 +158,23 @@
 	return History{Held: s.figures.Held, Steps: slices.Clone(s.history)}
 }
 
+// Loads returns loads in which another expert of each layer is popular after
+// every 100 steps.
+func (s *Stepper) Loads() []carawaybeam.LayerLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	popular := int(s.newest / popularSteps)
+	loads := make([]carawaybeam.LayerLoad, s.options.Layers)
+	for i := range loads {
+		loads[i] = make(carawaybeam.LayerLoad, s.options.Experts)
+		for e := range loads[i] {
+			loads[i][e] = 1
+		}
+		loads[i][(popular+i)%s.options.Experts] = popularLoad
+	}
+	return loads
+}
+
 func (s *Stepper) run() {
 	ticker := time.NewTicker(s.options.StepTime)
 	defer ticker.Stop()
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -37,6 +37,8 @@
 	return nil
 }
 
+func (d direct) Loads(context.Context) ([]carawaybeam.LayerLoad, error) { return d.group.Loads(), nil }
+
 // bench is a group with its agents on an in-memory network.
 type bench struct {
 	network *linker.Network
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -74,6 +74,7 @@
 		Router  string `toml:"router"  doc:"Plug-in that chooses a backend server."`
 		Limiter string `toml:"limiter" doc:"Plug-in that admits requests."`
 		Retrier string `toml:"retrier" doc:"Plug-in that decides on further tries."`
+		Planner string `toml:"planner" doc:"Plug-in that places experts on ranks."`
 	}
 
 	// Limits bounds what callers send.
@@ -127,7 +128,7 @@
 	return Entry{
 		Store:    Service{Protocol: "rest", Timeout: Duration(2 * time.Second)},
 		VMList:   Service{Protocol: "rest", Timeout: Duration(2 * time.Second)},
-		Policies: Policies{Router: "expected", Limiter: "fair", Retrier: "budget"},
+		Policies: Policies{Router: "expected", Limiter: "fair", Retrier: "budget", Planner: "drift"},
 		Limits: Limits{
 			BodyBytes:    8 << 20,
 			HeaderBytes:  32 << 10,
@@ -211,6 +212,7 @@
 	faults = append(faults, registered("policies.router", &carawaybeam.Routers, s.Policies.Router)...)
 	faults = append(faults, registered("policies.limiter", &carawaybeam.Limiters, s.Policies.Limiter)...)
 	faults = append(faults, registered("policies.retrier", &carawaybeam.Retriers, s.Policies.Retrier)...)
+	faults = append(faults, registered("policies.planner", &carawaybeam.Planners, s.Policies.Planner)...)
 	faults = append(faults, s.CallerTLS.faults("callerTLS", false)...)
 	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
 	faults = append(faults, tokenHash("operators.tokenHash", s.Operators.TokenHash)...)
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -3,7 +3,8 @@
 //
 // GET /v1/ranks/{rank}/report answers with a carawaybeam.RankReport, and
 // PUT /v1/ranks/{rank}/grant takes a carawaybeam.StepGrant, answering 409 to one
-// that is refused for its epoch.
+// that is refused for its epoch. GET /v1/loads answers with the load of each
+// expert of each layer.
 package ranker
 
 import (
@@ -17,8 +18,13 @@
 	"github.com/carawaybeam/carawaybeam"
 )
 
-// maxReportBytes bounds the report of a rank.
-const maxReportBytes = 64 << 10
+const (
+	// maxReportBytes bounds the report of a rank.
+	maxReportBytes = 64 << 10
+
+	// maxLoadsBytes bounds the loads of a group.
+	maxLoadsBytes = 8 << 20
+)
 
 type (
 	// Ranker is a client of the ranks of a group.
@@ -84,6 +90,21 @@
 	}
 }
 
+// Loads returns the load of each expert of each layer lately.
+func (r *Ranker) Loads(ctx context.Context) ([]carawaybeam.LayerLoad, error) {
+	response, err := r.call(ctx, http.MethodGet, r.options.URL+"/v1/loads", nil)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: response.StatusCode}
+	}
+	var loads []carawaybeam.LayerLoad
+	err = json.NewDecoder(io.LimitReader(response.Body, maxLoadsBytes)).Decode(&loads)
+	return loads, err
+}
+
 func (r *Ranker) url(rank carawaybeam.Rank, part string) string {
 	return fmt.Sprintf("%s/v1/ranks/%d/%s", r.options.URL, rank, part)
 }
--- a/ranks.go
+++ b/ranks.go
@@ -55,6 +55,8 @@
 		// Grant gives the rank its next steps. A *FencedError tells that the
 		// rank refused it for its epoch.
 		Grant(ctx context.Context, rank Rank, grant StepGrant) error
+		// Loads returns the load of each expert of each layer lately.
+		Loads(ctx context.Context) ([]LayerLoad, error)
 	}
 
 	// RanksOptions is what a plug-in for ranks is made from.
--- a/store.go
+++ b/store.go
@@ -28,6 +28,8 @@
 	KindLease StoreKind = "lease"
 	// KindGroup holds groups of ranks.
 	KindGroup StoreKind = "group"
+	// KindMap holds the expert maps that a group may be using.
+	KindMap StoreKind = "map"
 	// KindSettings holds preferences of the whole installation.
 	KindSettings StoreKind = "settings"
 )
