Test one expert map with real processes

TestPromiseOneMapProcesses: 4 agents, a group stand-in that judges by its history, two controllers; agents and controllers are stopped, go on, are killed and start again while maps switch.

--- /dev/null
+++ b/fakes/launcher/group.go
@@ -0,0 +1,179 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/proposer"
+)
+
+const (
+	groupName    = "drafting"
+	groupLayers  = 2
+	groupExperts = 16
+	groupSlots   = 6
+
+	// groupPeriod is the time between two plans.
+	groupPeriod = time.Second
+
+	// groupStepsAhead is how far ahead a group switches.
+	groupStepsAhead = 50
+)
+
+type (
+	// Group is a group of ranks with its agents and controllers.
+	Group struct {
+		fleet *Fleet
+		ranks *Process
+		// URL is that of the group stand-in.
+		URL    string
+		Agents []*Process
+		// Entries compete for the control.
+		Entries []*Process
+	}
+
+	// GroupOptions tells what to start.
+	GroupOptions struct {
+		// Directory takes the programs and settings.
+		Directory string
+		// Module is the directory of the module.
+		Module  string
+		Ranks   int
+		Entries int
+		// Fencing makes ranks refuse grants of older epochs.
+		Fencing bool
+	}
+)
+
+// StartGroup builds the programs and starts all processes of a group.
+func StartGroup(ctx context.Context, options GroupOptions) (*Group, error) {
+	f := &Fleet{directory: options.Directory, programs: filepath.Join(options.Directory, "bin")}
+	g := &Group{fleet: f}
+	if err := noteSources(options.Module); err != nil {
+		return g, err
+	}
+	build := exec.CommandContext(ctx, "go", "build", "-o", f.programs+"/", "./cmd/...")
+	build.Dir = options.Module
+	if output, err := build.CombinedOutput(); err != nil {
+		return g, fmt.Errorf("build: %w: %s", err, output)
+	}
+	peers, err := freeAddresses(options.Ranks)
+	if err != nil {
+		return g, err
+	}
+	if err := g.startRanks(options); err != nil {
+		return g, err
+	}
+	if err := f.startPlatform(); err != nil {
+		return g, err
+	}
+	for rank := range peers {
+		if err := g.addAgent(rank, peers); err != nil {
+			return g, err
+		}
+	}
+	for i := range options.Entries {
+		if err := f.addEntry(i); err != nil {
+			return g, err
+		}
+		g.Entries = append(g.Entries, f.Entries[i].Process)
+	}
+	return g, g.configure(ctx, peers)
+}
+
+func (g *Group) startRanks(options GroupOptions) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	g.URL = "http://" + address
+	g.ranks, err = g.fleet.start(
+		"cbfake", "-role", "group", "-listen", address,
+		"-ranks", fmt.Sprint(options.Ranks), fmt.Sprintf("-fencing=%t", options.Fencing),
+	)
+	return err
+}
+
+func (g *Group) addAgent(rank int, peers []string) error {
+	admin, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	list, err := json.Marshal(peers)
+	if err != nil {
+		return err
+	}
+	settings, err := g.fleet.write(fmt.Sprintf("rank-%d.toml", rank), fmt.Sprintf(
+		"process = \"rank-%d\"\ndataCentre = \"dc\"\nlinks = %q\nadmin = %q\n\n"+
+			"[backend]\nid = \"rank-%d\"\nurl = %q\n\n"+
+			"[group]\nid = %q\nrank = %d\npeers = %s\nurl = %q\n\n"+
+			"[group.weights]\nurl = %q\nmodel = \"draft\"\nrate = 100\n",
+		rank, peers[rank], admin, rank, g.URL, groupName, rank, list, g.URL, g.fleet.storeURL,
+	))
+	if err != nil {
+		return err
+	}
+	agent, err := g.fleet.start("cbagent", "-settings", settings)
+	g.Agents = append(g.Agents, agent)
+	return err
+}
+
+// configure puts the group into the platform's store, once that answers.
+func (g *Group) configure(ctx context.Context, peers []string) error {
+	document := proposer.Document{
+		Protocol: "rest", URL: g.URL, Layers: groupLayers, Experts: groupExperts, Slots: groupSlots,
+		SkewPreference: 0.9, PeriodMs: groupPeriod.Milliseconds(), StepsAhead: groupStepsAhead,
+	}
+	for _, peer := range peers {
+		document.Peers = append(document.Peers, carawaybeam.Address(peer))
+	}
+	value, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	url := g.fleet.storeURL + "/v1/objects/group/" + groupName
+	for {
+		err := put(ctx, url, value)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(readyInterval):
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+func put(ctx context.Context, url string, value []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(value))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("store answered %d", response.StatusCode)
+	}
+	return errors.Join(err, response.Body.Close())
+}
+
+// Close stops all processes, entries first, and reports those that did not end
+// cleanly.
+func (g *Group) Close() error {
+	var errs []error
+	for _, p := range append(g.Entries, g.Agents...) {
+		errs = append(errs, p.Stop())
+	}
+	return errors.Join(append(errs, g.fleet.platform.Stop(), g.ranks.Stop())...)
+}
