--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/granter"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	_ "github.com/carawaybeam/carawaybeam/registrar"
@@ -40,6 +41,8 @@
 	links      *messenger.Listener
 	configurer *configurer.Configurer
 	closers    starter.Closers
+	// granter is nil when the backend server is of no group.
+	granter *granter.Granter
 	// shutDown begins the graceful stop.
 	shutDown func()
 }
@@ -49,6 +52,8 @@
 	Executor executor.State          `json:"executor"`
 	Links    messenger.TrafficState  `json:"links"`
 	Classes  []configurer.ClassState `json:"classes"`
+	// Group is missing when the backend server is of no group.
+	Group *granter.State `json:"group,omitempty"`
 }
 
 func main() {
@@ -98,6 +103,9 @@
 	})
 	d.closers.Add(d.executor)
 	d.configurer = configurer.New()
+	if err := d.startGroup(incarnation); err != nil {
+		return err
+	}
 	d.agent = agent.New(agent.Options{
 		Configurer:  d.configurer,
 		BackendID:   d.settings.Backend.ID,
@@ -108,7 +116,8 @@
 			Stop: d.shutDown,
 			Dump: func() ([]byte, error) { return d.dumpOptions().Dump() },
 		},
-		Log: d.log,
+		Group: d.rankHandler(),
+		Log:   d.log,
 	})
 	d.closers.Add(d.agent)
 	d.links = messenger.New(links, d.agent)
@@ -155,6 +164,7 @@
 		Executor: d.executor.State(),
 		Links:    d.links.Traffic().State(),
 		Classes:  d.configurer.ClassStates(),
+		Group:    d.groupState(),
 	}
 }
 
--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -99,32 +99,48 @@
 // Start builds the programs and starts all processes.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	f := &Fleet{directory: options.Directory, programs: filepath.Join(options.Directory, "bin")}
-	if err := noteSources(options.Module); err != nil {
+	if err := f.build(ctx, options.Module); err != nil {
 		return f, err
 	}
-	build := exec.CommandContext(ctx, "go", "build", "-o", f.programs+"/", "./cmd/...")
-	build.Dir = options.Module
-	if output, err := build.CombinedOutput(); err != nil {
-		return f, fmt.Errorf("build: %w: %s", err, output)
-	}
 	for i := range options.Services + options.Engines {
 		if err := f.addSlot(i, options); err != nil {
 			return f, err
 		}
 	}
-	links, err := freeAddresses(options.Entries)
-	if err != nil {
+	if err := f.startEntries(options.Entries); err != nil {
 		return f, err
 	}
+	return f, f.waitReady(ctx, len(f.Slots))
+}
+
+// startEntries starts the platform, which lists the entries, and the entries.
+func (f *Fleet) startEntries(n int) error {
+	links, err := freeAddresses(n)
+	if err != nil {
+		return err
+	}
 	if err := f.startPlatform(links); err != nil {
-		return f, err
+		return err
 	}
 	for i, address := range links {
 		if err := f.addEntry(i, address); err != nil {
-			return f, err
+			return err
 		}
 	}
-	return f, f.waitReady(ctx, len(f.Slots))
+	return nil
+}
+
+// build builds the programs of the module.
+func (f *Fleet) build(ctx context.Context, module string) error {
+	if err := noteSources(module); err != nil {
+		return err
+	}
+	command := exec.CommandContext(ctx, "go", "build", "-o", f.programs+"/", "./cmd/...")
+	command.Dir = module
+	if output, err := command.CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w: %s", err, output)
+	}
+	return nil
 }
 
 // noteSources looks at all sources of the module, so that the cache of test
--- a/fakes/stepper/stepper.go
+++ b/fakes/stepper/stepper.go
@@ -4,6 +4,7 @@
 package stepper
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,14 @@
 	"github.com/carawaybeam/carawaybeam/mapper"
 )
 
+const (
+	// popularSteps is how long an expert is popular.
+	popularSteps = 100
+
+	// popularLoad is the load of a popular expert, where 1 is usual.
+	popularLoad = 20
+)
+
 type (
 	// Options is what a Stepper is made from.
 	Options struct {
@@ -19,6 +28,10 @@
 		StepTime time.Duration
 		// CheckFencing makes ranks refuse grants of an older epoch.
 		CheckFencing bool
+		// Record keeps the map of each rank in each step.
+		Record bool
+		// Layers and Experts are the size of the loads.
+		Layers, Experts int
 	}
 
 	// Figures tells what the group did.
@@ -52,6 +65,24 @@
 		lead    mapper.Assignment
 		newest  carawaybeam.Step
 		figures Figures
+		history []Entered
+	}
+
+	// Entered tells that a rank entered a step on a map.
+	Entered struct {
+		Rank    carawaybeam.Rank       `json:"rank"`
+		Step    carawaybeam.Step       `json:"step"`
+		Version carawaybeam.MapVersion `json:"version"`
+		Epoch   carawaybeam.Epoch      `json:"epoch"`
+	}
+
+	// History is what the ranks did since the start.
+	History struct {
+		// Held counts the times that a rank was ready and had no grant.
+		Held int `json:"held"`
+		// Steps holds the maps of the ranks in the order of their steps. It is
+		// empty unless the group records them.
+		Steps []Entered `json:"steps"`
 	}
 
 	rank struct {
@@ -78,16 +109,18 @@
 }
 
 // Order gives a rank a grant. A rank that does not check fencing numbers takes
-// any, also one that has been overtaken by a later one.
-func (s *Stepper) Order(n carawaybeam.Rank, grant mapper.Grant) {
+// any, also one that has been overtaken by a later one. Order tells whether the
+// rank took it.
+func (s *Stepper) Order(n carawaybeam.Rank, grant mapper.Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &s.ranks[n]
 	if s.options.CheckFencing && grant.Schedule.Current.ID.Epoch < r.grant.Schedule.Current.ID.Epoch {
 		s.figures.Refused++
-		return
+		return false
 	}
 	r.grant = grant
+	return true
 }
 
 // Report returns what the rank tells of itself.
@@ -118,6 +151,30 @@
 	return s.figures
 }
 
+// History returns what the ranks did since the start.
+func (s *Stepper) History() History {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return History{Held: s.figures.Held, Steps: slices.Clone(s.history)}
+}
+
+// Loads returns loads in which another expert of each layer is popular after
+// every 100 steps.
+func (s *Stepper) Loads() []carawaybeam.LayerLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	popular := int(s.newest / popularSteps)
+	loads := make([]carawaybeam.LayerLoad, s.options.Layers)
+	for i := range loads {
+		loads[i] = make(carawaybeam.LayerLoad, s.options.Experts)
+		for e := range loads[i] {
+			loads[i][e] = 1
+		}
+		loads[i][(popular+i)%s.options.Experts] = popularLoad
+	}
+	return loads
+}
+
 func (s *Stepper) run() {
 	ticker := time.NewTicker(s.options.StepTime)
 	defer ticker.Stop()
@@ -151,6 +208,7 @@
 			continue
 		}
 		s.enter(r)
+		s.record(carawaybeam.Rank(i))
 	}
 }
 
@@ -172,3 +230,12 @@
 	}
 	r.last = assignment
 }
+
+// record notes the map with which a rank entered its step.
+func (s *Stepper) record(n carawaybeam.Rank) {
+	if !s.options.Record {
+		return
+	}
+	r := &s.ranks[n]
+	s.history = append(s.history, Entered{Rank: n, Step: r.step, Version: r.last.ID.Version, Epoch: r.last.ID.Epoch})
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -49,6 +49,7 @@
 		Links      carawaybeam.Address    `toml:"links"      doc:"Address for links, as in the list of VMs."`
 		Admin      carawaybeam.Address    `toml:"admin"      doc:"Address for operators and metrics."`
 		Backend    Backend                `toml:"backend"`
+		Group      Group                  `toml:"group"`
 		LinkTLS    TLS                    `toml:"linkTLS"`
 	}
 
@@ -73,6 +74,7 @@
 		Router  string `toml:"router"  doc:"Plug-in that chooses a backend server."`
 		Limiter string `toml:"limiter" doc:"Plug-in that admits requests."`
 		Retrier string `toml:"retrier" doc:"Plug-in that decides on further tries."`
+		Planner string `toml:"planner" doc:"Plug-in that places experts on ranks."`
 	}
 
 	// Limits bounds what callers send.
@@ -126,7 +128,7 @@
 	return Entry{
 		Store:    Service{Protocol: "rest", Timeout: Duration(2 * time.Second)},
 		VMList:   Service{Protocol: "rest", Timeout: Duration(2 * time.Second)},
-		Policies: Policies{Router: "expected", Limiter: "fair", Retrier: "budget"},
+		Policies: Policies{Router: "expected", Limiter: "fair", Retrier: "budget", Planner: "drift"},
 		Limits: Limits{
 			BodyBytes:    8 << 20,
 			HeaderBytes:  32 << 10,
@@ -138,7 +140,15 @@
 
 // DefaultAgent returns the settings in force where the file is silent.
 func DefaultAgent() Agent {
-	return Agent{Backend: Backend{Protocol: "engine", Concurrency: 64}}
+	return Agent{
+		Backend: Backend{Protocol: "engine", Concurrency: 64},
+		Group: Group{
+			Lookahead: 8,
+			Protocol:  "rest",
+			Timeout:   Duration(time.Second),
+			Weights:   Weights{Protocol: "rest", Timeout: Duration(30 * time.Second), Rate: 10},
+		},
+	}
 }
 
 // LoadEntry reads and checks the settings of cbentry. Errors are of type *Error.
@@ -202,6 +212,7 @@
 	faults = append(faults, registered("policies.router", &carawaybeam.Routers, s.Policies.Router)...)
 	faults = append(faults, registered("policies.limiter", &carawaybeam.Limiters, s.Policies.Limiter)...)
 	faults = append(faults, registered("policies.retrier", &carawaybeam.Retriers, s.Policies.Retrier)...)
+	faults = append(faults, registered("policies.planner", &carawaybeam.Planners, s.Policies.Planner)...)
 	faults = append(faults, s.CallerTLS.faults("callerTLS", false)...)
 	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
 	faults = append(faults, tokenHash("operators.tokenHash", s.Operators.TokenHash)...)
@@ -233,6 +244,7 @@
 	faults = append(faults, baseURL("backend.url", s.Backend.URL)...)
 	faults = append(faults, registered("backend.protocol", &carawaybeam.Backends, s.Backend.Protocol)...)
 	faults = append(faults, s.LinkTLS.faults("linkTLS", true)...)
+	faults = append(faults, s.Group.faults(s.Links)...)
 	if s.Backend.Concurrency <= 0 {
 		faults = append(faults, fault{key: "backend.concurrency", detail: "want a positive number"})
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 import (
 	// Each plug-in registers itself.
 	_ "github.com/carawaybeam/carawaybeam/caller"
+	_ "github.com/carawaybeam/carawaybeam/fetcher"
 	_ "github.com/carawaybeam/carawaybeam/keeper"
 	_ "github.com/carawaybeam/carawaybeam/limiter/fair"
 	_ "github.com/carawaybeam/carawaybeam/limiter/unlimited"
@@ -11,6 +12,7 @@
 	_ "github.com/carawaybeam/carawaybeam/planner/drift"
 	_ "github.com/carawaybeam/carawaybeam/planner/greedy"
 	_ "github.com/carawaybeam/carawaybeam/planner/static"
+	_ "github.com/carawaybeam/carawaybeam/ranker"
 	_ "github.com/carawaybeam/carawaybeam/retrier/budget"
 	_ "github.com/carawaybeam/carawaybeam/retrier/proof"
 	_ "github.com/carawaybeam/carawaybeam/router/expected"
