--- a/cmd/cbentry/config.go
+++ b/cmd/cbentry/config.go
@@ -34,7 +34,8 @@
 		Log: e.log,
 	})
 	e.closers.Add(e.spreader)
-	e.closers.Add(messenger.New(links, e.spreader))
+	e.listener = messenger.New(links, e.spreader)
+	e.closers.Add(e.listener)
 	e.closers.Add(watcher.New(watcher.Options{
 		Store:      e.store,
 		Configurer: e.configurer,
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -53,6 +53,7 @@
 	assessor    *assessor.Assessor
 	server      *server.Server
 	traffic     messenger.Traffic
+	listener    *messenger.Listener
 	security    *certifier.Certifier
 	leaving     atomic.Bool
 	closers     starter.Closers
@@ -268,7 +269,7 @@
 	s := state{
 		DataCentre:    e.settings.DataCentre,
 		ConfigVersion: e.configurer.Version(),
-		Links:         e.traffic.State(),
+		Links:         e.traffic.State().Plus(e.listener.Traffic().State()),
 		Policies:      e.dispatcher.Policies(),
 		Complete:      e.configurer.Complete(),
 		Classes:       e.configurer.ClassStates(),
--- a/messenger/traffic.go
+++ b/messenger/traffic.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// Plus returns the sums of both counts.
+func (s TrafficState) Plus(other TrafficState) TrafficState {
+	return TrafficState{
+		FramesSent:     s.FramesSent + other.FramesSent,
+		FramesReceived: s.FramesReceived + other.FramesReceived,
+		BytesSent:      s.BytesSent + other.BytesSent,
+		BytesReceived:  s.BytesReceived + other.BytesReceived,
+	}
+}
+
 func (t *Traffic) sent() {
 	if t != nil {
 		t.framesSent.Add(1)
