Repeat work of the daemons in one place, list VMs in the slopes

Both daemons had the same loop around their gauges. The slopes gain an axis of listed VMs, which cost an entry memory whether or not it links to them.

--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -145,7 +145,8 @@
 	}
 	operators := dumper.New(admin, d.dumpOptions())
 	d.closers.Add(operators)
-	d.closers.Add(newGauges(d.executor, operators.Scope()))
+	g := &gauges{executor: d.executor, scope: operators.Scope()}
+	d.closers.Add(starter.Repeat(gaugeInterval, g.publish))
 	return nil
 }
 
--- a/cmd/cbagent/metrics.go
+++ b/cmd/cbagent/metrics.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -13,42 +11,13 @@
 // gaugeInterval is how often metrics are brought up to date.
 const gaugeInterval = time.Second
 
-// gauges publishes the state of the executor until Close.
+// gauges publishes the state of the executor.
 type gauges struct {
 	executor *executor.Executor
 	scope    tally.Scope
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
 	last     executor.State
 }
 
-func newGauges(e *executor.Executor, scope tally.Scope) *gauges {
-	ctx, cancel := context.WithCancel(context.Background())
-	g := &gauges{executor: e, scope: scope, cancel: cancel}
-	g.wait.Go(func() { g.follow(ctx) })
-	return g
-}
-
-// Close stops publishing and waits.
-func (g *gauges) Close() error {
-	g.cancel()
-	g.wait.Wait()
-	return nil
-}
-
-func (g *gauges) follow(ctx context.Context) {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		g.publish()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (g *gauges) publish() {
 	state := g.executor.State()
 	g.scope.Gauge("config_version").Update(float64(state.ConfigVersion))
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -218,7 +218,8 @@
 	}
 	operators := dumper.New(admin, e.dumpOptions())
 	e.closers.Add(operators)
-	e.closers.Add(newGauges(e, operators.Scope()))
+	g := &gauges{entry: e, scope: operators.Scope()}
+	e.closers.Add(starter.Repeat(gaugeInterval, g.set))
 	callers, err := e.listenCallers()
 	if err != nil {
 		return err
--- a/cmd/cbentry/metrics.go
+++ b/cmd/cbentry/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,12 +21,10 @@
 		scope tally.Scope
 	}
 
-	// gauges sets the gauges of an entry until Close.
+	// gauges sets the gauges of an entry.
 	gauges struct {
-		entry  *entry
-		scope  tally.Scope
-		cancel context.CancelFunc
-		wait   sync.WaitGroup
+		entry *entry
+		scope tally.Scope
 	}
 )
 
@@ -55,33 +52,6 @@
 	return failure
 }
 
-func newGauges(e *entry, scope tally.Scope) *gauges {
-	ctx, cancel := context.WithCancel(context.Background())
-	g := &gauges{entry: e, scope: scope, cancel: cancel}
-	g.wait.Go(func() { g.follow(ctx) })
-	return g
-}
-
-// Close stops setting the gauges and waits.
-func (g *gauges) Close() error {
-	g.cancel()
-	g.wait.Wait()
-	return nil
-}
-
-func (g *gauges) follow(ctx context.Context) {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		g.set()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (g *gauges) set() {
 	held := g.entry.configurer
 	g.scope.Gauge("config_version").Update(float64(held.Version()))
--- a/cmd/cbslopes/fleet.go
+++ b/cmd/cbslopes/fleet.go
@@ -162,10 +162,30 @@
 			Address:    carawaybeam.Address(entryIP(i) + ":7000"),
 		})
 	}
-	f.store.SetVMs(vms)
+	f.store.SetVMs(append(vms, f.listedVMs()...))
 	return nil
 }
 
+// listedVMs returns rows of VMs that have just left, as the list still shows
+// them. Nothing is at their addresses.
+func (f *fleet) listedVMs() []carawaybeam.VM {
+	vms := make([]carawaybeam.VM, 0, f.size.listed)
+	for i := range f.size.listed {
+		vms = append(vms, carawaybeam.VM{
+			ID:         carawaybeam.VMID(fmt.Sprintf("vm-listed-%d", i)),
+			State:      carawaybeam.VMLeaving,
+			DataCentre: dataCentre(i),
+			Role:       carawaybeam.RoleAgent,
+			Address:    carawaybeam.Address(fmt.Sprintf("127.3.%d.%d:7000", 1+i/addressesByte, 1+i%addressesByte)),
+			Pool:       carawaybeam.PoolID(fmt.Sprintf("pool-%d", i/listedPool)),
+		})
+	}
+	return vms
+}
+
+// listedPool is how many listed VMs share a pool.
+const listedPool = 124
+
 // dataCentres is how many data centres the processes are spread over.
 const dataCentres = 3
 
--- a/cmd/cbslopes/main.go
+++ b/cmd/cbslopes/main.go
@@ -24,8 +24,10 @@
 type (
 	// size is one point at which costs are measured.
 	size struct {
-		entries       int
-		agents        int
+		entries int
+		agents  int
+		// listed counts VMs that the platform lists beside the running ones.
+		listed        int
 		organisations int
 		classes       int
 		// changes counts changes of the configuration per second.
@@ -53,6 +55,7 @@
 	return []axis{
 		{"agents", []int{8, 16, 32, 64, 128}, with(func(s *size, n int) { s.agents = n })},
 		{"entries", []int{1, 2, 4, 8, 16}, with(func(s *size, n int) { s.entries = n })},
+		{"listedVMs", []int{0, 1000, 2000, 4000}, with(func(s *size, n int) { s.listed = n })},
 		{"organisations", []int{10, 700, 1400, 2800}, with(func(s *size, n int) { s.organisations = n })},
 		{"classes", []int{3, 15, 29, 58}, with(func(s *size, n int) { s.classes = n })},
 		{"changesPerSecond", []int{0, 2, 5, 10}, with(func(s *size, n int) { s.changes = n })},
