Try agents that cannot be reached less and less often

Cause: an entry dialled each chosen agent that did not answer every half second, so a lost data centre that the platform still lists cost it more than its budget.

--- a/tracker/member.go
+++ b/tracker/member.go
@@ -144,10 +144,10 @@
 }
 
 // run keeps a link to the agent until ctx ends. A link that worked is replaced
-// sooner.
+// sooner, and an agent that cannot be reached is tried less and less often.
 func (m *member) run(ctx context.Context) {
+	pause := redialInterval
 	for ctx.Err() == nil {
-		pause := redialInterval
 		if m.connect(ctx) {
 			pause = replaceInterval
 		}
@@ -155,6 +155,7 @@
 		case <-time.After(pause):
 		case <-ctx.Done():
 		}
+		pause = min(max(2*pause, redialInterval), maxRedialInterval)
 	}
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -26,8 +26,10 @@
 	minSilence  = 3 * time.Second
 	silentBeats = 3
 
-	// redialInterval is the pause before a link is made anew.
-	redialInterval = 500 * time.Millisecond
+	// redialInterval is the first pause before a link is made anew. It doubles
+	// up to maxRedialInterval while the agent cannot be reached.
+	redialInterval    = 500 * time.Millisecond
+	maxRedialInterval = 4 * time.Second
 
 	// pinTime is how long a link outside the subset is kept after its use.
 	pinTime = 5 * time.Minute
