Give each process of a test an IP address of its own

Ports that had been free on 127.0.0.1 were taken by other tests or by connections of the tests themselves before the process listened. Each address now has its own IP address in 127.0.0.0/8.

--- a/cmd/cbentry/process_test.go
+++ b/cmd/cbentry/process_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -51,9 +52,15 @@
 	os.Exit(code)
 }
 
+// addresses counts the addresses taken so far.
+var addresses atomic.Uint32
+
+// freeAddress returns an address with an IP address of its own, so that no local
+// port of a connection, which is on 127.0.0.1, can be in its way.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.32.%d.%d", os.Getpid()&0xff, 1+addresses.Add(1)%250)
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -20,6 +20,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -160,9 +161,24 @@
 	})
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+const (
+	// addressBits is how many bits of a process id its addresses hold, and
+	// addressesPerProcess bounds the addresses that one process takes.
+	addressBits         = 14
+	addressesPerProcess = 250
+)
+
+// addresses counts the addresses taken so far.
+var addresses atomic.Uint32
+
+// freeAddress returns an address that nobody else takes: each has an IP address
+// of its own in 127.64.0.0/10, so that neither another fleet nor the local port
+// of some connection, which is on 127.0.0.1, can be in its way.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid() & (1<<addressBits - 1)
+	last := 1 + addresses.Add(1)%addressesPerProcess
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8, pid&0xff, last)
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
