--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -106,10 +106,6 @@
 	return time.Duration(e.seconds(vector(work)) * float64(time.Second))
 }
 
-// TokenRate returns the prompt tokens that a typical backend server reads in a
-// second.
-func (e *Estimator) TokenRate() float64 { return tokenUnit / e.weights[1] }
-
 // Factor returns how many times slower than typical a backend server is.
 func (e *Estimator) Factor(now time.Time, backend carawaybeam.BackendID) float64 {
 	f, ok := e.factors[backend]
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -185,18 +185,6 @@
 	return &reportingStream{Stream: stream, member: m}, nil
 }
 
-// Known tells whether the backend server is still among the members.
-func (t *Tracker) Known(backend carawaybeam.BackendID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, m := range t.members {
-		if m.snapshot().Backend == backend {
-			return true
-		}
-	}
-	return false
-}
-
 // Suspect replaces the link to a backend server, since a stream on it went
 // silent.
 func (t *Tracker) Suspect(backend carawaybeam.BackendID) {
