Serve the users' platform directly from entries

An entry reads the platform's configuration and backend servers from its store and calls the backend servers itself; platform/ translates.

--- /dev/null
+++ b/cmd/cbentry/direct.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"context"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/acceptor"
+	"github.com/carawaybeam/carawaybeam/clock"
+	"github.com/carawaybeam/carawaybeam/configurer/adopter"
+	"github.com/carawaybeam/carawaybeam/curator"
+	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
+	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/follower"
+	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/readier"
+	"github.com/carawaybeam/carawaybeam/retrier/quota"
+	"github.com/carawaybeam/carawaybeam/starter"
+)
+
+const (
+	// memoryShare is the part of the allowed memory that the runtime is told to
+	// stay below. The rest is for what it does not count.
+	memoryShare = 0.7
+
+	// stopMargin is how long before it is killed a stopping process ends what
+	// still runs.
+	stopMargin = 500 * time.Millisecond
+
+	// maxReadyAge is the age of the configuration up to which an entry takes new
+	// clients.
+	maxReadyAge = 4 * time.Second
+)
+
+// directEntry is the running daemon where entries call backend servers
+// themselves.
+type directEntry struct {
+	settings  loader.Entry
+	log       zerolog.Logger
+	store     carawaybeam.Store
+	dialect   carawaybeam.Dialect
+	adopter   *adopter.Adopter
+	config    *follower.Follower
+	curator   *curator.Curator
+	instances *follower.Follower
+	pooler    *pooler.Pooler
+	router    carawaybeam.Router
+	retrier   *quota.Retrier
+	acceptor  *acceptor.Acceptor
+	leaving   atomic.Bool
+	closers   starter.Closers
+}
+
+// directState is the state dump.
+type directState struct {
+	DataCentre  carawaybeam.DataCentre    `json:"dataCentre"`
+	Config      carawaybeam.ConfigVersion `json:"config"`
+	ConfigAgeMs int64                     `json:"configAgeMs"`
+	Connections pooler.State              `json:"connections"`
+	Retries     any                       `json:"retries"`
+	Router      any                       `json:"router,omitempty"`
+}
+
+// runDirect runs the daemon until the signal to stop.
+func runDirect(stop context.Context, settings loader.Entry) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Direct.MemoryMB) * (1 << 20)))
+	e := &directEntry{settings: settings, log: starter.NewLog(settings.Process)}
+	if err := e.start(); err != nil {
+		starter.Fail(program, starter.ExitStart, err)
+	}
+	e.log.Info().Str("dialect", settings.Direct.Dialect).Str("callers", string(settings.Callers)).
+		Msg("entry: started")
+	<-stop.Done()
+	e.stop()
+	e.log.Info().Msg("entry: stopped")
+}
+
+// start makes all parts, those first on which others depend.
+func (e *directEntry) start() error {
+	newDialect, err := carawaybeam.Dialects.Lookup(e.settings.Direct.Dialect)
+	if err != nil {
+		return err
+	}
+	e.dialect = newDialect()
+	newStore, err := carawaybeam.Stores.Lookup(e.settings.Store.Protocol)
+	if err != nil {
+		return err
+	}
+	e.store, err = newStore(carawaybeam.StoreOptions{
+		URL:     e.settings.Store.URL,
+		Token:   e.settings.Store.Token,
+		Timeout: time.Duration(e.settings.Store.Timeout),
+	})
+	if err != nil {
+		return err
+	}
+	e.follow()
+	return e.listen()
+}
+
+// follow keeps the configuration and the backend servers up to date.
+func (e *directEntry) follow() {
+	kind, name := e.dialect.RoutingObject()
+	e.adopter = adopter.New(adopter.Options{Name: name, Decode: e.dialect.DecodeRouting, Log: e.log})
+	e.config = follower.New(follower.Options{
+		Store: e.store, Kind: kind, Sink: e.adopter, Clock: clock.Boot, Log: e.log,
+	})
+	e.closers.Add(e.config)
+	e.curator = curator.New(curator.Options{
+		Decode:      e.dialect.DecodeInstance,
+		SinceOutage: e.config.SinceOutage,
+		Log:         e.log,
+	})
+	e.instances = follower.New(follower.Options{
+		Store: e.store, Kind: e.dialect.InstanceKind(), Sink: e.curator, Clock: clock.Boot, Log: e.log,
+	})
+	e.closers.Add(e.instances)
+}
+
+func (e *directEntry) listen() error {
+	newRouter, err := carawaybeam.Routers.Lookup(e.settings.Policies.Router)
+	if err != nil {
+		return err
+	}
+	newLimiter, err := carawaybeam.Limiters.Lookup(e.settings.Policies.Limiter)
+	if err != nil {
+		return err
+	}
+	e.router = newRouter()
+	e.retrier = quota.New(quota.Options{
+		Ratio:   e.settings.Direct.Retries.Ratio,
+		Window:  time.Duration(e.settings.Direct.Retries.Window),
+		Reserve: e.settings.Direct.Retries.Reserve,
+		Entries: func() int { return 8 },
+	})
+	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
+	e.closers.Add(e.pooler)
+	admin, err := starter.Listen("operators", e.settings.Admin)
+	if err != nil {
+		return err
+	}
+	e.closers.Add(dumper.New(admin, dumper.Options{
+		Process: e.settings.Process, Ready: e.ready, State: e.state, Log: e.log,
+	}))
+	readiness, err := starter.Listen("the balancer", e.settings.Direct.Readiness)
+	if err != nil {
+		return err
+	}
+	e.closers.Add(readier.New(readiness, e.ready, e.log))
+	callers, err := starter.Listen("callers", e.settings.Callers)
+	if err != nil {
+		return err
+	}
+	e.acceptor = acceptor.New(callers, acceptor.Options{
+		Dialect: e.dialect,
+		Forwarder: forwarder.New(forwarder.Options{
+			DataCentre:    e.settings.DataCentre,
+			Configuration: e.adopter,
+			Age:           e.config.Age,
+			MaxKeyAge:     time.Duration(e.settings.Direct.MaxKeyAge),
+			Members:       e.curator,
+			Sender:        e.pooler,
+			Encode:        e.dialect.EncodeForwarding,
+			Router:        e.router,
+			Limiter:       newLimiter(),
+			Retrier:       e.retrier,
+			Log:           e.log,
+		}),
+		BodyBytes:    e.settings.Limits.BodyBytes,
+		HeaderBytes:  e.settings.Limits.HeaderBytes,
+		ReadTimeout:  time.Duration(e.settings.Limits.ReadTimeout),
+		WriteTimeout: time.Duration(e.settings.Limits.WriteTimeout),
+		Log:          e.log,
+	})
+	e.closers.Add(e.acceptor)
+	return nil
+}
+
+// ready tells whether the entry takes new clients.
+func (e *directEntry) ready() bool {
+	age, known := e.config.Age()
+	return !e.leaving.Load() && known && age <= maxReadyAge && e.adopter.Current() != nil && e.curator.Loaded()
+}
+
+// stop takes no new clients, finishes what runs and closes all parts.
+func (e *directEntry) stop() {
+	e.log.Info().Msg("entry: draining")
+	e.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(
+		context.Background(), time.Duration(e.settings.Direct.StopWithin)-stopMargin,
+	)
+	defer cancel()
+	if err := e.acceptor.Drain(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("entry: requests were cut off at the end of the stop")
+	}
+	if err := e.closers.Close(); err != nil {
+		e.log.Warn().Err(err).Msg("entry: a part did not close cleanly")
+	}
+}
+
+func (e *directEntry) state() any {
+	state := directState{
+		DataCentre:  e.settings.DataCentre,
+		Connections: e.pooler.State(),
+		Retries:     e.retrier.State(),
+	}
+	if current := e.adopter.Current(); current != nil {
+		state.Config = current.Version()
+	}
+	if age, known := e.config.Age(); known {
+		state.ConfigAgeMs = age.Milliseconds()
+	}
+	if dumping, ok := e.router.(carawaybeam.StateDumper); ok {
+		state.Router = dumping.State()
+	}
+	return state
+}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -104,6 +104,10 @@
 	}
 	stop, cancel := starter.StopSignal()
 	defer cancel()
+	if settings.Direct.Enabled() {
+		runDirect(stop, settings)
+		return
+	}
 	e := &entry{settings: settings, log: starter.NewLog(settings.Process), shutDown: cancel}
 	if err := e.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
--- a/decisions.go
+++ b/decisions.go
@@ -23,12 +23,17 @@
 		Target time.Duration
 		// Tried lists backend servers that earlier tries of the request used.
 		Tried []BackendID
+		// Engine describes the model engines of the pool. It is nil where it is
+		// not known or the pool has none.
+		Engine *Engine
 	}
 
 	// Candidate is what a router knows of one backend server.
 	Candidate struct {
 		Backend    BackendID
 		DataCentre DataCentre
+		// Slots is how many requests it runs at once, or 0 where it is not known.
+		Slots int
 		// Distance is the time that a message takes one way.
 		Distance time.Duration
 		// Load is the last report, ReportAge old.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -158,19 +158,19 @@
 	}
 	response, err := k.client.Do(request)
 	if err != nil {
-		return &carawaybeam.StoreError{Failure: failureOf(method, err), Detail: err.Error()}
+		return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return &carawaybeam.StoreError{Failure: failureOf(method, err), Detail: err.Error()}
+		return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
 	}
 	return decode(method, response.StatusCode, data, result)
 }
 
-// failureOf judges a transport error. A write may have taken effect unless the
+// FailureOf judges a transport error. A write may have taken effect unless the
 // connection was never made.
-func failureOf(method string, err error) carawaybeam.StoreFailure {
+func FailureOf(method string, err error) carawaybeam.StoreFailure {
 	var op *net.OpError
 	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
 		return carawaybeam.StoreUnavailable
@@ -182,7 +182,7 @@
 	switch status {
 	case http.StatusOK, http.StatusCreated:
 		if err := json.Unmarshal(data, result); err != nil {
-			return &carawaybeam.StoreError{Failure: failureOf(method, err), Detail: err.Error()}
+			return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
 		}
 		return nil
 	case http.StatusNotFound:
@@ -199,7 +199,7 @@
 		return &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: http.StatusText(status)}
 	default:
 		return &carawaybeam.StoreError{
-			Failure: failureOf(method, errors.New("status")),
+			Failure: FailureOf(method, errors.New("status")),
 			Detail:  fmt.Sprintf("status %d", status),
 		}
 	}
--- /dev/null
+++ b/loader/direct.go
@@ -0,0 +1,50 @@
+package loader
+
+import (
+	"github.com/carawaybeam/carawaybeam"
+)
+
+type (
+	// Direct holds the settings of an entry that calls backend servers itself,
+	// on a platform whose backend servers prove what they have not run.
+	Direct struct {
+		Dialect    string              `toml:"dialect"    doc:"Plug-in that reads the platform's messages. Without one, entries work through agents."`
+		Readiness  carawaybeam.Address `toml:"readiness"  doc:"Address on which the balancer asks whether the entry is ready."`
+		MaxKeyAge  Duration            `toml:"maxKeyAge"  doc:"Age of the configuration up to which keys are believed, or 0s for any age."`
+		StopWithin Duration            `toml:"stopWithin" doc:"Time from the signal to stop until the process is killed."`
+		MemoryMB   int                 `toml:"memoryMB"   doc:"Memory in MB at which the process is killed."`
+		Retries    Retries             `toml:"retries"`
+	}
+
+	// Retries bounds the further tries of all entries together, for each pool.
+	Retries struct {
+		Ratio   float64  `toml:"ratio"   doc:"Further tries for each request."`
+		Reserve float64  `toml:"reserve" doc:"Further tries in a window beside the ratio."`
+		Window  Duration `toml:"window"  doc:"Time over which the bound holds."`
+	}
+)
+
+// Enabled tells whether the entry calls backend servers itself.
+func (s Direct) Enabled() bool { return s.Dialect != "" }
+
+func (s Direct) faults() []fault {
+	var faults []fault
+	faults = append(faults, registered("direct.dialect", &carawaybeam.Dialects, s.Dialect)...)
+	faults = append(faults, address("direct.readiness", s.Readiness)...)
+	if s.MaxKeyAge < 0 {
+		faults = append(faults, fault{key: "direct.maxKeyAge", detail: "want no negative duration"})
+	}
+	if s.StopWithin <= 0 {
+		faults = append(faults, fault{key: "direct.stopWithin", detail: "want a positive duration"})
+	}
+	if s.MemoryMB <= 0 {
+		faults = append(faults, fault{key: "direct.memoryMB", detail: "want a positive number of MB"})
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Reserve < 0 {
+		faults = append(faults, fault{key: "direct.retries", detail: "want no negative numbers"})
+	}
+	if s.Retries.Window <= 0 {
+		faults = append(faults, fault{key: "direct.retries.window", detail: "want a positive duration"})
+	}
+	return faults
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -33,6 +33,7 @@
 		CallerTLS  TLS                    `toml:"callerTLS"`
 		LinkTLS    TLS                    `toml:"linkTLS"`
 		Operators  Operators              `toml:"operators"`
+		Direct     Direct                 `toml:"direct"`
 	}
 
 	// Operators tells who may change the configuration.
@@ -206,9 +207,13 @@
 	faults = append(faults, address("links", s.Links)...)
 	faults = append(faults, address("admin", s.Admin)...)
 	faults = append(faults, s.Store.faults("store")...)
-	faults = append(faults, s.VMList.faults("vmList")...)
 	faults = append(faults, registered("store.protocol", &carawaybeam.Stores, s.Store.Protocol)...)
-	faults = append(faults, registered("vmList.protocol", &carawaybeam.Listers, s.VMList.Protocol)...)
+	if s.Direct.Enabled() {
+		faults = append(faults, s.Direct.faults()...)
+	} else {
+		faults = append(faults, s.VMList.faults("vmList")...)
+		faults = append(faults, registered("vmList.protocol", &carawaybeam.Listers, s.VMList.Protocol)...)
+	}
 	faults = append(faults, registered("policies.router", &carawaybeam.Routers, s.Policies.Router)...)
 	faults = append(faults, registered("policies.limiter", &carawaybeam.Limiters, s.Policies.Limiter)...)
 	faults = append(faults, registered("policies.retrier", &carawaybeam.Retriers, s.Policies.Retrier)...)
--- /dev/null
+++ b/matcher/matcher.go
@@ -0,0 +1,102 @@
+// Package matcher finds the route and the organisation of a request in one
+// version of the routing configuration.
+package matcher
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+// Matcher is an index of one version of the routing configuration. It is
+// immutable.
+type Matcher struct {
+	routing carawaybeam.Routing
+	// byHost holds the routes of each host, those with longer prefixes first.
+	byHost  map[string][]*carawaybeam.Route
+	holders map[carawaybeam.APIKey]*carawaybeam.KeyHolder
+	pools   map[carawaybeam.PoolID]*carawaybeam.Pool
+}
+
+// New returns the index of a routing configuration.
+func New(routing carawaybeam.Routing) *Matcher {
+	m := &Matcher{
+		routing: routing,
+		byHost:  make(map[string][]*carawaybeam.Route),
+		holders: make(map[carawaybeam.APIKey]*carawaybeam.KeyHolder),
+		pools:   make(map[carawaybeam.PoolID]*carawaybeam.Pool),
+	}
+	for i := range routing.Routes {
+		host := strings.ToLower(routing.Routes[i].Host)
+		m.byHost[host] = append(m.byHost[host], &routing.Routes[i])
+	}
+	for _, routes := range m.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range routing.KeyHolders {
+		for _, key := range routing.KeyHolders[i].Keys {
+			m.holders[key] = &routing.KeyHolders[i]
+		}
+	}
+	for i := range routing.Pools {
+		m.pools[routing.Pools[i].ID] = &routing.Pools[i]
+	}
+	return m
+}
+
+// Version returns the version of the configuration.
+func (m *Matcher) Version() carawaybeam.ConfigVersion { return m.routing.Version }
+
+// Limits returns the bounds on clients.
+func (m *Matcher) Limits() carawaybeam.ClientLimits { return m.routing.Limits }
+
+// Route returns the route with the longest prefix of the path, or nil. The path
+// is compared as the client sent it.
+func (m *Matcher) Route(host, path string) *carawaybeam.Route {
+	for _, route := range m.byHost[hostname(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostname returns a host without port, in lower case.
+func hostname(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// NeedsKey tells whether requests on the route are served for a key only.
+func (m *Matcher) NeedsKey(route *carawaybeam.Route) bool {
+	return !route.Public && len(m.routing.KeyHolders) > 0
+}
+
+// Holder returns the organisation that holds the key, or nil.
+func (m *Matcher) Holder(key carawaybeam.APIKey) *carawaybeam.KeyHolder { return m.holders[key] }
+
+// Pool returns the pool of that name, or nil.
+func (m *Matcher) Pool(id carawaybeam.PoolID) *carawaybeam.Pool { return m.pools[id] }
+
+// ChoosePool draws one of the route's pools by their weights. It reports false
+// when the route has none.
+func ChoosePool(route *carawaybeam.Route, random *rand.Rand) (carawaybeam.PoolID, bool) {
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	if total == 0 {
+		return "", false
+	}
+	drawn := random.IntN(total)
+	for _, share := range route.Shares {
+		if drawn -= share.Weight; drawn < 0 {
+			return share.Pool, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/readier/readier.go
@@ -0,0 +1,50 @@
+// Package readier tells the balancer whether a process takes clients.
+package readier
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// readTimeout bounds the time in which the balancer sends its question.
+const readTimeout = 2 * time.Second
+
+// Readier answers every request with 200 while the process takes clients, and
+// with 503 otherwise.
+type Readier struct {
+	http *http.Server
+	done chan struct{}
+}
+
+// New returns a Readier that serves the listener until Close.
+func New(listener net.Listener, ready func() bool, log zerolog.Logger) *Readier {
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		status := http.StatusServiceUnavailable
+		if ready() {
+			status = http.StatusOK
+		}
+		w.WriteHeader(status)
+	}
+	r := &Readier{
+		http: &http.Server{Handler: http.HandlerFunc(handler), ReadTimeout: readTimeout},
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(r.done)
+		if err := r.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Err(err).Msg("readier: balancer is no longer answered")
+		}
+	}()
+	return r
+}
+
+// Close ends the listener and waits.
+func (r *Readier) Close() error {
+	err := r.http.Close()
+	<-r.done
+	return err
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,10 +12,12 @@
 	_ "github.com/carawaybeam/carawaybeam/planner/drift"
 	_ "github.com/carawaybeam/carawaybeam/planner/greedy"
 	_ "github.com/carawaybeam/carawaybeam/planner/static"
+	_ "github.com/carawaybeam/carawaybeam/platform"
 	_ "github.com/carawaybeam/carawaybeam/ranker"
 	_ "github.com/carawaybeam/carawaybeam/retrier/budget"
 	_ "github.com/carawaybeam/carawaybeam/retrier/proof"
 	_ "github.com/carawaybeam/carawaybeam/router/expected"
 	_ "github.com/carawaybeam/carawaybeam/router/leastinflight"
+	_ "github.com/carawaybeam/carawaybeam/router/occupancy"
 	_ "github.com/carawaybeam/carawaybeam/router/roundrobin"
 )
--- a/registry.go
+++ b/registry.go
@@ -21,6 +21,9 @@
 	// Stores holds the protocols spoken to the platform's object store.
 	Stores Registry[func(StoreOptions) (Store, error)]
 
+	// Dialects holds the message formats of platforms.
+	Dialects Registry[func() Dialect]
+
 	// Listers holds the protocols spoken to the platform's list of VMs.
 	Listers Registry[func(ListerOptions) (Lister, error)]
 
