--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -67,6 +67,12 @@
 	}
 	stop, cancel := starter.StopSignal()
 	defer cancel()
+	if settings.Reporting.Enabled() {
+		if err := runReporting(stop, settings, starter.NewLog(settings.Process)); err != nil {
+			starter.Fail(program, starter.ExitStart, err)
+		}
+		return
+	}
 	d := &daemon{settings: settings, log: starter.NewLog(settings.Process), shutDown: cancel}
 	if err := d.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
--- /dev/null
+++ b/cmd/cbagent/reporting.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/clock"
+	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/enroller"
+	"github.com/carawaybeam/carawaybeam/follower"
+	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/reporter"
+	"github.com/carawaybeam/carawaybeam/starter"
+)
+
+const (
+	// memoryShare is the part of the allowed memory that the runtime is told to
+	// stay below. The rest is for what it does not count.
+	memoryShare = 0.7
+
+	// rollWait is how long a watch of the enrolled entries waits. Entries come and
+	// go seldom.
+	rollWait = 10 * time.Second
+)
+
+// reportingState is the state dump of an agent that only reports.
+type reportingState struct {
+	Entries []enroller.Entry `json:"entries"`
+}
+
+// runReporting tells entries the state of the rank until the signal to stop.
+func runReporting(stop context.Context, settings loader.Agent, log zerolog.Logger) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Reporting.MemoryMB) * (1 << 20)))
+	var closers starter.Closers
+	newStore, err := carawaybeam.Stores.Lookup(settings.Reporting.Store.Protocol)
+	if err != nil {
+		return err
+	}
+	store, err := newStore(carawaybeam.StoreOptions{
+		URL:     settings.Reporting.Store.URL,
+		Token:   settings.Reporting.Store.Token,
+		Timeout: time.Duration(settings.Reporting.Store.Timeout),
+	})
+	if err != nil {
+		return err
+	}
+	newEngine, err := carawaybeam.RankEngines.Lookup(settings.Reporting.Protocol)
+	if err != nil {
+		return err
+	}
+	rank, err := newEngine(carawaybeam.RankEngineOptions{Address: settings.Reporting.Rank, Timeout: connectTimeout})
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenPacket("udp", string(settings.Links))
+	if err != nil {
+		return &starter.ListenError{Purpose: "requests for picks", Address: settings.Links, Cause: err}
+	}
+	admin, err := starter.Listen("operators", settings.Admin)
+	if err != nil {
+		return err
+	}
+	roll := enroller.NewRoll(log)
+	closers.Add(follower.New(follower.Options{
+		Store: store, Kind: carawaybeam.KindEntry, Sink: roll, Clock: clock.Boot, Wait: rollWait, Log: log,
+	}))
+	closers.Add(reporter.New(reporter.Options{
+		Sender:  settings.Process + "/" + string(carawaybeam.NewIncarnation()),
+		Address: settings.Reporting.Rank,
+		Rank:    rank,
+		Entries: roll.Entries,
+		Conn:    conn,
+		Log:     log,
+	}))
+	closers.Add(dumper.New(admin, dumper.Options{
+		Process: settings.Process,
+		Ready:   func() bool { return roll.Len() > 0 },
+		State:   func() any { return reportingState{Entries: roll.Entries()} },
+		Log:     log,
+	}))
+	log.Info().Str("rank", string(settings.Reporting.Rank)).Msg("agent: started")
+	<-stop.Done()
+	err = closers.Close()
+	log.Info().Msg("agent: stopped")
+	return err
+}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -11,10 +12,12 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/acceptor"
 	"github.com/carawaybeam/carawaybeam/clock"
+	"github.com/carawaybeam/carawaybeam/collector"
 	"github.com/carawaybeam/carawaybeam/configurer/adopter"
 	"github.com/carawaybeam/carawaybeam/curator"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
 	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/enroller"
 	"github.com/carawaybeam/carawaybeam/follower"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/pooler"
@@ -32,6 +35,13 @@
 	// still runs.
 	stopMargin = 500 * time.Millisecond
 
+	// rollWait is how long a watch of the enrolled entries waits. Entries come and
+	// go seldom, and a late word of one does no harm.
+	rollWait = 10 * time.Second
+
+	// maxReportAge is the age up to which a reported load counts.
+	maxReportAge = time.Second
+
 	// maxReadyAge is the age of the configuration up to which an entry takes new
 	// clients.
 	maxReadyAge = 4 * time.Second
@@ -52,6 +62,8 @@
 	router    carawaybeam.Router
 	retrier   *quota.Retrier
 	acceptor  *acceptor.Acceptor
+	roll      *enroller.Roll
+	collector *collector.Collector
 	leaving   atomic.Bool
 	closers   starter.Closers
 }
@@ -100,6 +112,9 @@
 		return err
 	}
 	e.follow()
+	if err := e.collect(); err != nil {
+		return err
+	}
 	return e.listen()
 }
 
@@ -122,6 +137,46 @@
 	e.closers.Add(e.instances)
 }
 
+// collect takes the statuses of ranks, and conducts the groups that they form.
+func (e *directEntry) collect() error {
+	conn, err := net.ListenPacket("udp", string(e.settings.Links))
+	if err != nil {
+		return &starter.ListenError{Purpose: "statuses", Address: e.settings.Links, Cause: err}
+	}
+	e.collector = collector.New(collector.Options{Conn: conn, Log: e.log})
+	e.closers.Add(e.collector)
+	e.roll = enroller.NewRoll(e.log)
+	e.closers.Add(follower.New(follower.Options{
+		Store: e.store, Kind: carawaybeam.KindEntry, Sink: e.roll, Clock: clock.Boot, Wait: rollWait, Log: e.log,
+	}))
+	e.closers.Add(enroller.New(enroller.Options{
+		Store: e.store,
+		Entry: enroller.Entry{
+			Name: e.settings.Process, Statuses: e.settings.Links, DataCentre: e.settings.DataCentre,
+		},
+		Log: e.log,
+	}))
+	newEngine, err := carawaybeam.RankEngines.Lookup(e.settings.Direct.Dialect)
+	if err != nil {
+		return err
+	}
+	newPlanner, err := carawaybeam.Planners.Lookup(e.settings.Policies.Planner)
+	if err != nil {
+		return err
+	}
+	e.closers.Add(newConductors(e, newEngine, newPlanner))
+	return nil
+}
+
+// load returns the load that an agent reported of the backend server beside it.
+func (e *directEntry) load(address carawaybeam.Address) (carawaybeam.Load, time.Time, bool) {
+	status, ok := e.collector.Status(address)
+	if !ok || time.Since(status.Received) > maxReportAge {
+		return carawaybeam.Load{}, time.Time{}, false
+	}
+	return carawaybeam.Load{Running: status.Running, Waiting: status.Waiting}, status.Received, true
+}
+
 func (e *directEntry) listen() error {
 	newRouter, err := carawaybeam.Routers.Lookup(e.settings.Policies.Router)
 	if err != nil {
@@ -136,7 +191,7 @@
 		Ratio:   e.settings.Direct.Retries.Ratio,
 		Window:  time.Duration(e.settings.Direct.Retries.Window),
 		Reserve: e.settings.Direct.Retries.Reserve,
-		Entries: func() int { return 8 },
+		Entries: e.roll.Len,
 	})
 	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
 	e.closers.Add(e.pooler)
@@ -164,6 +219,7 @@
 			Age:           e.config.Age,
 			MaxKeyAge:     time.Duration(e.settings.Direct.MaxKeyAge),
 			Members:       e.curator,
+			Load:          e.load,
 			Sender:        e.pooler,
 			Encode:        e.dialect.EncodeForwarding,
 			Router:        e.router,
--- a/curator/curator.go
+++ b/curator/curator.go
@@ -88,6 +88,18 @@
 	return c.pools[pool]
 }
 
+// PoolAt returns the pool of the backend server at an address.
+func (c *Curator) PoolAt(address carawaybeam.Address) (carawaybeam.PoolID, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		if m.instance.Address == address {
+			return m.instance.Pool, true
+		}
+	}
+	return "", false
+}
+
 // Usable tells whether one life of a backend server may take work.
 func (c *Curator) Usable(life carawaybeam.Incarnate) bool {
 	c.mu.Lock()
--- a/decisions.go
+++ b/decisions.go
@@ -201,6 +201,16 @@
 		// InstallDelay is how long one new expert holds up its rank, and with
 		// it the group.
 		InstallDelay time.Duration
+		// Arrivals bounds the new experts of a rank in all layers of one plan, and
+		// LayerArrivals those in one layer. 0 stands for no bound.
+		Arrivals      int
+		LayerArrivals int
+		// ExpertShare is the part of a step's time that experts take, from 0 to
+		// 1. 0 stands for all of it.
+		ExpertShare float64
+		// CopySlowdown is by which part steps are longer while experts are
+		// copied.
+		CopySlowdown float64
 	}
 
 	// PlanRequest is what a planner knows of a group.
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -76,6 +76,9 @@
 		MaxKeyAge time.Duration
 		Members   Members
 		Sender    Sender
+		// Load returns the load that the backend server at an address reported,
+		// and when. It reports false when there is no recent report.
+		Load func(address carawaybeam.Address) (carawaybeam.Load, time.Time, bool)
 		// Encode returns the header of a request for a backend server.
 		Encode  func(*carawaybeam.ClientRequest, carawaybeam.Forwarding) http.Header
 		Router  carawaybeam.Router
--- a/dispatcher/forwarder/pursuit.go
+++ b/dispatcher/forwarder/pursuit.go
@@ -186,7 +186,12 @@
 			DataCentre: instance.DataCentre,
 			Slots:      instance.Slots,
 		}
-		f.counter.Fill(now, time.Time{}, &c)
+		load, reported, ok := f.options.Load(instance.Address)
+		if ok {
+			c.Load = load
+			c.ReportAge = now.Sub(reported)
+		}
+		f.counter.Fill(now, reported, &c)
 		candidates = append(candidates, c)
 	}
 	return f.options.Router.Route(now, carawaybeam.RouteRequest{
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. The copy is confirmed
+	// defaultWait is how long one watch waits for a change. The copy is confirmed
 	// once in this time, well within the seconds in which a withdrawn key has to
 	// stop working.
-	watchWait = 1500 * time.Millisecond
+	defaultWait = 1500 * time.Millisecond
 
 	// minPause and maxPause bound the wait after a failed call. The longest one
 	// is part of the time in which a change is in force after an outage.
@@ -49,7 +49,10 @@
 		Kind  carawaybeam.StoreKind
 		Sink  Sink
 		Clock Clock
-		Log   zerolog.Logger
+		// Wait is how long one watch waits for a change, or 0 for the default. It
+		// bounds how long a silent connection goes unnoticed.
+		Wait time.Duration
+		Log  zerolog.Logger
 	}
 
 	// Follower follows one kind until Close.
@@ -74,6 +77,9 @@
 
 // New returns a Follower that works until Close.
 func New(options Options) *Follower {
+	if options.Wait == 0 {
+		options.Wait = defaultWait
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{options: options, ctx: ctx, cancel: cancel}
 	f.wait.Go(f.follow)
@@ -159,7 +165,7 @@
 		f.confirm(sent)
 		return version, nil
 	}
-	changes, version, err := f.options.Store.Watch(f.ctx, []carawaybeam.StoreKind{f.options.Kind}, at, watchWait)
+	changes, version, err := f.options.Store.Watch(f.ctx, []carawaybeam.StoreKind{f.options.Kind}, at, f.options.Wait)
 	if err != nil {
 		return at, err
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -96,6 +96,19 @@
 	return l.write(ctx, next, object.Version, began)
 }
 
+// Seize takes the lease under a new epoch though another process may hold it,
+// which is for a holder that has stopped in the middle of an act. The former
+// holder is refused by its epoch. Errors are as those of Try.
+func (l *Leaser) Seize(ctx context.Context) error {
+	began := time.Now()
+	object, present, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	next := lease{Holder: l.options.Holder, Epoch: present.Epoch + 1, Renewal: present.Renewal + 1}
+	return l.write(ctx, next, object.Version, began)
+}
+
 // read returns the present lease, which is empty if there is none.
 func (l *Leaser) read(ctx context.Context) (carawaybeam.Object, lease, error) {
 	var present lease
--- a/loader/direct.go
+++ b/loader/direct.go
@@ -16,6 +16,15 @@
 		Retries    Retries             `toml:"retries"`
 	}
 
+	// Reporting holds the settings of an agent that only tells entries the state
+	// of the rank beside it.
+	Reporting struct {
+		Protocol string              `toml:"protocol" doc:"Plug-in that speaks to the rank. Without one, the agent takes requests."`
+		Rank     carawaybeam.Address `toml:"rank"     doc:"Address of the rank."`
+		MemoryMB int                 `toml:"memoryMB" doc:"Memory in MB at which the process is killed."`
+		Store    Service             `toml:"store"`
+	}
+
 	// Retries bounds the further tries of all entries together, for each pool.
 	Retries struct {
 		Ratio   float64  `toml:"ratio"   doc:"Further tries for each request."`
@@ -48,3 +57,18 @@
 	}
 	return faults
 }
+
+// Enabled tells whether the agent only reports.
+func (s Reporting) Enabled() bool { return s.Protocol != "" }
+
+func (s Reporting) faults() []fault {
+	var faults []fault
+	faults = append(faults, registered("reporting.protocol", &carawaybeam.RankEngines, s.Protocol)...)
+	faults = append(faults, address("reporting.rank", s.Rank)...)
+	faults = append(faults, s.Store.faults("reporting.store")...)
+	faults = append(faults, registered("reporting.store.protocol", &carawaybeam.Stores, s.Store.Protocol)...)
+	if s.MemoryMB <= 0 {
+		faults = append(faults, fault{key: "reporting.memoryMB", detail: "want a positive number of MB"})
+	}
+	return faults
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -52,6 +52,7 @@
 		Backend    Backend                `toml:"backend"`
 		Group      Group                  `toml:"group"`
 		LinkTLS    TLS                    `toml:"linkTLS"`
+		Reporting  Reporting              `toml:"reporting"`
 	}
 
 	// Service tells how to reach an outside system.
@@ -142,7 +143,8 @@
 // DefaultAgent returns the settings in force where the file is silent.
 func DefaultAgent() Agent {
 	return Agent{
-		Backend: Backend{Protocol: "engine", Concurrency: 64},
+		Backend:   Backend{Protocol: "engine", Concurrency: 64},
+		Reporting: Reporting{Store: Service{Protocol: "rest", Timeout: Duration(2 * time.Second)}},
 		Group: Group{
 			Lookahead: 8,
 			Protocol:  "rest",
@@ -245,6 +247,9 @@
 	faults = append(faults, required("dataCentre", string(s.DataCentre))...)
 	faults = append(faults, address("links", s.Links)...)
 	faults = append(faults, address("admin", s.Admin)...)
+	if s.Reporting.Enabled() {
+		return append(faults, s.Reporting.faults()...)
+	}
 	faults = append(faults, required("backend.id", string(s.Backend.ID))...)
 	faults = append(faults, baseURL("backend.url", s.Backend.URL)...)
 	faults = append(faults, registered("backend.protocol", &carawaybeam.Backends, s.Backend.Protocol)...)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -9,6 +9,7 @@
 	_ "github.com/carawaybeam/carawaybeam/limiter/fair"
 	_ "github.com/carawaybeam/carawaybeam/limiter/unlimited"
 	_ "github.com/carawaybeam/carawaybeam/lister"
+	_ "github.com/carawaybeam/carawaybeam/planner/chaser"
 	_ "github.com/carawaybeam/carawaybeam/planner/drift"
 	_ "github.com/carawaybeam/carawaybeam/planner/greedy"
 	_ "github.com/carawaybeam/carawaybeam/planner/static"
--- a/registry.go
+++ b/registry.go
@@ -33,6 +33,9 @@
 	// RankClients holds the protocols spoken to the ranks of a group.
 	RankClients Registry[func(RanksOptions) (Ranks, error)]
 
+	// RankEngines holds the protocols spoken to ranks that take orders.
+	RankEngines Registry[func(RankEngineOptions) (RankEngine, error)]
+
 	// Routers holds the policies that choose a backend server.
 	Routers Registry[func() Router]
 
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,246 @@
+// Package reporter tells entries the state of the rank beside an agent.
+//
+// Statuses travel in datagrams: each one replaces those before, so that a lost
+// one does no harm and an old one is of no use.
+package reporter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/enroller"
+	"github.com/carawaybeam/carawaybeam/framer"
+)
+
+const (
+	// interval is how often the rank is read, about once or twice in a pass.
+	interval = 100 * time.Millisecond
+
+	// picksEvery is at every how many statuses the picks are added.
+	picksEvery = 2
+
+	// picksFor is how long a request for picks holds.
+	picksFor = 2 * time.Second
+
+	// callTimeout bounds one call to the rank, which is on the same VM.
+	callTimeout = 500 * time.Millisecond
+
+	// maxDatagram bounds what is read from an entry.
+	maxDatagram = 2048
+
+	// maxAskers bounds the entries remembered for their requests.
+	maxAskers = 64
+)
+
+type (
+	// Options is what a Reporter is made from.
+	Options struct {
+		// Sender names the process, in this life.
+		Sender string
+		// Address is where the backend server takes requests.
+		Address carawaybeam.Address
+		Rank    carawaybeam.RankEngine
+		// Entries returns who is told.
+		Entries func() []enroller.Entry
+		// Conn sends statuses and takes requests for picks.
+		Conn net.PacketConn
+		Log  zerolog.Logger
+	}
+
+	// Reporter reports until Close.
+	Reporter struct {
+		options Options
+		ctx     context.Context
+		cancel  context.CancelFunc
+		wait    sync.WaitGroup
+
+		mu sync.Mutex
+		// askers holds until when each address gets picks.
+		askers map[string]time.Time
+
+		sequence uint64
+		failing  bool
+	}
+)
+
+// New returns a Reporter that works until Close. It closes the connection.
+func New(options Options) *Reporter {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Reporter{options: options, ctx: ctx, cancel: cancel, askers: make(map[string]time.Time)}
+	r.wait.Go(r.report)
+	r.wait.Go(r.listen)
+	return r
+}
+
+// Close ends the reports and waits.
+func (r *Reporter) Close() error {
+	r.cancel()
+	err := r.options.Conn.Close()
+	r.wait.Wait()
+	return err
+}
+
+func (r *Reporter) report() {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.once()
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+// once reads the rank and tells the entries.
+func (r *Reporter) once() {
+	entries := r.options.Entries()
+	if len(entries) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	state, err := r.options.Rank.State(ctx)
+	r.note(err)
+	if err != nil {
+		return
+	}
+	r.sequence++
+	status := encode(r.options, r.sequence, state)
+	plain, err := proto.Marshal(&framer.Frame{Body: &framer.Frame_RankStatus{RankStatus: status}})
+	if err != nil {
+		r.options.Log.Error().Err(err).Msg("reporter: status is not encoded")
+		return
+	}
+	withPicks := r.withPicks(ctx, status, plain)
+	for _, entry := range entries {
+		data := plain
+		if r.wantsPicks(string(entry.Statuses)) {
+			data = withPicks
+		}
+		r.send(entry.Statuses, data)
+	}
+}
+
+// note logs when the rank is lost and regained.
+func (r *Reporter) note(err error) {
+	switch {
+	case r.ctx.Err() != nil:
+	case err != nil && !r.failing:
+		r.options.Log.Warn().Err(err).Msg("reporter: rank does not answer")
+	case err == nil && r.failing:
+		r.options.Log.Info().Msg("reporter: rank answers again")
+	}
+	r.failing = err != nil
+}
+
+// withPicks returns the status with picks, or the plain one if nobody wants picks
+// now.
+func (r *Reporter) withPicks(ctx context.Context, status *framer.RankStatus, plain []byte) []byte {
+	if r.sequence%picksEvery != 0 || !r.wanted() {
+		return plain
+	}
+	picks, err := r.options.Rank.Picks(ctx, 1)
+	if err != nil || len(picks.Counts) == 0 || picks.Epoch != status.GetEpoch() {
+		if err != nil {
+			r.options.Log.Debug().Err(err).Msg("reporter: picks are not read")
+		}
+		return plain
+	}
+	for _, n := range picks.Counts[0] {
+		status.Picks = append(status.Picks, uint32(n))
+	}
+	data, err := proto.Marshal(&framer.Frame{Body: &framer.Frame_RankStatus{RankStatus: status}})
+	if err != nil {
+		r.options.Log.Error().Err(err).Msg("reporter: picks are not encoded")
+		return plain
+	}
+	return data
+}
+
+func (r *Reporter) send(to carawaybeam.Address, data []byte) {
+	address, err := net.ResolveUDPAddr("udp", string(to))
+	if err == nil {
+		_, err = r.options.Conn.WriteTo(data, address)
+	}
+	if err != nil && r.ctx.Err() == nil {
+		r.options.Log.Debug().Err(err).Str("entry", string(to)).Msg("reporter: status is not sent")
+	}
+}
+
+// listen takes requests for picks.
+func (r *Reporter) listen() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := r.options.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			r.options.Log.Debug().Err(err).Msg("reporter: datagram is not read")
+			continue
+		}
+		var frame framer.Frame
+		if err := proto.Unmarshal(buffer[:n], &frame); err != nil || frame.GetPicksRequest() == nil {
+			r.options.Log.Debug().Err(err).Msg("reporter: datagram is no request for picks")
+			continue
+		}
+		r.mu.Lock()
+		if len(r.askers) >= maxAskers {
+			clear(r.askers)
+		}
+		r.askers[from.String()] = time.Now().Add(picksFor)
+		r.mu.Unlock()
+	}
+}
+
+func (r *Reporter) wantsPicks(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.askers[address])
+}
+
+// wanted tells whether anybody wants picks now.
+func (r *Reporter) wanted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, until := range r.askers {
+		if time.Now().Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+func encode(options Options, sequence uint64, state carawaybeam.RankState) *framer.RankStatus {
+	const thousandths = 1000
+	return &framer.RankStatus{
+		Address:         string(options.Address),
+		Started:         state.Started,
+		Sequence:        sequence,
+		Sender:          options.Sender,
+		Group:           string(state.Group),
+		Rank:            uint32(state.Rank),
+		Size:            uint32(state.Size),
+		Epoch:           state.Epoch,
+		Open:            state.Open,
+		Step:            uint64(state.Step),
+		MapVersion:      uint64(state.Map),
+		PreparedVersion: uint64(state.Prepared),
+		ArmedVersion:    uint64(state.Armed.Version),
+		ArmedStep:       uint64(state.Armed.Step),
+		HeldStep:        uint64(state.Held),
+		Running:         uint32(state.Running),
+		Waiting:         uint32(state.Waiting),
+		MemoryUsed:      uint64(state.MemoryUsed),
+		PaceThousandths: uint32(state.Pace * thousandths),
+	}
+}
--- a/router/occupancy/router.go
+++ b/router/occupancy/router.go
@@ -127,7 +127,13 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return float64(c.OwnRunning+c.Load.Running) / float64(slots)
+	return float64(taken(c)) / float64(slots)
+}
+
+// taken returns how many requests a backend server is thought to have: those it
+// reported and the own ones since, or only the own ones where there is no report.
+func taken(c carawaybeam.Candidate) int {
+	return max(c.OwnRunning, c.Load.Running+c.Load.Waiting+c.OwnRunning-c.OwnReported)
 }
 
 // Observe notes failures and successes.
--- a/routes.go
+++ b/routes.go
@@ -91,6 +91,8 @@
 		NewExperts int
 		// Share is the part of a step's work that the experts do, from 0 to 1.
 		Share float64
+		// CopyTime is how long a rank copies one expert.
+		CopyTime time.Duration
 	}
 
 	// Pool is a set of interchangeable backend servers.
--- a/store.go
+++ b/store.go
@@ -30,6 +30,8 @@
 	KindGroup StoreKind = "group"
 	// KindMap holds the expert maps that a group may be using.
 	KindMap StoreKind = "map"
+	// KindEntry holds the entries that want to hear of backend servers.
+	KindEntry StoreKind = "entry"
 	// KindSettings holds preferences of the whole installation.
 	KindSettings StoreKind = "settings"
 )
