--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -68,7 +68,7 @@
 	stop, cancel := starter.StopSignal()
 	defer cancel()
 	if settings.Reporting.Enabled() {
-		if err := runReporting(stop, settings, starter.NewLog(settings.Process)); err != nil {
+		if err := runReporting(stop, flags.Settings, settings, starter.NewLog(settings.Process)); err != nil {
 			starter.Fail(program, starter.ExitStart, err)
 		}
 		return
--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -14,6 +14,7 @@
 	"github.com/carawaybeam/carawaybeam/enroller"
 	"github.com/carawaybeam/carawaybeam/follower"
 	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/reloader"
 	"github.com/carawaybeam/carawaybeam/reporter"
 	"github.com/carawaybeam/carawaybeam/starter"
 )
@@ -34,9 +35,16 @@
 }
 
 // runReporting tells entries the state of the rank until the signal to stop.
-func runReporting(stop context.Context, settings loader.Agent, log zerolog.Logger) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Reporting.MemoryMB) * (1 << 20)))
+func runReporting(stop context.Context, file string, settings loader.Agent, log zerolog.Logger) error {
+	setMemoryLimit(settings.Reporting)
 	var closers starter.Closers
+	closers.Add(reloader.New(reloader.Options{File: file, Log: log, Apply: func(path string) error {
+		changed, err := loader.LoadAgent(path)
+		if err == nil {
+			setMemoryLimit(changed.Reporting)
+		}
+		return err
+	}}))
 	newStore, err := carawaybeam.Stores.Lookup(settings.Reporting.Store.Protocol)
 	if err != nil {
 		return err
@@ -89,3 +97,7 @@
 	log.Info().Msg("agent: stopped")
 	return err
 }
+
+func setMemoryLimit(settings loader.Reporting) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -22,6 +22,7 @@
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/pooler"
 	"github.com/carawaybeam/carawaybeam/readier"
+	"github.com/carawaybeam/carawaybeam/reloader"
 	"github.com/carawaybeam/carawaybeam/retrier/quota"
 	"github.com/carawaybeam/carawaybeam/starter"
 )
@@ -64,6 +65,8 @@
 	acceptor  *acceptor.Acceptor
 	roll      *enroller.Roll
 	collector *collector.Collector
+	// maxKeyAge is that of the settings in force.
+	maxKeyAge atomic.Int64
 	leaving   atomic.Bool
 	closers   starter.Closers
 }
@@ -79,9 +82,10 @@
 }
 
 // runDirect runs the daemon until the signal to stop.
-func runDirect(stop context.Context, settings loader.Entry) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Direct.MemoryMB) * (1 << 20)))
+func runDirect(stop context.Context, file string, settings loader.Entry) {
 	e := &directEntry{settings: settings, log: starter.NewLog(settings.Process)}
+	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Log: e.log}))
+	e.apply(settings.Direct)
 	if err := e.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
 	}
@@ -92,6 +96,26 @@
 	e.log.Info().Msg("entry: stopped")
 }
 
+// reload puts the settings in force that can change while the process runs.
+func (e *directEntry) reload(file string) error {
+	settings, err := loader.LoadEntry(file)
+	if err != nil {
+		return err
+	}
+	e.apply(settings.Direct)
+	e.retrier.SetBound(boundOf(settings.Direct.Retries))
+	return nil
+}
+
+func (e *directEntry) apply(settings loader.Direct) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+	e.maxKeyAge.Store(int64(settings.MaxKeyAge))
+}
+
+func boundOf(settings loader.Retries) quota.Bound {
+	return quota.Bound{Ratio: settings.Ratio, Window: time.Duration(settings.Window), Reserve: settings.Reserve}
+}
+
 // start makes all parts, those first on which others depend.
 func (e *directEntry) start() error {
 	newDialect, err := carawaybeam.Dialects.Lookup(e.settings.Direct.Dialect)
@@ -187,12 +211,7 @@
 		return err
 	}
 	e.router = newRouter()
-	e.retrier = quota.New(quota.Options{
-		Ratio:   e.settings.Direct.Retries.Ratio,
-		Window:  time.Duration(e.settings.Direct.Retries.Window),
-		Reserve: e.settings.Direct.Retries.Reserve,
-		Entries: e.roll.Len,
-	})
+	e.retrier = quota.New(quota.Options{Bound: boundOf(e.settings.Direct.Retries), Entries: e.roll.Len})
 	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
 	e.closers.Add(e.pooler)
 	admin, err := starter.Listen("operators", e.settings.Admin)
@@ -217,7 +236,7 @@
 			DataCentre:    e.settings.DataCentre,
 			Configuration: e.adopter,
 			Age:           e.config.Age,
-			MaxKeyAge:     time.Duration(e.settings.Direct.MaxKeyAge),
+			MaxKeyAge:     func() time.Duration { return time.Duration(e.maxKeyAge.Load()) },
 			Members:       e.curator,
 			Load:          e.load,
 			Sender:        e.pooler,
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -105,7 +105,7 @@
 	stop, cancel := starter.StopSignal()
 	defer cancel()
 	if settings.Direct.Enabled() {
-		runDirect(stop, settings)
+		runDirect(stop, flags.Settings, settings)
 		return
 	}
 	e := &entry{settings: settings, log: starter.NewLog(settings.Process), shutDown: cancel}
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -71,9 +71,9 @@
 		Configuration Configuration
 		// Age returns how long ago the configuration was known to be the newest.
 		Age func() (time.Duration, bool)
-		// MaxKeyAge is the age of the configuration up to which keys are
+		// MaxKeyAge returns the age of the configuration up to which keys are
 		// believed, or 0 for any age.
-		MaxKeyAge time.Duration
+		MaxKeyAge func() time.Duration
 		Members   Members
 		Sender    Sender
 		// Load returns the load that the backend server at an address reported,
@@ -185,7 +185,7 @@
 // authorize finds the organisation that holds the key. While the configuration
 // is too old to tell withdrawn keys, none is believed.
 func (f *Forwarder) authorize(p *pursuit, age time.Duration) *carawaybeam.RequestError {
-	if limit := f.options.MaxKeyAge; limit > 0 && age > limit {
+	if limit := f.options.MaxKeyAge(); limit > 0 && age > limit {
 		return notRun(carawaybeam.ReasonStaleConfig, "configuration is too old to believe keys", comeBackSoon)
 	}
 	holder := p.config.Holder(p.request.Key)
--- a/retrier/quota/retrier.go
+++ b/retrier/quota/retrier.go
@@ -25,8 +25,8 @@
 )
 
 type (
-	// Options is what a Retrier is made from.
-	Options struct {
+	// Bound is a bound on the further tries of all entries together.
+	Bound struct {
 		// Ratio is the further tries allowed for each request.
 		Ratio float64
 		// Window is the time over which the bound holds.
@@ -34,15 +34,21 @@
 		// Reserve is how many further tries all entries together may make in a
 		// window beside the ratio.
 		Reserve float64
+	}
+
+	// Options is what a Retrier is made from.
+	Options struct {
+		Bound Bound
 		// Entries returns how many entries share the reserve.
 		Entries func() int
 	}
 
 	// Retrier keeps a count for each class.
 	Retrier struct {
-		options Options
+		entries func() int
 
 		mu     sync.Mutex
+		bound  Bound
 		counts map[carawaybeam.ClassID]*count
 	}
 
@@ -68,7 +74,22 @@
 
 // New returns a Retrier that has seen no request.
 func New(options Options) *Retrier {
-	return &Retrier{options: options, counts: make(map[carawaybeam.ClassID]*count)}
+	return &Retrier{
+		entries: options.Entries,
+		bound:   options.Bound,
+		counts:  make(map[carawaybeam.ClassID]*count),
+	}
+}
+
+// SetBound puts another bound in force. One of another window begins with new
+// counts.
+func (r *Retrier) SetBound(bound Bound) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if bound.Window != r.bound.Window {
+		clear(r.counts)
+	}
+	r.bound = bound
 }
 
 // Started counts a request.
@@ -114,13 +135,13 @@
 		requests += c.requests[i]
 		further += c.further[i]
 	}
-	reserve := r.options.Reserve / float64(max(1, r.options.Entries()))
-	return safety*(r.options.Ratio*float64(requests)+reserve) - float64(further)
+	reserve := r.bound.Reserve / float64(max(1, r.entries()))
+	return safety*(r.bound.Ratio*float64(requests)+reserve) - float64(further)
 }
 
 // count returns the count of a class, moved on to now. The caller holds mu.
 func (r *Retrier) count(now time.Time, class carawaybeam.ClassID) *count {
-	part := now.UnixNano() / (r.options.Window.Nanoseconds() / buckets)
+	part := now.UnixNano() / (r.bound.Window.Nanoseconds() / buckets)
 	c, ok := r.counts[class]
 	if !ok {
 		c = &count{part: part}
