--- a/reloader/reloader_test.go
+++ b/reloader/reloader_test.go
@@ -35,6 +35,7 @@
 				return errors.Join(err, refuse)
 			},
 		})
+		// Odd seconds lie between two looks at the file.
 		time.Sleep(9 * time.Second)
 		is.Equal(len(applied), 0)
 
@@ -43,12 +44,12 @@
 		is.Equal(applied, []string{"a"})
 
 		is.NoErr(os.WriteFile(file, []byte("b"), 0o600))
-		time.Sleep(9 * time.Second)
+		time.Sleep(10 * time.Second)
 		is.Equal(applied, []string{"a", "b"})
 
 		refuse = errors.New("unknown key")
 		is.NoErr(os.WriteFile(file, []byte("c"), 0o600))
-		time.Sleep(9 * time.Second)
+		time.Sleep(10 * time.Second)
 		is.Equal(applied, []string{"a", "b", "c"})
 		is.NoErr(r.Close())
 	})
