Plan for large gains only, look more often, give up maps that a shift makes useless

Cause: copies of small gain (skew 0.2 to 0.1) held up the answer to the next shift by half a second, made steps 15% longer and were priced.

--- a/planner/chaser/planner.go
+++ b/planner/chaser/planner.go
@@ -25,7 +25,7 @@
 
 	// switchCost is the part of the horizon that a plan costs besides copying,
 	// by its orders.
-	switchCost = 0.02
+	switchCost = 0.15
 
 	// sufficientGain ends the search: a move that saves a smaller part of the
 	// mean load of a rank is noise.
--- a/proposer/conductor/change.go
+++ b/proposer/conductor/change.go
@@ -12,7 +12,7 @@
 const (
 	// planInterval is the least time between the ends of two changes, in which
 	// the effect of the first shows in the picks.
-	planInterval = 150 * time.Millisecond
+	planInterval = 60 * time.Millisecond
 
 	// copyBudget is the time that the copies of one plan may take on a rank.
 	// Smaller plans are in force sooner.
@@ -27,6 +27,10 @@
 	copyPatience = 2
 	copyMargin   = 1500 * time.Millisecond
 
+	// supersedingSkew is by how much the skew of a map that is being copied must
+	// exceed what was planned for another plan to be made at once.
+	supersedingSkew = 0.5
+
 	// pollInterval is how often statuses are looked at while something is waited
 	// for.
 	pollInterval = 20 * time.Millisecond
@@ -102,7 +106,12 @@
 		copies = max(copies, n)
 	}
 	patience := copyPatience*time.Duration(copies)*c.layout.CopyTime + copyMargin
-	if err := c.awaitPrepared(ranks, next.Version, patience); err != nil {
+	switch err := c.awaitPrepared(ranks, next, planner.Skew(next, loads, nil), patience); {
+	case errors.Is(err, errSuperseded):
+		c.options.Log.Info().Str("group", string(c.options.Group)).Uint64("map", uint64(next.Version)).
+			Dur("after", time.Since(began)).Msg("conductor: popularity has shifted, map is given up")
+		return nil
+	case err != nil:
 		return err
 	}
 	prepared := time.Since(began)
@@ -130,8 +139,15 @@
 	return nil
 }
 
-// awaitPrepared waits until all ranks have copied a map.
-func (c *Conductor) awaitPrepared(ranks crew, version carawaybeam.MapVersion, patience time.Duration) error {
+// awaitPrepared waits until all ranks have copied a map. It returns errSuperseded
+// when popularity shifts so much meanwhile that the map is of little use. No rank
+// is armed with it then.
+func (c *Conductor) awaitPrepared(
+	ranks crew,
+	next carawaybeam.ExpertMap,
+	expected float64,
+	patience time.Duration,
+) error {
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); c.sleep(pollInterval) {
 		if err := c.check(ranks[0].Epoch); err != nil {
 			return err
@@ -140,14 +156,19 @@
 			return errFenced
 		}
 		ready := 0
-		for _, s := range c.options.Statuses() {
-			if s.Prepared == version {
+		statuses := c.options.Statuses()
+		for _, s := range statuses {
+			if s.Prepared == next.Version {
 				ready++
 			}
 		}
 		if ready == len(ranks) {
 			return nil
 		}
+		loads, ok := c.loads.observe(time.Now(), statuses, c.layout)
+		if ok && planner.Skew(next, loads, nil) > expected+supersedingSkew {
+			return errSuperseded
+		}
 	}
 	return context.DeadlineExceeded
 }
--- a/proposer/conductor/conductor.go
+++ b/proposer/conductor/conductor.go
@@ -37,10 +37,10 @@
 	leaseTimeout  = 800 * time.Millisecond
 
 	// tick is how often the group is looked at.
-	tick = 50 * time.Millisecond
+	tick = 25 * time.Millisecond
 
-	// freshStatus is the age up to which a status counts. Statuses come every
-	// tenth of a second.
+	// freshStatus is the age up to which a status counts. Several come in this
+	// time.
 	freshStatus = 700 * time.Millisecond
 
 	// stuckHold is how long a hold may stand that this process has not made,
@@ -112,6 +112,7 @@
 	errReformed   = errors.New("group has formed anew")
 	errIncomplete = errors.New("group is not complete")
 	errFenced     = errors.New("another process controls the group")
+	errSuperseded = errors.New("popularity has shifted while a map was copied")
 	errMoved      = errors.New("map in use is another than expected")
 )
 
--- a/proposer/conductor/loads.go
+++ b/proposer/conductor/loads.go
@@ -11,7 +11,7 @@
 const (
 	// loadMemory is the time in which a load loses all but 1/e of its weight.
 	// Popularity on the users' platform shifts every few seconds.
-	loadMemory = 500 * time.Millisecond
+	loadMemory = 200 * time.Millisecond
 
 	// minPicks is how many picks each expert must have had in the mean before a
 	// plan rests on them.
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -20,11 +21,12 @@
 )
 
 const (
-	// interval is how often the rank is read, about once or twice in a pass.
-	interval = 100 * time.Millisecond
+	// interval is how often the rank is read, about once in a step of its group.
+	interval = 60 * time.Millisecond
 
-	// picksEvery is at every how many statuses the picks are added.
-	picksEvery = 2
+	// maxRate bounds the statuses that an agent sends in a second. Entries that
+	// want no picks take turns beyond it.
+	maxRate = 100
 
 	// picksFor is how long a request for picks holds.
 	picksFor = 2 * time.Second
@@ -121,15 +123,24 @@
 		return
 	}
 	withPicks := r.withPicks(ctx, status, plain)
-	for _, entry := range entries {
-		data := plain
-		if r.wantsPicks(string(entry.Statuses)) {
-			data = withPicks
+	turns := turns(len(entries))
+	for i, entry := range entries {
+		switch {
+		case r.wantsPicks(string(entry.Statuses)):
+			r.send(entry.Statuses, withPicks)
+		case r.sequence%turns == uint64(i)%turns:
+			r.send(entry.Statuses, plain)
 		}
-		r.send(entry.Statuses, data)
 	}
 }
 
+// turns returns at every how many statuses each of the entries is told, so that
+// all together stay within the rate.
+func turns(entries int) uint64 {
+	rate := float64(entries) / interval.Seconds()
+	return uint64(max(1, math.Ceil(rate/maxRate)))
+}
+
 // note logs when the rank is lost and regained.
 func (r *Reporter) note(err error) {
 	switch {
@@ -145,7 +156,7 @@
 // withPicks returns the status with picks, or the plain one if nobody wants picks
 // now.
 func (r *Reporter) withPicks(ctx context.Context, status *framer.RankStatus, plain []byte) []byte {
-	if r.sequence%picksEvery != 0 || !r.wanted() {
+	if !r.wanted() {
 		return plain
 	}
 	picks, err := r.options.Rank.Picks(ctx, 1)
