--- a/planner/chaser/layer.go
+++ b/planner/chaser/layer.go
@@ -13,14 +13,16 @@
 	// mean load of a rank.
 	layer struct {
 		options carawaybeam.PlannerOptions
+		speeds  []float64
 		load    []float64
 		held    [][]carawaybeam.Expert
 		// holders lists the ranks of each expert, and first those that held it
 		// before the plan.
 		holders [][]int
 		first   [][]int
-		// work is the load of each rank.
-		work []float64
+		// work is the load of each rank, and slowest the time of the slowest one.
+		work    []float64
+		slowest float64
 		// fresh counts the new experts of each rank.
 		fresh []int
 	}
@@ -37,13 +39,19 @@
 	}
 )
 
-func newLayer(held [][]carawaybeam.Expert, load carawaybeam.LayerLoad, options carawaybeam.PlannerOptions) *layer {
+func newLayer(
+	held [][]carawaybeam.Expert,
+	load carawaybeam.LayerLoad,
+	speeds []float64,
+	options carawaybeam.PlannerOptions,
+) *layer {
 	total := 0.0
 	for _, n := range load {
 		total += n
 	}
 	l := &layer{
 		options: options,
+		speeds:  speeds,
 		load:    make([]float64, len(load)),
 		held:    make([][]carawaybeam.Expert, len(held)),
 		holders: make([][]int, len(load)),
@@ -65,28 +73,37 @@
 	for e, ranks := range l.holders {
 		l.first[e] = slices.Clone(ranks)
 	}
-	l.weigh(l.work)
+	l.weigh()
 	return l
 }
 
-// weigh works out the load of each rank.
-func (l *layer) weigh(work []float64) {
-	clear(work)
+// weigh works out the load of each rank and the time of the slowest one.
+func (l *layer) weigh() {
+	clear(l.work)
 	for e, ranks := range l.holders {
 		for _, rank := range ranks {
-			work[rank] += l.load[e] / float64(len(ranks))
+			l.work[rank] += l.load[e] / float64(len(ranks))
 		}
 	}
+	l.slowest = 0
+	for rank, w := range l.work {
+		l.slowest = max(l.slowest, w/l.speeds[rank])
+	}
 }
 
-// worst returns the load of the most loaded rank.
-func (l *layer) worst() float64 { return slices.Max(l.work) }
+// worst returns the time of the slowest rank.
+func (l *layer) worst() float64 { return l.slowest }
 
-// improve makes the move that takes most from the most loaded rank, and reports
+// improve makes the move that takes most time from the slowest rank, and reports
 // false when none takes enough. Arrivals counts the new experts of each rank in
-// all layers.
-func (l *layer) improve(arrivals []int) bool {
-	from := slices.Index(l.work, l.worst())
+// all layers, which limit bounds.
+func (l *layer) improve(arrivals []int, limit int) bool {
+	from := 0
+	for rank, w := range l.work {
+		if w/l.speeds[rank] > l.work[from]/l.speeds[from] {
+			from = rank
+		}
+	}
 	now := l.score(l.work)
 	best, bestScore, found := move{}, now-sufficientGain, false
 	scratch := make([]float64, len(l.work))
@@ -102,7 +119,7 @@
 			consider(move{expert: e, from: from, to: none, leaves: true, evicted: none})
 		}
 		for to := range l.held {
-			if to != from && !slices.Contains(l.holders[e], to) && l.mayArrive(e, to, arrivals) {
+			if to != from && !slices.Contains(l.holders[e], to) && l.mayArrive(e, to, arrivals[to] < limit) {
 				l.propose(e, from, to, consider)
 			}
 		}
@@ -130,24 +147,25 @@
 
 // mayArrive tells whether a rank may take an expert. One that it held before the
 // plan needs no copy.
-func (l *layer) mayArrive(e, to int, arrivals []int) bool {
+func (l *layer) mayArrive(e, to int, within bool) bool {
 	if slices.Contains(l.first[e], to) {
 		return true
 	}
-	if l.options.Arrivals > 0 && arrivals[to] >= l.options.Arrivals {
+	if !within {
 		return false
 	}
 	return l.options.LayerArrivals == 0 || l.fresh[to] < l.options.LayerArrivals
 }
 
-// score is what the search minimises: the load of the most loaded rank, and a
-// little the sum of squares, so that moves between equally loaded ranks lead on.
+// score is what the search minimises: the time of the slowest rank, and a little
+// the sum of squares, so that moves between equally slow ranks lead on.
 func (l *layer) score(work []float64) float64 {
 	const squares = 0.02
 	worst, sum := 0.0, 0.0
-	for _, w := range work {
-		worst = max(worst, w)
-		sum += w * w
+	for rank, w := range work {
+		t := w / l.speeds[rank]
+		worst = max(worst, t)
+		sum += t * t
 	}
 	return worst + squares*sum
 }
@@ -195,7 +213,7 @@
 	if m.leaves {
 		l.drop(m.expert, m.from, arrivals)
 	}
-	l.weigh(l.work)
+	l.weigh()
 }
 
 func (l *layer) add(e, rank int, arrivals []int) {
--- a/planner/chaser/planner.go
+++ b/planner/chaser/planner.go
@@ -2,17 +2,20 @@
 // within seconds, by many small plans of which each is in force soon.
 //
 // Copying an expert takes longer than deciding on it, so that a plan is bounded
-// by the new experts of each rank, which copy side by side. Within this bound a
-// greedy search takes load from the most loaded rank of the layer that loses most
-// by it: it adds a replica of one of its experts elsewhere, in place of a replica
-// that is needed least, or moves an expert away. Plans whose gain over the horizon
-// is less than the time lost by copying are not made.
+// by the new experts of each rank, which copy side by side. Within such a bound a
+// greedy search takes load from the slowest rank of the layer that loses most by
+// it: it adds a replica of one of its experts elsewhere, in place of a replica
+// that is needed least, or moves an expert away. Of the plans for several bounds
+// that one is made whose gain over the horizon exceeds the time lost by copying
+// most, if any does.
 package chaser
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/planner"
 )
 
 const (
@@ -27,6 +30,9 @@
 	// by its orders.
 	switchCost = 0.15
 
+	// sizes is how many bounds on new experts are tried, each twice the one before.
+	sizes = 3
+
 	// sufficientGain ends the search: a move that saves a smaller part of the
 	// mean load of a rank is noise.
 	sufficientGain = 0.002
@@ -49,49 +55,68 @@
 
 // Plan returns the present map or one with a few moves.
 func (p *Planner) Plan(_ time.Time, request carawaybeam.PlanRequest) carawaybeam.ExpertMap {
+	speeds := planner.Speeds(request.Speeds, p.options.Ranks)
+	var best []*layer
+	bestGain := 0.0
+	for _, limit := range p.limits() {
+		layers, gain := p.plan(request, speeds, limit)
+		if gain > bestGain {
+			best, bestGain = layers, gain
+		}
+	}
+	if best == nil {
+		return request.Present
+	}
+	next := carawaybeam.ExpertMap{Version: request.Present.Version + 1}
+	for _, l := range best {
+		next.Layers = append(next.Layers, l.held)
+	}
+	return next
+}
+
+// limits returns the bounds on new experts of a rank to plan for: small plans are
+// in force sooner, large ones end a great imbalance.
+func (p *Planner) limits() []int {
+	smallest := max(1, p.options.Arrivals)
+	limits := make([]int, 0, sizes)
+	for i := range sizes {
+		limits = append(limits, smallest<<i)
+	}
+	return limits
+}
+
+// plan searches within a bound on new experts and returns the layers with the
+// net gain, as a part of the horizon.
+func (p *Planner) plan(request carawaybeam.PlanRequest, speeds []float64, limit int) ([]*layer, float64) {
 	layers := make([]*layer, len(request.Loads))
 	before := 0.0
 	for i, load := range request.Loads {
-		layers[i] = newLayer(request.Present.Layers[i], load, p.options)
+		layers[i] = newLayer(request.Present.Layers[i], load, speeds, p.options)
 		before += layers[i].worst()
 	}
 	if before == 0 {
-		return request.Present
+		return nil, 0
 	}
 	arrivals := make([]int, p.options.Ranks)
-	moves := p.search(layers, arrivals)
-	after, copies := 0.0, 0
-	for _, l := range layers {
-		after += l.worst()
-	}
-	for _, n := range arrivals {
-		copies = max(copies, n)
-	}
-	if moves == 0 || !p.pays(before, after, len(layers), copies) {
-		return request.Present
+	if search(layers, arrivals, limit) == 0 {
+		return nil, 0
 	}
-	next := carawaybeam.ExpertMap{Version: request.Present.Version + 1}
+	after := 0.0
 	for _, l := range layers {
-		next.Layers = append(next.Layers, l.held)
+		after += l.worst()
 	}
-	return next
-}
-
-// pays tells whether a plan saves more time than it costs. Loads are relative to
-// the mean of a rank, so that a balanced layer counts 1.
-func (p *Planner) pays(before, after float64, layerCount, copies int) bool {
-	// A step takes 1-share for itself and share for balanced experts.
+	// A step takes 1-share for itself, as long as its slowest rank, and share for
+	// experts.
 	share := p.options.ExpertShare
-	layers := float64(layerCount)
-	gain := share * (before - after) / ((1-share)*layers + share*before)
-	copying := float64(copies) * p.options.InstallDelay.Seconds()
-	left := horizon.Seconds() - copying
-	return gain*left > p.options.CopySlowdown*copying+switchCost*horizon.Seconds()
+	own := (1 - share) * float64(len(layers)) / slices.Min(speeds)
+	saved := share * (before - after) / (own + share*before)
+	copying := float64(slices.Max(arrivals)) * p.options.InstallDelay.Seconds() / horizon.Seconds()
+	return layers, saved*(1-copying) - p.options.CopySlowdown*copying - switchCost
 }
 
 // search makes the best move of the layer that loses most, one after another, and
 // returns their number.
-func (p *Planner) search(layers []*layer, arrivals []int) int {
+func search(layers []*layer, arrivals []int, limit int) int {
 	done := make([]bool, len(layers))
 	moves := 0
 	for moves < maxMoves {
@@ -104,7 +129,7 @@
 		if worst < 0 {
 			break
 		}
-		if layers[worst].improve(arrivals) {
+		if layers[worst].improve(arrivals, limit) {
 			moves++
 		} else {
 			done[worst] = true
--- a/proposer/conductor/change.go
+++ b/proposer/conductor/change.go
@@ -27,10 +27,6 @@
 	copyPatience = 2
 	copyMargin   = 1500 * time.Millisecond
 
-	// supersedingSkew is by how much the skew of a map that is being copied must
-	// exceed what was planned for another plan to be made at once.
-	supersedingSkew = 0.5
-
 	// pollInterval is how often statuses are looked at while something is waited
 	// for.
 	pollInterval = 20 * time.Millisecond
@@ -66,13 +62,23 @@
 	if !ok {
 		return nil
 	}
-	next := c.planner.Plan(time.Now(), carawaybeam.PlanRequest{Present: c.present, Loads: loads})
+	speeds := speedsOf(ranks)
+	next := c.planner.Plan(time.Now(), carawaybeam.PlanRequest{Present: c.present, Loads: loads, Speeds: speeds})
 	if next.Version == c.present.Version {
 		return nil
 	}
 	c.maps++
 	next.Version = carawaybeam.MapVersion(c.fence())*versionsPerFence + c.maps
-	return c.change(ranks, next, loads)
+	return c.change(ranks, next, loads, speeds)
+}
+
+// speedsOf returns the speeds of the ranks, where 1 is usual.
+func speedsOf(ranks crew) []float64 {
+	speeds := make([]float64, len(ranks))
+	for i, s := range ranks {
+		speeds[i] = 1 / max(1, s.Pace)
+	}
+	return speeds
 }
 
 func plannerOptions(ranks int, layout carawaybeam.ExpertLayout) carawaybeam.PlannerOptions {
@@ -92,7 +98,12 @@
 }
 
 // change brings a map in force on all ranks.
-func (c *Conductor) change(ranks crew, next carawaybeam.ExpertMap, loads []carawaybeam.LayerLoad) error {
+func (c *Conductor) change(
+	ranks crew,
+	next carawaybeam.ExpertMap,
+	loads []carawaybeam.LayerLoad,
+	speeds []float64,
+) error {
 	began := time.Now()
 	order := c.order(ranks)
 	err := c.all(ranks, func(ctx context.Context, engine carawaybeam.RankEngine) error {
@@ -106,12 +117,7 @@
 		copies = max(copies, n)
 	}
 	patience := copyPatience*time.Duration(copies)*c.layout.CopyTime + copyMargin
-	switch err := c.awaitPrepared(ranks, next, planner.Skew(next, loads, nil), patience); {
-	case errors.Is(err, errSuperseded):
-		c.options.Log.Info().Str("group", string(c.options.Group)).Uint64("map", uint64(next.Version)).
-			Dur("after", time.Since(began)).Msg("conductor: popularity has shifted, map is given up")
-		return nil
-	case err != nil:
+	if err := c.awaitPrepared(ranks, next.Version, patience); err != nil {
 		return err
 	}
 	prepared := time.Since(began)
@@ -132,22 +138,15 @@
 	c.options.Log.Info().Str("group", string(c.options.Group)).Uint64("fence", uint64(order.Fence)).
 		Uint64("map", uint64(next.Version)).Uint64("before", uint64(c.present.Version)).
 		Uint64("step", uint64(step)).Int("copies", copies).Dur("prepared", prepared).Dur("took", time.Since(began)).
-		Float64("skewBefore", planner.Skew(c.present, loads, nil)).Float64("skewAfter", planner.Skew(next, loads, nil)).
+		Float64("skewBefore", planner.Skew(c.present, loads, speeds)).Float64("skewAfter", planner.Skew(next, loads, speeds)).
 		Msg("conductor: map is armed")
 	c.present = next
 	c.sleep(planInterval)
 	return nil
 }
 
-// awaitPrepared waits until all ranks have copied a map. It returns errSuperseded
-// when popularity shifts so much meanwhile that the map is of little use. No rank
-// is armed with it then.
-func (c *Conductor) awaitPrepared(
-	ranks crew,
-	next carawaybeam.ExpertMap,
-	expected float64,
-	patience time.Duration,
-) error {
+// awaitPrepared waits until all ranks have copied a map.
+func (c *Conductor) awaitPrepared(ranks crew, version carawaybeam.MapVersion, patience time.Duration) error {
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); c.sleep(pollInterval) {
 		if err := c.check(ranks[0].Epoch); err != nil {
 			return err
@@ -156,19 +155,14 @@
 			return errFenced
 		}
 		ready := 0
-		statuses := c.options.Statuses()
-		for _, s := range statuses {
-			if s.Prepared == next.Version {
+		for _, s := range c.options.Statuses() {
+			if s.Prepared == version {
 				ready++
 			}
 		}
 		if ready == len(ranks) {
 			return nil
 		}
-		loads, ok := c.loads.observe(time.Now(), statuses, c.layout)
-		if ok && planner.Skew(next, loads, nil) > expected+supersedingSkew {
-			return errSuperseded
-		}
 	}
 	return context.DeadlineExceeded
 }
--- a/proposer/conductor/conductor.go
+++ b/proposer/conductor/conductor.go
@@ -112,7 +112,6 @@
 	errReformed   = errors.New("group has formed anew")
 	errIncomplete = errors.New("group is not complete")
 	errFenced     = errors.New("another process controls the group")
-	errSuperseded = errors.New("popularity has shifted while a map was copied")
 	errMoved      = errors.New("map in use is another than expected")
 )
 
