Hand the control of a group over within a second

Cause: after its holder had died a group went without map changes for 3 to 4 s (lease of 3 s), and in an outage of the store for all of it.

--- a/cmd/cbentry/conductors.go
+++ b/cmd/cbentry/conductors.go
@@ -75,10 +75,9 @@
 			Layout:     func() (carawaybeam.ExpertLayout, bool) { return c.layout(group) },
 			NewPlanner: c.newPlanner,
 			Lease: leaser.New(leaser.Options{
-				Store:    c.entry.store,
-				Name:     string(group),
-				Holder:   c.holder,
-				Duration: conductor.LeaseDuration,
+				Store:  c.entry.store,
+				Name:   string(group),
+				Holder: c.holder,
 			}),
 			Log: c.entry.log,
 		})
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -53,6 +53,8 @@
 		carawaybeam.RankState
 		Address  carawaybeam.Address
 		Received time.Time
+		// Asked is when some process last asked the rank for its picks, or zero.
+		Asked time.Time
 		// Picks counts chosen experts since the rank started, in the order of
 		// layers and experts. It is of PicksAt.
 		Picks   []uint32
@@ -235,7 +237,12 @@
 
 func decode(now time.Time, got *framer.RankStatus) Status {
 	const thousandths = 1000
+	var asked time.Time
+	if ms := got.GetAskedMs(); ms > 0 {
+		asked = now.Add(-time.Duration(ms-1) * time.Millisecond)
+	}
 	return Status{
+		Asked: asked,
 		RankState: carawaybeam.RankState{
 			Group:    carawaybeam.GroupID(got.GetGroup()),
 			Rank:     carawaybeam.Rank(got.GetRank()),
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -41,6 +41,8 @@
 		lease  lease
 		// until is when the own lease ends.
 		until time.Time
+		// latest is set while this process is the newest holder that is known.
+		latest bool
 	}
 
 	// lease is the object in the store.
@@ -75,6 +77,25 @@
 	return l.lease.Epoch, time.Now().Before(l.until)
 }
 
+// Latest returns the epoch of the lease and whether this process is the newest
+// holder that it knows of, also when the lease has ended because the store does
+// not answer. It is for acts that are refused by their epoch once another process
+// has taken the lease.
+func (l *Leaser) Latest() (carawaybeam.Epoch, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease.Epoch, l.latest
+}
+
+// Yield gives the lease up on the news that another process holds it. The next
+// Try waits until that one has lapsed.
+func (l *Leaser) Yield() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latest = false
+	l.until = time.Time{}
+}
+
 // Try takes, renews or observes the lease. It is called several times in each
 // duration. Errors are of type *carawaybeam.StoreError or *ContentError; a lease
 // held before stays held until it ends.
@@ -85,8 +106,13 @@
 		return err
 	}
 	own := present.Holder == l.options.Holder
-	if !own && object.Version > 0 && !l.lapsed(object.Version) {
-		return nil
+	if !own && object.Version > 0 {
+		l.mu.Lock()
+		l.latest = false
+		l.mu.Unlock()
+		if !l.lapsed(object.Version) {
+			return nil
+		}
 	}
 	next := lease{Holder: l.options.Holder, Epoch: present.Epoch, Renewal: present.Renewal + 1}
 	if _, held := l.Held(); !own || !held {
@@ -172,5 +198,6 @@
 	defer l.mu.Unlock()
 	l.lease = next
 	l.until = began.Add(l.options.Duration)
+	l.latest = true
 	return nil
 }
--- a/proposer/conductor/change.go
+++ b/proposer/conductor/change.go
@@ -151,7 +151,7 @@
 		if err := c.check(ranks[0].Epoch); err != nil {
 			return err
 		}
-		if _, held := c.options.Lease.Held(); !held {
+		if _, held := c.options.Lease.Latest(); !held {
 			return errFenced
 		}
 		ready := 0
--- a/proposer/conductor/conductor.go
+++ b/proposer/conductor/conductor.go
@@ -8,6 +8,10 @@
 // what holds anyway or come after the step; those of other changes are refused by
 // their fencing number.
 //
+// The lease has no duration: the holder shows by its requests for picks that it
+// works, and another process takes the lease once the ranks have not heard one for
+// a while. A holder that wakes later finds its orders refused.
+//
 // Whoever takes the lease, or fails in the middle of a change, first raises the
 // fencing number on all ranks and then completes the change that it finds, or
 // takes it back. A change is taken back only while the hold stands.
@@ -28,13 +32,13 @@
 )
 
 const (
-	// LeaseDuration is how long the lease of a group holds after its renewal.
-	LeaseDuration = 3 * time.Second
+	// leaseTimeout bounds one try to take the lease.
+	leaseTimeout = 800 * time.Millisecond
 
-	// leaseInterval is how often the lease is tried, and leaseTimeout bounds one
-	// try.
-	leaseInterval = time.Second
-	leaseTimeout  = 800 * time.Millisecond
+	// silentHolder is for how long no rank must have been asked for picks before
+	// another process takes the lease. The holder asks with each status, several
+	// times a second.
+	silentHolder = 500 * time.Millisecond
 
 	// tick is how often the group is looked at.
 	tick = 25 * time.Millisecond
@@ -43,6 +47,9 @@
 	// time.
 	freshStatus = 700 * time.Millisecond
 
+	// maxJitter bounds how long a process waits before it tries the lease.
+	maxJitter = 300 * time.Millisecond
+
 	// stuckHold is how long a hold may stand that this process has not made,
 	// before the process takes the lease from a holder that has stopped. Clients
 	// leave a stream after 2 s of silence.
@@ -102,6 +109,10 @@
 		// heldSince is when a hold of the given step was first seen.
 		heldSince time.Time
 		heldStep  carawaybeam.Step
+		// idleSince is since when nobody seems to control the group, and jitter
+		// how long this process waits then.
+		idleSince time.Time
+		jitter    time.Duration
 	}
 
 	// crew is the ranks of a complete group, by rank.
@@ -118,8 +129,7 @@
 // New returns a Conductor that works until Close.
 func New(options Options) *Conductor {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Conductor{options: options, ctx: ctx, cancel: cancel, loads: newLoads()}
-	c.wait.Go(c.keepLease)
+	c := &Conductor{options: options, ctx: ctx, cancel: cancel, loads: newLoads(), jitter: rand.N(maxJitter)}
 	c.wait.Go(c.conduct)
 	return c
 }
@@ -132,19 +142,6 @@
 	return nil
 }
 
-// keepLease competes for the lease.
-func (c *Conductor) keepLease() {
-	for c.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(c.ctx, leaseTimeout)
-		if err := c.options.Lease.Try(ctx); err != nil && c.ctx.Err() == nil {
-			c.options.Log.Debug().Err(err).Str("group", string(c.options.Group)).
-				Msg("conductor: lease is not renewed")
-		}
-		cancel()
-		c.sleep(leaseInterval)
-	}
-}
-
 func (c *Conductor) sleep(d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -158,11 +155,11 @@
 	defer c.options.Want(false)
 	for c.ctx.Err() == nil {
 		c.sleep(tick)
-		epoch, held := c.options.Lease.Held()
+		epoch, held := c.options.Lease.Latest()
 		c.options.Want(held)
 		if !held {
 			c.taken = false
-			c.seizeIfStuck()
+			c.contend()
 			continue
 		}
 		if epoch != c.leaseEpoch {
@@ -197,6 +194,10 @@
 	c.options.Log.Warn().Err(err).Str("group", string(c.options.Group)).
 		Uint64("fence", uint64(c.fence())).Msg("conductor: work on the group has failed")
 	c.taken = false
+	if errors.Is(err, errFenced) {
+		c.options.Lease.Yield()
+		return
+	}
 	if c.bumps++; c.bumps >= maxFenceBumps {
 		c.bumps = 0
 	}
@@ -235,29 +236,46 @@
 	return c.ctx.Err()
 }
 
-// seizeIfStuck takes the lease from a holder that has left the group held.
-func (c *Conductor) seizeIfStuck() {
-	statuses := c.options.Statuses()
+// contend takes the lease when no process controls the group, or when its holder
+// has left the group held.
+func (c *Conductor) contend() {
+	now := time.Now()
 	var held carawaybeam.Step
-	for _, s := range statuses {
-		if s.Held != 0 && time.Since(s.Received) <= freshStatus {
-			held = s.Held
+	var asked time.Time
+	fresh := 0
+	for _, s := range c.options.Statuses() {
+		if now.Sub(s.Received) > freshStatus {
+			continue
+		}
+		fresh++
+		held = max(held, s.Held)
+		if s.Asked.After(asked) {
+			asked = s.Asked
 		}
 	}
 	if held == 0 || held != c.heldStep {
-		c.heldStep, c.heldSince = held, time.Now()
+		c.heldStep, c.heldSince = held, now
+	}
+	stuck := held != 0 && now.Sub(c.heldSince) > stuckHold
+	silent := now.Sub(asked) > silentHolder
+	if fresh == 0 || !stuck && !silent {
+		c.idleSince = now
 		return
 	}
 	// Processes that see the same do not all act at once.
-	if time.Since(c.heldSince) < stuckHold+rand.N(stuckHold) {
+	if c.idleSince.IsZero() || now.Sub(c.idleSince) < c.jitter {
+		if c.idleSince.IsZero() {
+			c.idleSince = now
+		}
 		return
 	}
-	c.options.Log.Warn().Str("group", string(c.options.Group)).Uint64("step", uint64(held)).
-		Dur("for", time.Since(c.heldSince)).Msg("conductor: group is held without progress, lease is seized")
-	c.heldSince = time.Now()
+	c.idleSince, c.heldSince = now, now
+	c.jitter = rand.N(maxJitter)
+	c.options.Log.Info().Str("group", string(c.options.Group)).Uint64("held", uint64(held)).Bool("stuck", stuck).
+		Bool("silent", silent).Int("ranks", fresh).Msg("conductor: nobody controls the group, lease is tried")
 	ctx, cancel := context.WithTimeout(c.ctx, leaseTimeout)
 	defer cancel()
 	if err := c.options.Lease.Seize(ctx); err != nil {
-		c.options.Log.Warn().Err(err).Str("group", string(c.options.Group)).Msg("conductor: lease is not seized")
+		c.options.Log.Warn().Err(err).Str("group", string(c.options.Group)).Msg("conductor: lease is not taken")
 	}
 }
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -66,6 +66,8 @@
 		mu sync.Mutex
 		// askers holds until when each address gets picks.
 		askers map[string]time.Time
+		// asked is when picks were last asked for.
+		asked time.Time
 
 		sequence uint64
 		failing  bool
@@ -117,6 +119,7 @@
 	}
 	r.sequence++
 	status := encode(r.options, r.sequence, state)
+	status.AskedMs = r.askedMs()
 	plain, err := proto.Marshal(&framer.Frame{Body: &framer.Frame_RankStatus{RankStatus: status}})
 	if err != nil {
 		r.options.Log.Error().Err(err).Msg("reporter: status is not encoded")
@@ -208,7 +211,8 @@
 		if len(r.askers) >= maxAskers {
 			clear(r.askers)
 		}
-		r.askers[from.String()] = time.Now().Add(picksFor)
+		r.asked = time.Now()
+		r.askers[from.String()] = r.asked.Add(picksFor)
 		r.mu.Unlock()
 	}
 }
@@ -219,6 +223,16 @@
 	return time.Now().Before(r.askers[address])
 }
 
+// askedMs returns what a status says of requests for picks.
+func (r *Reporter) askedMs() uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.asked.IsZero() || time.Since(r.asked) > picksFor {
+		return 0
+	}
+	return uint32(time.Since(r.asked).Milliseconds()) + 1
+}
+
 // wanted tells whether anybody wants picks now.
 func (r *Reporter) wanted() bool {
 	r.mu.Lock()
