--- a/proposer/conductor/conductor.go
+++ b/proposer/conductor/conductor.go
@@ -263,10 +263,7 @@
 		return
 	}
 	// Processes that see the same do not all act at once.
-	if c.idleSince.IsZero() || now.Sub(c.idleSince) < c.jitter {
-		if c.idleSince.IsZero() {
-			c.idleSince = now
-		}
+	if now.Sub(c.idleSince) < c.jitter {
 		return
 	}
 	c.idleSince, c.heldSince = now, now
