--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -24,9 +24,10 @@
 	// stay below. The rest is for what it does not count.
 	memoryShare = 0.7
 
-	// rollWait is how long a watch of the enrolled entries waits. Entries come and
-	// go seldom.
-	rollWait = 10 * time.Second
+	// rollWait is how long a watch of the enrolled entries waits, and rollPause
+	// the least time between two. Entries come and go seldom.
+	rollWait  = 30 * time.Second
+	rollPause = time.Second
 )
 
 // reportingState is the state dump of an agent that only reports.
@@ -75,7 +76,8 @@
 	}
 	roll := enroller.NewRoll(log)
 	closers.Add(follower.New(follower.Options{
-		Store: store, Kind: carawaybeam.KindEntry, Sink: roll, Clock: clock.Boot, Wait: rollWait, Log: log,
+		Store: store, Kind: carawaybeam.KindEntry, Sink: roll, Clock: clock.Boot,
+		Wait: rollWait, Pause: rollPause, Log: log,
 	}))
 	closers.Add(reporter.New(reporter.Options{
 		Sender:  settings.Process + "/" + string(carawaybeam.NewIncarnation()),
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -36,9 +36,21 @@
 	// still runs.
 	stopMargin = 500 * time.Millisecond
 
-	// rollWait is how long a watch of the enrolled entries waits. Entries come and
-	// go seldom, and a late word of one does no harm.
-	rollWait = 10 * time.Second
+	// configPause is the least time between two watches of the configuration. It
+	// is short beside the seconds in which a change has to be in force.
+	configPause = 50 * time.Millisecond
+
+	// instanceWait is how long a watch of the backend servers waits, and
+	// instancePause the least time between two. Both are short beside the seconds
+	// in which a leaving one gets no more work.
+	instanceWait  = 4 * time.Second
+	instancePause = 200 * time.Millisecond
+
+	// rollWait is how long a watch of the enrolled entries waits, and rollPause
+	// the least time between two. Entries come and go seldom, and a late word of
+	// one does no harm.
+	rollWait  = 30 * time.Second
+	rollPause = 2 * time.Second
 
 	// maxReportAge is the age up to which a reported load counts.
 	maxReportAge = time.Second
@@ -147,7 +159,7 @@
 	kind, name := e.dialect.RoutingObject()
 	e.adopter = adopter.New(adopter.Options{Name: name, Decode: e.dialect.DecodeRouting, Log: e.log})
 	e.config = follower.New(follower.Options{
-		Store: e.store, Kind: kind, Sink: e.adopter, Clock: clock.Boot, Log: e.log,
+		Store: e.store, Kind: kind, Sink: e.adopter, Clock: clock.Boot, Pause: configPause, Log: e.log,
 	})
 	e.closers.Add(e.config)
 	e.curator = curator.New(curator.Options{
@@ -156,7 +168,8 @@
 		Log:         e.log,
 	})
 	e.instances = follower.New(follower.Options{
-		Store: e.store, Kind: e.dialect.InstanceKind(), Sink: e.curator, Clock: clock.Boot, Log: e.log,
+		Store: e.store, Kind: e.dialect.InstanceKind(), Sink: e.curator, Clock: clock.Boot,
+		Wait: instanceWait, Pause: instancePause, Log: e.log,
 	})
 	e.closers.Add(e.instances)
 }
@@ -171,7 +184,8 @@
 	e.closers.Add(e.collector)
 	e.roll = enroller.NewRoll(e.log)
 	e.closers.Add(follower.New(follower.Options{
-		Store: e.store, Kind: carawaybeam.KindEntry, Sink: e.roll, Clock: clock.Boot, Wait: rollWait, Log: e.log,
+		Store: e.store, Kind: carawaybeam.KindEntry, Sink: e.roll, Clock: clock.Boot,
+		Wait: rollWait, Pause: rollPause, Log: e.log,
 	}))
 	e.closers.Add(enroller.New(enroller.Options{
 		Store: e.store,
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -52,7 +52,10 @@
 		// Wait is how long one watch waits for a change, or 0 for the default. It
 		// bounds how long a silent connection goes unnoticed.
 		Wait time.Duration
-		Log  zerolog.Logger
+		// Pause is the least time from one watch to the next. Changes that come
+		// meanwhile arrive together, in one call.
+		Pause time.Duration
+		Log   zerolog.Logger
 	}
 
 	// Follower follows one kind until Close.
@@ -120,10 +123,12 @@
 	var at carawaybeam.StoreVersion
 	pause := minPause
 	for f.ctx.Err() == nil {
+		begun := time.Now()
 		next, err := f.advance(at)
 		if err == nil {
 			at = next
 			pause = minPause
+			f.sleep(f.options.Pause - time.Since(begun))
 			continue
 		}
 		if f.ctx.Err() != nil {
@@ -143,6 +148,9 @@
 }
 
 func (f *Follower) sleep(d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/planner/chaser/bench_test.go
@@ -0,0 +1,36 @@
+package chaser_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/planner"
+	"github.com/carawaybeam/carawaybeam/planner/chaser"
+)
+
+// BenchmarkPlan plans for a group of 24 ranks with 16 layers of 96 experts, after
+// a shift and without one.
+func BenchmarkPlan(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	o := options(24)
+	o.Slots, o.Arrivals, o.LayerArrivals, o.InstallDelay = 5, 6, 2, 76*time.Millisecond
+	var loads []carawaybeam.LayerLoad
+	for range 16 {
+		loads = append(loads, skewed(random, 96))
+	}
+	p := chaser.New(o)
+	uniform := planner.Uniform(24, 4, 96, 16)
+	settled := uniform
+	for range 20 {
+		settled = p.Plan(time.Time{}, carawaybeam.PlanRequest{Present: settled, Loads: loads})
+	}
+	for name, present := range map[string]carawaybeam.ExpertMap{"shift": uniform, "settled": settled} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				p.Plan(time.Time{}, carawaybeam.PlanRequest{Present: present, Loads: loads})
+			}
+		})
+	}
+}
--- a/proposer/conductor/change.go
+++ b/proposer/conductor/change.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// planInterval is the least time between the ends of two changes, in which
-	// the effect of the first shows in the picks.
+	// planInterval is the least time between two plans. New picks come about as
+	// often.
 	planInterval = 60 * time.Millisecond
 
 	// copyBudget is the time that the copies of one plan may take on a rank.
@@ -65,6 +65,7 @@
 	speeds := speedsOf(ranks)
 	next := c.planner.Plan(time.Now(), carawaybeam.PlanRequest{Present: c.present, Loads: loads, Speeds: speeds})
 	if next.Version == c.present.Version {
+		c.sleep(planInterval)
 		return nil
 	}
 	c.maps++
--- a/proposer/conductor/conductor.go
+++ b/proposer/conductor/conductor.go
@@ -50,6 +50,10 @@
 	// maxJitter bounds how long a process waits before it tries the lease.
 	maxJitter = 150 * time.Millisecond
 
+	// contendPause is the least time between two tries. In it the statuses show
+	// that another process got the lease.
+	contendPause = 500 * time.Millisecond
+
 	// stuckHold is how long a hold may stand before another process takes the
 	// lease from a holder that still asks for picks. It is longer than a change
 	// takes whose orders have to be sent several times.
@@ -113,6 +117,8 @@
 		// jitter how long this process waits then.
 		abandonedSince time.Time
 		jitter         time.Duration
+		// contendAfter is when this process tries the lease again.
+		contendAfter time.Time
 	}
 
 	// crew is the ranks of a complete group, by rank.
@@ -245,7 +251,7 @@
 // has left the group held.
 func (c *Conductor) contend() {
 	now := time.Now()
-	if !c.isAbandoned(now) {
+	if !c.isAbandoned(now) || now.Before(c.contendAfter) {
 		c.abandonedSince = time.Time{}
 		return
 	}
@@ -259,7 +265,7 @@
 	if now.Sub(c.abandonedSince) < c.jitter {
 		return
 	}
-	c.abandonedSince, c.heldSince = time.Time{}, now
+	c.abandonedSince, c.heldSince, c.contendAfter = time.Time{}, now, now.Add(contendPause)
 	c.lease("seized", c.options.Lease.Seize)
 }
 
