--- a/planner/chaser/bench_test.go
+++ b/planner/chaser/bench_test.go
@@ -15,7 +15,7 @@
 func BenchmarkPlan(b *testing.B) {
 	random := rand.New(rand.NewPCG(1, 1))
 	o := options(24)
-	o.Slots, o.Arrivals, o.LayerArrivals, o.InstallDelay = 5, 6, 2, 76*time.Millisecond
+	o.Slots, o.Arrivals, o.LayerArrivals, o.InstallDelay = 5, 1, 2, 76*time.Millisecond
 	var loads []carawaybeam.LayerLoad
 	for range 16 {
 		loads = append(loads, skewed(random, 96))
--- a/planner/chaser/planner.go
+++ b/planner/chaser/planner.go
@@ -28,10 +28,10 @@
 
 	// switchCost is the part of the horizon that a plan costs besides copying,
 	// by its orders.
-	switchCost = 0.15
+	switchCost = 0.12
 
 	// sizes is how many bounds on new experts are tried, each twice the one before.
-	sizes = 3
+	sizes = 2
 
 	// sufficientGain ends the search: a move that saves a smaller part of the
 	// mean load of a rank is noise.
--- a/planner/chaser/planner_test.go
+++ b/planner/chaser/planner_test.go
@@ -95,8 +95,8 @@
 				t.Fatal(err)
 			}
 			for rank, moves := range planner.Moves(present, next) {
-				// The largest plan has four times the usual bound.
-				if moves > 4*o.Arrivals {
+				// The largest plan has twice the usual bound.
+				if moves > 2*o.Arrivals {
 					t.Fatalf("rank %d copies %d experts", rank, moves)
 				}
 			}
--- a/proposer/conductor/change.go
+++ b/proposer/conductor/change.go
@@ -14,10 +14,6 @@
 	// often.
 	planInterval = 60 * time.Millisecond
 
-	// copyBudget is the time that the copies of one plan may take on a rank.
-	// Smaller plans are in force sooner.
-	copyBudget = 500 * time.Millisecond
-
 	// copySlowdown is by which part steps are longer while experts are copied,
 	// as the platform says.
 	copySlowdown = 0.15
@@ -83,19 +79,16 @@
 }
 
 func plannerOptions(ranks int, layout carawaybeam.ExpertLayout) carawaybeam.PlannerOptions {
-	options := carawaybeam.PlannerOptions{
-		Ranks:         ranks,
-		Slots:         layout.Slots,
-		InstallDelay:  layout.CopyTime,
+	return carawaybeam.PlannerOptions{
+		Ranks:        ranks,
+		Slots:        layout.Slots,
+		InstallDelay: layout.CopyTime,
+		// The smallest plan is in force soonest.
 		Arrivals:      1,
 		LayerArrivals: layout.NewExperts,
 		ExpertShare:   layout.Share,
 		CopySlowdown:  copySlowdown,
 	}
-	if layout.CopyTime > 0 {
-		options.Arrivals = max(1, int(copyBudget/layout.CopyTime))
-	}
-	return options
 }
 
 // change brings a map in force on all ranks.
