--- /dev/null
+++ b/acceptor/acceptor_test.go
@@ -0,0 +1,224 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/acceptor"
+	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
+	"github.com/carawaybeam/carawaybeam/platform"
+)
+
+// handle serves one request in place of a forwarder.
+type handle func(
+	ctx context.Context, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+) *carawaybeam.RequestError
+
+func (h handle) Serve(
+	ctx context.Context, _ time.Time, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+) *carawaybeam.RequestError {
+	return h(ctx, r, w)
+}
+
+func (h handle) Limits() (carawaybeam.ClientLimits, bool) {
+	return carawaybeam.ClientLimits{BodyBytes: 10, IdleTimeout: 500 * time.Millisecond}, true
+}
+
+func newAcceptor(t *testing.T, h handle) (*acceptor.Acceptor, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := acceptor.New(listener, acceptor.Options{
+		Dialect: platform.Dialect{}, Forwarder: h, BodyBytes: 1 << 20, HeaderBytes: 4096,
+		ReadTimeout: time.Second, WriteTimeout: time.Second, Log: zerolog.Nop(),
+	})
+	t.Cleanup(func() {
+		if err := a.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return a, listener.Addr().String()
+}
+
+// exchange sends raw bytes on a new connection and returns it with the answer.
+func exchange(t *testing.T, address, raw string) (net.Conn, *http.Response) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_, _ = io.WriteString(conn, raw)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn, response
+}
+
+func ok(_ context.Context, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter) *carawaybeam.RequestError {
+	_ = w.Head(http.StatusOK, http.Header{"X-Echo": {r.Target}}, len(r.Body))
+	_, _ = w.Write(r.Body)
+	return nil
+}
+
+const head = "Host: h\r\nRequest-Id: 1\r\n"
+
+func TestRequestsOfClients(t *testing.T) {
+	tests := map[string]struct {
+		raw    string
+		status int
+	}{
+		"body":            {"POST /a%2F../b HTTP/1.1\r\n" + head + "Content-Length: 4\r\n\r\nbody", 200},
+		"chunked body":    {"POST /a%2F../b HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200},
+		"body too large":  {"POST / HTTP/1.1\r\n" + head + "Content-Length: 11\r\n\r\n01234567890", 413},
+		"chunks too many": {"POST / HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", 413},
+		"no identifier":   {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"bad length":      {"POST / HTTP/1.1\r\n" + head + "Content-Length: x\r\n\r\n", 400},
+		"two lengths":     {"POST / HTTP/1.1\r\n" + head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na", 400},
+		"bad chunk":       {"POST / HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		"not HTTP":        {"nonsense\r\n\r\n", 400},
+		"header too long": {"GET / HTTP/1.1\r\n" + head + "X: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", 431},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := newAcceptor(t, ok)
+			_, response := exchange(t, address, test.raw)
+			is.Equal(response.StatusCode, test.status)
+			if test.status == http.StatusOK {
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "body")
+				is.Equal(response.Header.Get("X-Echo"), "/a%2F../b")
+			}
+		})
+	}
+}
+
+// TestIncompleteAnswer ends a stream early. It never looks complete.
+func TestIncompleteAnswer(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, func(
+		_ context.Context, _ *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		_ = w.Head(http.StatusOK, http.Header{}, -1)
+		_, _ = w.Write([]byte("part"))
+		_ = w.Flush()
+		return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown}
+	})
+	_, response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	_, err := io.ReadAll(response.Body)
+	is.True(err != nil)
+}
+
+// TestFailureTellsWhenToComeBack answers a refused request.
+func TestFailureTellsWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, func(
+		context.Context, *carawaybeam.ClientRequest, forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		return &carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeNotRun, Reason: carawaybeam.ReasonBusy, RetryAfter: 250 * time.Millisecond,
+		}
+	})
+	_, response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Retry-After"), "0.250")
+}
+
+// TestClientLeaves cancels a request whose client closes its connection.
+func TestClientLeaves(t *testing.T) {
+	gone := make(chan struct{})
+	_, address := newAcceptor(t, func(
+		ctx context.Context, _ *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		_ = w.Head(http.StatusOK, http.Header{}, -1)
+		_ = w.Flush()
+		<-ctx.Done()
+		close(gone)
+		return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown}
+	})
+	conn, _ := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	_ = conn.Close()
+	select {
+	case <-gone:
+	case <-time.After(2 * time.Second):
+		t.Error("request goes on though its client has gone")
+	}
+}
+
+// TestIdleConnectionIsClosed ends a connection that has been idle for longer than
+// the configuration allows, and not sooner.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, ok)
+	conn, response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	_, _ = io.Copy(io.Discard, response.Body)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(400 * time.Millisecond)))
+	_, err := conn.Read(make([]byte, 1))
+	timeout, isNet := err.(net.Error) //nolint:errorlint // The connection's own error is looked at.
+	is.True(isNet && timeout.Timeout())
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
+// TestDrain serves what comes while the balancer notices, each request as the
+// last one on its connection, and finishes what runs.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	a, address := newAcceptor(t, func(
+		ctx context.Context, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		if r.Target == "/slow" {
+			<-release
+		}
+		return ok(ctx, r, w)
+	})
+	slow := make(chan string, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(withID(address, "/slow"))
+		if err != nil {
+			slow <- err.Error()
+			return
+		}
+		_ = response.Body.Close()
+		slow <- response.Status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	drained := make(chan error, 1)
+	go func() { drained <- a.Drain(t.Context()) }()
+	time.Sleep(200 * time.Millisecond)
+	_, response := exchange(t, address, "GET /new HTTP/1.1\r\n"+head+"\r\n")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(response.Close)
+	time.AfterFunc(2*time.Second, func() { close(release) })
+	is.Equal(<-slow, "200 OK")
+	is.NoErr(<-drained)
+	_, err := net.Dial("tcp", address)
+	is.True(err != nil)
+}
+
+func withID(address, path string) *http.Request {
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		panic(fmt.Sprintf("request of the test: %v", err))
+	}
+	r.Header.Set("Request-Id", "1")
+	return r
+}
--- /dev/null
+++ b/collector/collector_test.go
@@ -0,0 +1,89 @@
+package collector_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/collector"
+	"github.com/carawaybeam/carawaybeam/enroller"
+	"github.com/carawaybeam/carawaybeam/reporter"
+)
+
+// steppingRank is a rank whose step and picks grow with each look.
+type steppingRank struct {
+	carawaybeam.RankEngine
+	rank  carawaybeam.Rank
+	looks atomic.Int64
+}
+
+func (r *steppingRank) State(context.Context) (carawaybeam.RankState, error) {
+	return carawaybeam.RankState{
+		Group: "g", Rank: r.rank, Size: 2, Epoch: 3, Open: true, Step: carawaybeam.Step(r.looks.Add(1)),
+		Map: 4, Prepared: 5, Armed: carawaybeam.ArmedMap{Version: 5, Step: 9}, Held: 9,
+		Running: 6, Waiting: 1, MemoryUsed: 77, Pace: 1.5, Started: 11,
+	}, nil
+}
+
+func (r *steppingRank) Picks(context.Context, int) (carawaybeam.RankPicks, error) {
+	return carawaybeam.RankPicks{Epoch: 3, Counts: [][]uint64{{uint64(r.looks.Load()), 7}}}, nil
+}
+
+func listen(t *testing.T) net.PacketConn {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// TestStatusesArrive sends the statuses of two ranks to an entry, and picks only
+// while it wants them.
+func TestStatusesArrive(t *testing.T) {
+	is := is.New(t)
+	conn := listen(t)
+	c := collector.New(collector.Options{Conn: conn, Log: zerolog.Nop()})
+	defer func() { is.NoErr(c.Close()) }()
+	entry := enroller.Entry{Name: "e", Statuses: carawaybeam.Address(conn.LocalAddr().String())}
+	for i, address := range []carawaybeam.Address{"10.0.0.1:80", "10.0.0.2:80"} {
+		r := reporter.New(reporter.Options{
+			Sender: string(address), Address: address, Rank: &steppingRank{rank: carawaybeam.Rank(i)},
+			Entries: func() []enroller.Entry { return []enroller.Entry{entry} },
+			Conn:    listen(t), Log: zerolog.Nop(),
+		})
+		defer func() { is.NoErr(r.Close()) }()
+	}
+	waitFor(t, "no statuses", func() bool { return len(c.Group("g")) == 2 })
+	is.Equal(c.Groups(), []carawaybeam.GroupID{"g"})
+	status := c.Group("g")[1]
+	is.Equal(status.Address, carawaybeam.Address("10.0.0.2:80"))
+	is.Equal(status.Armed, carawaybeam.ArmedMap{Version: 5, Step: 9})
+	is.Equal(status.Held, carawaybeam.Step(9))
+	is.Equal(status.Waiting, 1)
+	is.Equal(status.Pace, 1.5)
+	is.Equal(len(status.Picks), 0)
+	is.True(status.Asked.IsZero())
+
+	c.Want("g", true)
+	waitFor(t, "no picks", func() bool { s, _ := c.Status("10.0.0.1:80"); return len(s.Picks) == 2 && !s.Asked.IsZero() })
+	waitFor(t, "no duration of a step", func() bool { s, _ := c.Status("10.0.0.1:80"); return s.StepTime > 0 })
+	c.Want("g", false)
+	waitFor(t, "picks go on", func() bool { s, _ := c.Status("10.0.0.1:80"); return time.Since(s.Asked) > 300*time.Millisecond })
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,134 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/follower"
+)
+
+const kind carawaybeam.StoreKind = "thing"
+
+// sink notes what a follower reads.
+type sink struct {
+	mu       sync.Mutex
+	objects  map[string]string
+	replaced int
+}
+
+func (s *sink) Replace(objects []carawaybeam.Object) {
+	s.mu.Lock()
+	s.objects = make(map[string]string)
+	s.replaced++
+	s.mu.Unlock()
+	s.Apply(objects)
+}
+
+func (s *sink) Apply(changes []carawaybeam.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range changes {
+		if o.Deleted {
+			delete(s.objects, o.Name)
+		} else {
+			s.objects[o.Name] = string(o.Value)
+		}
+	}
+}
+
+func (s *sink) get(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[name]
+}
+
+// play runs a follower on a stand-in for the store. The returned clock counts
+// the time in which the VM is suspended, by the value of suspended.
+func play(t *testing.T, test func(*is.I, *storer.Storer, *sink, *follower.Follower, *time.Duration)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store, s := storer.New(), &sink{}
+		var suspended time.Duration
+		begun := time.Now()
+		f := follower.New(follower.Options{
+			Store: store, Kind: kind, Sink: s, Log: zerolog.Nop(),
+			Clock: func() time.Duration { return time.Since(begun) + suspended },
+		})
+		test(is.New(t), store, s, f, &suspended)
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func put(t *is.I, store *storer.Storer, value string, expect carawaybeam.StoreVersion) carawaybeam.StoreVersion {
+	t.Helper()
+	object := carawaybeam.Object{Kind: kind, Name: "a", Value: []byte(value)}
+	version, err := store.Put(context.Background(), object, expect)
+	t.NoErr(err)
+	return version
+}
+
+// TestChangesArrive reads what there is and each change at once.
+func TestChangesArrive(t *testing.T) {
+	play(t, func(is *is.I, store *storer.Storer, s *sink, f *follower.Follower, _ *time.Duration) {
+		version := put(is, store, "1", 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(s.get("a"), "1")
+		put(is, store, "2", version)
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(s.get("a"), "2")
+		age, known := f.Age()
+		is.True(known)
+		is.True(age <= 3*time.Second)
+		_, lost := f.SinceOutage()
+		is.True(!lost)
+	})
+}
+
+// TestAgeInAnOutage lets the age grow for as long as the store does not answer,
+// and takes the changes made meanwhile within half a second of its return.
+func TestAgeInAnOutage(t *testing.T) {
+	play(t, func(is *is.I, store *storer.Storer, s *sink, f *follower.Follower, _ *time.Duration) {
+		version := put(is, store, "1", 0)
+		time.Sleep(2 * time.Second)
+		store.Order(storer.Fault{Mode: storer.FaultDown})
+		time.Sleep(6 * time.Second)
+		age, _ := f.Age()
+		is.True(age >= 5*time.Second)
+		since, lost := f.SinceOutage()
+		is.True(lost)
+		is.Equal(since, time.Duration(0))
+		store.Order(storer.Fault{Mode: storer.FaultNone})
+		put(is, store, "2", version)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(s.get("a"), "2")
+		age, _ = f.Age()
+		is.True(age <= 500*time.Millisecond)
+		since, lost = f.SinceOutage()
+		is.True(lost)
+		is.True(since > 0)
+	})
+}
+
+// TestAgeWhileSuspended counts the time in which the VM stood still, so that what
+// was known before is not believed on waking.
+func TestAgeWhileSuspended(t *testing.T) {
+	play(t, func(is *is.I, store *storer.Storer, _ *sink, f *follower.Follower, suspended *time.Duration) {
+		put(is, store, "1", 0)
+		time.Sleep(100 * time.Millisecond)
+		store.Order(storer.Fault{Mode: storer.FaultDown})
+		*suspended = 10 * time.Second
+		age, known := f.Age()
+		is.True(known)
+		is.True(age >= 10*time.Second)
+	})
+}
--- /dev/null
+++ b/pooler/pooler_test.go
@@ -0,0 +1,293 @@
+package pooler_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/pooler"
+)
+
+// backend is a backend server that treats each request as its script says.
+type backend struct {
+	net.Listener
+	mu       sync.Mutex
+	accepted int
+	requests []string
+	bodies   []string
+}
+
+// newBackend serves connections; script gets the number of the request on all
+// connections and the connection, and tells whether to read on.
+func newBackend(t *testing.T, script func(n int, conn net.Conn, r *http.Request) bool) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{Listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.accepted++
+			b.mu.Unlock()
+			go b.serve(conn, script)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn, script func(n int, conn net.Conn, r *http.Request) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.requests = append(b.requests, r.Method+" "+r.RequestURI)
+		n := len(b.requests)
+		b.mu.Unlock()
+		if !script(n, conn, r) {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		b.mu.Lock()
+		b.bodies = append(b.bodies, string(body))
+		b.mu.Unlock()
+	}
+}
+
+func (b *backend) connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.accepted
+}
+
+func (b *backend) address() carawaybeam.Address { return carawaybeam.Address(b.Addr().String()) }
+
+func answer(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func decode(status int, header http.Header) carawaybeam.ReplyHead {
+	return carawaybeam.ReplyHead{
+		Status: status, Header: header, Request: carawaybeam.RequestID(header.Get("Request-Id")),
+	}
+}
+
+func newPooler(t *testing.T) *pooler.Pooler {
+	t.Helper()
+	p := pooler.New(pooler.Options{DecodeReply: decode})
+	t.Cleanup(func() {
+		if err := p.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func request(id string) pooler.Request {
+	return pooler.Request{ID: carawaybeam.RequestID(id), Method: http.MethodGet, Host: "h.example", Target: "/a%2Fb?c=d"}
+}
+
+// send puts one request and returns the answer's body.
+func send(t *testing.T, p *pooler.Pooler, b *backend, r pooler.Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reply, err := p.Send(ctx, b.address(), r)
+	if err != nil {
+		return "", err
+	}
+	data, err := reply.ReadAll(1 << 20)
+	return string(data), errors.Join(err, reply.Body.Close())
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		answer(conn, fmt.Sprint(n), "body")
+		return true
+	})
+	p := newPooler(t)
+	for n := 1; n <= 3; n++ {
+		body, err := send(t, p, b, request(fmt.Sprint(n)))
+		is.NoErr(err)
+		is.Equal(body, "body")
+	}
+	is.Equal(b.connections(), 1)
+	is.Equal(b.requests[0], "GET /a%2Fb?c=d") // The target is sent byte for byte.
+}
+
+// TestSecondAnswerIsNotTaken sends an answer twice. Whether the second one comes
+// before or behind the next request, that request gets its own answer.
+func TestSecondAnswerIsNotTaken(t *testing.T) {
+	for name, late := range map[string]bool{"before": false, "behind": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+				if n == 1 {
+					answer(conn, "1", "first")
+					if !late {
+						answer(conn, "1", "first")
+						time.Sleep(50 * time.Millisecond)
+					}
+					return true
+				}
+				if late {
+					answer(conn, "1", "first")
+				}
+				answer(conn, "2", "second")
+				return true
+			})
+			p := newPooler(t)
+			body, err := send(t, p, b, request("1"))
+			is.NoErr(err)
+			is.Equal(body, "first")
+			time.Sleep(20 * time.Millisecond)
+			body, err = send(t, p, b, request("2"))
+			is.NoErr(err)
+			is.Equal(body, "second")
+		})
+	}
+}
+
+func TestStrayAnswersOnly(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		for range 4 {
+			answer(conn, "other", "x")
+		}
+		return false
+	})
+	_, err := send(t, newPooler(t), b, request("1"))
+	var stray *pooler.StrayAnswerError
+	is.True(errors.As(err, &stray))
+	is.Equal(stray.Got, carawaybeam.RequestID("other"))
+}
+
+// TestClosedConnectionIsNotUsed closes a kept connection. The next request goes
+// over a new one, so that it is not lost to the close.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		answer(conn, fmt.Sprint(n), "body")
+		return n != 1
+	})
+	p := newPooler(t)
+	_, err := send(t, p, b, request("1"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = send(t, p, b, request("2"))
+	is.NoErr(err)
+	is.Equal(b.connections(), 2)
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(int, net.Conn, *http.Request) bool { return false })
+	is.NoErr(b.Close())
+	_, err := send(t, newPooler(t), b, request("1"))
+	var unsent *carawaybeam.NotSentError
+	is.True(errors.As(err, &unsent))
+}
+
+// TestResetMayHaveRun resets the connection behind the request, which proves
+// nothing.
+func TestResetMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	_, err := send(t, newPooler(t), b, request("1"))
+	is.True(err != nil)
+	var unsent *carawaybeam.NotSentError
+	is.True(!errors.As(err, &unsent))
+}
+
+// TestUnframedAnswer ends an answer without length with its connection, by a
+// close or by a reset.
+func TestUnframedAnswer(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\npart")
+				if reset {
+					time.Sleep(50 * time.Millisecond)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			body, err := send(t, newPooler(t), b, request("1"))
+			is.Equal(err != nil, reset)
+			if !reset {
+				is.Equal(body, "part")
+			}
+		})
+	}
+}
+
+// TestEarlyAnswer answers a long request before it was read. The rest of it is
+// sent as it is due, and no other request follows in its place.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		answer(conn, fmt.Sprint(n), "early")
+		return true
+	})
+	p := newPooler(t)
+	long := request("1")
+	long.Method = http.MethodPost
+	long.Body = []byte(strings.Repeat("long", 1<<20))
+	body, err := send(t, p, b, long)
+	is.NoErr(err)
+	is.Equal(body, "early")
+	_, err = send(t, p, b, request("2"))
+	is.NoErr(err)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, got := range b.bodies {
+		is.True(got == "" || got == string(long.Body)) // No other bytes stand in the place of the body.
+	}
+}
+
+// TestCancelEndsTheRequest lets the client leave while the backend server works.
+func TestCancelEndsTheRequest(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	p := newPooler(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := p.Send(ctx, b.address(), request("1"))
+	is.True(errors.Is(err, context.Canceled))
+	select {
+	case <-gone:
+	case <-time.After(2 * time.Second):
+		t.Error("backend server does not learn that the client has gone")
+	}
+}
--- a/reloader/reloader_test.go
+++ b/reloader/reloader_test.go
@@ -37,6 +37,7 @@
 		})
 		// Odd seconds lie between two looks at the file.
 		time.Sleep(9 * time.Second)
+		synctest.Wait()
 		is.Equal(len(applied), 0)
 
 		signals <- syscall.SIGHUP
@@ -45,11 +46,13 @@
 
 		is.NoErr(os.WriteFile(file, []byte("b"), 0o600))
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		is.Equal(applied, []string{"a", "b"})
 
 		refuse = errors.New("unknown key")
 		is.NoErr(os.WriteFile(file, []byte("c"), 0o600))
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		is.Equal(applied, []string{"a", "b", "c"})
 		is.NoErr(r.Close())
 	})
--- /dev/null
+++ b/retrier/quota/retrier_test.go
@@ -0,0 +1,77 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/retrier/quota"
+)
+
+var bound = quota.Bound{Ratio: 0.2, Window: 10 * time.Second, Reserve: 90}
+
+func retry(r *quota.Retrier, now time.Time) bool {
+	return r.Retry(now, carawaybeam.RetryRequest{Class: carawaybeam.Class{ID: "p"}}, nil).Retry
+}
+
+// TestAllEntriesTogether lets five entries make all the further tries they may in
+// a total failure: no sliding window holds more than the bound.
+func TestAllEntriesTogether(t *testing.T) {
+	const entries = 5
+	random := rand.New(rand.NewPCG(1, 1))
+	retriers := make([]*quota.Retrier, entries)
+	for i := range retriers {
+		retriers[i] = quota.New(quota.Options{Bound: bound, Entries: func() int { return entries }})
+	}
+	begun := time.Unix(1000, 0)
+	var requests, tries []time.Duration
+	for at := time.Duration(0); at < 40*time.Second; at += 5 * time.Millisecond {
+		// The traffic jumps and falls.
+		rate := 60.0
+		if at > 15*time.Second && at < 22*time.Second {
+			rate = 400
+		}
+		if random.Float64() >= rate*0.005 {
+			continue
+		}
+		r := retriers[random.IntN(entries)]
+		r.Started(begun.Add(at), "p")
+		requests = append(requests, at)
+		for retry(r, begun.Add(at)) {
+			tries = append(tries, at)
+		}
+	}
+	for start := time.Duration(0); start < 30*time.Second; start += 100 * time.Millisecond {
+		n := count(tries, start)
+		allowed := bound.Ratio*float64(max(count(requests, start), count(requests, start-bound.Window),
+			count(requests, start-bound.Window/2))) + bound.Reserve
+		if float64(n) > allowed {
+			t.Errorf("window from %v: %d further tries, %.0f allowed", start, n, allowed)
+		}
+	}
+}
+
+func count(times []time.Duration, start time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= start && at < start+bound.Window {
+			n++
+		}
+	}
+	return n
+}
+
+// TestBoundChanges puts another bound in force.
+func TestBoundChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := quota.New(quota.Options{Bound: quota.Bound{Window: time.Second}, Entries: func() int { return 0 }})
+	is.True(!retry(r, now))
+	r.SetBound(quota.Bound{Window: time.Second, Reserve: 2})
+	is.True(retry(r, now))
+	is.True(!retry(r, now))
+	is.True(retry(r, now.Add(2*time.Second)))
+}
