--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -82,10 +82,16 @@
 		raw    string
 		status int
 	}{
-		"body":            {"POST /a%2F../b HTTP/1.1\r\n" + head + "Content-Length: 4\r\n\r\nbody", 200},
-		"chunked body":    {"POST /a%2F../b HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200},
-		"body too large":  {"POST / HTTP/1.1\r\n" + head + "Content-Length: 11\r\n\r\n01234567890", 413},
-		"chunks too many": {"POST / HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", 413},
+		"body": {"POST /a%2F../b HTTP/1.1\r\n" + head + "Content-Length: 4\r\n\r\nbody", 200},
+		"chunked body": {
+			"POST /a%2F../b HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+			200,
+		},
+		"body too large": {"POST / HTTP/1.1\r\n" + head + "Content-Length: 11\r\n\r\n01234567890", 413},
+		"chunks too many": {
+			"POST / HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n",
+			413,
+		},
 		"no identifier":   {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 400},
 		"bad length":      {"POST / HTTP/1.1\r\n" + head + "Content-Length: x\r\n\r\n", 400},
 		"two lengths":     {"POST / HTTP/1.1\r\n" + head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na", 400},
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -206,13 +206,18 @@
 	return nil
 }
 
-// load returns the load that an agent reported of the backend server beside it.
-func (e *directEntry) load(address carawaybeam.Address) (carawaybeam.Load, time.Time, bool) {
+// report returns what an agent reported of the backend server beside it.
+func (e *directEntry) report(address carawaybeam.Address) (forwarder.Report, bool) {
 	status, ok := e.collector.Status(address)
 	if !ok || time.Since(status.Received) > maxReportAge {
-		return carawaybeam.Load{}, time.Time{}, false
+		return forwarder.Report{}, false
 	}
-	return carawaybeam.Load{Running: status.Running, Waiting: status.Waiting}, status.Received, true
+	return forwarder.Report{
+		Load:     carawaybeam.Load{Running: status.Running, Waiting: status.Waiting},
+		At:       status.Received,
+		StepTime: status.StepTime,
+		Closed:   status.Group != "" && !status.Open,
+	}, true
 }
 
 func (e *directEntry) listen() error {
@@ -252,7 +257,7 @@
 			Age:           e.config.Age,
 			MaxKeyAge:     func() time.Duration { return time.Duration(e.maxKeyAge.Load()) },
 			Members:       e.curator,
-			Load:          e.load,
+			Report:        e.report,
 			Sender:        e.pooler,
 			Encode:        e.dialect.EncodeForwarding,
 			Router:        e.router,
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -82,8 +82,16 @@
 	is.True(status.Asked.IsZero())
 
 	c.Want("g", true)
-	waitFor(t, "no picks", func() bool { s, _ := c.Status("10.0.0.1:80"); return len(s.Picks) == 2 && !s.Asked.IsZero() })
+	waitFor(
+		t,
+		"no picks",
+		func() bool { s, _ := c.Status("10.0.0.1:80"); return len(s.Picks) == 2 && !s.Asked.IsZero() },
+	)
 	waitFor(t, "no duration of a step", func() bool { s, _ := c.Status("10.0.0.1:80"); return s.StepTime > 0 })
 	c.Want("g", false)
-	waitFor(t, "picks go on", func() bool { s, _ := c.Status("10.0.0.1:80"); return time.Since(s.Asked) > 300*time.Millisecond })
+	waitFor(
+		t,
+		"picks go on",
+		func() bool { s, _ := c.Status("10.0.0.1:80"); return time.Since(s.Asked) > 300*time.Millisecond },
+	)
 }
--- a/decisions.go
+++ b/decisions.go
@@ -34,6 +34,11 @@
 		DataCentre DataCentre
 		// Slots is how many requests it runs at once, or 0 where it is not known.
 		Slots int
+		// StepTime is the mean duration of a step of its group lately, or 0 where
+		// it is not known.
+		StepTime time.Duration
+		// Closed is set while its group takes no requests.
+		Closed bool
 		// Distance is the time that a message takes one way.
 		Distance time.Duration
 		// Load is the last report, ReportAge old.
@@ -82,6 +87,11 @@
 		Unloaded time.Duration
 		// Idle is set when some candidate is known to have nothing to do.
 		Idle bool
+		// Closed is set when the groups of all candidates take no requests.
+		Closed bool
+		// Gap is the expected pause between two events, or 0 where it is not
+		// known.
+		Gap time.Duration
 		// Work is what Expected rests on.
 		Work Work
 	}
@@ -121,6 +131,12 @@
 		Unloaded time.Duration
 		// Idle is set when a backend server is known to have nothing to do.
 		Idle bool
+		// Closed is set when the groups of all backend servers take no requests.
+		Closed bool
+		// Gap is the expected pause between two events of a stream, and GapTarget
+		// the one that makes it late. They are 0 where they are not known.
+		Gap       time.Duration
+		GapTarget time.Duration
 	}
 
 	// AdmitDecision is the choice of a limiter.
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -65,6 +65,16 @@
 		Forget(address carawaybeam.Address)
 	}
 
+	// Report is what a backend server told of itself.
+	Report struct {
+		Load carawaybeam.Load
+		At   time.Time
+		// StepTime is the mean duration of a step of its group, or 0.
+		StepTime time.Duration
+		// Closed is set while its group takes no requests.
+		Closed bool
+	}
+
 	// Options is what a Forwarder is made from.
 	Options struct {
 		DataCentre    carawaybeam.DataCentre
@@ -76,9 +86,9 @@
 		MaxKeyAge func() time.Duration
 		Members   Members
 		Sender    Sender
-		// Load returns the load that the backend server at an address reported,
-		// and when. It reports false when there is no recent report.
-		Load func(address carawaybeam.Address) (carawaybeam.Load, time.Time, bool)
+		// Report returns what the backend server at an address reported lately.
+		// It reports false when there is no recent report.
+		Report func(address carawaybeam.Address) (Report, bool)
 		// Encode returns the header of a request for a backend server.
 		Encode  func(*carawaybeam.ClientRequest, carawaybeam.Forwarding) http.Header
 		Router  carawaybeam.Router
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -118,9 +118,7 @@
 		MaxKeyAge:     func() time.Duration { return 5 * time.Second },
 		Members:       w,
 		Sender:        w.sender,
-		Load: func(carawaybeam.Address) (carawaybeam.Load, time.Time, bool) {
-			return carawaybeam.Load{}, time.Time{}, false
-		},
+		Report:        func(carawaybeam.Address) (forwarder.Report, bool) { return forwarder.Report{}, false },
 		Encode: func(_ *carawaybeam.ClientRequest, f carawaybeam.Forwarding) http.Header {
 			w.forwarded = append(w.forwarded, f)
 			return http.Header{}
@@ -205,10 +203,18 @@
 		"unsafe unreachable":           {unsafe, []act{unreachable(), whole("x")}, 2, 200, ""},
 		"stream refused twice":         {stream, []act{refused(), refused()}, 2, 0, carawaybeam.OutcomeNotRun},
 		"stream without signature": {
-			stream, []act{
-				reply(http.StatusOK, strings.NewReader("id: 1\n\n"), func(h *carawaybeam.ReplyHead) { h.Sealed = false }),
+			stream,
+			[]act{
+				reply(
+					http.StatusOK,
+					strings.NewReader("id: 1\n\n"),
+					func(h *carawaybeam.ReplyHead) { h.Sealed = false },
+				),
 				whole("id: 1\ndata: x\n\n"),
-			}, 2, 200, "",
+			},
+			2,
+			200,
+			"",
 		},
 		"answer of another request": {
 			unsafe, []act{
--- a/dispatcher/forwarder/pursuit.go
+++ b/dispatcher/forwarder/pursuit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -112,9 +113,13 @@
 		Expected:     decision.Expected,
 		Unloaded:     decision.Unloaded,
 		Idle:         decision.Idle,
+		Closed:       decision.Closed,
+		Gap:          decision.Gap,
+		GapTarget:    p.route.EventGap,
 	}
 	if admitted := f.options.Limiter.Admit(now, admit); !admitted.Admitted {
-		return notRun(carawaybeam.ReasonBusy, "pool is at its limit", admitted.RetryAfter)
+		detail := fmt.Sprintf("first event is expected in %v, closed %t", decision.Expected, decision.Closed)
+		return notRun(carawaybeam.ReasonBusy, detail, admitted.RetryAfter)
 	}
 	defer func() { f.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
 	f.options.Retrier.Started(now, admit.Class.ID)
@@ -186,12 +191,12 @@
 			DataCentre: instance.DataCentre,
 			Slots:      instance.Slots,
 		}
-		load, reported, ok := f.options.Load(instance.Address)
+		report, ok := f.options.Report(instance.Address)
 		if ok {
-			c.Load = load
-			c.ReportAge = now.Sub(reported)
+			c.Load, c.StepTime, c.Closed = report.Load, report.StepTime, report.Closed
+			c.ReportAge = now.Sub(report.At)
 		}
-		f.counter.Fill(now, reported, &c)
+		f.counter.Fill(now, report.At, &c)
 		candidates = append(candidates, c)
 	}
 	return f.options.Router.Route(now, carawaybeam.RouteRequest{
--- a/dispatcher/forwarder/stream.go
+++ b/dispatcher/forwarder/stream.go
@@ -90,7 +90,10 @@
 		case err != nil && ctx.Err() != nil:
 			return result{failure: mayHaveRun(carawaybeam.ReasonDeadline, "stream did not end in time")}
 		case err != nil:
-			return result{failure: mayHaveRun(carawaybeam.ReasonBackendFailed, "stream broke off: "+err.Error()), blame: true}
+			return result{
+				failure: mayHaveRun(carawaybeam.ReasonBackendFailed, "stream broke off: "+err.Error()),
+				blame:   true,
+			}
 		}
 		o.answer()
 		if id != 0 && id != p.lastEvent+1 {
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -56,7 +56,9 @@
 
 func TestKeys(t *testing.T) {
 	is := is.New(t)
-	m := matcher.New(carawaybeam.Routing{KeyHolders: []carawaybeam.KeyHolder{{ID: "o", Keys: []carawaybeam.APIKey{"k"}}}})
+	m := matcher.New(
+		carawaybeam.Routing{KeyHolders: []carawaybeam.KeyHolder{{ID: "o", Keys: []carawaybeam.APIKey{"k"}}}},
+	)
 	is.Equal(m.Holder("k").ID, carawaybeam.OrganisationID("o"))
 	is.True(m.Holder("") == nil)
 	is.True(m.NeedsKey(&carawaybeam.Route{}))
--- a/planner/chaser/planner_test.go
+++ b/planner/chaser/planner_test.go
@@ -67,10 +67,24 @@
 				present = p.Plan(time.Time{}, carawaybeam.PlanRequest{Present: present, Loads: loads})
 				skew := planner.Skew(present, loads, nil)
 				if gap := pass(skew, o, true); gap > eventGap {
-					t.Errorf("seed %d, shift %d, plan %d: event after %.0f ms (skew %.2f)", seed, shift, plan, gap, skew)
+					t.Errorf(
+						"seed %d, shift %d, plan %d: event after %.0f ms (skew %.2f)",
+						seed,
+						shift,
+						plan,
+						gap,
+						skew,
+					)
 				}
 				if skew > before {
-					t.Errorf("seed %d, shift %d, plan %d: skew grows from %.2f to %.2f", seed, shift, plan, before, skew)
+					t.Errorf(
+						"seed %d, shift %d, plan %d: skew grows from %.2f to %.2f",
+						seed,
+						shift,
+						plan,
+						before,
+						skew,
+					)
 				}
 				before = skew
 			}
@@ -135,7 +149,14 @@
 		}
 		straggler := 0.0
 		for i, load := range loads {
-			straggler += planner.LayerTime(present.Layers[i], load, speeds) / planner.BalancedTime(load, planner.Speeds(nil, 12))
+			straggler += planner.LayerTime(
+				present.Layers[i],
+				load,
+				speeds,
+			) / planner.BalancedTime(
+				load,
+				planner.Speeds(nil, 12),
+			)
 		}
 		gap := balancedPass * ((1-o.ExpertShare)*slowness + o.ExpertShare*straggler/float64(len(loads))) * (1 + o.CopySlowdown)
 		if gap > eventGap {
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -105,7 +105,12 @@
 }
 
 func request(id string) pooler.Request {
-	return pooler.Request{ID: carawaybeam.RequestID(id), Method: http.MethodGet, Host: "h.example", Target: "/a%2Fb?c=d"}
+	return pooler.Request{
+		ID:     carawaybeam.RequestID(id),
+		Method: http.MethodGet,
+		Host:   "h.example",
+		Target: "/a%2Fb?c=d",
+	}
 }
 
 // send puts one request and returns the answer's body.
--- a/proposer/conductor/change.go
+++ b/proposer/conductor/change.go
@@ -132,7 +132,8 @@
 	c.options.Log.Info().Str("group", string(c.options.Group)).Uint64("fence", uint64(order.Fence)).
 		Uint64("map", uint64(next.Version)).Uint64("before", uint64(c.present.Version)).
 		Uint64("step", uint64(step)).Int("copies", copies).Dur("prepared", prepared).Dur("took", time.Since(began)).
-		Float64("skewBefore", planner.Skew(c.present, loads, speeds)).Float64("skewAfter", planner.Skew(next, loads, speeds)).
+		Float64("skewBefore", planner.Skew(c.present, loads, speeds)).
+		Float64("skewAfter", planner.Skew(next, loads, speeds)).
 		Msg("conductor: map is armed")
 	c.present = next
 	c.sleep(planInterval)
@@ -175,9 +176,13 @@
 			step = max(step, s.Step)
 		}
 		step += lead
-		err := c.insist(ranks[0].Address, ranks[0].Epoch, func(ctx context.Context, engine carawaybeam.RankEngine) error {
-			return engine.Hold(ctx, order, step)
-		})
+		err := c.insist(
+			ranks[0].Address,
+			ranks[0].Epoch,
+			func(ctx context.Context, engine carawaybeam.RankEngine) error {
+				return engine.Hold(ctx, order, step)
+			},
+		)
 		var refused *carawaybeam.RankOrderError
 		if !errors.As(err, &refused) {
 			return step, err
--- a/proposer/conductor/takeover.go
+++ b/proposer/conductor/takeover.go
@@ -90,9 +90,13 @@
 	case held == 0:
 		// Some ranks are armed for a step that nothing keeps the group from.
 		order := c.order(ranks)
-		err := c.insist(ranks[0].Address, ranks[0].Epoch, func(ctx context.Context, engine carawaybeam.RankEngine) error {
-			return engine.Hold(ctx, order, armed.Step)
-		})
+		err := c.insist(
+			ranks[0].Address,
+			ranks[0].Epoch,
+			func(ctx context.Context, engine carawaybeam.RankEngine) error {
+				return engine.Hold(ctx, order, armed.Step)
+			},
+		)
 		if err != nil {
 			return err
 		}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -6,6 +6,7 @@
 	_ "github.com/carawaybeam/carawaybeam/caller"
 	_ "github.com/carawaybeam/carawaybeam/fetcher"
 	_ "github.com/carawaybeam/carawaybeam/keeper"
+	_ "github.com/carawaybeam/carawaybeam/limiter/deadline"
 	_ "github.com/carawaybeam/carawaybeam/limiter/fair"
 	_ "github.com/carawaybeam/carawaybeam/limiter/unlimited"
 	_ "github.com/carawaybeam/carawaybeam/lister"
--- a/router/occupancy/router.go
+++ b/router/occupancy/router.go
@@ -102,17 +102,44 @@
 	if equal == 0 {
 		return carawaybeam.RouteDecision{}, false
 	}
+	unloaded := readTime(request) + best.StepTime
 	return carawaybeam.RouteDecision{
-		Backend: best.Backend,
-		Pool:    request.Pool,
-		Idle:    occupancy(best) < idleShare,
+		Backend:  best.Backend,
+		Pool:     request.Pool,
+		Idle:     occupancy(best) < idleShare,
+		Closed:   best.Closed,
+		Gap:      best.StepTime,
+		Unloaded: unloaded,
+		Expected: unloaded + waitTime(request, best),
 	}, true
 }
 
+// readTime returns how long an engine reads the prompt.
+func readTime(request carawaybeam.RouteRequest) time.Duration {
+	if request.Engine == nil || request.Engine.PromptRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(request.Prompt) / request.Engine.PromptRate * float64(time.Second))
+}
+
+// waitTime returns how long a request waits for a slot. An answer takes a step
+// for each event, so that slots come free at an even rate.
+func waitTime(request carawaybeam.RouteRequest, c carawaybeam.Candidate) time.Duration {
+	ahead := taken(c) - c.Slots + 1
+	if request.Engine == nil || request.Engine.StepsPerPass <= 0 || c.Slots <= 0 || ahead <= 0 {
+		return 0
+	}
+	steps := float64(request.Engine.UsualAnswer) / float64(request.Engine.StepsPerPass)
+	return time.Duration(float64(ahead) / float64(c.Slots) * steps * float64(c.StepTime))
+}
+
 // rank orders candidates before their occupancy does: healthy and untried ones
 // come first.
 func (r *Router) rank(now time.Time, request carawaybeam.RouteRequest, c carawaybeam.Candidate) int {
 	rank := 0
+	if c.Closed {
+		rank += 4
+	}
 	if now.Before(r.health[c.Backend].until) {
 		rank++
 	}
--- a/router/occupancy/router_test.go
+++ b/router/occupancy/router_test.go
@@ -13,7 +13,12 @@
 
 var random = rand.New(rand.NewPCG(1, 1))
 
-func route(r *occupancy.Router, now time.Time, tried []carawaybeam.BackendID, c ...carawaybeam.Candidate) carawaybeam.BackendID {
+func route(
+	r *occupancy.Router,
+	now time.Time,
+	tried []carawaybeam.BackendID,
+	c ...carawaybeam.Candidate,
+) carawaybeam.BackendID {
 	decision, ok := r.Route(now, carawaybeam.RouteRequest{DataCentre: "here", Tried: tried}, c, random)
 	if !ok {
 		return ""
@@ -22,7 +27,12 @@
 }
 
 func candidate(id carawaybeam.BackendID, running, slots int) carawaybeam.Candidate {
-	return carawaybeam.Candidate{Backend: id, DataCentre: "here", Slots: slots, Load: carawaybeam.Load{Running: running}}
+	return carawaybeam.Candidate{
+		Backend:    id,
+		DataCentre: "here",
+		Slots:      slots,
+		Load:       carawaybeam.Load{Running: running},
+	}
 }
 
 func TestSmallestPartTaken(t *testing.T) {
