--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -216,7 +216,7 @@
 		Load:     carawaybeam.Load{Running: status.Running, Waiting: status.Waiting},
 		At:       status.Received,
 		StepTime: status.StepTime,
-		Closed:   status.Group != "" && !status.Open,
+		Closed:   status.Group != "" && (!status.Open || status.IsStalled(time.Now())),
 	}, true
 }
 
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -24,6 +24,11 @@
 	maxRanks    = 8192
 	forgetAfter = 30 * time.Second
 
+	// minStall and stallSteps bound how long a group with work may go without a
+	// step. Steps take some tens of milliseconds.
+	minStall   = 700 * time.Millisecond
+	stallSteps = 4
+
 	// paceWindow is over how long the duration of a step is measured.
 	paceWindow = 600 * time.Millisecond
 )
@@ -59,6 +64,8 @@
 		// layers and experts. It is of PicksAt.
 		Picks   []uint32
 		PicksAt time.Time
+		// SteppedAt is when the step was last seen to change.
+		SteppedAt time.Time
 		// StepTime is the mean duration of a step lately, or 0 where none was
 		// seen.
 		StepTime time.Duration
@@ -78,6 +85,12 @@
 	}
 )
 
+// IsStalled tells whether a group with work has made no step for so long that one
+// of its ranks must have stopped. Unlike an answer, this shows within a second.
+func (s Status) IsStalled(now time.Time) bool {
+	return s.Running > 0 && now.Sub(s.SteppedAt) > max(minStall, stallSteps*s.StepTime)
+}
+
 // New returns a Collector that works until Close. It closes the connection.
 func New(options Options) *Collector {
 	c := &Collector{
@@ -223,6 +236,11 @@
 	case !reset:
 		r.status.Picks, r.status.PicksAt = before.Picks, before.PicksAt
 	}
+	r.status.SteppedAt = before.SteppedAt
+	if reset || before.Step != r.status.Step || before.Running == 0 {
+		// An idle group makes no steps.
+		r.status.SteppedAt = now
+	}
 	if reset {
 		r.marks = nil
 	}
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -95,3 +95,29 @@
 		func() bool { s, _ := c.Status("10.0.0.1:80"); return time.Since(s.Asked) > 300*time.Millisecond },
 	)
 }
+
+// TestStalledGroup tells a group that has stopped with work from an idle one and
+// from a slow one.
+func TestStalledGroup(t *testing.T) {
+	now := time.Now()
+	tests := map[string]struct {
+		running  int
+		since    time.Duration
+		stepTime time.Duration
+		want     bool
+	}{
+		"at work":  {3, 100 * time.Millisecond, 60 * time.Millisecond, false},
+		"stopped":  {3, 800 * time.Millisecond, 60 * time.Millisecond, true},
+		"idle":     {0, time.Minute, 60 * time.Millisecond, false},
+		"slow":     {3, 800 * time.Millisecond, 500 * time.Millisecond, false},
+		"slow end": {3, 2100 * time.Millisecond, 500 * time.Millisecond, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			status := collector.Status{SteppedAt: now.Add(-test.since), StepTime: test.stepTime}
+			status.Running = test.running
+			is.Equal(status.IsStalled(now), test.want)
+		})
+	}
+}
