--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -90,7 +90,18 @@
 	ConfigAgeMs int64                     `json:"configAgeMs"`
 	Connections pooler.State              `json:"connections"`
 	Retries     any                       `json:"retries"`
-	Router      any                       `json:"router,omitempty"`
+	Entries     []enroller.Entry          `json:"entries"`
+	Groups      map[string][]rankState    `json:"groups"`
+	// DroppedLogLines counts log lines that were not written.
+	DroppedLogLines uint64 `json:"droppedLogLines"`
+	Router          any    `json:"router,omitempty"`
+}
+
+// rankState is one rank in the state dump.
+type rankState struct {
+	carawaybeam.RankState
+	Address carawaybeam.Address
+	AgeMs   int64
 }
 
 // runDirect runs the daemon until the signal to stop.
@@ -237,9 +248,11 @@
 	if err != nil {
 		return err
 	}
-	e.closers.Add(dumper.New(admin, dumper.Options{
+	operators := dumper.New(admin, dumper.Options{
 		Process: e.settings.Process, Ready: e.ready, State: e.state, Log: e.log,
-	}))
+	})
+	e.closers.Add(operators)
+	e.closers.Add(starter.Repeat(gaugeInterval, func() { e.setGauges(operators.Scope()) }))
 	readiness, err := starter.Listen("the balancer", e.settings.Direct.Readiness)
 	if err != nil {
 		return err
@@ -251,7 +264,7 @@
 	}
 	e.acceptor = acceptor.New(callers, acceptor.Options{
 		Dialect: e.dialect,
-		Forwarder: forwarder.New(forwarder.Options{
+		Forwarder: newMeteredForwarder(operators.Scope(), forwarder.New(forwarder.Options{
 			DataCentre:    e.settings.DataCentre,
 			Configuration: e.adopter,
 			Age:           e.config.Age,
@@ -264,7 +277,7 @@
 			Limiter:       newLimiter(),
 			Retrier:       e.retrier,
 			Log:           e.log,
-		}),
+		})),
 		BodyBytes:    e.settings.Limits.BodyBytes,
 		HeaderBytes:  e.settings.Limits.HeaderBytes,
 		ReadTimeout:  time.Duration(e.settings.Limits.ReadTimeout),
@@ -302,6 +315,17 @@
 		DataCentre:  e.settings.DataCentre,
 		Connections: e.pooler.State(),
 		Retries:     e.retrier.State(),
+		Entries:     e.roll.Entries(),
+		Groups:      make(map[string][]rankState),
+
+		DroppedLogLines: starter.DroppedLines(),
+	}
+	for _, group := range e.collector.Groups() {
+		for _, s := range e.collector.Group(group) {
+			state.Groups[string(group)] = append(state.Groups[string(group)], rankState{
+				RankState: s.RankState, Address: s.Address, AgeMs: time.Since(s.Received).Milliseconds(),
+			})
+		}
 	}
 	if current := e.adopter.Current(); current != nil {
 		state.Config = current.Version()
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -11,10 +11,12 @@
 	"net"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/carawaybeam/carawaybeam"
 )
@@ -33,8 +35,11 @@
 
 const (
 	// logBurst is how many lines of one level are written in logPeriod.
-	logBurst  = 50
+	logBurst  = 200
 	logPeriod = time.Second
+
+	// logBuffer is how many lines wait to be written.
+	logBuffer = 1024
 )
 
 type (
@@ -52,6 +57,11 @@
 		parts []io.Closer
 	}
 
+	// countingSampler counts the lines that another sampler drops.
+	countingSampler struct {
+		zerolog.Sampler
+	}
+
 	// ListenError reports an address that cannot be listened on.
 	ListenError struct {
 		Purpose string
@@ -60,6 +70,9 @@
 	}
 )
 
+// droppedLines counts lost log lines of the process.
+var droppedLines atomic.Uint64
+
 func (e *ListenError) Error() string {
 	return fmt.Sprintf("cannot listen for %s on %s: %v", e.Purpose, e.Address, e.Cause)
 }
@@ -81,13 +94,23 @@
 	return flags
 }
 
-// NewLog returns the log of a process, on standard error.
-func NewLog(process string) zerolog.Logger { return newLog(os.Stderr, process) }
+// NewLog returns the log of a process, on standard output. It never blocks its
+// caller: lines that cannot be written as fast as they come are dropped, and those
+// of a level beyond a burst a second are. DroppedLines counts both.
+func NewLog(process string) zerolog.Logger {
+	writer := diode.NewWriter(os.Stdout, logBuffer, 0, func(missed int) { droppedLines.Add(uint64(missed)) })
+	return newLog(writer, process)
+}
+
+// DroppedLines returns how many log lines have been dropped.
+func DroppedLines() uint64 { return droppedLines.Load() }
 
 // newLog returns a log that drops lines of a level beyond a burst a second, so
 // that a failure under load does not become a flood.
 func newLog(w io.Writer, process string) zerolog.Logger {
-	sampler := func() zerolog.Sampler { return &zerolog.BurstSampler{Burst: logBurst, Period: logPeriod} }
+	sampler := func() zerolog.Sampler {
+		return &countingSampler{&zerolog.BurstSampler{Burst: logBurst, Period: logPeriod}}
+	}
 	return zerolog.New(w).With().Timestamp().Str("process", process).Logger().Sample(zerolog.LevelSampler{
 		DebugSampler: sampler(),
 		InfoSampler:  sampler(),
@@ -96,6 +119,15 @@
 	})
 }
 
+// Sample counts the lines that the sampler drops.
+func (c *countingSampler) Sample(level zerolog.Level) bool {
+	kept := c.Sampler.Sample(level)
+	if !kept {
+		droppedLines.Add(1)
+	}
+	return kept
+}
+
 // Fail prints the error and exits.
 func Fail(program string, code int, err error) {
 	_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
