--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -55,6 +55,12 @@
 	// maxReportAge is the age up to which a reported load counts.
 	maxReportAge = time.Second
 
+	// formTime is how long a group takes to form once all its ranks are there, and
+	// rankReturnTime the least time in which a rank that has stopped returns. The
+	// users' clients come back after a third of what they have left at most.
+	formTime       = 600 * time.Millisecond
+	rankReturnTime = 2 * time.Second
+
 	// maxReadyAge is the age of the configuration up to which an entry takes new
 	// clients.
 	maxReadyAge = 4 * time.Second
@@ -224,13 +230,31 @@
 		return forwarder.Report{}, false
 	}
 	return forwarder.Report{
-		Load:     carawaybeam.Load{Running: status.Running, Waiting: status.Waiting},
-		At:       status.Received,
-		StepTime: status.StepTime,
-		Closed:   status.Group != "" && (!status.Open || status.IsStalled(time.Now())),
+		Load:      carawaybeam.Load{Running: status.Running, Waiting: status.Waiting},
+		At:        status.Received,
+		StepTime:  status.StepTime,
+		ClosedFor: e.closedFor(status),
 	}, true
 }
 
+// closedFor returns how long the group of a rank is expected to take no requests,
+// or 0 while it takes some.
+func (e *directEntry) closedFor(status collector.Status) time.Duration {
+	if status.Group == "" || status.Open && !status.IsStalled(time.Now()) {
+		return 0
+	}
+	present := 0
+	for _, s := range e.collector.Group(status.Group) {
+		if time.Since(s.Received) <= maxReportAge {
+			present++
+		}
+	}
+	if present == status.Size {
+		return formTime
+	}
+	return rankReturnTime
+}
+
 func (e *directEntry) listen() error {
 	newRouter, err := carawaybeam.Routers.Lookup(e.settings.Policies.Router)
 	if err != nil {
--- a/curator/curator.go
+++ b/curator/curator.go
@@ -100,12 +100,20 @@
 	return "", false
 }
 
-// Usable tells whether one life of a backend server may take work.
-func (c *Curator) Usable(life carawaybeam.Incarnate) bool {
+// Misdirected notes that another backend server answers at the address of one
+// life, so that this life is over whatever its announcement says.
+func (c *Curator) Misdirected(life carawaybeam.Incarnate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.members[life.ID]
-	return ok && m.instance.Incarnate == life && !m.instance.Leaving
+	if !ok || m.instance.Incarnate != life || m.instance.Leaving {
+		return
+	}
+	c.options.Log.Info().Str("backend", string(life.ID)).Int64("started", life.Started).
+		Msg("curator: another backend server has the address")
+	m.instance.Leaving = true
+	c.leave(life)
+	c.rebuild()
 }
 
 // Replace takes all announcements.
@@ -191,6 +199,17 @@
 	delete(c.members, id)
 }
 
+// isSuperseded tells whether a later life has the address. The announcement of an
+// earlier one lapses only after some seconds. The caller holds mu.
+func (c *Curator) isSuperseded(instance carawaybeam.Instance) bool {
+	for _, m := range c.members {
+		if m.instance.Address == instance.Address && m.instance.Started > instance.Started {
+			return true
+		}
+	}
+	return false
+}
+
 // rebuild drops members that did not come back and lists the others by pool. The
 // caller holds mu.
 func (c *Curator) rebuild() {
@@ -207,7 +226,7 @@
 		case c.nextDrop.IsZero() || m.dropAt.Before(c.nextDrop):
 			c.nextDrop = m.dropAt
 		}
-		if !m.instance.Leaving {
+		if !m.instance.Leaving && !c.isSuperseded(m.instance) {
 			pools[m.instance.Pool] = append(pools[m.instance.Pool], m.instance)
 		}
 	}
--- a/decisions.go
+++ b/decisions.go
@@ -37,8 +37,9 @@
 		// StepTime is the mean duration of a step of its group lately, or 0 where
 		// it is not known.
 		StepTime time.Duration
-		// Closed is set while its group takes no requests.
-		Closed bool
+		// ClosedFor is how long its group is expected to take no requests, or 0
+		// while it takes some.
+		ClosedFor time.Duration
 		// Distance is the time that a message takes one way.
 		Distance time.Duration
 		// Load is the last report, ReportAge old.
@@ -87,8 +88,9 @@
 		Unloaded time.Duration
 		// Idle is set when some candidate is known to have nothing to do.
 		Idle bool
-		// Closed is set when the groups of all candidates take no requests.
-		Closed bool
+		// ClosedFor is how long the groups of all candidates are expected to take
+		// no requests, or 0 while one takes some.
+		ClosedFor time.Duration
 		// Gap is the expected pause between two events, or 0 where it is not
 		// known.
 		Gap time.Duration
@@ -131,8 +133,9 @@
 		Unloaded time.Duration
 		// Idle is set when a backend server is known to have nothing to do.
 		Idle bool
-		// Closed is set when the groups of all backend servers take no requests.
-		Closed bool
+		// ClosedFor is how long the groups of all backend servers are expected to
+		// take no requests, or 0 while one takes some.
+		ClosedFor time.Duration
 		// Gap is the expected pause between two events of a stream, and GapTarget
 		// the one that makes it late. They are 0 where they are not known.
 		Gap       time.Duration
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -54,8 +54,9 @@
 	Members interface {
 		// Instances returns those of a pool that may take work.
 		Instances(pool carawaybeam.PoolID) []carawaybeam.Instance
-		// Usable tells whether one life may take work.
-		Usable(life carawaybeam.Incarnate) bool
+		// Misdirected notes that another backend server answered at the address of
+		// one life, which is over then.
+		Misdirected(life carawaybeam.Incarnate)
 	}
 
 	// Sender puts requests to backend servers.
@@ -71,8 +72,8 @@
 		At   time.Time
 		// StepTime is the mean duration of a step of its group, or 0.
 		StepTime time.Duration
-		// Closed is set while its group takes no requests.
-		Closed bool
+		// ClosedFor is how long its group is expected to take no requests, or 0.
+		ClosedFor time.Duration
 	}
 
 	// Options is what a Forwarder is made from.
--- a/dispatcher/forwarder/pursuit.go
+++ b/dispatcher/forwarder/pursuit.go
@@ -113,12 +113,12 @@
 		Expected:     decision.Expected,
 		Unloaded:     decision.Unloaded,
 		Idle:         decision.Idle,
-		Closed:       decision.Closed,
+		ClosedFor:    decision.ClosedFor,
 		Gap:          decision.Gap,
 		GapTarget:    p.route.EventGap,
 	}
 	if admitted := f.options.Limiter.Admit(now, admit); !admitted.Admitted {
-		detail := fmt.Sprintf("first event is expected in %v, closed %t", decision.Expected, decision.Closed)
+		detail := fmt.Sprintf("first event is expected in %v, closed for %v", decision.Expected, decision.ClosedFor)
 		return notRun(carawaybeam.ReasonBusy, detail, admitted.RetryAfter)
 	}
 	defer func() { f.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
@@ -193,7 +193,7 @@
 		}
 		report, ok := f.options.Report(instance.Address)
 		if ok {
-			c.Load, c.StepTime, c.Closed = report.Load, report.StepTime, report.Closed
+			c.Load, c.StepTime, c.ClosedFor = report.Load, report.StepTime, report.ClosedFor
 			c.ReportAge = now.Sub(report.At)
 		}
 		f.counter.Fill(now, report.At, &c)
@@ -278,6 +278,9 @@
 	}
 	// A close that fails says nothing on the answer, which was checked before.
 	defer func() { _ = reply.Body.Close() }()
+	if reply.Misdirected {
+		f.options.Members.Misdirected(instance.Incarnate)
+	}
 	switch {
 	case reply.NotRun:
 		return refusal(reply)
--- a/exchange.go
+++ b/exchange.go
@@ -57,6 +57,9 @@
 		// NotRun proves that the backend server has not run the request and
 		// never will.
 		NotRun bool
+		// Misdirected is set when another backend server than the expected one
+		// answers.
+		Misdirected bool
 		// Sealed is set when the answer bears the backend server's signature.
 		Sealed bool
 		// Encoded is set when the body is not that of the backend server.
--- a/limiter/deadline/limiter.go
+++ b/limiter/deadline/limiter.go
@@ -25,11 +25,6 @@
 	// are drawn from between, so that clients do not return together.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 1200 * time.Millisecond
-
-	// closedRetryAfter is the earliest time to come back to a group that has to
-	// form anew. A rank that has crashed is back after some seconds, and the users'
-	// clients wait a third of what they have left at most.
-	closedRetryAfter = 2 * time.Second
 )
 
 // Limiter admits by the expected time to the first event. The zero value is ready
@@ -44,8 +39,8 @@
 // what to expect.
 func (Limiter) Admit(_ time.Time, request carawaybeam.AdmitRequest) carawaybeam.AdmitDecision {
 	switch {
-	case request.Closed:
-		return carawaybeam.AdmitDecision{RetryAfter: closedRetryAfter + spread()}
+	case request.ClosedFor > 0:
+		return carawaybeam.AdmitDecision{RetryAfter: request.ClosedFor + spread()}
 	case request.Idle || request.Expected-request.Unloaded <= longestWait(request):
 		return carawaybeam.AdmitDecision{Admitted: true}
 	}
--- a/router/occupancy/router.go
+++ b/router/occupancy/router.go
@@ -104,13 +104,13 @@
 	}
 	unloaded := readTime(request) + best.StepTime
 	return carawaybeam.RouteDecision{
-		Backend:  best.Backend,
-		Pool:     request.Pool,
-		Idle:     occupancy(best) < idleShare,
-		Closed:   best.Closed,
-		Gap:      best.StepTime,
-		Unloaded: unloaded,
-		Expected: unloaded + waitTime(request, best),
+		Backend:   best.Backend,
+		Pool:      request.Pool,
+		Idle:      occupancy(best) < idleShare,
+		ClosedFor: best.ClosedFor,
+		Gap:       best.StepTime,
+		Unloaded:  unloaded,
+		Expected:  unloaded + waitTime(request, best),
 	}, true
 }
 
@@ -137,7 +137,7 @@
 // come first.
 func (r *Router) rank(now time.Time, request carawaybeam.RouteRequest, c carawaybeam.Candidate) int {
 	rank := 0
-	if c.Closed {
+	if c.ClosedFor > 0 {
 		rank += 4
 	}
 	if now.Before(r.health[c.Backend].until) {
