Try bookings again after a leaving agent's refusal without the budget

Cause of the known failure TestPromiseProcessStopBookings: an agent that stops with more bookings on their way than the budget holds (10) refuses them all, and the eleventh is not tried again. budget.TestPlannedStop fails first, at request 11 of 40.

--- a/retrier/budget/retrier.go
+++ b/retrier/budget/retrier.go
@@ -5,7 +5,8 @@
 // the further tries thus stay a fixed share of the traffic, however many
 // requests fail. A request that may have run is tried again only when its class
 // is idempotent. A try that goes on behind what an earlier one delivered repeats
-// no work and takes nothing from the budget.
+// no work and takes nothing from the budget, nor does one after the refusal of a
+// backend server that leaves.
 package budget
 
 import (
@@ -73,7 +74,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if request.Resumes {
+	// A backend server that leaves is left by all within moments, so that its
+	// refusals do not add up to a load.
+	if request.Resumes || request.Failure.Reason == carawaybeam.ReasonLeaving {
 		return carawaybeam.RetryDecision{Retry: true, Wait: wait}
 	}
 	left := r.budget(request.Class.ID)
