--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"runtime/debug"
 	"time"
@@ -66,6 +67,29 @@
 	if err != nil {
 		return err
 	}
+	roll := enroller.NewRoll(log)
+	closers.Add(follower.New(follower.Options{
+		Store: store, Kind: carawaybeam.KindEntry, Sink: roll, Clock: clock.Boot,
+		Wait: rollWait, Pause: rollPause, Log: log,
+	}))
+	if err := startReporting(settings, rank, roll, &closers, log); err != nil {
+		return errors.Join(err, closers.Close())
+	}
+	log.Info().Str("rank", string(settings.Reporting.Rank)).Msg("agent: started")
+	<-stop.Done()
+	err = closers.Close()
+	log.Info().Msg("agent: stopped")
+	return err
+}
+
+// startReporting opens the ports of the agent and begins to report.
+func startReporting(
+	settings loader.Agent,
+	rank carawaybeam.RankEngine,
+	roll *enroller.Roll,
+	closers *starter.Closers,
+	log zerolog.Logger,
+) error {
 	conn, err := net.ListenPacket("udp", string(settings.Links))
 	if err != nil {
 		return &starter.ListenError{Purpose: "requests for picks", Address: settings.Links, Cause: err}
@@ -74,11 +98,6 @@
 	if err != nil {
 		return err
 	}
-	roll := enroller.NewRoll(log)
-	closers.Add(follower.New(follower.Options{
-		Store: store, Kind: carawaybeam.KindEntry, Sink: roll, Clock: clock.Boot,
-		Wait: rollWait, Pause: rollPause, Log: log,
-	}))
 	closers.Add(reporter.New(reporter.Options{
 		Sender:  settings.Process + "/" + string(carawaybeam.NewIncarnation()),
 		Address: settings.Reporting.Rank,
@@ -93,11 +112,7 @@
 		State:   func() any { return reportingState{Entries: roll.Entries()} },
 		Log:     log,
 	}))
-	log.Info().Str("rank", string(settings.Reporting.Rank)).Msg("agent: started")
-	<-stop.Done()
-	err = closers.Close()
-	log.Info().Msg("agent: stopped")
-	return err
+	return nil
 }
 
 func setMemoryLimit(settings loader.Reporting) {
--- a/loader/direct.go
+++ b/loader/direct.go
@@ -8,10 +8,10 @@
 	// Direct holds the settings of an entry that calls backend servers itself,
 	// on a platform whose backend servers prove what they have not run.
 	Direct struct {
-		Dialect    string              `toml:"dialect"    doc:"Plug-in that reads the platform's messages. Without one, entries work through agents."`
-		Readiness  carawaybeam.Address `toml:"readiness"  doc:"Address on which the balancer asks whether the entry is ready."`
-		MaxKeyAge  Duration            `toml:"maxKeyAge"  doc:"Age of the configuration up to which keys are believed, or 0s for any age."`
-		StopWithin Duration            `toml:"stopWithin" doc:"Time from the signal to stop until the process is killed."`
+		Dialect    string              `toml:"dialect"    doc:"Plug-in for messages. Empty: through agents."`
+		Readiness  carawaybeam.Address `toml:"readiness"  doc:"Address on which the balancer asks for readiness."`
+		MaxKeyAge  Duration            `toml:"maxKeyAge"  doc:"Age of the configuration up to which keys count."`
+		StopWithin Duration            `toml:"stopWithin" doc:"Time from the signal to stop until the kill."`
 		MemoryMB   int                 `toml:"memoryMB"   doc:"Memory in MB at which the process is killed."`
 		Retries    Retries             `toml:"retries"`
 	}
@@ -19,7 +19,7 @@
 	// Reporting holds the settings of an agent that only tells entries the state
 	// of the rank beside it.
 	Reporting struct {
-		Protocol string              `toml:"protocol" doc:"Plug-in that speaks to the rank. Without one, the agent takes requests."`
+		Protocol string              `toml:"protocol" doc:"Plug-in for the rank. Empty: the agent takes requests."`
 		Rank     carawaybeam.Address `toml:"rank"     doc:"Address of the rank."`
 		MemoryMB int                 `toml:"memoryMB" doc:"Memory in MB at which the process is killed."`
 		Store    Service             `toml:"store"`
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -276,7 +276,7 @@
 			written <- err
 		}()
 	}
-	response, reply, err := p.readHead(c, request)
+	response, reply, err := p.readHead(c, request) //nolint:bodyclose // The body of the reply closes it.
 	if err != nil {
 		return nil, err
 	}
@@ -372,4 +372,4 @@
 }
 
 // discard closes the connection. It is unusable whatever the close reports.
-func (c *connection) discard() { _ = c.Conn.Close() }
+func (c *connection) discard() { _ = c.Close() }
