--- a/collector/collector.go
+++ b/collector/collector.go
@@ -61,7 +61,7 @@
 		// Asked is when some process last asked the rank for its picks, or zero.
 		Asked time.Time
 		// Picks counts chosen experts since the rank started, in the order of
-		// layers and experts. It is of PicksAt.
+		// layers and experts, for PicksSince. It is of PicksAt.
 		Picks   []uint32
 		PicksAt time.Time
 		// SteppedAt is when the step was last seen to change.
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -121,3 +122,13 @@
 		})
 	}
 }
+
+// TestPicks recovers how often an expert was picked between two statuses, also
+// when the count that is sent starts anew.
+func TestPicks(t *testing.T) {
+	is := is.New(t)
+	for _, step := range []struct{ before, now uint64 }{{0, 4000}, {67000, 74000}, {260000, 300000}, {1 << 40, 1<<40 + 9000}} {
+		got := collector.PicksSince(collector.EncodePicks(step.before), collector.EncodePicks(step.now))
+		is.True(math.Abs(got-float64(step.now-step.before)) <= 16)
+	}
+}
--- a/proposer/conductor/group_test.go
+++ b/proposer/conductor/group_test.go
@@ -169,7 +169,7 @@
 	for i, r := range g.ranks {
 		picks := make([]uint32, layers*experts)
 		for e := range picks {
-			picks[e] = uint32(time.Now().UnixMilli()) * uint32(e+1) / 16
+			picks[e] = collector.EncodePicks(uint64(time.Now().UnixMilli()) * uint64(e+1))
 		}
 		g.statuses = append(g.statuses, collector.Status{
 			RankState: carawaybeam.RankState{
--- a/proposer/conductor/loads.go
+++ b/proposer/conductor/loads.go
@@ -81,8 +81,6 @@
 		return
 	}
 	for i, n := range s.Picks {
-		if n >= before.picks[i] {
-			l.sum[i] += float64(n - before.picks[i])
-		}
+		l.sum[i] += collector.PicksSince(before.picks[i], n)
 	}
 }
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/collector"
 	"github.com/carawaybeam/carawaybeam/enroller"
 	"github.com/carawaybeam/carawaybeam/framer"
 )
@@ -28,6 +29,10 @@
 	// want no picks take turns beyond it.
 	maxRate = 100
 
+	// picksRate bounds the bytes of picks that an agent sends to one entry in a
+	// second. Large groups send picks less often.
+	picksRate = 16 << 10
+
 	// picksFor is how long a request for picks holds.
 	picksFor = 2 * time.Second
 
@@ -71,6 +76,8 @@
 
 		sequence uint64
 		failing  bool
+		// nextPicks is when picks are sent again.
+		nextPicks time.Time
 	}
 )
 
@@ -159,7 +166,7 @@
 // withPicks returns the status with picks, or the plain one if nobody wants picks
 // now.
 func (r *Reporter) withPicks(ctx context.Context, status *framer.RankStatus, plain []byte) []byte {
-	if !r.wanted() {
+	if time.Now().Before(r.nextPicks) || !r.wanted() {
 		return plain
 	}
 	picks, err := r.options.Rank.Picks(ctx, 1)
@@ -170,13 +177,14 @@
 		return plain
 	}
 	for _, n := range picks.Counts[0] {
-		status.Picks = append(status.Picks, uint32(n))
+		status.Picks = append(status.Picks, collector.EncodePicks(n))
 	}
 	data, err := proto.Marshal(&framer.Frame{Body: &framer.Frame_RankStatus{RankStatus: status}})
 	if err != nil {
 		r.options.Log.Error().Err(err).Msg("reporter: picks are not encoded")
 		return plain
 	}
+	r.nextPicks = time.Now().Add(time.Duration(len(data)) * time.Second / picksRate)
 	return data
 }
 
