--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -31,7 +31,7 @@
 
 	// picksRate bounds the bytes of picks that an agent sends to one entry in a
 	// second. Large groups send picks less often.
-	picksRate = 16 << 10
+	picksRate = 40 << 10
 
 	// picksFor is how long a request for picks holds.
 	picksFor = 2 * time.Second
