--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +17,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
+	"github.com/carawaybeam/carawaybeam/starter"
 )
 
 const (
@@ -71,19 +71,8 @@
 		// idle holds since when each connection without a request is idle.
 		idle map[net.Conn]time.Time
 	}
-
-	// connectionLog takes what the HTTP server says of single connections.
-	connectionLog struct {
-		log zerolog.Logger
-	}
 )
 
-// Write logs one line.
-func (c connectionLog) Write(line []byte) (int, error) {
-	c.log.Debug().Bytes("detail", line).Msg("acceptor: connection failed")
-	return len(line), nil
-}
-
 // New returns an Acceptor that serves clients from the listener until Close.
 func New(listener net.Listener, options Options) *Acceptor {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -92,7 +81,7 @@
 		Handler:           http.HandlerFunc(a.serve),
 		ReadHeaderTimeout: options.ReadTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
-		ErrorLog:          log.New(connectionLog{options.Log}, "", 0),
+		ErrorLog:          starter.NewConnectionLog(options.Log, "acceptor"),
 		ConnState:         a.note,
 	}
 	a.wait.Go(func() {
--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -47,15 +47,7 @@
 		}
 		return err
 	}}))
-	newStore, err := carawaybeam.Stores.Lookup(settings.Reporting.Store.Protocol)
-	if err != nil {
-		return err
-	}
-	store, err := newStore(carawaybeam.StoreOptions{
-		URL:     settings.Reporting.Store.URL,
-		Token:   settings.Reporting.Store.Token,
-		Timeout: time.Duration(settings.Reporting.Store.Timeout),
-	})
+	store, err := settings.Reporting.Store.OpenStore()
 	if err != nil {
 		return err
 	}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -152,16 +152,7 @@
 		return err
 	}
 	e.dialect = newDialect()
-	newStore, err := carawaybeam.Stores.Lookup(e.settings.Store.Protocol)
-	if err != nil {
-		return err
-	}
-	e.store, err = newStore(carawaybeam.StoreOptions{
-		URL:     e.settings.Store.URL,
-		Token:   e.settings.Store.Token,
-		Timeout: time.Duration(e.settings.Store.Timeout),
-	})
-	if err != nil {
+	if e.store, err = e.settings.Store.OpenStore(); err != nil {
 		return err
 	}
 	e.follow()
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -159,16 +159,8 @@
 
 // connect makes the clients of the outside systems.
 func (e *entry) connect() error {
-	newStore, err := carawaybeam.Stores.Lookup(e.settings.Store.Protocol)
-	if err != nil {
-		return err
-	}
-	e.store, err = newStore(carawaybeam.StoreOptions{
-		URL:     e.settings.Store.URL,
-		Token:   e.settings.Store.Token,
-		Timeout: time.Duration(e.settings.Store.Timeout),
-	})
-	if err != nil {
+	var err error
+	if e.store, err = e.settings.Store.OpenStore(); err != nil {
 		return err
 	}
 	newLister, err := carawaybeam.Listers.Lookup(e.settings.VMList.Protocol)
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -127,7 +127,8 @@
 // when the count that is sent starts anew.
 func TestPicks(t *testing.T) {
 	is := is.New(t)
-	for _, step := range []struct{ before, now uint64 }{{0, 4000}, {67000, 74000}, {260000, 300000}, {1 << 40, 1<<40 + 9000}} {
+	steps := []struct{ before, now uint64 }{{0, 4000}, {67000, 74000}, {260000, 300000}, {1 << 40, 1<<40 + 9000}}
+	for _, step := range steps {
 		got := collector.PicksSince(collector.EncodePicks(step.before), collector.EncodePicks(step.now))
 		is.True(math.Abs(got-float64(step.now-step.before)) <= 16)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam/assessor"
 	"github.com/carawaybeam/carawaybeam/binder"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
+	"github.com/carawaybeam/carawaybeam/randomizer"
 	"github.com/carawaybeam/carawaybeam/router/counter"
 	"github.com/carawaybeam/carawaybeam/router/prefixer"
 	"github.com/carawaybeam/carawaybeam/tracker"
@@ -171,7 +172,7 @@
 	}
 	return &Dispatcher{
 		options:  options,
-		random:   rand.New(lockedSource{}),
+		random:   randomizer.New(),
 		counter:  counter.New(),
 		prefixes: prefixer.New(tableHeads),
 
@@ -179,12 +180,6 @@
 	}
 }
 
-// lockedSource draws from the runtime's source, which many goroutines may use.
-type lockedSource struct{}
-
-// Uint64 returns a random number.
-func (lockedSource) Uint64() uint64 { return rand.Uint64() }
-
 // Close refuses further requests and waits for those being served.
 func (d *Dispatcher) Close() error {
 	d.mu.Lock()
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/randomizer"
 	"github.com/carawaybeam/carawaybeam/router/counter"
 )
 
@@ -109,15 +110,9 @@
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options, random: rand.New(lockedSource{}), counter: counter.New()}
+	return &Forwarder{options: options, random: randomizer.New(), counter: counter.New()}
 }
 
-// lockedSource draws from the runtime's source, which many goroutines may use.
-type lockedSource struct{}
-
-// Uint64 returns a random number.
-func (lockedSource) Uint64() uint64 { return rand.Uint64() }
-
 // Limits returns the bounds on clients. It reports false while no configuration
 // is known.
 func (f *Forwarder) Limits() (carawaybeam.ClientLimits, bool) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -261,6 +261,16 @@
 	return faults
 }
 
+// OpenStore returns the client of the store that the settings name. An unknown
+// protocol is a *carawaybeam.UnknownPluginError.
+func (s Service) OpenStore() (carawaybeam.Store, error) {
+	newStore, err := carawaybeam.Stores.Lookup(s.Protocol)
+	if err != nil {
+		return nil, err
+	}
+	return newStore(carawaybeam.StoreOptions{URL: s.URL, Token: s.Token, Timeout: time.Duration(s.Timeout)})
+}
+
 func (s Service) faults(key string) []fault {
 	faults := baseURL(key+".url", s.URL)
 	if s.Timeout <= 0 {
--- a/server/server.go
+++ b/server/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -19,6 +18,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/starter"
 )
 
 const (
@@ -87,18 +87,6 @@
 	}
 )
 
-// connectionLog takes what the HTTP server says of single connections, such as a
-// failed TLS handshake.
-type connectionLog struct {
-	log zerolog.Logger
-}
-
-// Write logs one line.
-func (c connectionLog) Write(line []byte) (int, error) {
-	c.log.Warn().Str("detail", strings.TrimSpace(string(line))).Msg("server: connection failed")
-	return len(line), nil
-}
-
 // New returns a Server that serves callers from the listener until Close.
 func New(listener net.Listener, options Options) *Server {
 	s := &Server{options: options, done: make(chan struct{})}
@@ -115,7 +103,7 @@
 		ReadTimeout:       options.ReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
-		ErrorLog:          log.New(connectionLog{options.Log}, "", 0),
+		ErrorLog:          starter.NewConnectionLog(options.Log, "server"),
 	}
 	go s.serve(listener)
 	return s
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -8,9 +8,11 @@
 	"flag"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"os"
 	"os/signal"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -62,6 +64,12 @@
 		zerolog.Sampler
 	}
 
+	// connectionLog takes the lines of an HTTP server.
+	connectionLog struct {
+		log  zerolog.Logger
+		part string
+	}
+
 	// ListenError reports an address that cannot be listened on.
 	ListenError struct {
 		Purpose string
@@ -128,6 +136,18 @@
 	return kept
 }
 
+// NewConnectionLog returns a log for what an HTTP server says of single
+// connections, such as a failed TLS handshake.
+func NewConnectionLog(log zerolog.Logger, part string) *stdlog.Logger {
+	return stdlog.New(connectionLog{log: log, part: part}, "", 0)
+}
+
+// Write logs one line.
+func (c connectionLog) Write(line []byte) (int, error) {
+	c.log.Warn().Str("detail", strings.TrimSpace(string(line))).Msg(c.part + ": connection failed")
+	return len(line), nil
+}
+
 // Fail prints the error and exits.
 func Fail(program string, code int, err error) {
 	_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
