Work the latest life at each address out once, limit memory in one place

Each rebuild of the backend servers compared all of them with all others, which grows with the square of their number; the latest start by address is worked out once now, behind the drop of those that did not come back. Both daemons call starter.LimitMemory.

--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,10 +20,6 @@
 )
 
 const (
-	// memoryShare is the part of the allowed memory that the runtime is told to
-	// stay below. The rest is for what it does not count.
-	memoryShare = 0.7
-
 	// rollWait is how long a watch of the enrolled entries waits, and rollPause
 	// the least time between two. Entries come and go seldom.
 	rollWait  = 30 * time.Second
@@ -38,12 +33,12 @@
 
 // runReporting tells entries the state of the rank until the signal to stop.
 func runReporting(stop context.Context, file string, settings loader.Agent, log zerolog.Logger) error {
-	setMemoryLimit(settings.Reporting)
+	starter.LimitMemory(settings.Reporting.MemoryMB)
 	var closers starter.Closers
 	closers.Add(reloader.New(reloader.Options{File: file, Log: log, Apply: func(path string) error {
 		changed, err := loader.LoadAgent(path)
 		if err == nil {
-			setMemoryLimit(changed.Reporting)
+			starter.LimitMemory(changed.Reporting.MemoryMB)
 		}
 		return err
 	}}))
@@ -106,7 +101,3 @@
 	}))
 	return nil
 }
-
-func setMemoryLimit(settings loader.Reporting) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
-}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -28,10 +27,6 @@
 )
 
 const (
-	// memoryShare is the part of the allowed memory that the runtime is told to
-	// stay below. The rest is for what it does not count.
-	memoryShare = 0.7
-
 	// stopMargin is how long before it is killed a stopping process ends what
 	// still runs.
 	stopMargin = 500 * time.Millisecond
@@ -137,7 +132,7 @@
 }
 
 func (e *directEntry) apply(settings loader.Direct) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+	starter.LimitMemory(settings.MemoryMB)
 	e.maxKeyAge.Store(int64(settings.MaxKeyAge))
 }
 
--- a/curator/curator.go
+++ b/curator/curator.go
@@ -199,34 +199,41 @@
 	delete(c.members, id)
 }
 
-// isSuperseded tells whether a later life has the address. The announcement of an
-// earlier one lapses only after some seconds. The caller holds mu.
-func (c *Curator) isSuperseded(instance carawaybeam.Instance) bool {
+// latestLives returns the start of the latest life at each address. The
+// announcements of earlier ones lapse only after some seconds. The caller holds mu.
+func (c *Curator) latestLives() map[carawaybeam.Address]int64 {
+	latest := make(map[carawaybeam.Address]int64, len(c.members))
 	for _, m := range c.members {
-		if m.instance.Address == instance.Address && m.instance.Started > instance.Started {
-			return true
+		if started, ok := latest[m.instance.Address]; !ok || m.instance.Started > started {
+			latest[m.instance.Address] = m.instance.Started
 		}
 	}
-	return false
+	return latest
 }
 
-// rebuild drops members that did not come back and lists the others by pool. The
-// caller holds mu.
-func (c *Curator) rebuild() {
-	now := time.Now()
+// dropMissing drops members that did not come back. The caller holds mu.
+func (c *Curator) dropMissing(now time.Time) {
 	c.nextDrop = time.Time{}
-	pools := make(map[carawaybeam.PoolID][]carawaybeam.Instance)
 	for id, m := range c.members {
 		switch {
 		case m.dropAt.IsZero():
 		case !now.Before(m.dropAt):
 			c.options.Log.Info().Str("backend", string(id)).Msg("curator: backend server did not come back")
 			delete(c.members, id)
-			continue
 		case c.nextDrop.IsZero() || m.dropAt.Before(c.nextDrop):
 			c.nextDrop = m.dropAt
 		}
-		if !m.instance.Leaving && !c.isSuperseded(m.instance) {
+	}
+}
+
+// rebuild drops members that did not come back and lists the others by pool. The
+// caller holds mu.
+func (c *Curator) rebuild() {
+	c.dropMissing(time.Now())
+	latest := c.latestLives()
+	pools := make(map[carawaybeam.PoolID][]carawaybeam.Instance)
+	for _, m := range c.members {
+		if !m.instance.Leaving && m.instance.Started >= latest[m.instance.Address] {
 			pools[m.instance.Pool] = append(pools[m.instance.Pool], m.instance)
 		}
 	}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -44,6 +45,10 @@
 	logBuffer = 1024
 )
 
+// memoryShare is the part of the allowed memory that the runtime is told to stay
+// below. The rest is for what it does not count.
+const memoryShare = 0.7
+
 type (
 	// Flags holds the flags common to the daemons.
 	Flags struct {
@@ -148,6 +153,12 @@
 	return len(line), nil
 }
 
+// LimitMemory keeps the runtime below the memory in MB at which the process is
+// killed.
+func LimitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+}
+
 // Fail prints the error and exits.
 func Fail(program string, code int, err error) {
 	_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
