Move idempotent requests off silent agents at once, make the map proof fail at will

Cause of the known failure TestPromiseProcessLeaving: requests on a paused agent waited for it for 3 + 8 s, then more of them than the retry budget of 10 wanted a second try at once, and the surplus ended as unknown. Change: an idempotent request settles for 1 s behind the silence, then moves; the first move off an unreachable agent takes nothing from the budget. A request whose earlier try may have run is no longer called not run when the next try is refused. The test now pauses for 20 s.

--- a/decisions.go
+++ b/decisions.go
@@ -169,6 +169,9 @@
 		// Resumes is set when the last try delivered part of the answer and the
 		// next one goes on behind it.
 		Resumes bool
+		// Unreachable is set when the backend server of the last try can't be
+		// reached, so that nobody gives it further work.
+		Unreachable bool
 		// Deadline is when the caller stops waiting.
 		Deadline time.Time
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -21,6 +21,10 @@
 	// before its outcome counts as unknown.
 	resolveTimeout = 8 * time.Second
 
+	// moveTimeout is the same for a request that may run twice and can thus go
+	// to another agent. It is longer than a failed link takes to be replaced.
+	moveTimeout = time.Second
+
 	// resolvePause is the wait between two tries to settle an attempt.
 	resolvePause = 200 * time.Millisecond
 )
@@ -47,6 +51,9 @@
 
 		// released is set when the agent gave up the key for good.
 		released bool
+		// unreachable is set when the agent could not be reached to settle the
+		// attempt.
+		unreachable bool
 
 		sent     bool
 		offset   uint64
@@ -75,7 +82,11 @@
 	if !a.sent {
 		return notRun(carawaybeam.ReasonNoBackend, "agent could not be reached", comeBackAfter)
 	}
-	giveUp := time.Now().Add(resolveTimeout)
+	patience := resolveTimeout
+	if a.request.Class.Idempotent {
+		patience = moveTimeout
+	}
+	giveUp := time.Now().Add(patience)
 	for time.Now().Before(giveUp) && ctx.Err() == nil {
 		heard := a.offset
 		v = a.exchange(ctx, a.resolveFrame())
@@ -83,7 +94,7 @@
 			return v.failure
 		}
 		if a.offset > heard {
-			giveUp = time.Now().Add(resolveTimeout)
+			giveUp = time.Now().Add(patience)
 		}
 		select {
 		case <-time.After(resolvePause):
@@ -99,7 +110,8 @@
 		Reason:  carawaybeam.ReasonBackendFailed,
 		Detail:  "agent could not be reached to learn what became of the request",
 	}
-	if ctx.Err() != nil {
+	a.unreachable = ctx.Err() == nil
+	if !a.unreachable {
 		failure.Reason = carawaybeam.ReasonDeadline
 		failure.Detail = "request was not answered in time"
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -248,6 +248,10 @@
 // serve runs attempts until one answers or no further one is allowed.
 func (d *Dispatcher) serve(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
 	p := &pursuit{answer: &answerState{writer: w}}
+	return p.settle(d.pursue(ctx, request, p))
+}
+
+func (d *Dispatcher) pursue(ctx context.Context, request Request, p *pursuit) *carawaybeam.RequestError {
 	if d.quarantined(request) {
 		return quarantined(carawaybeam.OutcomeNotRun)
 	}
@@ -260,6 +264,7 @@
 		if failure == nil {
 			return nil
 		}
+		p.mayHaveRun = p.mayHaveRun || failure.Outcome != carawaybeam.OutcomeNotRun
 		if ctx.Err() != nil || p.answer.callerGone || !p.mayGoOn(request, failure) {
 			return withRetryAfter(failure)
 		}
@@ -271,25 +276,35 @@
 		if d.quarantined(request) {
 			return quarantined(failure.Outcome)
 		}
-		decision := d.options.Retrier.Retry(time.Now(), carawaybeam.RetryRequest{
-			Request:  request.ID,
-			Class:    request.Class,
-			Try:      try,
-			Failure:  failure,
-			Resumes:  p.answer.written > delivered,
-			Deadline: request.Deadline,
-		}, d.random)
-		if !decision.Retry {
-			return withRetryAfter(failure)
-		}
-		select {
-		case <-time.After(decision.Wait):
-		case <-ctx.Done():
+		again := d.awaitRetry(ctx, carawaybeam.RetryRequest{
+			Request:     request.ID,
+			Class:       request.Class,
+			Try:         try,
+			Failure:     failure,
+			Resumes:     p.answer.written > delivered,
+			Unreachable: p.unreachable,
+			Deadline:    request.Deadline,
+		})
+		if !again {
 			return withRetryAfter(failure)
 		}
 	}
 }
 
+// awaitRetry asks the retrier for a further try and waits until it is due.
+func (d *Dispatcher) awaitRetry(ctx context.Context, request carawaybeam.RetryRequest) bool {
+	decision := d.options.Retrier.Retry(time.Now(), request, d.random)
+	if !decision.Retry {
+		return false
+	}
+	select {
+	case <-time.After(decision.Wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (d *Dispatcher) quarantined(request Request) bool {
 	return d.options.Quarantiner.Standing(request.fingerprint()) == quarantiner.Quarantined
 }
@@ -310,6 +325,7 @@
 	try int,
 	p *pursuit,
 ) (*carawaybeam.RequestError, carawaybeam.BackendID) {
+	p.unreachable = false
 	target, failure := d.target(ctx, request, p)
 	if failure != nil {
 		return failure, ""
@@ -326,6 +342,7 @@
 	}
 	failure = a.run(ctx)
 	p.tried = append(p.tried, target.backend)
+	p.unreachable = a.unreachable
 	if a.released {
 		p.released = target.binding
 	}
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -145,3 +145,52 @@
 		is.Equal(runs(p, "b1"), 0)
 	})
 }
+
+// loseAgent loses all frames from the first agent that gets a request, from then
+// on, and with others set those from all agents.
+func loseAgent(p *assembler.Assembler, others bool) {
+	var mu sync.Mutex
+	var lost carawaybeam.Address
+	p.Network.Inject(func(address carawaybeam.Address, d linker.Direction, f *framer.Frame) linker.Verdict {
+		mu.Lock()
+		defer mu.Unlock()
+		if f.GetDispatch() != nil && lost == "" {
+			lost = address
+		}
+		silent := lost != "" && (others || address == lost)
+		return linker.Verdict{Drop: silent && d == linker.ToDialer}
+	})
+}
+
+func lookup(body string) dispatcher.Request {
+	request := booking(body, "")
+	request.Class.ID, request.Class.Idempotent = "lookups", true
+	return request
+}
+
+func TestIdempotentRequestLeavesSilentAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPath(t, 2)
+		loseAgent(p, false)
+		began := time.Now()
+		var a assembler.Answer
+		is.True(p.Entries[0].Dispatcher.Do(t.Context(), lookup("l1"), &a) == nil)
+		is.Equal(a.Body.String(), assembler.Whole("l1"))
+		// The target of such a class in the examples.
+		is.True(time.Since(began) <= 5*time.Second)
+	})
+}
+
+func TestRequestOfSilentAgentsIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPath(t, 2)
+		loseAgent(p, true)
+		var a assembler.Answer
+		failure := p.Entries[0].Dispatcher.Do(t.Context(), lookup("l1"), &a)
+		is.True(failure != nil)
+		is.True(runs(p, "l1") > 0)
+		is.Equal(failure.Outcome, carawaybeam.OutcomeUnknown)
+	})
+}
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -21,6 +21,12 @@
 		tried  []carawaybeam.BackendID
 		// released is a binding of the key that its agent gave up.
 		released binder.Binding
+		// mayHaveRun is set once an attempt has ended without the proof that it
+		// did not run.
+		mayHaveRun bool
+		// unreachable is set while the agent of the last attempt could not be
+		// reached.
+		unreachable bool
 	}
 
 	// target is where an attempt goes.
@@ -54,6 +60,17 @@
 	return true
 }
 
+// settle returns the final word on the request. The refusal of its last attempt
+// is no proof for earlier ones.
+func (p *pursuit) settle(failure *carawaybeam.RequestError) *carawaybeam.RequestError {
+	if failure == nil || failure.Outcome != carawaybeam.OutcomeNotRun || !p.mayHaveRun {
+		return failure
+	}
+	unknown := *failure
+	unknown.Outcome = carawaybeam.OutcomeUnknown
+	return &unknown
+}
+
 // target chooses a backend server, and binds the key of a request that has one.
 func (d *Dispatcher) target(ctx context.Context, request Request, p *pursuit) (target, *carawaybeam.RequestError) {
 	if request.Ticket.Number != 0 {
--- a/fakes/forwarder/forwarder.go
+++ b/fakes/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 type (
@@ -17,12 +18,27 @@
 		target   string
 		wait     sync.WaitGroup
 
+		// fault is that of all connections, present and new.
+		fault atomic.Pointer[Fault]
+
 		mu    sync.Mutex
 		pairs map[*pair]struct{}
 	}
 
+	// Fault is what happens to all connections until another one is set. The zero
+	// value is none.
+	Fault struct {
+		// Refuse ends new connections at once.
+		Refuse bool
+		// LoseRequests and LoseAnswers lose the bytes to and from the target.
+		LoseRequests, LoseAnswers bool
+		// Delay holds each read back.
+		Delay time.Duration
+	}
+
 	// pair is one forwarded connection.
 	pair struct {
+		forwarder *Forwarder
 		near, far net.Conn
 		silent    atomic.Bool
 	}
@@ -31,6 +47,7 @@
 // New returns a Forwarder from the listener to the target address.
 func New(listener net.Listener, target string) *Forwarder {
 	f := &Forwarder{listener: listener, target: target, pairs: make(map[*pair]struct{})}
+	f.fault.Store(&Fault{})
 	f.wait.Go(f.accept)
 	return f
 }
@@ -43,6 +60,9 @@
 	return err
 }
 
+// Set puts a fault in force.
+func (f *Forwarder) Set(fault Fault) { f.fault.Store(&fault) }
+
 // Cut ends the present connections.
 func (f *Forwarder) Cut() {
 	f.mu.Lock()
@@ -67,12 +87,16 @@
 		if err != nil {
 			return
 		}
+		if f.fault.Load().Refuse {
+			_ = near.Close()
+			continue
+		}
 		far, err := net.Dial("tcp", f.target)
 		if err != nil {
 			_ = near.Close()
 			continue
 		}
-		p := &pair{near: near, far: far}
+		p := &pair{forwarder: f, near: near, far: far}
 		f.mu.Lock()
 		f.pairs[p] = struct{}{}
 		f.mu.Unlock()
@@ -82,8 +106,8 @@
 
 func (f *Forwarder) forward(p *pair) {
 	var wait sync.WaitGroup
-	wait.Go(func() { p.copy(p.far, p.near) })
-	wait.Go(func() { p.copy(p.near, p.far) })
+	wait.Go(func() { p.copy(p.far, p.near, true) })
+	wait.Go(func() { p.copy(p.near, p.far, false) })
 	wait.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -91,7 +115,7 @@
 }
 
 // copy forwards one direction and ends both when it ends.
-func (p *pair) copy(to io.Writer, from io.Reader) {
+func (p *pair) copy(to io.Writer, from io.Reader, requests bool) {
 	defer p.close()
 	buffer := make([]byte, 32<<10)
 	for {
@@ -99,9 +123,13 @@
 		if err != nil {
 			return
 		}
-		if p.silent.Load() {
+		fault := p.forwarder.fault.Load()
+		if p.silent.Load() || requests && fault.LoseRequests || !requests && fault.LoseAnswers {
+			// A connection that has lost bytes never carries sense again.
+			p.silent.Store(true)
 			continue
 		}
+		time.Sleep(fault.Delay)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
--- a/fakes/launcher/group.go
+++ b/fakes/launcher/group.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
 	"github.com/carawaybeam/carawaybeam/proposer"
 )
 
@@ -35,6 +38,8 @@
 		// URL is that of the group stand-in.
 		URL    string
 		Agents []*Process
+		// Links lead to the agents, by rank.
+		Links []*forwarder.Forwarder
 		// Entries compete for the control.
 		Entries []*Process
 	}
@@ -59,18 +64,24 @@
 	if err := f.build(ctx, options.Module); err != nil {
 		return g, err
 	}
-	peers, err := freeAddresses(options.Ranks)
+	agents, err := freeAddresses(options.Ranks)
 	if err != nil {
 		return g, err
 	}
+	peers := make([]string, options.Ranks)
+	for rank, address := range agents {
+		if peers[rank], err = g.addLink(address); err != nil {
+			return g, err
+		}
+	}
 	if err := g.startRanks(options); err != nil {
 		return g, err
 	}
 	if err := f.startEntries(options.Entries); err != nil {
 		return g, err
 	}
-	for rank := range peers {
-		if err := g.addAgent(rank, peers); err != nil {
+	for rank, address := range agents {
+		if err := g.addAgent(rank, address, peers); err != nil {
 			return g, err
 		}
 	}
@@ -93,12 +104,25 @@
 	return err
 }
 
-func (g *Group) addAgent(rank int, peers []string) error {
+// addLink puts a forwarder before an agent and returns its address.
+func (g *Group) addLink(agent string) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	g.Links = append(g.Links, forwarder.New(listener, agent))
+	return listener.Addr().String(), nil
+}
+
+func (g *Group) addAgent(rank int, address string, peers []string) error {
 	admin, err := freeAddress()
 	if err != nil {
 		return err
 	}
-	list, err := json.Marshal(peers)
+	// The settings must name the agent's own address among the peers.
+	own := slices.Clone(peers)
+	own[rank] = address
+	list, err := json.Marshal(own)
 	if err != nil {
 		return err
 	}
@@ -107,7 +131,7 @@
 			"[backend]\nid = \"rank-%d\"\nurl = %q\n\n"+
 			"[group]\nid = %q\nrank = %d\npeers = %s\nurl = %q\n\n"+
 			"[group.weights]\nurl = %q\nmodel = \"draft\"\nrate = 100\n",
-		rank, peers[rank], admin, rank, g.URL, groupName, rank, list, g.URL, g.fleet.storeURL,
+		rank, address, admin, rank, g.URL, groupName, rank, list, g.URL, g.fleet.storeURL,
 	))
 	if err != nil {
 		return err
@@ -166,5 +190,8 @@
 	for _, p := range append(g.Entries, g.Agents...) {
 		errs = append(errs, p.Stop())
 	}
+	for _, link := range g.Links {
+		errs = append(errs, link.Close())
+	}
 	return errors.Join(append(errs, g.fleet.platform.Stop(), g.ranks.Stop())...)
 }
--- a/prover/group_test.go
+++ b/prover/group_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
 	"github.com/carawaybeam/carawaybeam/fakes/launcher"
 	"github.com/carawaybeam/carawaybeam/fakes/stepper"
 	"github.com/carawaybeam/carawaybeam/prover"
@@ -21,6 +22,10 @@
 	// agentPause is how long an agent is stopped.
 	agentPause = 2 * time.Second
 
+	// cutOff is how long an agent hears nothing, longer than the time from one
+	// popular expert to the switch to the next map.
+	cutOff = 4 * time.Second
+
 	// controllerPause is longer than a lease holds.
 	controllerPause = 14 * time.Second
 )
@@ -96,6 +101,10 @@
 			t.Parallel()
 			g := startGroup(t, fencing)
 			awaitSwitches(t, g, 2)
+			for _, link := range []*forwarder.Forwarder{g.Links[1], g.Links[3]} {
+				silence(link)
+				awaitSwitches(t, g, 1)
+			}
 			for _, p := range []*launcher.Process{g.Agents[2], g.Agents[0]} {
 				disturb(t, p, agentPause)
 				awaitSwitches(t, g, 1)
@@ -112,6 +121,15 @@
 	}
 }
 
+// silence keeps an agent from hearing anything for a while. Proposals then reach
+// all others.
+func silence(link *forwarder.Forwarder) {
+	link.Set(forwarder.Fault{Refuse: true})
+	link.Cut()
+	time.Sleep(cutOff)
+	link.Set(forwarder.Fault{})
+}
+
 // disturb stops a process for a while, lets it go on, then kills it and starts it
 // again.
 func disturb(t *testing.T, p *launcher.Process, pause time.Duration) {
--- a/prover/leaving_test.go
+++ b/prover/leaving_test.go
@@ -21,8 +21,8 @@
 	leaveBound = 3 * time.Second
 
 	trafficInterval = 25 * time.Millisecond
-	leavePause      = 10 * time.Second
-	trafficAfter    = 12 * time.Second
+	leavePause      = 20 * time.Second
+	trafficAfter    = 22 * time.Second
 )
 
 // lookUp asks a plain service for a work order.
--- a/retrier/budget/leaving_test.go
+++ b/retrier/budget/leaving_test.go
@@ -34,3 +34,37 @@
 		}
 	}
 }
+
+// TestSilentBackendServer loses a backend server with more idempotent requests on
+// it than the budget holds. Each of them moves once, and only once, without being
+// counted.
+func TestSilentBackendServer(t *testing.T) {
+	const requests = 40
+	r := budget.New()
+	now := time.Unix(0, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	lost := carawaybeam.RetryRequest{
+		Class: carawaybeam.Class{ID: "lookups", Idempotent: true},
+		Try:   1,
+		Failure: &carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeUnknown, Reason: carawaybeam.ReasonBackendFailed,
+		},
+		Unreachable: true,
+		Deadline:    now.Add(time.Minute),
+	}
+	for i := range requests {
+		if !r.Retry(now, lost, random).Retry {
+			t.Fatalf("request %d of %d does not move", i+1, requests)
+		}
+	}
+	lost.Try = 2
+	moved := 0
+	for range requests {
+		if r.Retry(now, lost, random).Retry {
+			moved++
+		}
+	}
+	if moved == requests {
+		t.Error("all requests move twice")
+	}
+}
--- a/retrier/budget/retrier.go
+++ b/retrier/budget/retrier.go
@@ -6,7 +6,7 @@
 // requests fail. A request that may have run is tried again only when its class
 // is idempotent. A try that goes on behind what an earlier one delivered repeats
 // no work and takes nothing from the budget, nor does one after the refusal of a
-// backend server that leaves.
+// backend server that leaves, nor the first move off one that can't be reached.
 package budget
 
 import (
@@ -75,8 +75,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// A backend server that leaves is left by all within moments, so that its
-	// refusals do not add up to a load.
-	if request.Resumes || request.Failure.Reason == carawaybeam.ReasonLeaving {
+	// refusals do not add up to a load. Neither do the requests that were on an
+	// unreachable one, of which each moves once.
+	moves := request.Unreachable && request.Try == 1
+	if request.Resumes || request.Failure.Reason == carawaybeam.ReasonLeaving || moves {
 		return carawaybeam.RetryDecision{Retry: true, Wait: wait}
 	}
 	left := r.budget(request.Class.ID)
