Keep the configuration in calm younger than what refusals may rest on

Cause: a copy is as old as the watch before the present one. With watches of 1.5 s that is up to 3.1 s, and an unknown key or route is refused for good only below 3 s: in calm one such request in 30 got 503 in place of 401. Ruled out: an outage (no line of one in the entry's log), a slow store. Change: watches wait 1.35 s. TestAgeInCalm fails with 1.5 s (3.1 s old). Costs one call to the store in 1.4 s in place of one in 1.55 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// defaultWait is how long one watch waits for a change. The copy is confirmed
-	// once in this time, well within the seconds in which a withdrawn key has to
-	// stop working.
-	defaultWait = 1500 * time.Millisecond
+	// defaultWait is how long one watch waits for a change. A copy is as old as the
+	// watch before the present one, so that twice this wait with the ways to the
+	// store must stay below the 3 s from which on a copy counts as old.
+	defaultWait = 1350 * time.Millisecond
 
 	// minPause and maxPause bound the wait after a failed call. The longest one
 	// is part of the time in which a change is in force after an outage.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -132,3 +132,47 @@
 		is.True(age >= 10*time.Second)
 	})
 }
+
+// distant is a store that each call reaches after a delay.
+type distant struct {
+	*storer.Storer
+	delay time.Duration
+}
+
+// Watch waits for changes.
+func (d distant) Watch(
+	ctx context.Context,
+	kinds []carawaybeam.StoreKind,
+	since carawaybeam.StoreVersion,
+	wait time.Duration,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	time.Sleep(d.delay)
+	return d.Storer.Watch(ctx, kinds, since, wait)
+}
+
+// TestAgeInCalm watches a store in which nothing changes: an entry that hears from
+// it must not count its configuration as old, which it is from 3 s on.
+func TestAgeInCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun, store := time.Now(), storer.New()
+		put(is.New(t), store, "1", 0)
+		f := follower.New(follower.Options{
+			Store: distant{store, 50 * time.Millisecond}, Kind: kind, Sink: &sink{},
+			Clock: func() time.Duration { return time.Since(begun) },
+			Pause: 50 * time.Millisecond, Log: zerolog.Nop(),
+		})
+		time.Sleep(time.Second)
+		var oldest time.Duration
+		for time.Since(begun) < 20*time.Second {
+			age, _ := f.Age()
+			oldest = max(oldest, age)
+			time.Sleep(time.Millisecond)
+		}
+		if oldest >= 3*time.Second {
+			t.Errorf("configuration is up to %v old", oldest)
+		}
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
