--- /dev/null
+++ b/cmd/cbsoak/main.go
@@ -0,0 +1,120 @@
+// Command cbsoak disturbs real entries by seeds, and tells each promise that was
+// broken. It serves tests only.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/fakes/launcher"
+	"github.com/carawaybeam/carawaybeam/soaker"
+)
+
+// program is the name in messages.
+const program = "cbsoak"
+
+type options struct {
+	module  string
+	logs    string
+	first   uint64
+	seeds   uint64
+	jobs    int
+	entries int
+	callers int
+	span    time.Duration
+}
+
+var errBroken = errors.New("promises were broken")
+
+func main() {
+	var o options
+	flag.StringVar(&o.module, "module", ".", "directory of the module")
+	flag.StringVar(
+		&o.logs,
+		"logs",
+		filepath.Join(os.TempDir(), program),
+		"directory for settings and logs of each seed",
+	)
+	flag.Uint64Var(&o.first, "first", 1, "first seed")
+	flag.Uint64Var(&o.seeds, "seeds", 10, "number of seeds")
+	flag.IntVar(&o.jobs, "jobs", 4, "seeds that run at once")
+	flag.IntVar(&o.entries, "entries", 3, "entries of each seed")
+	flag.IntVar(&o.callers, "callers", 12, "callers of each seed")
+	flag.DurationVar(&o.span, "span", 12*time.Second, "time in which faults come")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	programs := filepath.Join(o.logs, "bin")
+	if err := launcher.Build(ctx, o.module, programs); err != nil {
+		return err
+	}
+	template, err := os.ReadFile(filepath.Join(o.module, "deploy", "entry.toml"))
+	if err != nil {
+		return err
+	}
+	var (
+		wait   sync.WaitGroup
+		next   atomic.Uint64
+		broken atomic.Int64
+	)
+	for range o.jobs {
+		wait.Go(func() {
+			for n := next.Add(1); n <= o.seeds && ctx.Err() == nil; n = next.Add(1) {
+				if !play(ctx, o, programs, string(template), o.first+n-1) {
+					broken.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	fmt.Printf("%d seeds, %d with broken promises\n", o.seeds, broken.Load())
+	if broken.Load() > 0 {
+		return errBroken
+	}
+	return ctx.Err()
+}
+
+// play runs one seed, prints what it has shown and tells whether all promises
+// were kept. The logs of other seeds are removed.
+func play(ctx context.Context, o options, programs, template string, seed uint64) bool {
+	directory := filepath.Join(o.logs, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	result, err := soaker.Run(ctx, soaker.Options{
+		Programs: programs, Directory: directory, Template: template,
+		Seed: seed, Entries: o.entries, Callers: o.callers, Span: o.span,
+	})
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d violations\n",
+		seed, result.Faults, result.Requests, result.Served, len(result.Violations))
+	for _, v := range result.Violations {
+		fmt.Printf("seed %d: %s\n", seed, v)
+	}
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+	}
+	if err != nil || len(result.Violations) > 0 {
+		return false
+	}
+	if err := os.RemoveAll(directory); err != nil {
+		fmt.Printf("seed %d: logs are left: %v\n", seed, err)
+	}
+	return true
+}
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -32,6 +32,8 @@
 	ConfigInForce Promise = "configInForce"
 	// PoisonRequest is the bound on backend servers crashed by one request.
 	PoisonRequest Promise = "poisonRequest"
+	// Soak stands for all promises that the soak holds its runs against.
+	Soak Promise = "soak"
 )
 
 const (
--- /dev/null
+++ b/soaker/caller.go
@@ -0,0 +1,85 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/platform/hoster"
+)
+
+const (
+	// patience is how long a caller waits for an answer, longer than it may take.
+	patience = hoster.RouteTimeout + 2*time.Second
+
+	// requestsPerConnection is how many requests a caller sends on a connection
+	// while it stays open.
+	requestsPerConnection = 60
+
+	thinkTime = 30 * time.Millisecond
+	// leaveShare is the share of requests whose caller leaves early, after
+	// leaveAfter at most.
+	leaveShare = 0.03
+	leaveAfter = 400 * time.Millisecond
+	// oldKeyShare is the share of requests under a key that has been withdrawn.
+	oldKeyShare = 0.1
+)
+
+var paths = []string{"/book/visits", "/look/orders", "/move/vans", "/stream/summary"}
+
+// call sends requests of one caller until the end.
+func (s *Soaker) call(ctx context.Context, random *rand.Rand, number int, end time.Time) {
+	for n := 0; time.Now().Before(end); {
+		e := s.pick(random)
+		conn, err := hoster.Dial(ctx, e.callers)
+		if err != nil {
+			time.Sleep(thinkTime)
+			continue
+		}
+		for range requestsPerConnection {
+			n++
+			if !s.send(conn, random, e, fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n)) || !time.Now().Before(end) {
+				break
+			}
+			time.Sleep(thinkTime)
+		}
+		// The end of a connection that no request is on has no effect.
+		_ = conn.Close()
+	}
+}
+
+// pick returns an entry that takes new callers, or any one if none does.
+func (s *Soaker) pick(random *rand.Rand) *entry {
+	var ready []*entry
+	for _, e := range s.entries {
+		if e.isReady() {
+			ready = append(ready, e)
+		}
+	}
+	if len(ready) == 0 {
+		ready = s.entries
+	}
+	return ready[random.IntN(len(ready))]
+}
+
+// send sends one request and tells whether the connection takes another one.
+func (s *Soaker) send(conn *hoster.Connection, random *rand.Rand, e *entry, id string) bool {
+	sent := sending{
+		id:    id,
+		entry: e.index,
+		path:  paths[random.IntN(len(paths))],
+		key:   s.evidence.key(random.Float64() < oldKeyShare),
+		at:    time.Now(),
+	}
+	if random.Float64() < leaveShare {
+		sent.left = true
+		timer := time.AfterFunc(time.Duration(random.Int64N(int64(leaveAfter))), func() { _ = conn.Close() })
+		defer timer.Stop()
+	}
+	s.evidence.sent(&sent)
+	sent.reply, sent.whole, sent.err = conn.Do(id, sent.path, sent.key, patience)
+	sent.ended = time.Now()
+	s.evidence.add(sent)
+	return sent.err == nil && !sent.reply.Closes && !sent.left
+}
--- /dev/null
+++ b/soaker/soaker.go
@@ -0,0 +1,414 @@
+// Package soaker runs real entries against stand-ins of the users' platform,
+// disturbs them by a seed, and holds what callers and backend servers have seen
+// against the promises. It serves tests only.
+package soaker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
+	"github.com/carawaybeam/carawaybeam/fakes/launcher"
+	"github.com/carawaybeam/carawaybeam/platform/hoster"
+)
+
+const (
+	// warmTime is how long callers run before the first fault, settleTime how
+	// long after the last one, and finalTime the time at the end in which every
+	// request has to be served.
+	warmTime   = 2 * time.Second
+	settleTime = 10 * time.Second
+	finalTime  = 2 * time.Second
+
+	// readyPatience bounds the start of a fleet.
+	readyPatience = 20 * time.Second
+
+	// processPatience is how long an ended process stays down.
+	processPatience = 500 * time.Millisecond
+
+	pollInterval = 100 * time.Millisecond
+
+	// movedRoute is the route, and movedKey the organisation whose key, that faults
+	// change.
+	movedRoute = 2
+	movedKey   = "crews"
+)
+
+// Bounds of the promises, as the users state them for their deployments.
+const (
+	stableWindow = 3 * time.Second
+	configBound  = 2 * time.Second
+	drainBound   = 2 * time.Second
+	keyBound     = 5 * time.Second
+	stopBound    = 8 * time.Second
+	answerBound  = hoster.RouteTimeout + 500*time.Millisecond
+)
+
+// startPools names the pool of the first backend server on each host.
+var startPools = []string{"desk", "desk", "desk", "drafting", "drafting", "drafting", "annex", "annex"}
+
+type (
+	// Options tells what to run.
+	Options struct {
+		// Programs is the directory of the programs, Directory takes settings and
+		// logs, and Template is the text of the entries' settings.
+		Programs, Directory, Template string
+		Seed                          uint64
+		Entries, Callers              int
+		// Span is how long faults come.
+		Span time.Duration
+	}
+
+	// Result is what a run has shown.
+	Result struct {
+		Requests, Served, Faults int
+		// Violations tells each broken promise.
+		Violations []string
+	}
+
+	// Soaker is one run.
+	Soaker struct {
+		options  Options
+		platform *hoster.Platform
+		journal  hoster.Journal
+		entries  []*entry
+		hosts    []*host
+		web      http.Server
+		wait     sync.WaitGroup
+		ids      counter
+
+		evidence evidence
+
+		mu     sync.Mutex
+		config hoster.Configuration
+		closed bool
+	}
+
+	// entry is one entry, and its link to the store.
+	entry struct {
+		index     int
+		callers   string
+		readiness string
+		file      string
+		log       *os.File
+		link      *forwarder.Forwarder
+
+		mu      sync.Mutex
+		process *launcher.Process
+		// stopping is set while the process is expected to end.
+		stopping bool
+		ready    bool
+	}
+
+	// host is a machine on which backend servers live one after another.
+	host struct {
+		address string
+		link    *forwarder.Forwarder
+		reached string
+
+		// changing is held while one life ends and the next begins.
+		changing sync.Mutex
+
+		mu   sync.Mutex
+		id   string
+		pool string
+		life *hoster.Server
+	}
+
+	counter struct {
+		mu sync.Mutex
+		n  int
+	}
+)
+
+func (c *counter) next(prefix string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	return fmt.Sprintf("%s-%d", prefix, c.n)
+}
+
+// Run plays one seed and ends all that it started.
+func Run(ctx context.Context, options Options) (Result, error) {
+	s := &Soaker{options: options, platform: hoster.New()}
+	err := s.start(ctx)
+	if err == nil {
+		s.play(ctx)
+	}
+	return s.judge(), errors.Join(err, s.close())
+}
+
+func (s *Soaker) start(ctx context.Context) error {
+	store, err := s.serveStore()
+	if err != nil {
+		return err
+	}
+	s.config = hoster.Configuration{
+		Version: 1,
+		Routes: []hoster.Route{
+			{Prefix: "/book/", Kind: "unsafe", Pool: "desk"},
+			{Prefix: "/look/", Kind: "safe", Pool: "desk"},
+			{Prefix: "/move/", Kind: "safe", Pool: "desk"},
+			{Prefix: "/stream/", Kind: "stream", Pool: "drafting"},
+		},
+		Pools: []string{"desk", "drafting", "annex"},
+		Keys:  map[string]string{"crews": "key-1", "office": "key-0"},
+	}
+	if err := s.configure(ctx, func(*hoster.Configuration) {}); err != nil {
+		return err
+	}
+	for _, pool := range startPools {
+		if err := s.addHost(ctx, pool); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.Entries {
+		if err := s.addEntry(i, store); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady(ctx)
+}
+
+func (s *Soaker) serveStore() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.web.Handler = s.platform.Handler()
+	s.wait.Go(func() { _ = s.web.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+// newLink puts a forwarder before an address and returns where it listens.
+func newLink(target string) (*forwarder.Forwarder, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	return forwarder.New(listener, target), listener.Addr().String(), nil
+}
+
+func (s *Soaker) addHost(ctx context.Context, pool string) error {
+	h := &host{}
+	var err error
+	if h.address, err = launcher.FreeAddress(); err != nil {
+		return err
+	}
+	if h.link, h.reached, err = newLink(h.address); err != nil {
+		return err
+	}
+	s.hosts = append(s.hosts, h)
+	return s.revive(ctx, h, s.ids.next(pool), pool)
+}
+
+// revive starts a life of a backend server on a host, and announces it.
+func (s *Soaker) revive(ctx context.Context, h *host, id, pool string) error {
+	listener, err := net.Listen("tcp", h.address)
+	if err != nil {
+		return err
+	}
+	life := hoster.NewServer(s.platform, &s.journal, id, pool, h.reached, listener)
+	h.mu.Lock()
+	h.id, h.pool, h.life = id, pool, life
+	h.mu.Unlock()
+	_, err = life.Announce(ctx, false)
+	return err
+}
+
+func (h *host) current() (id, pool string, life *hoster.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.id, h.pool, h.life
+}
+
+func (s *Soaker) addEntry(i int, store string) error {
+	e := &entry{index: i}
+	s.entries = append(s.entries, e)
+	addresses := make([]string, 4)
+	for n := range addresses {
+		var err error
+		if addresses[n], err = launcher.FreeAddress(); err != nil {
+			return err
+		}
+	}
+	e.callers, e.readiness = addresses[0], addresses[1]
+	ip, admin, err := net.SplitHostPort(addresses[2])
+	if err != nil {
+		return err
+	}
+	_, links, err := net.SplitHostPort(addresses[3])
+	if err != nil {
+		return err
+	}
+	var reached string
+	if e.link, reached, err = newLink(store); err != nil {
+		return err
+	}
+	e.file = filepath.Join(s.options.Directory, fmt.Sprintf("entry-%d.toml", i))
+	text := hoster.Fill(s.options.Template, hoster.Process{
+		Name: fmt.Sprintf("entry-%d", i), Callers: e.callers, Readiness: e.readiness, Store: reached,
+		IP: ip, Admin: admin, Links: links, MaxKeyAge: keyBound, StopWithin: stopBound,
+	})
+	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if e.log, err = os.Create(filepath.Join(s.options.Directory, fmt.Sprintf("entry-%d.log", i))); err != nil {
+		return err
+	}
+	return s.startEntry(e)
+}
+
+// startEntry starts the process of an entry and notes when it ends by itself.
+func (s *Soaker) startEntry(e *entry) error {
+	process, err := launcher.Run(e.log, filepath.Join(s.options.Programs, "cbentry"), "-settings", e.file)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.process, e.stopping = process, false
+	e.mu.Unlock()
+	s.wait.Go(func() {
+		<-process.Ended()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.process == process && !e.stopping {
+			s.evidence.note(fmt.Sprintf("entry-%d ended by itself", e.index))
+		}
+	})
+	return nil
+}
+
+// running returns the process, and expects it to end if asked to.
+func (e *entry) running(ends bool) *launcher.Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopping = e.stopping || ends
+	return e.process
+}
+
+func (s *Soaker) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyPatience)
+	defer cancel()
+	s.wait.Go(func() { s.watchReadiness() })
+	for {
+		ready := 0
+		for _, e := range s.entries {
+			if e.isReady() {
+				ready++
+			}
+		}
+		if ready == len(s.entries) {
+			return nil
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d entries are ready: %w", ready, len(s.entries), ctx.Err())
+		}
+	}
+}
+
+func (e *entry) isReady() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ready
+}
+
+// watchReadiness asks the entries whether they take new callers, as the platform
+// does, until the run ends.
+func (s *Soaker) watchReadiness() {
+	client := http.Client{Timeout: time.Second}
+	for !s.ended() {
+		for _, e := range s.entries {
+			response, err := client.Get("http://" + e.readiness + "/ready")
+			ready := err == nil && response.StatusCode == http.StatusOK
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			e.mu.Lock()
+			e.ready = ready
+			e.mu.Unlock()
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (s *Soaker) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// configure changes the configuration and notes when it was accepted.
+func (s *Soaker) configure(ctx context.Context, change func(*hoster.Configuration)) error {
+	s.mu.Lock()
+	change(&s.config)
+	s.config.Version++
+	config := s.config
+	s.mu.Unlock()
+	at, err := s.platform.Configure(ctx, config)
+	if err != nil {
+		return err
+	}
+	s.evidence.accepted(version{at: at, pool: config.Routes[movedRoute].Pool, key: config.Keys[movedKey]})
+	return nil
+}
+
+// play lets callers run while the faults of the seed come.
+func (s *Soaker) play(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.options.Seed, 0))
+	began := time.Now()
+	faultsEnd := began.Add(warmTime + s.options.Span)
+	finalBegins := faultsEnd.Add(settleTime)
+	s.evidence.setFinal(finalBegins)
+	var callers, faults sync.WaitGroup
+	for n := range s.options.Callers {
+		seed := rand.NewPCG(s.options.Seed, uint64(n+1))
+		callers.Go(func() { s.call(ctx, rand.New(seed), n, finalBegins.Add(finalTime)) })
+	}
+	for _, f := range newScript(random, s.options) {
+		faults.Go(func() {
+			time.Sleep(time.Until(began.Add(warmTime + f.at)))
+			s.disturb(ctx, f)
+		})
+	}
+	faults.Wait()
+	callers.Wait()
+}
+
+// close ends all that was started.
+func (s *Soaker) close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	var errs []error
+	for _, e := range s.entries {
+		if process := e.running(true); process != nil {
+			errs = append(errs, process.Stop())
+		}
+		if e.link != nil {
+			errs = append(errs, e.link.Close())
+		}
+		if e.log != nil {
+			errs = append(errs, e.log.Close())
+		}
+	}
+	for _, h := range s.hosts {
+		errs = append(errs, h.link.Close())
+		if _, _, life := h.current(); life != nil {
+			_ = life.Close()
+		}
+	}
+	errs = append(errs, s.web.Close())
+	s.wait.Wait()
+	return errors.Join(errs...)
+}
