--- a/cmd/cbsoak/main.go
+++ b/cmd/cbsoak/main.go
@@ -64,10 +64,18 @@
 	if err := launcher.Build(ctx, o.module, programs); err != nil {
 		return err
 	}
-	template, err := os.ReadFile(filepath.Join(o.module, "deploy", "entry.toml"))
+	entryTemplate, err := os.ReadFile(filepath.Join(o.module, "deploy", "entry.toml"))
 	if err != nil {
 		return err
 	}
+	agentTemplate, err := os.ReadFile(filepath.Join(o.module, "deploy", "agent.toml"))
+	if err != nil {
+		return err
+	}
+	run := soaker.Options{
+		Programs: programs, EntryTemplate: string(entryTemplate), AgentTemplate: string(agentTemplate),
+		Entries: o.entries, Callers: o.callers, Span: o.span,
+	}
 	var (
 		wait   sync.WaitGroup
 		next   atomic.Uint64
@@ -76,7 +84,7 @@
 	for range o.jobs {
 		wait.Go(func() {
 			for n := next.Add(1); n <= o.seeds && ctx.Err() == nil; n = next.Add(1) {
-				if !play(ctx, o, programs, string(template), o.first+n-1) {
+				if !play(ctx, run, o.logs, o.first+n-1) {
 					broken.Add(1)
 				}
 			}
@@ -92,18 +100,16 @@
 
 // play runs one seed, prints what it has shown and tells whether all promises
 // were kept. The logs of other seeds are removed.
-func play(ctx context.Context, o options, programs, template string, seed uint64) bool {
-	directory := filepath.Join(o.logs, fmt.Sprintf("seed-%d", seed))
+func play(ctx context.Context, run soaker.Options, logs string, seed uint64) bool {
+	directory := filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
 		return false
 	}
-	result, err := soaker.Run(ctx, soaker.Options{
-		Programs: programs, Directory: directory, Template: template,
-		Seed: seed, Entries: o.entries, Callers: o.callers, Span: o.span,
-	})
-	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d violations\n",
-		seed, result.Faults, result.Requests, result.Served, len(result.Violations))
+	run.Directory, run.Seed = directory, seed
+	result, err := soaker.Run(ctx, run)
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d changes of map, %d violations\n",
+		seed, result.Faults, result.Requests, result.Served, result.Changes, len(result.Violations))
 	for _, v := range result.Violations {
 		fmt.Printf("seed %d: %s\n", seed, v)
 	}
--- a/soaker/judge.go
+++ b/soaker/judge.go
@@ -23,6 +23,11 @@
 			result.Violations = append(result.Violations, fmt.Sprintf(format, args...))
 		}
 	}
+	changes, splits := s.group.Changes()
+	result.Changes = changes
+	for _, split := range splits {
+		broken("%s", split)
+	}
 	for _, note := range e.notes {
 		broken("%s", note)
 	}
--- a/soaker/script.go
+++ b/soaker/script.go
@@ -22,12 +22,21 @@
 	minLasts  = 300 * time.Millisecond
 	moreLasts = 4 * time.Second
 
+	// cutLasts is how long an entry is cut off in a pair, longer than a withdrawn
+	// key may be used.
+	cutLasts = keyBound + 3*time.Second
+	// pairGap is the longest time from the first fault of a pair to the second.
+	pairGap = time.Second
+
 	// linkDelay is the delay of a slow link, storeDelay that of a slow store and
 	// lateWrite the time in which a late write takes effect.
 	linkDelay  = 150 * time.Millisecond
 	storeDelay = 700 * time.Millisecond
 	lateWrite  = 2 * time.Second
 
+	// lateOrder is how late a rank carries out orders while they are late.
+	lateOrder = 3 * time.Second
+
 	// expiry is how long the platform keeps the announcement of a backend server
 	// that has crashed.
 	expiry = 3600 * time.Millisecond
@@ -58,13 +67,13 @@
 // movesTo tells which pool a route moves to.
 var movesTo = map[string]string{"desk": "annex", "annex": "desk"}
 
-// entryActs disturb one entry, storeActs the store, and hostActs a backend
-// server. configActs change the configuration, which disturbs nothing.
+// entryActs disturb one entry, agentActs an agent or what ranks do with orders,
+// storeActs the store, and hostActs a backend server. configActs change the configuration, which disturbs nothing.
 var (
 	entryActs = map[string]act{
-		"kill":  func(_ context.Context, s *Soaker, f fault) { s.restart(f, syscall.SIGKILL) },
-		"stop":  func(_ context.Context, s *Soaker, f fault) { s.restart(f, syscall.SIGTERM) },
-		"pause": pauseEntry,
+		"kill":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.entries[f.target], syscall.SIGKILL) },
+		"stop":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.entries[f.target], syscall.SIGTERM) },
+		"pause": func(_ context.Context, s *Soaker, f fault) { pause(s.entries[f.target], f.lasts) },
 		"reload": func(_ context.Context, s *Soaker, f fault) {
 			_ = s.entries[f.target].running(false).Signal(syscall.SIGHUP)
 		},
@@ -75,6 +84,16 @@
 		"storeDeaf": linkFault(func(s *Soaker, f fault) *forwarder.Forwarder { return s.entries[f.target].link },
 			forwarder.Fault{LoseRequests: true}, false),
 	}
+	agentActs = map[string]act{
+		"agentKill":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.agents[f.target], syscall.SIGKILL) },
+		"agentStop":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.agents[f.target], syscall.SIGTERM) },
+		"agentPause": func(_ context.Context, s *Soaker, f fault) { pause(s.agents[f.target], f.lasts) },
+		"orderLate": func(_ context.Context, s *Soaker, f fault) {
+			s.group.Delay(f.target, lateOrder)
+			time.Sleep(f.lasts)
+			s.group.Delay(f.target, 0)
+		},
+	}
 	storeActs = map[string]act{
 		"storeDown":        storeFault(storer.Fault{Mode: storer.FaultDown}),
 		"storeSlow":        storeFault(storer.Fault{Mode: storer.FaultSlow, Delay: storeDelay}),
@@ -112,7 +131,24 @@
 	}
 )
 
-// newScript returns the faults of a run. Each kind is as likely as any other.
+// pairs are faults that strain a promise together: the second comes while the
+// first lasts.
+var pairs = [][2]string{
+	{"storeCut", "withdrawKey"},
+	{"storeDeaf", "withdrawKey"},
+	{"storeCut", "leave"},
+	{"storeSilent", "move"},
+	{"leave", "stop"},
+	{"move", "kill"},
+	{"repeat", "linkSlow"},
+	{"linkMute", "stop"},
+	{"crash", "storeDown"},
+	{"orderLate", "kill"},
+	{"agentPause", "pause"},
+}
+
+// newScript returns the faults of a run: some by chance, each kind as likely as
+// any other, and a pair.
 func newScript(random *rand.Rand, options Options) []fault {
 	type choice struct {
 		kind    string
@@ -122,14 +158,21 @@
 	for _, group := range []struct {
 		acts    map[string]act
 		targets int
-	}{{entryActs, options.Entries}, {storeActs, 0}, {hostActs, len(startPools)}, {configActs, 0}} {
+	}{
+		{entryActs, options.Entries},
+		{agentActs, hoster.GroupRanks},
+		{storeActs, 0},
+		{hostActs, len(startPools)},
+		{configActs, 0},
+	} {
 		for kind := range group.acts {
 			choices = append(choices, choice{kind, group.targets})
 		}
 	}
 	slices.SortFunc(choices, func(a, b choice) int { return strings.Compare(a.kind, b.kind) })
-	faults := make([]fault, minFaults+random.IntN(moreFaults))
-	for i := range faults {
+	n := minFaults + random.IntN(moreFaults)
+	faults := make([]fault, 0, n+len(pairs[0]))
+	for range n {
 		chosen := choices[random.IntN(len(choices))]
 		f := fault{
 			at:     time.Duration(random.Int64N(int64(options.Span))),
@@ -140,9 +183,28 @@
 		if chosen.targets > 0 {
 			f.target = random.IntN(chosen.targets)
 		}
-		faults[i] = f
+		faults = append(faults, f)
 	}
-	return faults
+	return append(faults, newPair(random, options)...)
+}
+
+func newPair(random *rand.Rand, options Options) []fault {
+	kinds := pairs[random.IntN(len(pairs))]
+	at := time.Duration(random.Int64N(int64(options.Span / 2)))
+	pair := make([]fault, len(kinds))
+	for i, kind := range kinds {
+		pair[i] = fault{at: at, lasts: cutLasts, kind: kind, target: everything}
+		switch {
+		case entryActs[kind] != nil:
+			pair[i].target = random.IntN(options.Entries)
+		case agentActs[kind] != nil:
+			pair[i].target = random.IntN(hoster.GroupRanks)
+		case hostActs[kind] != nil:
+			pair[i].target = random.IntN(len(startPools))
+		}
+		at += time.Duration(random.Int64N(int64(pairGap)))
+	}
+	return pair
 }
 
 // disturb carries out a fault and notes whom it concerned, and when.
@@ -152,6 +214,8 @@
 	run, ok := entryActs[f.kind]
 	if ok {
 		d.entry = f.target
+	} else if run, ok = agentActs[f.kind]; ok {
+		d.server = true
 	} else if run, ok = hostActs[f.kind]; ok {
 		d.server = true
 	} else if run, ok = storeActs[f.kind]; ok {
@@ -166,9 +230,8 @@
 	s.evidence.calmed(index, time.Now())
 }
 
-// restart ends the process of an entry by a signal and starts it again.
-func (s *Soaker) restart(f fault, signal syscall.Signal) {
-	e := s.entries[f.target]
+// restart ends a process by a signal and starts it again.
+func (s *Soaker) restart(e *entry, signal syscall.Signal) {
 	process := e.running(true)
 	if process.Signal(signal) != nil {
 		return
@@ -181,17 +244,17 @@
 	time.Sleep(processPatience)
 	if e.running(true) == process {
 		if err := s.startEntry(e); err != nil {
-			s.evidence.note("entry does not start: " + err.Error())
+			s.evidence.note(e.name + " does not start: " + err.Error())
 		}
 	}
 }
 
-func pauseEntry(_ context.Context, s *Soaker, f fault) {
-	process := s.entries[f.target].running(false)
+func pause(e *entry, lasts time.Duration) {
+	process := e.running(false)
 	if process.Signal(syscall.SIGSTOP) != nil {
 		return
 	}
-	time.Sleep(f.lasts)
+	time.Sleep(lasts)
 	_ = process.Signal(syscall.SIGCONT)
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -25,7 +25,7 @@
 	// long after the last one, and finalTime the time at the end in which every
 	// request has to be served.
 	warmTime   = 2 * time.Second
-	settleTime = 10 * time.Second
+	settleTime = 14 * time.Second
 	finalTime  = 2 * time.Second
 
 	// readyPatience bounds the start of a fleet.
@@ -40,6 +40,9 @@
 	// change.
 	movedRoute = 2
 	movedKey   = "crews"
+
+	// rankedPool is the pool whose backend servers are ranks of a group.
+	rankedPool = "drafting"
 )
 
 // Bounds of the promises, as the users state them for their deployments.
@@ -53,16 +56,18 @@
 )
 
 // startPools names the pool of the first backend server on each host.
-var startPools = []string{"desk", "desk", "desk", "drafting", "drafting", "drafting", "annex", "annex"}
+var startPools = []string{"desk", "desk", "desk", rankedPool, rankedPool, rankedPool, "annex", "annex"}
 
 type (
 	// Options tells what to run.
 	Options struct {
-		// Programs is the directory of the programs, Directory takes settings and
-		// logs, and Template is the text of the entries' settings.
-		Programs, Directory, Template string
-		Seed                          uint64
-		Entries, Callers              int
+		// Programs is the directory of the programs, and Directory takes settings
+		// and logs.
+		Programs, Directory string
+		// EntryTemplate and AgentTemplate are the texts of the settings.
+		EntryTemplate, AgentTemplate string
+		Seed                         uint64
+		Entries, Callers             int
 		// Span is how long faults come.
 		Span time.Duration
 	}
@@ -70,6 +75,8 @@
 	// Result is what a run has shown.
 	Result struct {
 		Requests, Served, Faults int
+		// Changes counts the changes of the expert map by all ranks.
+		Changes int
 		// Violations tells each broken promise.
 		Violations []string
 	}
@@ -80,10 +87,15 @@
 		platform *hoster.Platform
 		journal  hoster.Journal
 		entries  []*entry
+		agents   []*entry
+		group    *hoster.Group
+		stop     chan struct{}
 		hosts    []*host
 		web      http.Server
-		wait     sync.WaitGroup
-		ids      counter
+		// store is the address of the store.
+		store string
+		wait  sync.WaitGroup
+		ids   counter
 
 		evidence evidence
 
@@ -92,9 +104,11 @@
 		closed bool
 	}
 
-	// entry is one entry, and its link to the store.
+	// entry is an entry or an agent, and its link to the store.
 	entry struct {
 		index     int
+		name      string
+		program   string
 		callers   string
 		readiness string
 		file      string
@@ -117,6 +131,9 @@
 		// changing is held while one life ends and the next begins.
 		changing sync.Mutex
 
+		// rank is the number of the rank, or -1.
+		rank int
+
 		mu   sync.Mutex
 		id   string
 		pool string
@@ -138,7 +155,8 @@
 
 // Run plays one seed and ends all that it started.
 func Run(ctx context.Context, options Options) (Result, error) {
-	s := &Soaker{options: options, platform: hoster.New()}
+	s := &Soaker{options: options, platform: hoster.New(), group: hoster.NewGroup("g"), stop: make(chan struct{})}
+	s.wait.Go(func() { s.group.Run(s.stop) })
 	err := s.start(ctx)
 	if err == nil {
 		s.play(ctx)
@@ -147,8 +165,7 @@
 }
 
 func (s *Soaker) start(ctx context.Context) error {
-	store, err := s.serveStore()
-	if err != nil {
+	if err := s.serveStore(); err != nil {
 		return err
 	}
 	s.config = hoster.Configuration{
@@ -157,10 +174,11 @@
 			{Prefix: "/book/", Kind: "unsafe", Pool: "desk"},
 			{Prefix: "/look/", Kind: "safe", Pool: "desk"},
 			{Prefix: "/move/", Kind: "safe", Pool: "desk"},
-			{Prefix: "/stream/", Kind: "stream", Pool: "drafting"},
+			{Prefix: "/stream/", Kind: "stream", Pool: rankedPool},
 		},
-		Pools: []string{"desk", "drafting", "annex"},
-		Keys:  map[string]string{"crews": "key-1", "office": "key-0"},
+		Pools:  []string{"desk", rankedPool, "annex"},
+		Ranked: rankedPool,
+		Keys:   map[string]string{"crews": "key-1", "office": "key-0"},
 	}
 	if err := s.configure(ctx, func(*hoster.Configuration) {}); err != nil {
 		return err
@@ -171,21 +189,22 @@
 		}
 	}
 	for i := range s.options.Entries {
-		if err := s.addEntry(i, store); err != nil {
+		if err := s.addEntry(i); err != nil {
 			return err
 		}
 	}
 	return s.awaitReady(ctx)
 }
 
-func (s *Soaker) serveStore() (string, error) {
+func (s *Soaker) serveStore() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return err
 	}
+	s.store = listener.Addr().String()
 	s.web.Handler = s.platform.Handler()
 	s.wait.Go(func() { _ = s.web.Serve(listener) })
-	return listener.Addr().String(), nil
+	return nil
 }
 
 // newLink puts a forwarder before an address and returns where it listens.
@@ -198,7 +217,10 @@
 }
 
 func (s *Soaker) addHost(ctx context.Context, pool string) error {
-	h := &host{}
+	h := &host{rank: -1}
+	if pool == rankedPool {
+		h.rank = len(s.agents)
+	}
 	var err error
 	if h.address, err = launcher.FreeAddress(); err != nil {
 		return err
@@ -207,16 +229,24 @@
 		return err
 	}
 	s.hosts = append(s.hosts, h)
-	return s.revive(ctx, h, s.ids.next(pool), pool)
+	if err := s.revive(ctx, h, s.ids.next(pool), pool); err != nil || h.rank < 0 {
+		return err
+	}
+	return s.addAgent(h)
 }
 
 // revive starts a life of a backend server on a host, and announces it.
 func (s *Soaker) revive(ctx context.Context, h *host, id, pool string) error {
-	listener, err := net.Listen("tcp", h.address)
+	listener, err := launcher.Listen(h.address)
 	if err != nil {
 		return err
 	}
-	life := hoster.NewServer(s.platform, &s.journal, id, pool, h.reached, listener)
+	var life *hoster.Server
+	if h.rank < 0 {
+		life = hoster.NewServer(s.platform, &s.journal, id, pool, h.reached, listener)
+	} else {
+		life = hoster.NewRank(s.platform, &s.journal, s.group, h.rank, id, pool, h.reached, listener)
+	}
 	h.mu.Lock()
 	h.id, h.pool, h.life = id, pool, life
 	h.mu.Unlock()
@@ -230,38 +260,47 @@
 	return h.id, h.pool, h.life
 }
 
-func (s *Soaker) addEntry(i int, store string) error {
-	e := &entry{index: i}
+func (s *Soaker) addEntry(i int) error {
+	e := &entry{index: i, name: fmt.Sprintf("entry-%d", i), program: "cbentry"}
 	s.entries = append(s.entries, e)
-	addresses := make([]string, 4)
-	for n := range addresses {
+	for _, address := range []*string{&e.callers, &e.readiness} {
 		var err error
-		if addresses[n], err = launcher.FreeAddress(); err != nil {
+		if *address, err = launcher.FreeAddress(); err != nil {
 			return err
 		}
 	}
-	e.callers, e.readiness = addresses[0], addresses[1]
-	ip, admin, err := net.SplitHostPort(addresses[2])
-	if err != nil {
-		return err
-	}
-	_, links, err := net.SplitHostPort(addresses[3])
-	if err != nil {
-		return err
+	return s.addProcess(e, s.options.EntryTemplate, hoster.Process{Callers: e.callers, Readiness: e.readiness})
+}
+
+// addAgent starts the agent beside a rank.
+func (s *Soaker) addAgent(h *host) error {
+	e := &entry{index: s.options.Entries + h.rank, name: fmt.Sprintf("agent-%d", h.rank), program: "cbagent"}
+	s.agents = append(s.agents, e)
+	return s.addProcess(e, s.options.AgentTemplate, hoster.Process{Rank: h.reached})
+}
+
+// addProcess fills in the settings of a process and starts it.
+func (s *Soaker) addProcess(e *entry, template string, p hoster.Process) error {
+	var ports [2]string
+	for i := range ports {
+		address, err := launcher.FreeAddress()
+		if err != nil {
+			return err
+		}
+		if p.IP, ports[i], err = net.SplitHostPort(address); err != nil {
+			return err
+		}
 	}
-	var reached string
-	if e.link, reached, err = newLink(store); err != nil {
+	var err error
+	if e.link, p.Store, err = newLink(s.store); err != nil {
 		return err
 	}
-	e.file = filepath.Join(s.options.Directory, fmt.Sprintf("entry-%d.toml", i))
-	text := hoster.Fill(s.options.Template, hoster.Process{
-		Name: fmt.Sprintf("entry-%d", i), Callers: e.callers, Readiness: e.readiness, Store: reached,
-		IP: ip, Admin: admin, Links: links, MaxKeyAge: keyBound, StopWithin: stopBound,
-	})
-	if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
+	p.Name, p.Admin, p.Links, p.MaxKeyAge, p.StopWithin = e.name, ports[0], ports[1], keyBound, stopBound
+	e.file = filepath.Join(s.options.Directory, e.name+".toml")
+	if err := os.WriteFile(e.file, []byte(hoster.Fill(template, p)), 0o600); err != nil {
 		return err
 	}
-	if e.log, err = os.Create(filepath.Join(s.options.Directory, fmt.Sprintf("entry-%d.log", i))); err != nil {
+	if e.log, err = os.Create(filepath.Join(s.options.Directory, e.name+".log")); err != nil {
 		return err
 	}
 	return s.startEntry(e)
@@ -269,7 +308,7 @@
 
 // startEntry starts the process of an entry and notes when it ends by itself.
 func (s *Soaker) startEntry(e *entry) error {
-	process, err := launcher.Run(e.log, filepath.Join(s.options.Programs, "cbentry"), "-settings", e.file)
+	process, err := launcher.Run(e.log, filepath.Join(s.options.Programs, e.program), "-settings", e.file)
 	if err != nil {
 		return err
 	}
@@ -281,7 +320,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.process == process && !e.stopping {
-			s.evidence.note(fmt.Sprintf("entry-%d ended by itself", e.index))
+			s.evidence.note(e.name + " ended by itself")
 		}
 	})
 	return nil
@@ -390,8 +429,9 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
+	close(s.stop)
 	var errs []error
-	for _, e := range s.entries {
+	for _, e := range append(s.entries, s.agents...) {
 		if process := e.running(true); process != nil {
 			errs = append(errs, process.Stop())
 		}
