Answer cbctl status, explain and dump on the platform

Entries that call backend servers themselves answered no operators. Each now keeps its last 1 MB of log lines of requests and serves, on its admin port, the status of all enrolled entries, their state dumps, and what any of them logged of a request. Entries enrol their admin address. Ruled out: recording decisions as the linked entries do, which costs a JSON event with all candidates for each decision.

--- a/administrator/explain.go
+++ b/administrator/explain.go
@@ -30,6 +30,9 @@
 	Explained struct {
 		// Explanation is nil when no entry that answered has a record.
 		Explanation *recorder.Explanation `json:"explanation"`
+		// Lines holds what entries that call backend servers themselves logged of
+		// the request.
+		Lines []string `json:"lines,omitempty"`
 		// Asked counts the entries asked besides the one that answers.
 		Asked int `json:"asked"`
 		// Unreachable lists those that gave no answer. It is empty when the
--- a/administrator/processes.go
+++ b/administrator/processes.go
@@ -74,6 +74,7 @@
 	stateLeaving     = "leaving"
 	stateUnlinked    = "unlinked"
 	stateUnreachable = "unreachable"
+	stateNotReady    = "not ready"
 )
 
 // force tells for each entry whether an object is in force there at a version.
--- /dev/null
+++ b/administrator/viewer_test.go
@@ -0,0 +1,113 @@
+package administrator_test
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v5"
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/administrator"
+	"github.com/carawaybeam/carawaybeam/enroller"
+)
+
+// newViewers returns the URL of the first of two entries, besides which a third
+// one is enrolled that does not answer.
+func newViewers(t *testing.T) string {
+	t.Helper()
+	var entries []enroller.Entry
+	var urls []string
+	for _, name := range []string{"entry-0", "entry-1"} {
+		router := echo.New()
+		server := httptest.NewServer(router)
+		t.Cleanup(server.Close)
+		self := enroller.Entry{
+			Name: name, DataCentre: "dc", Admin: carawaybeam.Address(server.Listener.Addr().String()),
+		}
+		dump := func() ([]byte, error) {
+			return []byte(`{"process":"` + name + `","ready":true,"state":{"config":7,"pools":{"desk":2}}}`), nil
+		}
+		router.GET("/state", func(c *echo.Context) error {
+			data, _ := dump()
+			return c.JSONBlob(http.StatusOK, data)
+		})
+		administrator.NewViewer(administrator.ViewerOptions{
+			Entry: self, Entries: func() []enroller.Entry { return entries }, Dump: dump,
+			Lines: func(request carawaybeam.RequestID) []string {
+				if request != "r1" || name != "entry-1" {
+					return nil
+				}
+				return []string{`{"request":"r1"}`}
+			},
+		}).Route(router)
+		entries = append(entries, self)
+		urls = append(urls, server.URL)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	entries = append(entries, enroller.Entry{Name: "entry-2", Admin: carawaybeam.Address(listener.Addr().String())})
+	return urls[0]
+}
+
+func get(t *testing.T, url string, result any) int {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode
+}
+
+func TestViewerShowsAllEntries(t *testing.T) {
+	is := is.New(t)
+	url := newViewers(t)
+	var status administrator.Status
+	is.Equal(get(t, url+"/v1/status", &status), http.StatusOK)
+	is.Equal(status.ConfigVersion, carawaybeam.ConfigVersion(7))
+	is.Equal(len(status.Classes), 1)
+	is.Equal(status.Classes[0].Live, 2)
+	var states []string
+	for _, p := range status.Processes {
+		states = append(states, p.Process+" "+p.State)
+	}
+	is.Equal(strings.Join(states, ", "), "entry-0 live, entry-1 live, entry-2 unreachable")
+}
+
+func TestViewerFindsLinesOnOtherEntries(t *testing.T) {
+	is := is.New(t)
+	url := newViewers(t)
+	var explained administrator.Explained
+	is.Equal(get(t, url+"/v1/requests/r1/explanation", &explained), http.StatusOK)
+	is.Equal(explained.Lines, []string{`{"request":"r1"}`})
+	is.Equal(explained.Unreachable, []string{"entry-2"})
+	var unknown administrator.Explained
+	is.Equal(get(t, url+"/v1/requests/r2/explanation", &unknown), http.StatusOK)
+	is.Equal(len(unknown.Lines), 0)
+	is.Equal(unknown.Asked, 2)
+}
+
+func TestViewerDumpsOtherEntries(t *testing.T) {
+	is := is.New(t)
+	url := newViewers(t)
+	var dump struct {
+		Process string `json:"process"`
+	}
+	is.Equal(get(t, url+"/v1/processes/entry-1/dump", &dump), http.StatusOK)
+	is.Equal(dump.Process, "entry-1")
+	is.Equal(get(t, url+"/v1/processes/entry-2/dump", &dump), http.StatusBadGateway)
+	is.Equal(get(t, url+"/v1/processes/entry-9/dump", &dump), http.StatusNotFound)
+}
--- a/cmd/cbctl/explain.go
+++ b/cmd/cbctl/explain.go
@@ -27,6 +27,9 @@
 			return err
 		}
 	}
+	if len(explained.Lines) > 0 {
+		return c.printLines(explained.Lines)
+	}
 	if explained.Explanation == nil {
 		return notRecorded(args[0], explained)
 	}
@@ -36,6 +39,15 @@
 	return printExplanation(c.out, explained.Explanation)
 }
 
+// printLines prints log lines, unless they were printed as JSON.
+func (c *command) printLines(lines []string) error {
+	if c.json {
+		return nil
+	}
+	_, err := fmt.Fprintln(c.out, strings.Join(lines, "\n"))
+	return err
+}
+
 func notRecorded(request string, explained administrator.Explained) error {
 	detail := "no entry has a record of request " + request +
 		": it is too old, was refused before its class was known, or its entry has been replaced"
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -10,6 +10,8 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/acceptor"
+	"github.com/carawaybeam/carawaybeam/administrator"
+	"github.com/carawaybeam/carawaybeam/chronicler"
 	"github.com/carawaybeam/carawaybeam/clock"
 	"github.com/carawaybeam/carawaybeam/collector"
 	"github.com/carawaybeam/carawaybeam/configurer/adopter"
@@ -56,6 +58,10 @@
 	formTime       = 600 * time.Millisecond
 	rankReturnTime = 2 * time.Second
 
+	// chronicleBytes bounds the log lines that are kept for operators, those of a
+	// few thousand requests.
+	chronicleBytes = 1 << 20
+
 	// maxReadyAge is the age of the configuration up to which an entry takes new
 	// clients.
 	maxReadyAge = 4 * time.Second
@@ -78,6 +84,7 @@
 	acceptor  *acceptor.Acceptor
 	roll      *enroller.Roll
 	collector *collector.Collector
+	chronicle *chronicler.Chronicler
 	// maxKeyAge is that of the settings in force.
 	maxKeyAge atomic.Int64
 	leaving   atomic.Bool
@@ -92,7 +99,9 @@
 	Connections pooler.State              `json:"connections"`
 	Retries     any                       `json:"retries"`
 	Entries     []enroller.Entry          `json:"entries"`
-	Groups      map[string][]rankState    `json:"groups"`
+	// Pools holds the number of backend servers that take work.
+	Pools  map[carawaybeam.PoolID]int `json:"pools"`
+	Groups map[string][]rankState     `json:"groups"`
 	// DroppedLogLines counts log lines that were not written.
 	DroppedLogLines uint64 `json:"droppedLogLines"`
 	Router          any    `json:"router,omitempty"`
@@ -107,7 +116,8 @@
 
 // runDirect runs the daemon until the signal to stop.
 func runDirect(stop context.Context, file string, settings loader.Entry) {
-	e := &directEntry{settings: settings, log: starter.NewLog(settings.Process)}
+	e := &directEntry{settings: settings, chronicle: chronicler.New(chronicleBytes)}
+	e.log = starter.NewLog(settings.Process, e.chronicle)
 	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Log: e.log}))
 	e.apply(settings.Direct)
 	if err := e.start(); err != nil {
@@ -192,10 +202,8 @@
 	}))
 	e.closers.Add(enroller.New(enroller.Options{
 		Store: e.store,
-		Entry: enroller.Entry{
-			Name: e.settings.Process, Statuses: e.settings.Links, DataCentre: e.settings.DataCentre,
-		},
-		Log: e.log,
+		Entry: e.enrolled(),
+		Log:   e.log,
 	}))
 	newEngine, err := carawaybeam.RankEngines.Lookup(e.settings.Direct.Dialect)
 	if err != nil {
@@ -209,6 +217,16 @@
 	return nil
 }
 
+// enrolled returns the entry as others see it.
+func (e *directEntry) enrolled() enroller.Entry {
+	return enroller.Entry{
+		Name:       e.settings.Process,
+		Statuses:   e.settings.Links,
+		Admin:      e.settings.Admin,
+		DataCentre: e.settings.DataCentre,
+	}
+}
+
 // report returns what an agent reported of the backend server beside it.
 func (e *directEntry) report(address carawaybeam.Address) (forwarder.Report, bool) {
 	status, ok := e.collector.Status(address)
@@ -258,9 +276,12 @@
 	if err != nil {
 		return err
 	}
-	operators := dumper.New(admin, dumper.Options{
-		Process: e.settings.Process, Ready: e.ready, State: e.state, Log: e.log,
+	dumping := dumper.Options{Process: e.settings.Process, Ready: e.ready, State: e.state, Log: e.log}
+	viewer := administrator.NewViewer(administrator.ViewerOptions{
+		Entry: e.enrolled(), Entries: e.roll.Entries, Dump: dumping.Dump, Lines: e.chronicle.Lines,
 	})
+	dumping.Routes = viewer.Route
+	operators := dumper.New(admin, dumping)
 	e.closers.Add(operators)
 	e.closers.Add(starter.Repeat(gaugeInterval, func() { e.setGauges(operators.Scope()) }))
 	readiness, err := starter.Listen("the balancer", e.settings.Direct.Readiness)
@@ -326,6 +347,7 @@
 		Connections: e.pooler.State(),
 		Retries:     e.retrier.State(),
 		Entries:     e.roll.Entries(),
+		Pools:       e.curator.Pools(),
 		Groups:      make(map[string][]rankState),
 
 		DroppedLogLines: starter.DroppedLines(),
--- a/curator/curator.go
+++ b/curator/curator.go
@@ -88,6 +88,17 @@
 	return c.pools[pool]
 }
 
+// Pools returns how many backend servers of each pool may take work.
+func (c *Curator) Pools() map[carawaybeam.PoolID]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[carawaybeam.PoolID]int, len(c.pools))
+	for pool, instances := range c.pools {
+		counts[pool] = len(instances)
+	}
+	return counts
+}
+
 // PoolAt returns the pool of the backend server at an address.
 func (c *Curator) PoolAt(address carawaybeam.Address) (carawaybeam.PoolID, bool) {
 	c.mu.Lock()
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -30,7 +30,9 @@
 	Entry struct {
 		Name string `json:"-"`
 		// Statuses is where it takes the statuses of ranks.
-		Statuses   carawaybeam.Address    `json:"statuses"`
+		Statuses carawaybeam.Address `json:"statuses"`
+		// Admin is where it answers operators.
+		Admin      carawaybeam.Address    `json:"admin"`
 		DataCentre carawaybeam.DataCentre `json:"dataCentre"`
 	}
 
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -109,10 +109,14 @@
 
 // NewLog returns the log of a process, on standard output. It never blocks its
 // caller: lines that cannot be written as fast as they come are dropped, and those
-// of a level beyond a burst a second are. DroppedLines counts both.
-func NewLog(process string) zerolog.Logger {
+// of a level beyond a burst a second are. DroppedLines counts both. The copies get
+// each line too; they must not block.
+func NewLog(process string, copies ...io.Writer) zerolog.Logger {
 	writer := diode.NewWriter(os.Stdout, logBuffer, 0, func(missed int) { droppedLines.Add(uint64(missed)) })
-	return newLog(writer, process)
+	if len(copies) == 0 {
+		return newLog(writer, process)
+	}
+	return newLog(zerolog.MultiLevelWriter(append(copies, writer)...), process)
 }
 
 // DroppedLines returns how many log lines have been dropped.
