--- a/administrator/viewer_test.go
+++ b/administrator/viewer_test.go
@@ -20,8 +20,8 @@
 // one is enrolled that does not answer.
 func newViewers(t *testing.T) string {
 	t.Helper()
-	var entries []enroller.Entry
-	var urls []string
+	entries := make([]enroller.Entry, 0, 3)
+	urls := make([]string, 0, 2)
 	for _, name := range []string{"entry-0", "entry-1"} {
 		router := echo.New()
 		server := httptest.NewServer(router)
@@ -29,15 +29,12 @@
 		self := enroller.Entry{
 			Name: name, DataCentre: "dc", Admin: carawaybeam.Address(server.Listener.Addr().String()),
 		}
-		dump := func() ([]byte, error) {
-			return []byte(`{"process":"` + name + `","ready":true,"state":{"config":7,"pools":{"desk":2}}}`), nil
-		}
-		router.GET("/state", func(c *echo.Context) error {
-			data, _ := dump()
-			return c.JSONBlob(http.StatusOK, data)
-		})
+		dump := []byte(`{"process":"` + name + `","ready":true,"state":{"config":7,"pools":{"desk":2}}}`)
+		router.GET("/state", func(c *echo.Context) error { return c.JSONBlob(http.StatusOK, dump) })
 		administrator.NewViewer(administrator.ViewerOptions{
-			Entry: self, Entries: func() []enroller.Entry { return entries }, Dump: dump,
+			Entry:   self,
+			Entries: func() []enroller.Entry { return entries },
+			Dump:    func() ([]byte, error) { return dump, nil },
 			Lines: func(request carawaybeam.RequestID) []string {
 				if request != "r1" || name != "entry-1" {
 					return nil
@@ -80,7 +77,7 @@
 	is.Equal(status.ConfigVersion, carawaybeam.ConfigVersion(7))
 	is.Equal(len(status.Classes), 1)
 	is.Equal(status.Classes[0].Live, 2)
-	var states []string
+	states := make([]string, 0, len(status.Processes))
 	for _, p := range status.Processes {
 		states = append(states, p.Process+" "+p.State)
 	}
