Restart one process of the soak by one fault at a time

Ruled out: entries that do not stop (their logs end with "entry: stopped"). Change: an entry that is being restarted is left alone. Pairs of faults now come in turn by seed, and every other caller keeps its connection until it ends.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -14,7 +14,7 @@
 	patience = hoster.RouteTimeout + 2*time.Second
 
 	// requestsPerConnection is how many requests a caller sends on a connection
-	// while it stays open.
+	// while it stays open. Every other caller keeps it until it ends.
 	requestsPerConnection = 60
 
 	thinkTime = 30 * time.Millisecond
@@ -37,9 +37,9 @@
 			time.Sleep(thinkTime)
 			continue
 		}
-		for range requestsPerConnection {
+		for i := 0; (i < requestsPerConnection || number%2 == 0) && time.Now().Before(end); i++ {
 			n++
-			if !s.send(conn, random, e, fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n)) || !time.Now().Before(end) {
+			if !s.send(conn, random, e, fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n)) {
 				break
 			}
 			time.Sleep(thinkTime)
--- a/soaker/script.go
+++ b/soaker/script.go
@@ -148,7 +148,7 @@
 }
 
 // newScript returns the faults of a run: some by chance, each kind as likely as
-// any other, and a pair.
+// any other, and a pair, which seeds behind each other take in turn.
 func newScript(random *rand.Rand, options Options) []fault {
 	type choice struct {
 		kind    string
@@ -189,7 +189,7 @@
 }
 
 func newPair(random *rand.Rand, options Options) []fault {
-	kinds := pairs[random.IntN(len(pairs))]
+	kinds := pairs[options.Seed%uint64(len(pairs))]
 	at := time.Duration(random.Int64N(int64(options.Span / 2)))
 	pair := make([]fault, len(kinds))
 	for i, kind := range kinds {
@@ -231,7 +231,12 @@
 }
 
 // restart ends a process by a signal and starts it again.
+// One that is being restarted is left alone.
 func (s *Soaker) restart(e *entry, signal syscall.Signal) {
+	if !e.changing.TryLock() {
+		return
+	}
+	defer e.changing.Unlock()
 	process := e.running(true)
 	if process.Signal(signal) != nil {
 		return
@@ -242,10 +247,8 @@
 		_ = process.Kill()
 	}
 	time.Sleep(processPatience)
-	if e.running(true) == process {
-		if err := s.startEntry(e); err != nil {
-			s.evidence.note(e.name + " does not start: " + err.Error())
-		}
+	if err := s.startEntry(e); err != nil {
+		s.evidence.note(e.name + " does not start: " + err.Error())
 	}
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -115,6 +115,9 @@
 		log       *os.File
 		link      *forwarder.Forwarder
 
+		// changing is held while one process ends and the next begins.
+		changing sync.Mutex
+
 		mu      sync.Mutex
 		process *launcher.Process
 		// stopping is set while the process is expected to end.
