--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_LINT = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS = $(CURDIR)/.tools
 
-.PHONY: build demo demo-full test prove prove-guards soak figures slopes lint format generate settings tools
+.PHONY: build demo demo-full test prove prove-guards soak days figures slopes lint format generate settings tools
 
 build:
 	go build -o bin/ ./cmd/... ./examples/demo
@@ -33,6 +33,16 @@
 soak:
 	go run ./cmd/cbsoak -seeds $(SEEDS) -first $(SOAK_FIRST)
 
+# Plays the days of deploy/days on one deployment of the users' bench, and fails if
+# a rule breaks: make days BENCH=PROGRAM SITE=FILE [DAYS=FILES]
+DAYS ?= deploy/days/*.toml
+days:
+	@failed=0; for day in $(DAYS); do \
+		output=$$($(BENCH) run $(SITE) $$day --why "day of our own") || failed=1; \
+		echo "$$output" | grep -E "^$$(sed -n 's/^name = "\(.*\)"/\1/p' $$day) |BROKEN" || true; \
+		if echo "$$output" | grep -q BROKEN; then failed=1; fi; \
+	done; exit $$failed
+
 # Replays every decision trace with the outcome beside it and prints the tables,
 # then the costs of the path and of planning.
 figures: build
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -31,6 +31,8 @@
 	scriptedSender struct {
 		acts []act
 		sent []pooler.Request
+		// frozen is the address of a backend server that never answers.
+		frozen carawaybeam.Address
 	}
 
 	// recordedAnswer is what a client got.
@@ -41,6 +43,9 @@
 	}
 
 	world struct {
+		log zerolog.Logger
+		// reports holds what is reported of the backend servers, by address.
+		reports   map[carawaybeam.Address]func() (forwarder.Report, bool)
 		routing   carawaybeam.Routing
 		age       time.Duration
 		unknown   bool
@@ -51,8 +56,16 @@
 	}
 )
 
-func (s *scriptedSender) Send(_ context.Context, _ carawaybeam.Address, r pooler.Request) (*pooler.Reply, error) {
+func (s *scriptedSender) Send(
+	ctx context.Context,
+	address carawaybeam.Address,
+	r pooler.Request,
+) (*pooler.Reply, error) {
 	s.sent = append(s.sent, r)
+	if address == s.frozen {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if len(s.acts) == 0 {
 		return nil, errors.New("nothing is scripted")
 	}
@@ -120,7 +133,12 @@
 		MaxKeyAge:     func() time.Duration { return 5 * time.Second },
 		Members:       w,
 		Sender:        w.sender,
-		Report:        func(carawaybeam.Address) (forwarder.Report, bool) { return forwarder.Report{}, false },
+		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
+			if report, ok := w.reports[address]; ok {
+				return report()
+			}
+			return forwarder.Report{}, false
+		},
 		Encode: func(_ *carawaybeam.ClientRequest, f carawaybeam.Forwarding) http.Header {
 			w.forwarded = append(w.forwarded, f)
 			return http.Header{}
@@ -131,7 +149,7 @@
 			Bound:   quota.Bound{Reserve: w.reserve, Window: 10 * time.Second},
 			Entries: func() int { return 1 },
 		}),
-		Log: zerolog.Nop(),
+		Log: w.log,
 	})
 	answer := &recordedAnswer{}
 	return answer, f.Serve(context.Background(), time.Now(), r, answer)
@@ -274,6 +292,20 @@
 	is.Equal(w.forwarded[1].Backend, w.instances[0].ID)
 }
 
+// TestCulpritIsLogged lets a backend server name another one as the cause of its
+// refusal, so that operators find the one to look at.
+func TestCulpritIsLogged(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(reply(http.StatusServiceUnavailable, strings.NewReader(""), func(h *carawaybeam.ReplyHead) {
+		h.NotRun, h.Culprit = true, "rank-7"
+	}), whole("x"))
+	var lines bytes.Buffer
+	w.log = zerolog.New(&lines)
+	_, failure := w.serve(request(carawaybeam.RouteUnsafe))
+	is.True(failure == nil)
+	is.True(strings.Contains(lines.String(), `"culprit":"rank-7"`))
+}
+
 // TestNoBudget makes no further attempt once the budget of all entries is used.
 func TestNoBudget(t *testing.T) {
 	is := is.New(t)
--- a/dispatcher/forwarder/observation.go
+++ b/dispatcher/forwarder/observation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -14,15 +15,14 @@
 	decision  carawaybeam.RouteDecision
 	own       *counter.Request
 	began     time.Time
-	answered  bool
+	answered  atomic.Bool
 }
 
 // answer notes the first part of the answer.
 func (o *observation) answer() {
-	if o.answered {
+	if o.answered.Swap(true) {
 		return
 	}
-	o.answered = true
 	o.own.Answered()
 	o.observe(false)
 }
--- a/dispatcher/forwarder/pursuit.go
+++ b/dispatcher/forwarder/pursuit.go
@@ -74,6 +74,8 @@
 		unsent bool
 		// blame is set when the backend server is at fault.
 		blame bool
+		// culprit is the backend server that the asked one names as the cause.
+		culprit carawaybeam.BackendID
 	}
 )
 
@@ -131,7 +133,8 @@
 		if !f.mayGoOn(ctx, p, r) {
 			return f.conclude(p, r)
 		}
-		if decision, ok = f.choose(time.Now(), p); !ok {
+		// A group that has closed meanwhile answers no further attempt.
+		if decision, ok = f.choose(time.Now(), p); !ok || decision.ClosedFor > 0 {
 			return f.conclude(p, r)
 		}
 	}
@@ -185,6 +188,7 @@
 func (f *Forwarder) choose(now time.Time, p *pursuit) (carawaybeam.RouteDecision, bool) {
 	instances := f.options.Members.Instances(p.pool.ID)
 	candidates := make([]carawaybeam.Candidate, 0, len(instances))
+	reporting, silent := false, make([]int, 0, len(instances))
 	for _, instance := range instances {
 		c := carawaybeam.Candidate{
 			Backend:    instance.ID,
@@ -195,10 +199,20 @@
 		if ok {
 			c.Load, c.StepTime, c.ClosedFor = report.Load, report.StepTime, report.ClosedFor
 			c.ReportAge = now.Sub(report.At)
+			reporting = true
+		} else {
+			silent = append(silent, len(candidates))
 		}
 		f.counter.Fill(now, report.At, &c)
 		candidates = append(candidates, c)
 	}
+	if reporting {
+		// Where others report, one that does not may have stopped, and only looks
+		// empty since its load is not known.
+		for _, i := range silent {
+			candidates[i].ClosedFor = silentReturnTime
+		}
+	}
 	return f.options.Router.Route(now, carawaybeam.RouteRequest{
 		Request:      p.request.ID,
 		Class:        carawaybeam.ClassID(p.pool.ID),
@@ -226,9 +240,12 @@
 	}
 	began := time.Now()
 	own := f.counter.Sent(began, instance.ID, p.request.Prompt)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	o := &observation{forwarder: f, decision: decision, own: own, began: began}
+	if p.idempotent() {
+		f.watch(ctx, cancel, instance, o)
+	}
 	r := f.exchange(ctx, p, instance, o)
 	own.Done(time.Now())
 	o.end(ctx, r)
@@ -300,7 +317,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return result{failure: mayHaveRun(carawaybeam.ReasonDeadline, "no answer came in time")}
+		return interrupted(ctx, "no answer came in time")
 	}
 	f.options.Sender.Forget(instance.Address)
 	return result{failure: mayHaveRun(carawaybeam.ReasonBackendFailed, err.Error()), blame: true}
@@ -312,7 +329,11 @@
 	// says does not matter, nor whether it is complete.
 	_, _ = reply.ReadAll(maxAnswerBytes)
 	detail := "backend server refused with status " + http.StatusText(reply.Status)
-	return result{failure: notRun(carawaybeam.ReasonBusy, detail, comeBackSoon), blame: true}
+	return result{
+		failure: notRun(carawaybeam.ReasonBusy, detail, comeBackSoon),
+		blame:   true,
+		culprit: reply.Culprit,
+	}
 }
 
 // take reads a whole answer, checks it and writes it to the client.
@@ -320,7 +341,7 @@
 	data, err := reply.ReadAll(maxAnswerBytes)
 	if err != nil {
 		if ctx.Err() != nil {
-			return result{failure: mayHaveRun(carawaybeam.ReasonDeadline, "answer did not come in time")}
+			return interrupted(ctx, "answer did not come in time")
 		}
 		return result{failure: mayHaveRun(carawaybeam.ReasonBackendFailed, err.Error()), blame: true}
 	}
@@ -367,5 +388,8 @@
 		line.Int("status", r.held.status).Msg("forwarder: backend server answered with a failure")
 		return
 	}
+	if r.culprit != "" {
+		line = line.Str("culprit", string(r.culprit))
+	}
 	line.Str("outcome", string(r.failure.Outcome)).Str("detail", r.failure.Detail).Msg("forwarder: attempt failed")
 }
--- a/dispatcher/forwarder/stream.go
+++ b/dispatcher/forwarder/stream.go
@@ -88,7 +88,7 @@
 		case errors.Is(err, io.EOF) && p.begun:
 			return result{}
 		case err != nil && ctx.Err() != nil:
-			return result{failure: mayHaveRun(carawaybeam.ReasonDeadline, "stream did not end in time")}
+			return interrupted(ctx, "stream did not end in time")
 		case err != nil:
 			return result{
 				failure: mayHaveRun(carawaybeam.ReasonBackendFailed, "stream broke off: "+err.Error()),
