--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -50,8 +50,8 @@
 }
 
 // pick returns an entry that takes new callers, or any one if none does.
-func (s *Soaker) pick(random *rand.Rand) *entry {
-	var ready []*entry
+func (s *Soaker) pick(random *rand.Rand) *daemon {
+	var ready []*daemon
 	for _, e := range s.entries {
 		if e.isReady() {
 			ready = append(ready, e)
@@ -64,7 +64,7 @@
 }
 
 // send sends one request and tells whether the connection takes another one.
-func (s *Soaker) send(conn *hoster.Connection, random *rand.Rand, e *entry, id string) bool {
+func (s *Soaker) send(conn *hoster.Connection, random *rand.Rand, e *daemon, id string) bool {
 	sent := sending{
 		id:    id,
 		entry: e.index,
--- a/soaker/restart_test.go
+++ b/soaker/restart_test.go
@@ -18,9 +18,9 @@
 		t.Fatal(err)
 	}
 	s := &Soaker{options: Options{Programs: directory}, stop: make(chan struct{})}
-	e := &entry{name: "entry-0", program: "sleeper"}
-	s.entries = []*entry{e}
-	if err := s.startEntry(e); err != nil {
+	e := &daemon{name: "entry-0", program: "sleeper"}
+	s.entries = []*daemon{e}
+	if err := s.startDaemon(e); err != nil {
 		t.Fatal(err)
 	}
 	var restarts sync.WaitGroup
--- a/soaker/script.go
+++ b/soaker/script.go
@@ -232,7 +232,7 @@
 
 // restart ends a process by a signal and starts it again.
 // One that is being restarted is left alone.
-func (s *Soaker) restart(e *entry, signal syscall.Signal) {
+func (s *Soaker) restart(e *daemon, signal syscall.Signal) {
 	if !e.changing.TryLock() {
 		return
 	}
@@ -247,12 +247,12 @@
 		_ = process.Kill()
 	}
 	time.Sleep(processPatience)
-	if err := s.startEntry(e); err != nil {
+	if err := s.startDaemon(e); err != nil {
 		s.evidence.note(e.name + " does not start: " + err.Error())
 	}
 }
 
-func pause(e *entry, lasts time.Duration) {
+func pause(e *daemon, lasts time.Duration) {
 	process := e.running(false)
 	if process.Signal(syscall.SIGSTOP) != nil {
 		return
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -86,8 +86,8 @@
 		options  Options
 		platform *hoster.Platform
 		journal  hoster.Journal
-		entries  []*entry
-		agents   []*entry
+		entries  []*daemon
+		agents   []*daemon
 		group    *hoster.Group
 		stop     chan struct{}
 		hosts    []*host
@@ -104,8 +104,8 @@
 		closed bool
 	}
 
-	// entry is an entry or an agent, and its link to the store.
-	entry struct {
+	// daemon is an entry or an agent, with its link to the store.
+	daemon struct {
 		index     int
 		name      string
 		program   string
@@ -264,7 +264,7 @@
 }
 
 func (s *Soaker) addEntry(i int) error {
-	e := &entry{index: i, name: fmt.Sprintf("entry-%d", i), program: "cbentry"}
+	e := &daemon{index: i, name: fmt.Sprintf("entry-%d", i), program: "cbentry"}
 	s.entries = append(s.entries, e)
 	for _, address := range []*string{&e.callers, &e.readiness} {
 		var err error
@@ -277,13 +277,13 @@
 
 // addAgent starts the agent beside a rank.
 func (s *Soaker) addAgent(h *host) error {
-	e := &entry{index: s.options.Entries + h.rank, name: fmt.Sprintf("agent-%d", h.rank), program: "cbagent"}
+	e := &daemon{index: s.options.Entries + h.rank, name: fmt.Sprintf("agent-%d", h.rank), program: "cbagent"}
 	s.agents = append(s.agents, e)
 	return s.addProcess(e, s.options.AgentTemplate, hoster.Process{Rank: h.reached})
 }
 
 // addProcess fills in the settings of a process and starts it.
-func (s *Soaker) addProcess(e *entry, template string, p hoster.Process) error {
+func (s *Soaker) addProcess(e *daemon, template string, p hoster.Process) error {
 	var ports [2]string
 	for i := range ports {
 		address, err := launcher.FreeAddress()
@@ -306,11 +306,11 @@
 	if e.log, err = os.Create(filepath.Join(s.options.Directory, e.name+".log")); err != nil {
 		return err
 	}
-	return s.startEntry(e)
+	return s.startDaemon(e)
 }
 
-// startEntry starts the process of an entry and notes when it ends by itself.
-func (s *Soaker) startEntry(e *entry) error {
+// startDaemon starts a process and notes when it ends by itself.
+func (s *Soaker) startDaemon(e *daemon) error {
 	process, err := launcher.Run(e.log, filepath.Join(s.options.Programs, e.program), "-settings", e.file)
 	if err != nil {
 		return err
@@ -330,11 +330,11 @@
 }
 
 // running returns the process, and expects it to end if asked to.
-func (e *entry) running(ends bool) *launcher.Process {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stopping = e.stopping || ends
-	return e.process
+func (d *daemon) running(ends bool) *launcher.Process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopping = d.stopping || ends
+	return d.process
 }
 
 func (s *Soaker) awaitReady(ctx context.Context) error {
@@ -359,10 +359,10 @@
 	}
 }
 
-func (e *entry) isReady() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.ready
+func (d *daemon) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready
 }
 
 // watchReadiness asks the entries whether they take new callers, as the platform
