--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -14,11 +14,12 @@
 	patience = hoster.RouteTimeout + 2*time.Second
 
 	// requestsPerConnection is how many requests a caller sends on a connection
-	// while it stays open. Every other caller keeps it until it ends.
+	// while it stays open. Every other caller keeps it until it ends, and never
+	// leaves early.
 	requestsPerConnection = 60
 
 	thinkTime = 30 * time.Millisecond
-	// leaveShare is the share of requests whose caller leaves early, after
+	// leaveShare is the share of their requests that the other callers leave, after
 	// leaveAfter at most.
 	leaveShare = 0.03
 	leaveAfter = 400 * time.Millisecond
@@ -37,9 +38,11 @@
 			time.Sleep(thinkTime)
 			continue
 		}
-		for i := 0; (i < requestsPerConnection || number%2 == 0) && time.Now().Before(end); i++ {
+		keeps := number%2 == 0
+		for i := 0; (i < requestsPerConnection || keeps) && time.Now().Before(end); i++ {
 			n++
-			if !s.send(conn, random, e, fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n)) {
+			leaves := !keeps && random.Float64() < leaveShare
+			if !s.send(conn, random, e, fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n), leaves) {
 				break
 			}
 			time.Sleep(thinkTime)
@@ -63,8 +66,9 @@
 	return ready[random.IntN(len(ready))]
 }
 
-// send sends one request and tells whether the connection takes another one.
-func (s *Soaker) send(conn *hoster.Connection, random *rand.Rand, e *daemon, id string) bool {
+// send sends one request, which its caller may leave early, and tells whether the
+// connection takes another one.
+func (s *Soaker) send(conn *hoster.Connection, random *rand.Rand, e *daemon, id string, leaves bool) bool {
 	sent := sending{
 		id:    id,
 		entry: e.index,
@@ -72,7 +76,7 @@
 		key:   s.evidence.key(random.Float64() < oldKeyShare),
 		at:    time.Now(),
 	}
-	if random.Float64() < leaveShare {
+	if leaves {
 		sent.left = true
 		timer := time.AfterFunc(time.Duration(random.Int64N(int64(leaveAfter))), func() { _ = conn.Close() })
 		defer timer.Stop()
