Work out once what several places worked out each

Both clients of stores sent and read alike: keeper.Exchange. Both kinds of entry looked up their policies: newPolicies. How many ranks of a group report was counted in two places, each time over a sorted copy of all statuses, once for each candidate of a request while the group is closed: collector.Reporting. choose no longer makes a list for each request.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -178,30 +178,26 @@
 func (a *Acceptor) read(w http.ResponseWriter, r *http.Request) (carawaybeam.ClientRequest, *carawaybeam.RequestError) {
 	request, err := a.options.Dialect.DecodeRequest(r)
 	if err != nil {
-		return request, refuse(carawaybeam.ReasonBadRequest, err.Error())
+		return request, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, err.Error(), 0)
 	}
 	limit := a.options.BodyBytes
 	if limits, ok := a.options.Forwarder.Limits(); ok && limits.BodyBytes > 0 {
 		limit = limits.BodyBytes
 	}
 	if r.ContentLength > limit {
-		return request, refuse(carawaybeam.ReasonTooLarge, "body is too large")
+		return request, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
 	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return request, refuse(carawaybeam.ReasonTooLarge, "body is too large")
+		return request, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
 	if err != nil {
-		return request, refuse(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error())
+		return request, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error(), 0)
 	}
 	return request, nil
 }
 
-func refuse(reason carawaybeam.Reason, detail string) *carawaybeam.RequestError {
-	return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeNotRun, Reason: reason, Detail: detail}
-}
-
 func (a *Acceptor) writeFailure(w http.ResponseWriter, failure *carawaybeam.RequestError) {
 	status, header := a.options.Dialect.EncodeFailure(failure)
 	for name, values := range header {
--- a/administrator/viewer.go
+++ b/administrator/viewer.go
@@ -94,15 +94,7 @@
 func (v *Viewer) status(c *echo.Context) error {
 	entries := v.options.Entries()
 	views := make([]seen, len(entries))
-	var group errgroup.Group
-	group.SetLimit(maxQuestions)
-	for i, entry := range entries {
-		group.Go(func() error {
-			views[i] = v.look(c.Request().Context(), entry)
-			return nil
-		})
-	}
-	_ = group.Wait()
+	forEach(entries, func(i int, entry enroller.Entry) { views[i] = v.look(c.Request().Context(), entry) })
 	status := Status{Classes: []Class{}, Processes: make([]Process, 0, len(views))}
 	for _, s := range views {
 		status.Processes = append(status.Processes, s.process())
@@ -118,6 +110,19 @@
 	return c.JSON(http.StatusOK, status)
 }
 
+// forEach asks the entries, some at once, and waits.
+func forEach(entries []enroller.Entry, ask func(i int, entry enroller.Entry)) {
+	var group errgroup.Group
+	group.SetLimit(maxQuestions)
+	for i, entry := range entries {
+		group.Go(func() error {
+			ask(i, entry)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
 // process returns what was seen of an entry.
 func (s seen) process() Process {
 	p := Process{
@@ -196,21 +201,24 @@
 		return c.JSON(http.StatusOK, explained)
 	}
 	path := "/v1/requests/" + url.PathEscape(string(request)) + "/explanation?" + ownParameter + "=1"
-	for _, entry := range v.options.Entries() {
-		if entry.Name == v.options.Entry.Name {
-			continue
-		}
-		explained.Asked++
-		var other Explained
-		data, err := v.ask(c.Request().Context(), entry, path)
+	others := slices.DeleteFunc(slices.Clone(v.options.Entries()), func(other enroller.Entry) bool {
+		return other.Name == v.options.Entry.Name
+	})
+	answers, failures := make([]Explained, len(others)), make([]error, len(others))
+	forEach(others, func(i int, other enroller.Entry) {
+		data, err := v.ask(c.Request().Context(), other, path)
 		if err == nil {
-			err = json.Unmarshal(data, &other)
+			err = json.Unmarshal(data, &answers[i])
 		}
-		if err != nil {
-			explained.Unreachable = append(explained.Unreachable, entry.Name)
+		failures[i] = err
+	})
+	explained.Asked = len(others)
+	for i, other := range others {
+		if failures[i] != nil {
+			explained.Unreachable = append(explained.Unreachable, other.Name)
 			continue
 		}
-		explained.Lines = append(explained.Lines, other.Lines...)
+		explained.Lines = append(explained.Lines, answers[i].Lines...)
 	}
 	return c.JSON(http.StatusOK, explained)
 }
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -247,28 +247,18 @@
 	if status.Group == "" || status.Open && !status.IsStalled(time.Now()) {
 		return 0
 	}
-	present := 0
-	for _, s := range e.collector.Group(status.Group) {
-		if time.Since(s.Received) <= maxReportAge {
-			present++
-		}
-	}
-	if present == status.Size {
+	if e.collector.Reporting(status.Group, maxReportAge) == status.Size {
 		return formTime
 	}
 	return rankReturnTime
 }
 
 func (e *directEntry) listen() error {
-	newRouter, err := carawaybeam.Routers.Lookup(e.settings.Policies.Router)
-	if err != nil {
-		return err
-	}
-	newLimiter, err := carawaybeam.Limiters.Lookup(e.settings.Policies.Limiter)
+	router, limiter, err := newPolicies(e.settings.Policies)
 	if err != nil {
 		return err
 	}
-	e.router = newRouter()
+	e.router = router
 	e.retrier = quota.New(quota.Options{Bound: boundOf(e.settings.Direct.Retries), Entries: e.roll.Len})
 	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
 	e.closers.Add(e.pooler)
@@ -305,7 +295,7 @@
 			Sender:        e.pooler,
 			Encode:        e.dialect.EncodeForwarding,
 			Router:        e.router,
-			Limiter:       newLimiter(),
+			Limiter:       limiter,
 			Retrier:       e.retrier,
 			Log:           e.log,
 		})),
--- a/cmd/cbentry/direct_metrics.go
+++ b/cmd/cbentry/direct_metrics.go
@@ -83,13 +83,7 @@
 	scope.Gauge("entries_enrolled").Update(float64(e.roll.Len()))
 	scope.Gauge("log_lines_dropped").Update(float64(starter.DroppedLines()))
 	for _, group := range e.collector.Groups() {
-		ranks := e.collector.Group(group)
-		fresh := 0
-		for _, s := range ranks {
-			if time.Since(s.Received) <= maxReportAge {
-				fresh++
-			}
-		}
-		scope.Tagged(map[string]string{"group": string(group)}).Gauge("ranks_reporting").Update(float64(fresh))
+		reporting := e.collector.Reporting(group, maxReportAge)
+		scope.Tagged(map[string]string{"group": string(group)}).Gauge("ranks_reporting").Update(float64(reporting))
 	}
 }
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -174,12 +174,21 @@
 	return err
 }
 
-func (e *entry) makeDispatcher() error {
-	newRouter, err := carawaybeam.Routers.Lookup(e.settings.Policies.Router)
+// newPolicies returns the router and the limiter that the settings name.
+func newPolicies(policies loader.Policies) (carawaybeam.Router, carawaybeam.Limiter, error) {
+	newRouter, err := carawaybeam.Routers.Lookup(policies.Router)
 	if err != nil {
-		return err
+		return nil, nil, err
+	}
+	newLimiter, err := carawaybeam.Limiters.Lookup(policies.Limiter)
+	if err != nil {
+		return nil, nil, err
 	}
-	newLimiter, err := carawaybeam.Limiters.Lookup(e.settings.Policies.Limiter)
+	return newRouter(), newLimiter(), nil
+}
+
+func (e *entry) makeDispatcher() error {
+	router, limiter, err := newPolicies(e.settings.Policies)
 	if err != nil {
 		return err
 	}
@@ -195,8 +204,8 @@
 		Binder:        keys,
 		Config:        e.configurer,
 		Configuration: e.configurer,
-		Router:        e.recorder.Router(newRouter()),
-		Limiter:       e.recorder.Limiter(newLimiter()),
+		Router:        e.recorder.Router(router),
+		Limiter:       e.recorder.Limiter(limiter),
 		Retrier:       e.recorder.Retrier(newRetrier()),
 		Quarantiner:   e.quarantiner,
 		Assessor:      e.assessor,
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -164,6 +164,20 @@
 	return slices.CompactFunc(statuses, func(a, b Status) bool { return a.Rank == b.Rank })
 }
 
+// Reporting returns how many ranks of a group have a status of the given age at
+// most.
+func (c *Collector) Reporting(group carawaybeam.GroupID, maxAge time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ranks := make(map[carawaybeam.Rank]struct{})
+	for _, r := range c.ranks {
+		if r.status.Group == group && time.Since(r.status.Received) <= maxAge {
+			ranks[r.status.Rank] = struct{}{}
+		}
+	}
+	return len(ranks)
+}
+
 func (c *Collector) listen() {
 	buffer := make([]byte, maxDatagram)
 	request, err := proto.Marshal(&framer.Frame{Body: &framer.Frame_PicksRequest{PicksRequest: &framer.PicksRequest{}}})
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -73,6 +73,9 @@
 	}
 	waitFor(t, "no statuses", func() bool { return len(c.Group("g")) == 2 })
 	is.Equal(c.Groups(), []carawaybeam.GroupID{"g"})
+	is.Equal(c.Reporting("g", time.Minute), 2)
+	is.Equal(c.Reporting("g", 0), 0)
+	is.Equal(c.Reporting("h", time.Minute), 0)
 	status := c.Group("g")[1]
 	is.Equal(status.Address, carawaybeam.Address("10.0.0.2:80"))
 	is.Equal(status.Armed, carawaybeam.ArmedMap{Version: 5, Step: 9})
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -80,7 +80,7 @@
 		return v.failure
 	}
 	if !a.sent {
-		return notRun(carawaybeam.ReasonNoBackend, "agent could not be reached", comeBackAfter)
+		return carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "agent could not be reached", comeBackAfter)
 	}
 	patience := resolveTimeout
 	if a.request.Class.Idempotent {
@@ -310,7 +310,7 @@
 	retryAfter := time.Duration(refused.GetRetryAfterMs()) * time.Millisecond
 	return verdict{
 		final:   true,
-		failure: notRun(carawaybeam.Reason(refused.GetReason()), refused.GetDetail(), retryAfter),
+		failure: carawaybeam.NotRun(carawaybeam.Reason(refused.GetReason()), refused.GetDetail(), retryAfter),
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -225,7 +225,7 @@
 
 func (d *Dispatcher) do(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
 	if !d.enter() {
-		return notRun(carawaybeam.ReasonLeaving, "this entry does not serve now", comeBackAfter)
+		return carawaybeam.NotRun(carawaybeam.ReasonLeaving, "this entry does not serve now", comeBackAfter)
 	}
 	defer d.requests.Done()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
@@ -234,7 +234,7 @@
 	request.routing = newRouting(request)
 	admit, decision := d.admit(now, request)
 	if !decision.Admitted {
-		return notRun(carawaybeam.ReasonBusy, "class is at its limit", decision.RetryAfter)
+		return carawaybeam.NotRun(carawaybeam.ReasonBusy, "class is at its limit", decision.RetryAfter)
 	}
 	defer func() { d.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
 	d.options.Retrier.Started(now, request.Class.ID)
@@ -357,12 +357,3 @@
 	}
 	return tracker.Member{}
 }
-
-func notRun(reason carawaybeam.Reason, detail string, retryAfter time.Duration) *carawaybeam.RequestError {
-	return &carawaybeam.RequestError{
-		Outcome:    carawaybeam.OutcomeNotRun,
-		Reason:     reason,
-		Detail:     detail,
-		RetryAfter: retryAfter,
-	}
-}
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -154,7 +154,7 @@
 	age, known := f.options.Age()
 	p.configAge = age
 	if current == nil || !known {
-		return p, notRun(carawaybeam.ReasonStaleConfig, "no configuration is known yet", comeBackSoon)
+		return p, carawaybeam.NotRun(carawaybeam.ReasonStaleConfig, "no configuration is known yet", comeBackSoon)
 	}
 	p.config = current
 	path := request.Target
@@ -178,7 +178,7 @@
 	}
 	pool, ok := matcher.ChoosePool(p.route, f.random)
 	if !ok {
-		return p, notRun(carawaybeam.ReasonNoBackend, "route has no pool", comeBackSoon)
+		return p, carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "route has no pool", comeBackSoon)
 	}
 	p.pool = current.Pool(pool)
 	if p.pool == nil {
@@ -192,7 +192,11 @@
 // is too old to tell withdrawn keys, none is believed.
 func (f *Forwarder) authorize(p *pursuit, age time.Duration) *carawaybeam.RequestError {
 	if limit := f.options.MaxKeyAge(); limit > 0 && age > limit {
-		return notRun(carawaybeam.ReasonStaleConfig, "configuration is too old to believe keys", comeBackSoon)
+		return carawaybeam.NotRun(
+			carawaybeam.ReasonStaleConfig,
+			"configuration is too old to believe keys",
+			comeBackSoon,
+		)
 	}
 	holder := p.config.Holder(p.request.Key)
 	if holder == nil {
@@ -209,9 +213,9 @@
 // An old one may lack it by its age only.
 func unknown(age time.Duration, reason carawaybeam.Reason, detail string) *carawaybeam.RequestError {
 	if age > unknownAge {
-		return notRun(carawaybeam.ReasonStaleConfig, detail+", but the configuration is old", comeBackSoon)
+		return carawaybeam.NotRun(carawaybeam.ReasonStaleConfig, detail+", but the configuration is old", comeBackSoon)
 	}
-	return notRun(reason, detail, 0)
+	return carawaybeam.NotRun(reason, detail, 0)
 }
 
 func patience(request *carawaybeam.ClientRequest, route *carawaybeam.Route) time.Duration {
@@ -225,15 +229,6 @@
 	return wait
 }
 
-func notRun(reason carawaybeam.Reason, detail string, retryAfter time.Duration) *carawaybeam.RequestError {
-	return &carawaybeam.RequestError{
-		Outcome:    carawaybeam.OutcomeNotRun,
-		Reason:     reason,
-		Detail:     detail,
-		RetryAfter: retryAfter,
-	}
-}
-
 func mayHaveRun(reason carawaybeam.Reason, detail string) *carawaybeam.RequestError {
 	return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown, Reason: reason, Detail: detail}
 }
--- a/dispatcher/forwarder/pursuit.go
+++ b/dispatcher/forwarder/pursuit.go
@@ -105,7 +105,7 @@
 	now := time.Now()
 	decision, ok := f.choose(now, p)
 	if !ok {
-		return notRun(carawaybeam.ReasonNoBackend, "pool has no backend server", comeBackSoon)
+		return carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "pool has no backend server", comeBackSoon)
 	}
 	admit := carawaybeam.AdmitRequest{
 		Request:      p.request.ID,
@@ -121,7 +121,7 @@
 	}
 	if admitted := f.options.Limiter.Admit(now, admit); !admitted.Admitted {
 		detail := fmt.Sprintf("first event is expected in %v, closed for %v", decision.Expected, decision.ClosedFor)
-		return notRun(carawaybeam.ReasonBusy, detail, admitted.RetryAfter)
+		return carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, admitted.RetryAfter)
 	}
 	defer func() { f.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
 	f.options.Retrier.Started(now, admit.Class.ID)
@@ -188,7 +188,7 @@
 func (f *Forwarder) choose(now time.Time, p *pursuit) (carawaybeam.RouteDecision, bool) {
 	instances := f.options.Members.Instances(p.pool.ID)
 	candidates := make([]carawaybeam.Candidate, 0, len(instances))
-	reporting, silent := false, make([]int, 0, len(instances))
+	reporting := false
 	for _, instance := range instances {
 		c := carawaybeam.Candidate{
 			Backend:    instance.ID,
@@ -201,16 +201,16 @@
 			c.ReportAge = now.Sub(report.At)
 			reporting = true
 		} else {
-			silent = append(silent, len(candidates))
+			// Where others report, one that does not may have stopped, and only looks
+			// empty since its load is not known.
+			c.ClosedFor = silentReturnTime
 		}
 		f.counter.Fill(now, report.At, &c)
 		candidates = append(candidates, c)
 	}
-	if reporting {
-		// Where others report, one that does not may have stopped, and only looks
-		// empty since its load is not known.
-		for _, i := range silent {
-			candidates[i].ClosedFor = silentReturnTime
+	if !reporting {
+		for i := range candidates {
+			candidates[i].ClosedFor = 0
 		}
 	}
 	return f.options.Router.Route(now, carawaybeam.RouteRequest{
@@ -234,7 +234,7 @@
 	if !ok {
 		p.unsent = append(p.unsent, decision.Backend)
 		return result{
-			failure: notRun(carawaybeam.ReasonNoBackend, "backend server has left meanwhile", comeBackSoon),
+			failure: carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "backend server has left meanwhile", comeBackSoon),
 			unsent:  true,
 		}
 	}
@@ -311,7 +311,7 @@
 	var unsent *carawaybeam.NotSentError
 	if errors.As(err, &unsent) {
 		return result{
-			failure: notRun(carawaybeam.ReasonNoBackend, err.Error(), comeBackSoon),
+			failure: carawaybeam.NotRun(carawaybeam.ReasonNoBackend, err.Error(), comeBackSoon),
 			unsent:  true,
 			blame:   ctx.Err() == nil,
 		}
@@ -330,7 +330,7 @@
 	_, _ = reply.ReadAll(maxAnswerBytes)
 	detail := "backend server refused with status " + http.StatusText(reply.Status)
 	return result{
-		failure: notRun(carawaybeam.ReasonBusy, detail, comeBackSoon),
+		failure: carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, comeBackSoon),
 		blame:   true,
 		culprit: reply.Culprit,
 	}
--- a/dispatcher/stale.go
+++ b/dispatcher/stale.go
@@ -32,19 +32,23 @@
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	if !config.AwaitNewer(ctx, request.DecidedOn) {
-		return notRun(carawaybeam.ReasonStaleConfig, "newer configuration could not be read in time", comeBackAfter)
+		return carawaybeam.NotRun(
+			carawaybeam.ReasonStaleConfig,
+			"newer configuration could not be read in time",
+			comeBackAfter,
+		)
 	}
 	decidedOn := config.Version()
 	class, ok := config.Class(request.Class.ID)
 	if !ok || class.Kind != request.Class.Kind {
-		return notRun(carawaybeam.ReasonUnknownClass, "class is gone", 0)
+		return carawaybeam.NotRun(carawaybeam.ReasonUnknownClass, "class is gone", 0)
 	}
 	org, ok := config.Organisation(request.Organisation)
 	if !ok {
-		return notRun(carawaybeam.ReasonUnauthorized, "organisation is gone", 0)
+		return carawaybeam.NotRun(carawaybeam.ReasonUnauthorized, "organisation is gone", 0)
 	}
 	if len(org.Classes) > 0 && !slices.Contains(org.Classes, class.ID) {
-		return notRun(carawaybeam.ReasonForbidden, "organisation may not use the class", 0)
+		return carawaybeam.NotRun(carawaybeam.ReasonForbidden, "organisation may not use the class", 0)
 	}
 	request.Class = class
 	request.DecidedOn = decidedOn
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -103,7 +103,11 @@
 	}
 	member := d.member(request.Class.Pool, backend)
 	if backend == "" || member.Backend == "" {
-		return member, notRun(carawaybeam.ReasonNoBackend, "no backend server can take the request", comeBackAfter)
+		return member, carawaybeam.NotRun(
+			carawaybeam.ReasonNoBackend,
+			"no backend server can take the request",
+			comeBackAfter,
+		)
 	}
 	return member, nil
 }
@@ -146,10 +150,10 @@
 		if errors.As(err, &failure) {
 			return target{}, failure
 		}
-		return target{}, notRun(carawaybeam.ReasonStoreUnavailable, err.Error(), comeBackAfter)
+		return target{}, carawaybeam.NotRun(carawaybeam.ReasonStoreUnavailable, err.Error(), comeBackAfter)
 	}
 	if bound.BodyHash != want.BodyHash {
-		return target{}, notRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
+		return target{}, carawaybeam.NotRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
 	if d.reach(ctx, request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
 		return target{}, incarnationGone("agent that the key is bound to is gone")
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -80,7 +80,7 @@
 		}
 		tried = append(tried, choice.Backend)
 	}
-	return Ticket{}, notRun(carawaybeam.ReasonNoBackend, "no agent gives a ticket", comeBackAfter)
+	return Ticket{}, carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "no agent gives a ticket", comeBackAfter)
 }
 
 func (d *Dispatcher) mintAt(ctx context.Context, backend carawaybeam.BackendID, request Request) (Ticket, bool) {
--- a/errors.go
+++ b/errors.go
@@ -79,3 +79,9 @@
 func (e *RequestError) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Outcome, e.Detail)
 }
+
+// NotRun returns the error of a request that did not run and never will. It may come
+// back after retryAfter, unless that is 0.
+func NotRun(reason Reason, detail string, retryAfter time.Duration) *RequestError {
+	return &RequestError{Outcome: OutcomeNotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter}
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -156,16 +156,29 @@
 	if k.options.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+k.options.Token)
 	}
-	response, err := k.client.Do(request)
+	status, data, err := Exchange(k.client, request, maxAnswerBytes)
 	if err != nil {
-		return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
+		return err
+	}
+	return decode(method, status, data, result)
+}
+
+// Exchange sends a request to a store and returns the status and body of the answer,
+// of which it reads up to a limit. Errors are of type *carawaybeam.StoreError.
+func Exchange(client *http.Client, request *http.Request, limit int64) (int, []byte, error) {
+	failed := func(err error) (int, []byte, error) {
+		return 0, nil, &carawaybeam.StoreError{Failure: FailureOf(request.Method, err), Detail: err.Error()}
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return failed(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
-		return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
+		return failed(err)
 	}
-	return decode(method, response.StatusCode, data, result)
+	return response.StatusCode, data, nil
 }
 
 // FailureOf judges a transport error. A write may have taken effect unless the
--- a/server/server.go
+++ b/server/server.go
@@ -192,9 +192,11 @@
 	kind carawaybeam.WorkKind,
 ) (dispatcher.Request, *carawaybeam.RequestError) {
 	if !s.options.Ready() {
-		failure := refuse(carawaybeam.ReasonLeaving, "this entry does not serve now")
-		failure.RetryAfter = time.Second
-		return dispatcher.Request{}, failure
+		return dispatcher.Request{}, carawaybeam.NotRun(
+			carawaybeam.ReasonLeaving,
+			"this entry does not serve now",
+			time.Second,
+		)
 	}
 	version := s.options.Configuration.Version()
 	org, class, failure := s.identify(r, id)
@@ -202,9 +204,10 @@
 		return dispatcher.Request{}, failure
 	}
 	if class.Kind != kind {
-		return dispatcher.Request{}, refuse(
+		return dispatcher.Request{}, carawaybeam.NotRun(
 			carawaybeam.ReasonUnknownClass,
 			"no "+string(kind)+" class is named "+string(id),
+			0,
 		)
 	}
 	ticket, failure := ticketOf(r)
@@ -213,7 +216,7 @@
 	}
 	key := r.Header.Get(HeaderKey)
 	if len(key) > maxKeyBytes {
-		return dispatcher.Request{}, refuse(carawaybeam.ReasonBadRequest, "idempotency key is too long")
+		return dispatcher.Request{}, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "idempotency key is too long", 0)
 	}
 	body, failure := s.readBody(r, kind)
 	if failure != nil {
@@ -243,10 +246,10 @@
 	}
 	class, ok := s.options.Configuration.Class(id)
 	if !ok {
-		return org, class, refuse(carawaybeam.ReasonUnknownClass, "no class is named "+string(id))
+		return org, class, carawaybeam.NotRun(carawaybeam.ReasonUnknownClass, "no class is named "+string(id), 0)
 	}
 	if len(org.Classes) > 0 && !slices.Contains(org.Classes, id) {
-		return org, class, refuse(carawaybeam.ReasonForbidden, "organisation may not use the class")
+		return org, class, carawaybeam.NotRun(carawaybeam.ReasonForbidden, "organisation may not use the class", 0)
 	}
 	return org, class, nil
 }
@@ -254,34 +257,34 @@
 func (s *Server) authenticate(r *http.Request) (carawaybeam.Organisation, *carawaybeam.RequestError) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
-		return carawaybeam.Organisation{}, refuse(carawaybeam.ReasonUnauthorized, "no bearer token was given")
+		return carawaybeam.Organisation{}, carawaybeam.NotRun(
+			carawaybeam.ReasonUnauthorized,
+			"no bearer token was given",
+			0,
+		)
 	}
 	org, ok := s.options.Configuration.Authenticate(token)
 	if !ok {
-		return org, refuse(carawaybeam.ReasonUnauthorized, "no organisation has the bearer token")
+		return org, carawaybeam.NotRun(carawaybeam.ReasonUnauthorized, "no organisation has the bearer token", 0)
 	}
 	return org, nil
 }
 
 func (s *Server) readBody(r *http.Request, kind carawaybeam.WorkKind) ([]byte, *carawaybeam.RequestError) {
 	if r.ContentLength > s.options.BodyBytes {
-		return nil, refuse(carawaybeam.ReasonTooLarge, "body is too large")
+		return nil, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, s.options.BodyBytes+1))
 	if err != nil {
-		return nil, refuse(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error())
+		return nil, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error(), 0)
 	}
 	if int64(len(body)) > s.options.BodyBytes {
-		return nil, refuse(carawaybeam.ReasonTooLarge, "body is too large")
+		return nil, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
 	if kind == carawaybeam.WorkModel {
 		if err := checkJSON(body); err != nil {
-			return nil, refuse(carawaybeam.ReasonBadRequest, "body is not a JSON object: "+err.Error())
+			return nil, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "body is not a JSON object: "+err.Error(), 0)
 		}
 	}
 	return body, nil
 }
-
-func refuse(reason carawaybeam.Reason, detail string) *carawaybeam.RequestError {
-	return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeNotRun, Reason: reason, Detail: detail}
-}
--- a/server/ticket.go
+++ b/server/ticket.go
@@ -28,9 +28,11 @@
 
 func (s *Server) mint(r *http.Request) (dispatcher.Ticket, *carawaybeam.RequestError) {
 	if !s.options.Ready() {
-		failure := refuse(carawaybeam.ReasonLeaving, "this entry does not serve now")
-		failure.RetryAfter = time.Second
-		return dispatcher.Ticket{}, failure
+		return dispatcher.Ticket{}, carawaybeam.NotRun(
+			carawaybeam.ReasonLeaving,
+			"this entry does not serve now",
+			time.Second,
+		)
 	}
 	org, class, failure := s.identify(r, carawaybeam.ClassID(r.Header.Get(HeaderClass)))
 	if failure != nil {
@@ -47,7 +49,7 @@
 	}
 	ticket, err := dispatcher.ParseTicket(text)
 	if err != nil {
-		return ticket, refuse(carawaybeam.ReasonBadRequest, err.Error())
+		return ticket, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, err.Error(), 0)
 	}
 	return ticket, nil
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -113,9 +113,6 @@
 // each line too; they must not block.
 func NewLog(process string, copies ...io.Writer) zerolog.Logger {
 	writer := diode.NewWriter(os.Stdout, logBuffer, 0, func(missed int) { droppedLines.Add(uint64(missed)) })
-	if len(copies) == 0 {
-		return newLog(writer, process)
-	}
 	return newLog(zerolog.MultiLevelWriter(append(copies, writer)...), process)
 }
 
