Give the stand-ins one model of a rank, the soak one table of faults

No change of what tests ask. fakes/switcher is how a rank changes its map, which the conductor's proofs and the soak's platform each had written. forwarder.Listen puts a forwarder before an address, in place of three copies; storer.Status gives the status of a failure to both stores over HTTP. A backend server is made from options, rank or not. The soak's kinds of fault stand in one table with what each disturbs, in place of four tables and three cascades over them; it needs neither a second flag for its end nor a counter of its own, and soaker.Prepare serves the command and the test.

--- a/cmd/cbsoak/main.go
+++ b/cmd/cbsoak/main.go
@@ -15,7 +15,6 @@
 	"syscall"
 	"time"
 
-	"github.com/carawaybeam/carawaybeam/fakes/launcher"
 	"github.com/carawaybeam/carawaybeam/soaker"
 )
 
@@ -60,22 +59,11 @@
 }
 
 func run(ctx context.Context, o options) error {
-	programs := filepath.Join(o.logs, "bin")
-	if err := launcher.Build(ctx, o.module, programs); err != nil {
-		return err
-	}
-	entryTemplate, err := os.ReadFile(filepath.Join(o.module, "deploy", "entry.toml"))
-	if err != nil {
-		return err
-	}
-	agentTemplate, err := os.ReadFile(filepath.Join(o.module, "deploy", "agent.toml"))
+	run, err := soaker.Prepare(ctx, o.module, filepath.Join(o.logs, "bin"))
 	if err != nil {
 		return err
 	}
-	run := soaker.Options{
-		Programs: programs, EntryTemplate: string(entryTemplate), AgentTemplate: string(agentTemplate),
-		Entries: o.entries, Callers: o.callers, Span: o.span,
-	}
+	run.Entries, run.Callers, run.Span = o.entries, o.callers, o.span
 	var (
 		wait   sync.WaitGroup
 		next   atomic.Uint64
--- a/fakes/forwarder/forwarder.go
+++ b/fakes/forwarder/forwarder.go
@@ -52,6 +52,15 @@
 	return f
 }
 
+// Listen returns a Forwarder on a loopback address of its own, and that address.
+func Listen(target string) (*Forwarder, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	return New(listener, target), listener.Addr().String(), nil
+}
+
 // Close ends all connections and waits.
 func (f *Forwarder) Close() error {
 	err := f.listener.Close()
--- a/fakes/launcher/group.go
+++ b/fakes/launcher/group.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
 	"slices"
@@ -70,9 +69,11 @@
 	}
 	peers := make([]string, options.Ranks)
 	for rank, address := range agents {
-		if peers[rank], err = g.addLink(address); err != nil {
+		link, reached, err := forwarder.Listen(address)
+		if err != nil {
 			return g, err
 		}
+		g.Links, peers[rank] = append(g.Links, link), reached
 	}
 	if err := g.startRanks(options); err != nil {
 		return g, err
@@ -104,16 +105,6 @@
 	return err
 }
 
-// addLink puts a forwarder before an agent and returns its address.
-func (g *Group) addLink(agent string) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	g.Links = append(g.Links, forwarder.New(listener, agent))
-	return listener.Addr().String(), nil
-}
-
 func (g *Group) addAgent(rank int, address string, peers []string) error {
 	admin, err := FreeAddress()
 	if err != nil {
--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	links, reached, err := forwarder.Listen(addresses[1])
 	if err != nil {
 		return err
 	}
@@ -225,11 +225,11 @@
 		pool, role, backendArgs = "drafting", "engine", []string{"-tokenTime", options.TokenTime.String()}
 	}
 	s := &Slot{
-		URL: "http://" + addresses[0], Admin: "http://" + addresses[2], Links: forwarder.New(listener, addresses[1]),
+		URL: "http://" + addresses[0], Admin: "http://" + addresses[2], Links: links,
 	}
 	s.vm = fmt.Sprintf(
 		"[[vm]]\nid = \"vm-%d\"\ndataCentre = \"dc\"\nrole = \"agent\"\naddress = %q\npool = %q\n",
-		i, listener.Addr().String(), pool,
+		i, reached, pool,
 	)
 	f.Slots = append(f.Slots, s)
 	settings, err := f.write(fmt.Sprintf("agent-%d.toml", i), fmt.Sprintf(
--- a/fakes/storer/handler.go
+++ b/fakes/storer/handler.go
@@ -119,23 +119,30 @@
 }
 
 func reply(w http.ResponseWriter, value any, err error) {
-	var failed *carawaybeam.StoreError
 	status := http.StatusOK
-	if errors.As(err, &failed) {
-		switch failed.Failure {
-		case carawaybeam.StoreConflict:
-			status, value = http.StatusPreconditionFailed, failed.Current
-		case carawaybeam.StoreNotFound:
-			status = http.StatusNotFound
-		case carawaybeam.StoreExpired:
-			status = http.StatusGone
-		case carawaybeam.StoreUncertain:
-			panic(http.ErrAbortHandler)
-		default:
-			status = http.StatusServiceUnavailable
+	if failed := new(carawaybeam.StoreError); errors.As(err, &failed) {
+		status = Status(failed, http.StatusPreconditionFailed)
+		if failed.Failure == carawaybeam.StoreConflict {
+			value = failed.Current
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
 }
+
+// Status returns the status that tells of a failure, where that of a conflict is
+// given. A lost answer ends the connection.
+func Status(failed *carawaybeam.StoreError, conflict int) int {
+	switch failed.Failure {
+	case carawaybeam.StoreConflict:
+		return conflict
+	case carawaybeam.StoreNotFound:
+		return http.StatusNotFound
+	case carawaybeam.StoreExpired:
+		return http.StatusGone
+	case carawaybeam.StoreUncertain:
+		panic(http.ErrAbortHandler)
+	}
+	return http.StatusServiceUnavailable
+}
--- a/proposer/conductor/group_test.go
+++ b/proposer/conductor/group_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/collector"
+	"github.com/carawaybeam/carawaybeam/fakes/switcher"
 )
 
 const (
@@ -41,7 +42,7 @@
 		mu         sync.Mutex
 		random     *rand.Rand
 		faults     faults
-		ranks      []*fakeRank
+		ranks      []*switcher.Switcher
 		processes  []*fakeProcess
 		statuses   []collector.Status
 		epoch      uint64
@@ -54,17 +55,6 @@
 		violations []string
 	}
 
-	fakeRank struct {
-		maps     map[carawaybeam.MapVersion][][][]carawaybeam.Expert
-		inUse    carawaybeam.MapVersion
-		highest  carawaybeam.MapVersion
-		prepared carawaybeam.MapVersion
-		readyAt  time.Time
-		armed    carawaybeam.ArmedMap
-		held     carawaybeam.Step
-		fence    carawaybeam.Epoch
-	}
-
 	// fakeEngine is the client of one rank that one process has.
 	fakeEngine struct {
 		group   *fakeGroup
@@ -84,7 +74,7 @@
 func newGroup(size int, seed uint64, f faults) *fakeGroup {
 	g := &fakeGroup{random: rand.New(rand.NewPCG(seed, 7)), faults: f, epoch: 1}
 	for range size {
-		g.ranks = append(g.ranks, &fakeRank{maps: make(map[carawaybeam.MapVersion][][][]carawaybeam.Expert)})
+		g.ranks = append(g.ranks, switcher.New(nil, copyTime))
 	}
 	return g
 }
@@ -115,7 +105,7 @@
 	}
 	next := g.step + 1
 	for _, r := range g.ranks {
-		if r.held == next {
+		if r.Held() == next {
 			if g.stalled.IsZero() {
 				g.stalled = time.Now()
 			}
@@ -126,16 +116,17 @@
 	g.stalled = time.Time{}
 	g.step = next
 	for _, r := range g.ranks {
-		if r.armed.Version != 0 && r.armed.Step == next {
-			r.inUse, r.armed = r.armed.Version, carawaybeam.ArmedMap{}
+		if r.Begin(next) {
 			g.changes++
 		}
 	}
 	first := g.ranks[0]
 	for i, r := range g.ranks {
-		if r.inUse != first.inUse || fmt.Sprint(r.maps[r.inUse]) != fmt.Sprint(first.maps[first.inUse]) {
+		if !r.SameMap(first) {
+			uses, _ := r.InUse()
+			others, _ := first.InUse()
 			g.violations = append(g.violations,
-				fmt.Sprintf("step %d: rank %d uses map %d, rank 0 map %d", next, i, r.inUse, first.inUse))
+				fmt.Sprintf("step %d: rank %d uses map %d, rank 0 map %d", next, i, uses, others))
 		}
 	}
 }
@@ -148,12 +139,12 @@
 	g.stalled = time.Time{}
 	g.openAt = time.Now().Add(formTime)
 	for i, r := range g.ranks {
-		fence := r.fence
 		if i == 1 {
 			// The rank that has crashed knows nothing of before.
-			fence = 0
+			r.Restart()
+			continue
 		}
-		*r = fakeRank{maps: make(map[carawaybeam.MapVersion][][][]carawaybeam.Expert), fence: fence}
+		r.Reform()
 	}
 }
 
@@ -171,11 +162,12 @@
 		for e := range picks {
 			picks[e] = collector.EncodePicks(uint64(time.Now().UnixMilli()) * uint64(e+1))
 		}
+		inUse, _ := r.InUse()
 		g.statuses = append(g.statuses, collector.Status{
 			RankState: carawaybeam.RankState{
 				Group: "g", Rank: carawaybeam.Rank(i), Size: len(g.ranks), Epoch: g.epoch,
-				Open: !time.Now().Before(g.openAt), Step: g.step, Map: r.inUse,
-				Prepared: r.preparedNow(), Armed: r.armed, Held: r.held, Pace: 1,
+				Open: !time.Now().Before(g.openAt), Step: g.step, Map: inUse,
+				Prepared: r.Prepared(), Armed: r.Armed(), Held: r.Held(), Pace: 1,
 			},
 			Address: address(i), Received: time.Now(), Asked: g.asked,
 			Picks: picks, PicksAt: time.Now(), StepTime: passTime,
@@ -196,13 +188,6 @@
 	return g.longest
 }
 
-func (r *fakeRank) preparedNow() carawaybeam.MapVersion {
-	if time.Now().Before(r.readyAt) {
-		return 0
-	}
-	return r.prepared
-}
-
 func address(rank int) carawaybeam.Address { return carawaybeam.Address("rank" + strconv.Itoa(rank)) }
 
 // pause stops the process for a while.
@@ -241,7 +226,7 @@
 }
 
 // order carries an order out, with faults.
-func (e *fakeEngine) order(ctx context.Context, o carawaybeam.RankOrder, act func(r *fakeRank) error) error {
+func (e *fakeEngine) order(ctx context.Context, o carawaybeam.RankOrder, act func(r *switcher.Switcher) error) error {
 	e.process.gate()
 	g := e.group
 	g.mu.Lock()
@@ -266,74 +251,49 @@
 	return errNoAnswer
 }
 
-func (e *fakeEngine) carryOut(o carawaybeam.RankOrder, act func(r *fakeRank) error) error {
+func (e *fakeEngine) carryOut(o carawaybeam.RankOrder, act func(r *switcher.Switcher) error) error {
 	g := e.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.ranks[e.rank]
-	if o.Fence < r.fence {
+	if !r.Fence(o.Fence) {
 		return &carawaybeam.RankOrderError{Fenced: true, Detail: "old fence"}
 	}
-	r.fence = o.Fence
 	if o.Epoch != g.epoch {
 		return refused("another epoch")
 	}
 	return act(r)
 }
 
+// taken returns an error for an order that a rank does not take.
+func taken(ok bool, order string) error {
+	if ok {
+		return nil
+	}
+	return refused(order)
+}
+
 func refused(detail string) error { return &carawaybeam.RankOrderError{Detail: detail} }
 
 func (e *fakeEngine) Prepare(ctx context.Context, o carawaybeam.RankOrder, m carawaybeam.ExpertMap) error {
-	return e.order(ctx, o, func(r *fakeRank) error {
-		if m.Version < r.highest || r.armed.Version != 0 {
-			return refused("prepare")
-		}
-		if m.Version > r.highest {
-			r.readyAt = time.Now().Add(copyTime)
-		}
-		r.highest, r.prepared = m.Version, m.Version
-		r.maps[m.Version] = m.Layers
-		return nil
-	})
+	return e.order(ctx, o, func(r *switcher.Switcher) error { return taken(r.Prepare(m.Version, m.Layers), "prepare") })
 }
 
 func (e *fakeEngine) Arm(ctx context.Context, o carawaybeam.RankOrder, armed carawaybeam.ArmedMap) error {
-	return e.order(ctx, o, func(r *fakeRank) error {
-		if r.preparedNow() != armed.Version || armed.Step <= e.group.step {
-			return refused("arm")
-		}
-		r.armed = armed
-		return nil
-	})
+	return e.order(ctx, o, func(r *switcher.Switcher) error { return taken(r.Arm(armed, e.group.step), "arm") })
 }
 
 func (e *fakeEngine) Disarm(ctx context.Context, o carawaybeam.RankOrder, version carawaybeam.MapVersion) error {
-	return e.order(ctx, o, func(r *fakeRank) error {
-		if r.inUse == version && version != 0 {
-			return refused("disarm")
-		}
-		if r.armed.Version == version {
-			r.armed = carawaybeam.ArmedMap{}
-		}
-		return nil
-	})
+	return e.order(ctx, o, func(r *switcher.Switcher) error { return taken(r.Disarm(version), "disarm") })
 }
 
 func (e *fakeEngine) Hold(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
-	return e.order(ctx, o, func(r *fakeRank) error {
-		if step <= e.group.step || r.held != 0 && r.held != step {
-			return refused("hold")
-		}
-		r.held = step
-		return nil
-	})
+	return e.order(ctx, o, func(r *switcher.Switcher) error { return taken(r.Hold(step, e.group.step), "hold") })
 }
 
 func (e *fakeEngine) Release(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
-	return e.order(ctx, o, func(r *fakeRank) error {
-		if r.held == step {
-			r.held = 0
-		}
+	return e.order(ctx, o, func(r *switcher.Switcher) error {
+		r.Release(step)
 		return nil
 	})
 }
@@ -350,10 +310,10 @@
 	e.process.gate()
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
-	r := e.group.ranks[e.rank]
+	inUse, experts := e.group.ranks[e.rank].InUse()
 	held := make([][]carawaybeam.Expert, 0, layers)
-	for _, layer := range r.maps[r.inUse] {
+	for _, layer := range experts {
 		held = append(held, layer[e.rank])
 	}
-	return r.inUse, held, nil
+	return inUse, held, nil
 }
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -81,7 +81,7 @@
 		timer := time.AfterFunc(time.Duration(random.Int64N(int64(leaveAfter))), func() { _ = conn.Close() })
 		defer timer.Stop()
 	}
-	s.evidence.sent(&sent)
+	s.evidence.add(sent)
 	sent.reply, sent.whole, sent.err = conn.Do(id, sent.path, sent.key, patience)
 	sent.ended = time.Now()
 	s.evidence.add(sent)
--- a/soaker/evidence.go
+++ b/soaker/evidence.go
@@ -25,11 +25,8 @@
 	disturbance struct {
 		kind     string
 		from, to time.Time
-		// entry is the one concerned, or everything.
-		entry int
-		// store, server and planned tell what else is concerned: the store, some
-		// backend server, or only the configuration.
-		store, server, planned bool
+		scope    scope
+		target   int
 	}
 
 	// version is an accepted configuration: the pool of the moved route and the
@@ -53,8 +50,6 @@
 	}
 )
 
-func (e *evidence) sent(s *sending) { e.add(*s) }
-
 // add keeps a request, in place of what was known of it.
 func (e *evidence) add(s sending) {
 	e.mu.Lock()
@@ -145,15 +140,18 @@
 	return false
 }
 
+// within tells whether the fault lasted at some moment of a span.
+func (d disturbance) within(from, to time.Time) bool {
+	return d.from.Before(to) && (d.to.IsZero() || d.to.After(from))
+}
+
 // calm tells whether nothing disturbed an entry or the store in a span and
 // stableWindow before it, but for faults of the excepted kind.
 func (e *evidence) calm(entry int, from, to time.Time, except string) bool {
 	from = from.Add(-stableWindow)
 	for _, d := range e.disturbances {
-		if d.planned || d.server || d.kind == except || !d.store && d.entry != entry {
-			continue
-		}
-		if d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) {
+		concerned := d.scope == onStore || d.scope == onEntry && d.target == entry
+		if concerned && d.kind != except && d.within(from, to) {
 			return false
 		}
 	}
@@ -164,7 +162,7 @@
 func (e *evidence) serversCalm(from, to time.Time) bool {
 	from = from.Add(-stableWindow)
 	for _, d := range e.disturbances {
-		if d.server && d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) {
+		if (d.scope == onServer || d.scope == onAgent) && d.within(from, to) {
 			return false
 		}
 	}
--- a/soaker/judge_test.go
+++ b/soaker/judge_test.go
@@ -84,7 +84,7 @@
 		"denied new key, cut off": {func(e *evidence, s *sending, _ *hoster.Run) {
 			s.key, s.reply.Status = "key-2", 401
 			e.accepted(version{at: at(7 * time.Second), pool: "desk", key: s.key})
-			e.disturbed(disturbance{kind: "storeSilentWatch", from: at(6 * time.Second), store: true})
+			e.disturbed(disturbance{kind: "storeSilentWatch", from: at(6 * time.Second), scope: onStore})
 		}, false},
 		"withdrawn key": {func(e *evidence, _ *sending, _ *hoster.Run) {
 			e.accepted(version{at: at(4 * time.Second), pool: "desk", key: "key-2"})
--- a/soaker/script.go
+++ b/soaker/script.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -62,74 +61,107 @@
 
 	// act carries out a fault until its time is over.
 	act func(ctx context.Context, s *Soaker, f fault)
-)
 
-// movesTo tells which pool a route moves to.
-var movesTo = map[string]string{"desk": "annex", "annex": "desk"}
+	// scope tells what a fault disturbs.
+	scope int
 
-// entryActs disturb one entry, agentActs an agent or what ranks do with orders,
-// storeActs the store, and hostActs a backend server. configActs change the configuration, which disturbs nothing.
-var (
-	entryActs = map[string]act{
-		"kill":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.entries[f.target], syscall.SIGKILL) },
-		"stop":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.entries[f.target], syscall.SIGTERM) },
-		"pause": func(_ context.Context, s *Soaker, f fault) { pause(s.entries[f.target], f.lasts) },
-		"reload": func(_ context.Context, s *Soaker, f fault) {
-			_ = s.entries[f.target].running(false).Signal(syscall.SIGHUP)
-		},
-		"storeCut": linkFault(func(s *Soaker, f fault) *forwarder.Forwarder { return s.entries[f.target].link },
-			forwarder.Fault{Refuse: true}, true),
-		"storeSilent": linkFault(func(s *Soaker, f fault) *forwarder.Forwarder { return s.entries[f.target].link },
-			forwarder.Fault{LoseAnswers: true}, false),
-		"storeDeaf": linkFault(func(s *Soaker, f fault) *forwarder.Forwarder { return s.entries[f.target].link },
-			forwarder.Fault{LoseRequests: true}, false),
-	}
-	agentActs = map[string]act{
-		"agentKill":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.agents[f.target], syscall.SIGKILL) },
-		"agentStop":  func(_ context.Context, s *Soaker, f fault) { s.restart(s.agents[f.target], syscall.SIGTERM) },
-		"agentPause": func(_ context.Context, s *Soaker, f fault) { pause(s.agents[f.target], f.lasts) },
-		"orderLate": func(_ context.Context, s *Soaker, f fault) {
-			s.group.Delay(f.target, lateOrder)
-			time.Sleep(f.lasts)
-			s.group.Delay(f.target, 0)
-		},
+	// kind is a kind of fault.
+	kind struct {
+		scope scope
+		act   act
 	}
-	storeActs = map[string]act{
-		"storeDown":        storeFault(storer.Fault{Mode: storer.FaultDown}),
-		"storeSlow":        storeFault(storer.Fault{Mode: storer.FaultSlow, Delay: storeDelay}),
-		"storeLostAnswer":  storeFault(storer.Fault{Mode: storer.FaultLostAnswer}),
-		"storeLateWrite":   storeFault(storer.Fault{Mode: storer.FaultLateWrite, Delay: lateWrite}),
-		"storeSilentWatch": storeFault(storer.Fault{Mode: storer.FaultSilentWatch}),
-	}
-	hostActs = map[string]act{
-		"crash":     crashServer,
-		"leave":     func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, true) },
-		"vanish":    func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, false) },
-		"truncate":  behave(hoster.Truncating),
-		"babble":    behave(hoster.Babbling),
-		"repeat":    behave(hoster.Repeating),
-		"linkCut":   linkFault(hostLink, forwarder.Fault{Refuse: true}, true),
-		"linkReset": linkFault(hostLink, forwarder.Fault{}, true),
-		"linkSlow":  linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false),
-		"linkMute":  linkFault(hostLink, forwarder.Fault{LoseAnswers: true}, false),
-		"linkDeaf":  linkFault(hostLink, forwarder.Fault{LoseRequests: true}, false),
+)
+
+const (
+	onEntry scope = iota
+	// onAgent is an agent, or what the rank beside it does with orders.
+	onAgent
+	onStore
+	onServer
+	// onConfig is a change of the configuration, which disturbs nothing.
+	onConfig
+)
+
+// targets returns how many targets a fault may choose from, or 0 if there is no
+// choice.
+func (s scope) targets(options Options) int {
+	switch s {
+	case onEntry:
+		return options.Entries
+	case onAgent:
+		return hoster.GroupRanks
+	case onServer:
+		return len(startPools)
 	}
-	configActs = map[string]act{
-		"move": func(ctx context.Context, s *Soaker, _ fault) {
-			s.reconfigure(ctx, func(c *hoster.Configuration) {
-				c.Routes = slices.Clone(c.Routes)
-				c.Routes[movedRoute].Pool = movesTo[c.Routes[movedRoute].Pool]
-			})
-		},
-		"withdrawKey": func(ctx context.Context, s *Soaker, _ fault) {
-			key := s.ids.next("key")
-			s.reconfigure(ctx, func(c *hoster.Configuration) {
-				c.Keys = maps.Clone(c.Keys)
-				c.Keys[movedKey] = key
-			})
-		},
+	return 0
+}
+
+// draw returns a target by chance, or everything if there is no choice.
+func (s scope) draw(random *rand.Rand, options Options) int {
+	if n := s.targets(options); n > 0 {
+		return random.IntN(n)
 	}
-)
+	return everything
+}
+
+// movesTo tells which pool a route moves to.
+var movesTo = map[string]string{"desk": "annex", "annex": "desk"}
+
+// kinds holds all kinds of faults by name.
+var kinds = map[string]kind{
+	"kill":  {onEntry, func(_ context.Context, s *Soaker, f fault) { s.restart(s.entries[f.target], syscall.SIGKILL) }},
+	"stop":  {onEntry, func(_ context.Context, s *Soaker, f fault) { s.restart(s.entries[f.target], syscall.SIGTERM) }},
+	"pause": {onEntry, func(_ context.Context, s *Soaker, f fault) { pause(s.entries[f.target], f.lasts) }},
+	"reload": {onEntry, func(_ context.Context, s *Soaker, f fault) {
+		_ = s.entries[f.target].running(false).Signal(syscall.SIGHUP)
+	}},
+	"storeCut":    {onEntry, linkFault(entryLink, forwarder.Fault{Refuse: true}, true)},
+	"storeSilent": {onEntry, linkFault(entryLink, forwarder.Fault{LoseAnswers: true}, false)},
+	"storeDeaf":   {onEntry, linkFault(entryLink, forwarder.Fault{LoseRequests: true}, false)},
+	"agentKill": {
+		onAgent,
+		func(_ context.Context, s *Soaker, f fault) { s.restart(s.agents[f.target], syscall.SIGKILL) },
+	},
+	"agentStop": {
+		onAgent,
+		func(_ context.Context, s *Soaker, f fault) { s.restart(s.agents[f.target], syscall.SIGTERM) },
+	},
+	"agentPause": {onAgent, func(_ context.Context, s *Soaker, f fault) { pause(s.agents[f.target], f.lasts) }},
+	"orderLate": {onAgent, func(_ context.Context, s *Soaker, f fault) {
+		s.group.Delay(f.target, lateOrder)
+		time.Sleep(f.lasts)
+		s.group.Delay(f.target, 0)
+	}},
+	"storeDown":        {onStore, storeFault(storer.Fault{Mode: storer.FaultDown})},
+	"storeSlow":        {onStore, storeFault(storer.Fault{Mode: storer.FaultSlow, Delay: storeDelay})},
+	"storeLostAnswer":  {onStore, storeFault(storer.Fault{Mode: storer.FaultLostAnswer})},
+	"storeLateWrite":   {onStore, storeFault(storer.Fault{Mode: storer.FaultLateWrite, Delay: lateWrite})},
+	"storeSilentWatch": {onStore, storeFault(storer.Fault{Mode: storer.FaultSilentWatch})},
+	"crash":            {onServer, crashServer},
+	"leave":            {onServer, func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, true) }},
+	"vanish":           {onServer, func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, false) }},
+	"truncate":         {onServer, behave(hoster.Truncating)},
+	"babble":           {onServer, behave(hoster.Babbling)},
+	"repeat":           {onServer, behave(hoster.Repeating)},
+	"linkCut":          {onServer, linkFault(hostLink, forwarder.Fault{Refuse: true}, true)},
+	"linkReset":        {onServer, linkFault(hostLink, forwarder.Fault{}, true)},
+	"linkSlow":         {onServer, linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false)},
+	"linkMute":         {onServer, linkFault(hostLink, forwarder.Fault{LoseAnswers: true}, false)},
+	"linkDeaf":         {onServer, linkFault(hostLink, forwarder.Fault{LoseRequests: true}, false)},
+	"move": {onConfig, func(ctx context.Context, s *Soaker, _ fault) {
+		s.reconfigure(ctx, func(c *hoster.Configuration) {
+			c.Routes = slices.Clone(c.Routes)
+			c.Routes[movedRoute].Pool = movesTo[c.Routes[movedRoute].Pool]
+		})
+	}},
+	"withdrawKey": {onConfig, func(ctx context.Context, s *Soaker, _ fault) {
+		key := s.next("key")
+		s.reconfigure(ctx, func(c *hoster.Configuration) {
+			c.Keys = maps.Clone(c.Keys)
+			c.Keys[movedKey] = key
+		})
+	}},
+}
 
 // pairs are faults that strain a promise together: the second comes while the
 // first lasts.
@@ -150,58 +182,25 @@
 // newScript returns the faults of a run: some by chance, each kind as likely as
 // any other, and a pair, which seeds behind each other take in turn.
 func newScript(random *rand.Rand, options Options) []fault {
-	type choice struct {
-		kind    string
-		targets int
-	}
-	var choices []choice
-	for _, group := range []struct {
-		acts    map[string]act
-		targets int
-	}{
-		{entryActs, options.Entries},
-		{agentActs, hoster.GroupRanks},
-		{storeActs, 0},
-		{hostActs, len(startPools)},
-		{configActs, 0},
-	} {
-		for kind := range group.acts {
-			choices = append(choices, choice{kind, group.targets})
-		}
-	}
-	slices.SortFunc(choices, func(a, b choice) int { return strings.Compare(a.kind, b.kind) })
+	names := slices.Sorted(maps.Keys(kinds))
 	n := minFaults + random.IntN(moreFaults)
 	faults := make([]fault, 0, n+len(pairs[0]))
 	for range n {
-		chosen := choices[random.IntN(len(choices))]
-		f := fault{
-			at:     time.Duration(random.Int64N(int64(options.Span))),
-			lasts:  minLasts + time.Duration(random.Int64N(int64(moreLasts))),
-			kind:   chosen.kind,
-			target: everything,
-		}
-		if chosen.targets > 0 {
-			f.target = random.IntN(chosen.targets)
-		}
+		f := fault{kind: names[random.IntN(len(names))]}
+		f.at = time.Duration(random.Int64N(int64(options.Span)))
+		f.lasts = minLasts + time.Duration(random.Int64N(int64(moreLasts)))
+		f.target = kinds[f.kind].scope.draw(random, options)
 		faults = append(faults, f)
 	}
 	return append(faults, newPair(random, options)...)
 }
 
 func newPair(random *rand.Rand, options Options) []fault {
-	kinds := pairs[options.Seed%uint64(len(pairs))]
+	names := pairs[options.Seed%uint64(len(pairs))]
 	at := time.Duration(random.Int64N(int64(options.Span / 2)))
-	pair := make([]fault, len(kinds))
-	for i, kind := range kinds {
-		pair[i] = fault{at: at, lasts: cutLasts, kind: kind, target: everything}
-		switch {
-		case entryActs[kind] != nil:
-			pair[i].target = random.IntN(options.Entries)
-		case agentActs[kind] != nil:
-			pair[i].target = random.IntN(hoster.GroupRanks)
-		case hostActs[kind] != nil:
-			pair[i].target = random.IntN(len(startPools))
-		}
+	pair := make([]fault, len(names))
+	for i, name := range names {
+		pair[i] = fault{at: at, lasts: cutLasts, kind: name, target: kinds[name].scope.draw(random, options)}
 		at += time.Duration(random.Int64N(int64(pairGap)))
 	}
 	return pair
@@ -209,24 +208,11 @@
 
 // disturb carries out a fault and notes whom it concerned, and when.
 func (s *Soaker) disturb(ctx context.Context, f fault) {
-	began := time.Now()
-	d := disturbance{kind: f.kind, from: began, entry: everything}
-	run, ok := entryActs[f.kind]
-	if ok {
-		d.entry = f.target
-	} else if run, ok = agentActs[f.kind]; ok {
-		d.server = true
-	} else if run, ok = hostActs[f.kind]; ok {
-		d.server = true
-	} else if run, ok = storeActs[f.kind]; ok {
-		d.store = true
-	} else {
-		run, d.planned = configActs[f.kind], true
-	}
+	chosen := kinds[f.kind]
 	// A fault concerns its target from its beginning on, also before its end is
 	// known.
-	index := s.evidence.disturbed(d)
-	run(ctx, s, f)
+	index := s.evidence.disturbed(disturbance{kind: f.kind, scope: chosen.scope, target: f.target, from: time.Now()})
+	chosen.act(ctx, s, f)
 	s.evidence.calmed(index, time.Now())
 }
 
@@ -261,6 +247,8 @@
 	_ = process.Signal(syscall.SIGCONT)
 }
 
+func entryLink(s *Soaker, f fault) *forwarder.Forwarder { return s.entries[f.target].link }
+
 func hostLink(s *Soaker, f fault) *forwarder.Forwarder { return s.hosts[f.target].link }
 
 // linkFault puts a fault on a link for its time, and cuts the connections that
@@ -348,7 +336,7 @@
 	}
 	s.closeServer(h, life)
 	time.Sleep(reuseAfter)
-	if err := s.revive(ctx, h, s.ids.next(pool), pool); err != nil {
+	if err := s.revive(ctx, h, s.next(pool), pool); err != nil {
 		s.evidence.note("backend server does not start: " + err.Error())
 	}
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/carawaybeam/carawaybeam/fakes/launcher"
 	"github.com/carawaybeam/carawaybeam/prover"
 	"github.com/carawaybeam/carawaybeam/soaker"
 )
@@ -38,20 +37,13 @@
 	if err != nil {
 		seeds = defaultSeeds
 	}
-	programs := filepath.Join(t.TempDir(), "bin")
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	if err := launcher.Build(ctx, "..", programs); err != nil {
-		t.Fatal(err)
-	}
-	entryTemplate, err := os.ReadFile("../deploy/entry.toml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	agentTemplate, err := os.ReadFile("../deploy/agent.toml")
+	options, err := soaker.Prepare(ctx, "..", filepath.Join(t.TempDir(), "bin"))
 	if err != nil {
 		t.Fatal(err)
 	}
+	options.Entries, options.Callers, options.Span = 3, 12, span
 	list := failedSeeds
 	for seed := range seeds {
 		list = append(list, seed+1)
@@ -61,11 +53,9 @@
 		for _, seed := range list {
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
-				result, err := soaker.Run(t.Context(), soaker.Options{
-					Programs: programs, Directory: t.TempDir(),
-					EntryTemplate: string(entryTemplate), AgentTemplate: string(agentTemplate),
-					Seed: seed, Entries: 3, Callers: 12, Span: span,
-				})
+				run := options
+				run.Directory, run.Seed = t.TempDir(), seed
+				result, err := soaker.Run(t.Context(), run)
 				if err != nil {
 					t.Error(err)
 				}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
@@ -89,19 +90,19 @@
 		entries  []*daemon
 		agents   []*daemon
 		group    *hoster.Group
-		stop     chan struct{}
-		hosts    []*host
-		web      http.Server
+		// stop is closed as the run ends.
+		stop  chan struct{}
+		hosts []*host
+		web   http.Server
 		// store is the address of the store.
 		store string
 		wait  sync.WaitGroup
-		ids   counter
+		names atomic.Uint64
 
 		evidence evidence
 
 		mu     sync.Mutex
 		config hoster.Configuration
-		closed bool
 	}
 
 	// daemon is an entry or an agent, with its link to the store.
@@ -142,18 +143,27 @@
 		pool string
 		life *hoster.Server
 	}
-
-	counter struct {
-		mu sync.Mutex
-		n  int
-	}
 )
 
-func (c *counter) next(prefix string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.n++
-	return fmt.Sprintf("%s-%d", prefix, c.n)
+// next returns a name that nobody had before.
+func (s *Soaker) next(prefix string) string { return fmt.Sprintf("%s-%d", prefix, s.names.Add(1)) }
+
+// Prepare builds the programs of a module and returns the options that follow from it.
+func Prepare(ctx context.Context, module, programs string) (Options, error) {
+	options := Options{Programs: programs}
+	if err := launcher.Build(ctx, module, programs); err != nil {
+		return options, err
+	}
+	for name, text := range map[string]*string{
+		"entry.toml": &options.EntryTemplate, "agent.toml": &options.AgentTemplate,
+	} {
+		data, err := os.ReadFile(filepath.Join(module, "deploy", name))
+		if err != nil {
+			return options, err
+		}
+		*text = string(data)
+	}
+	return options, nil
 }
 
 // Run plays one seed and ends all that it started.
@@ -210,15 +220,6 @@
 	return nil
 }
 
-// newLink puts a forwarder before an address and returns where it listens.
-func newLink(target string) (*forwarder.Forwarder, string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, "", err
-	}
-	return forwarder.New(listener, target), listener.Addr().String(), nil
-}
-
 func (s *Soaker) addHost(ctx context.Context, pool string) error {
 	h := &host{rank: -1}
 	if pool == rankedPool {
@@ -228,11 +229,11 @@
 	if h.address, err = launcher.FreeAddress(); err != nil {
 		return err
 	}
-	if h.link, h.reached, err = newLink(h.address); err != nil {
+	if h.link, h.reached, err = forwarder.Listen(h.address); err != nil {
 		return err
 	}
 	s.hosts = append(s.hosts, h)
-	if err := s.revive(ctx, h, s.ids.next(pool), pool); err != nil || h.rank < 0 {
+	if err := s.revive(ctx, h, s.next(pool), pool); err != nil || h.rank < 0 {
 		return err
 	}
 	return s.addAgent(h)
@@ -244,12 +245,13 @@
 	if err != nil {
 		return err
 	}
-	var life *hoster.Server
-	if h.rank < 0 {
-		life = hoster.NewServer(s.platform, &s.journal, id, pool, h.reached, listener)
-	} else {
-		life = hoster.NewRank(s.platform, &s.journal, s.group, h.rank, id, pool, h.reached, listener)
+	server := hoster.ServerOptions{
+		Platform: s.platform, Journal: &s.journal, ID: id, Pool: pool, Announced: h.reached,
+	}
+	if h.rank >= 0 {
+		server.Group, server.Rank = s.group, h.rank
 	}
+	life := hoster.NewServer(server, listener)
 	h.mu.Lock()
 	h.id, h.pool, h.life = id, pool, life
 	h.mu.Unlock()
@@ -295,7 +297,7 @@
 		}
 	}
 	var err error
-	if e.link, p.Store, err = newLink(s.store); err != nil {
+	if e.link, p.Store, err = forwarder.Listen(s.store); err != nil {
 		return err
 	}
 	p.Name, p.Admin, p.Links, p.MaxKeyAge, p.StopWithin = e.name, ports[0], ports[1], keyBound, stopBound
@@ -369,7 +371,7 @@
 // does, until the run ends.
 func (s *Soaker) watchReadiness() {
 	client := http.Client{Timeout: time.Second}
-	for !s.ended() {
+	for {
 		for _, e := range s.entries {
 			response, err := client.Get("http://" + e.readiness + "/ready")
 			ready := err == nil && response.StatusCode == http.StatusOK
@@ -380,16 +382,14 @@
 			e.ready = ready
 			e.mu.Unlock()
 		}
-		time.Sleep(pollInterval)
+		select {
+		case <-time.After(pollInterval):
+		case <-s.stop:
+			return
+		}
 	}
 }
 
-func (s *Soaker) ended() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed
-}
-
 // configure changes the configuration and notes when it was accepted.
 func (s *Soaker) configure(ctx context.Context, change func(*hoster.Configuration)) error {
 	s.mu.Lock()
@@ -429,9 +429,6 @@
 
 // close ends all that was started.
 func (s *Soaker) close() error {
-	s.mu.Lock()
-	s.closed = true
-	s.mu.Unlock()
 	close(s.stop)
 	var errs []error
 	for _, e := range append(s.entries, s.agents...) {
