Log which requests ran on a backend server when it crashed

Lines of a request now have a fingerprint that its repetitions share. The new package detector connects to a backend server when an attempt on it breaks off; a refused connection, or the announcement of a later incarnation, shows a crash, which is logged with all requests of the entry that were running. cbctl explain finds these lines by each of the requests, and the metric backend_crashes counts them. No decision depends on any of this yet.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -14,6 +14,7 @@
 	"github.com/carawaybeam/carawaybeam/clock"
 	"github.com/carawaybeam/carawaybeam/collector"
 	"github.com/carawaybeam/carawaybeam/configurer/adopter"
+	"github.com/carawaybeam/carawaybeam/detector"
 	"github.com/carawaybeam/carawaybeam/discoverer"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
 	"github.com/carawaybeam/carawaybeam/dumper"
@@ -78,6 +79,7 @@
 	adopter          *adopter.Adopter
 	configFollower   *follower.Follower
 	discoverer       *discoverer.Discoverer
+	detector         *detector.Detector
 	instanceFollower *follower.Follower
 	pooler           *pooler.Pooler
 	router           carawaybeam.Router
@@ -98,6 +100,7 @@
 	Config      carawaybeam.ConfigVersion `json:"config"`
 	ConfigAgeMs int64                     `json:"configAgeMs"`
 	Connections pooler.State              `json:"connections"`
+	Crashes     detector.State            `json:"crashes"`
 	Retries     any                       `json:"retries"`
 	Entries     []enroller.Entry          `json:"entries"`
 	// Pools holds the number of backend servers that accept requests.
@@ -158,6 +161,8 @@
 		return err
 	}
 	e.dialect = newDialect()
+	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
+	e.closers.Add(e.pooler)
 	if e.store, err = e.settings.Store.OpenStore(); err != nil {
 		return err
 	}
@@ -180,8 +185,11 @@
 	e.discoverer = discoverer.New(discoverer.Options{
 		Decode:      e.dialect.DecodeInstance,
 		SinceOutage: e.configFollower.SinceOutage,
+		Announced:   func(instance carawaybeam.Instance) { e.detector.Announced(instance) },
 		Log:         e.log,
 	})
+	e.detector = detector.New(detector.Options{Probe: e.pooler.Probe, InUse: e.discoverer.InUse, Log: e.log})
+	e.closers.Add(e.detector)
 	e.instanceFollower = follower.New(follower.Options{
 		Store: e.store, Kind: e.dialect.InstanceKind(), Sink: e.discoverer, Clock: clock.SinceBoot,
 		Wait: instanceWait, MinInterval: instanceInterval, Log: e.log,
@@ -264,8 +272,6 @@
 	}
 	e.router = router
 	e.retrier = quota.New(quota.Options{Bound: retryBound(e.settings.Direct.Retries), Entries: e.entries.Len})
-	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
-	e.closers.Add(e.pooler)
 	admin, err := starter.Listen("operators", e.settings.Admin)
 	if err != nil {
 		return err
@@ -298,6 +304,7 @@
 			Report:        e.report,
 			Sender:        e.pooler,
 			Encode:        e.dialect.EncodeForwarding,
+			Detector:      e.detector,
 			Router:        e.router,
 			Limiter:       limiter,
 			Retrier:       e.retrier,
@@ -341,6 +348,7 @@
 	state := directState{
 		DataCentre:  e.settings.DataCentre,
 		Connections: e.pooler.State(),
+		Crashes:     e.detector.State(),
 		Retries:     e.retrier.State(),
 		Entries:     e.entries.Entries(),
 		Pools:       e.discoverer.Pools(),
--- a/cmd/cbentry/direct_metrics.go
+++ b/cmd/cbentry/direct_metrics.go
@@ -82,6 +82,7 @@
 	if age, known := e.configFollower.Age(); known {
 		scope.Gauge("config_age_seconds").Update(age.Seconds())
 	}
+	scope.Gauge("backend_crashes").Update(float64(e.detector.State().Crashes))
 	connections := e.pooler.State()
 	scope.Gauge("connections_idle").Update(float64(connections.Idle))
 	scope.Gauge("connections_opened").Update(float64(connections.Opened))
--- /dev/null
+++ b/detector/detector.go
@@ -0,0 +1,322 @@
+// Package detector determines which requests were running on a backend server when
+// it crashed, for backend servers that no agent observes.
+//
+// An attempt that breaks off may have been cut by the network, or its backend server
+// may have ended. The Detector therefore connects to the backend server: a refused
+// connection shows that no process listens there any more. If the backend server
+// cannot be reached, or has started again before the Detector connects, the
+// announcement of a later incarnation shows it. A backend server that has announced
+// that it leaves, or whose announcement is gone, is expected to end, which is no
+// crash.
+package detector
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
+)
+
+const (
+	// probeTimeout is the timeout for connecting to a backend server.
+	probeTimeout = 300 * time.Millisecond
+
+	// unreachableTime is how long after an attempt broke off the announcement of a
+	// later incarnation proves a crash, if the backend server could not be reached.
+	// A crashed backend server returns within some seconds.
+	unreachableTime = 15 * time.Second
+
+	// reachableTime is the same for a backend server that accepted a connection,
+	// which may be one that has just started again. It leaves time for its
+	// announcement to arrive.
+	reachableTime = time.Second
+
+	// sweepInterval is how often the state of unused incarnations is dropped.
+	sweepInterval = 10 * time.Second
+
+	// maxLogged is the maximum number of requests in a log line.
+	maxLogged = 24
+)
+
+type (
+	// Options configures a Detector.
+	Options struct {
+		// Probe connects to an address. Its error wraps syscall.ECONNREFUSED if no
+		// process listens there.
+		Probe func(ctx context.Context, address carawaybeam.Address) error
+		// InUse reports whether a backend server is announced and not leaving.
+		InUse func(instance carawaybeam.Instance) bool
+		Log   zerolog.Logger
+	}
+
+	// Detector detects crashes until Close. It is safe for concurrent use.
+	Detector struct {
+		options Options
+		ctx     context.Context
+		cancel  context.CancelFunc
+		wait    sync.WaitGroup
+
+		mu        sync.Mutex
+		lives     map[carawaybeam.BackendIncarnation]*life
+		lastSweep time.Time
+		crashes   uint64
+	}
+
+	// Run is one attempt to run a request on a backend server. Exactly one of End
+	// and BreakOff must be called.
+	Run struct {
+		detector    *Detector
+		request     carawaybeam.RequestID
+		fingerprint quarantiner.Fingerprint
+		life        *life
+	}
+
+	// life is one incarnation of a backend server with the attempts on it.
+	life struct {
+		instance carawaybeam.Instance
+		runs     map[*Run]struct{}
+		broken   []brokenRun
+		probe    *probe
+		// crash identifies the crash that ended the incarnation, or is empty.
+		crash     quarantiner.CrashID
+		crashedAt time.Time
+	}
+
+	// brokenRun is an attempt that broke off for a reason that is not known yet.
+	brokenRun struct {
+		*Run
+		at time.Time
+		// until is when the attempt is no longer considered.
+		until time.Time
+	}
+
+	// probe is one attempt to connect. done is closed when it has ended.
+	probe struct {
+		began time.Time
+		done  chan struct{}
+	}
+
+	// State is the state dump of a Detector.
+	State struct {
+		// Crashes is the number of crashes that were detected.
+		Crashes uint64 `json:"crashes"`
+	}
+)
+
+// New returns a Detector that knows of no attempts.
+func New(options Options) *Detector {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Detector{
+		options:   options,
+		ctx:       ctx,
+		cancel:    cancel,
+		lives:     make(map[carawaybeam.BackendIncarnation]*life),
+		lastSweep: time.Now(),
+	}
+}
+
+// Close ends all probes. The error is always nil.
+func (d *Detector) Close() error {
+	d.cancel()
+	d.wait.Wait()
+	return nil
+}
+
+// State returns the state dump.
+func (d *Detector) State() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return State{Crashes: d.crashes}
+}
+
+// Begin records that a request is about to be sent to a backend server.
+func (d *Detector) Begin(
+	request carawaybeam.RequestID,
+	fingerprint quarantiner.Fingerprint,
+	instance carawaybeam.Instance,
+) *Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sweep(time.Now())
+	l, ok := d.lives[instance.BackendIncarnation]
+	if !ok {
+		l = &life{instance: instance, runs: make(map[*Run]struct{})}
+		d.lives[instance.BackendIncarnation] = l
+	}
+	r := &Run{detector: d, request: request, fingerprint: fingerprint, life: l}
+	l.runs[r] = struct{}{}
+	return r
+}
+
+// sweep drops incarnations without attempts that may still matter. The caller holds
+// mu.
+func (d *Detector) sweep(now time.Time) {
+	if now.Sub(d.lastSweep) < sweepInterval {
+		return
+	}
+	d.lastSweep = now
+	for incarnation, l := range d.lives {
+		l.forgetExpired(now)
+		if len(l.runs) == 0 && len(l.broken) == 0 && now.Sub(l.crashedAt) > unreachableTime {
+			delete(d.lives, incarnation)
+		}
+	}
+}
+
+// forgetExpired drops attempts that are no longer considered.
+func (l *life) forgetExpired(now time.Time) {
+	kept := l.broken[:0]
+	for _, b := range l.broken {
+		if now.Before(b.until) {
+			kept = append(kept, b)
+		}
+	}
+	l.broken = kept
+}
+
+// End records that the attempt ended in a way that no crash explains: with an answer,
+// without having been sent, or because the client left.
+func (r *Run) End() {
+	r.detector.mu.Lock()
+	defer r.detector.mu.Unlock()
+	delete(r.life.runs, r)
+}
+
+// BreakOff records that the attempt ended without a whole answer although it may have
+// run. It returns the crash that caused it, or "" if none is known when the backend
+// server has been probed or ctx ends.
+func (r *Run) BreakOff(ctx context.Context) quarantiner.CrashID {
+	d := r.detector
+	// A planned end of the backend server is no crash.
+	expected := !d.options.InUse(r.life.instance)
+	now := time.Now()
+	d.mu.Lock()
+	_, known := r.life.runs[r]
+	delete(r.life.runs, r)
+	if !known || expected || r.life.crash != "" {
+		defer d.mu.Unlock()
+		return r.life.crash
+	}
+	r.life.broken = append(r.life.broken, brokenRun{Run: r, at: now, until: now.Add(unreachableTime)})
+	d.mu.Unlock()
+	d.awaitProbe(ctx, r.life, now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r.life.crash
+}
+
+// awaitProbe waits until a probe that began at or after the given time has ended, or
+// until ctx ends.
+func (d *Detector) awaitProbe(ctx context.Context, l *life, since time.Time) {
+	for {
+		d.mu.Lock()
+		p := l.probe
+		if p == nil {
+			p = &probe{began: time.Now(), done: make(chan struct{})}
+			l.probe = p
+			d.wait.Go(func() { d.runProbe(l, p) })
+		}
+		d.mu.Unlock()
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return
+		}
+		if !p.began.Before(since) || d.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// runProbe connects to the backend server and evaluates the result.
+func (d *Detector) runProbe(l *life, p *probe) {
+	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
+	defer cancel()
+	err := d.options.Probe(ctx, l.instance.Address)
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.probe = nil
+	defer close(p.done)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		d.recordCrash(l, now, "connection refused")
+	case err == nil:
+		for i, b := range l.broken {
+			if !b.at.After(p.began) {
+				l.broken[i].until = now.Add(reachableTime)
+			}
+		}
+	}
+}
+
+// Announced records that a backend server has announced itself. It proves the crash of
+// earlier incarnations with the same identifier or address.
+func (d *Detector) Announced(instance carawaybeam.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, l := range d.lives {
+		same := l.instance.ID == instance.ID || l.instance.Address == instance.Address
+		if same && l.instance.Started < instance.Started {
+			d.recordCrash(l, now, "later incarnation announced")
+		}
+	}
+}
+
+// Replaced records that another backend server answers at the address of an
+// incarnation.
+func (d *Detector) Replaced(incarnation carawaybeam.BackendIncarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l, ok := d.lives[incarnation]; ok {
+		d.recordCrash(l, time.Now(), "another backend server answers")
+	}
+}
+
+// recordCrash records that an incarnation has crashed, with the attempts that were
+// running on it or broke off without a known reason. The caller holds mu.
+func (d *Detector) recordCrash(l *life, now time.Time, evidence string) {
+	l.forgetExpired(now)
+	if l.crash != "" || len(l.runs)+len(l.broken) == 0 {
+		return
+	}
+	l.crash, l.crashedAt = NewCrashID(l.instance.BackendIncarnation), now
+	d.crashes++
+	hits := make([]*Run, 0, len(l.runs)+len(l.broken))
+	for r := range l.runs {
+		hits = append(hits, r)
+	}
+	for _, b := range l.broken {
+		hits = append(hits, b.Run)
+	}
+	l.broken = nil
+	d.log(l, hits, evidence)
+}
+
+// log logs a crash with the requests that were running. The caller holds mu.
+func (d *Detector) log(l *life, hits []*Run, evidence string) {
+	requests, fingerprints := zerolog.Arr(), zerolog.Arr()
+	for _, r := range hits[:min(len(hits), maxLogged)] {
+		requests.Str(string(r.request))
+		fingerprints.Str(r.fingerprint.String())
+	}
+	d.options.Log.Warn().Str("crash", string(l.crash)).Str("backend", string(l.instance.ID)).
+		Str("address", string(l.instance.Address)).Str("pool", string(l.instance.Pool)).
+		Str("evidence", evidence).Int("running", len(hits)).
+		Array("requests", requests).Array("fingerprints", fingerprints).
+		Msg("detector: backend server crashed")
+}
+
+// NewCrashID returns the identifier of the crash that ended an incarnation. It is the
+// same in all processes.
+func NewCrashID(incarnation carawaybeam.BackendIncarnation) quarantiner.CrashID {
+	return quarantiner.CrashID(string(incarnation.ID) + "@" + strconv.FormatInt(incarnation.Started, 10))
+}
--- /dev/null
+++ b/detector/detector_test.go
@@ -0,0 +1,171 @@
+package detector_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/detector"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
+)
+
+// installation is a Detector with the state of the only backend server.
+type installation struct {
+	*detector.Detector
+	log     bytes.Buffer
+	probed  int
+	connect func() error
+	leaving bool
+}
+
+var instance = carawaybeam.Instance{
+	BackendIncarnation: carawaybeam.BackendIncarnation{ID: "a", Started: 1000}, Address: "10.0.0.1:80", Pool: "pool",
+}
+
+func refuse() error { return syscall.ECONNREFUSED }
+
+func accept() error { return nil }
+
+func silent() error { return errors.New("timeout") }
+
+func newInstallation(connect func() error) *installation {
+	n := &installation{connect: connect}
+	n.Detector = detector.New(detector.Options{
+		Probe: func(context.Context, carawaybeam.Address) error {
+			n.probed++
+			return n.connect()
+		},
+		InUse: func(carawaybeam.Instance) bool { return !n.leaving },
+		Log:   zerolog.New(&n.log),
+	})
+	return n
+}
+
+func (n *installation) begin(id carawaybeam.RequestID) *detector.Run {
+	return n.Begin(id, quarantiner.Fingerprint(id), instance)
+}
+
+// TestCrash checks that a crash is laid to the attempts that were running, and to no
+// others, and that it is reported once.
+func TestCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(refuse)
+		n.begin("answered").End()
+		cut, running := n.begin("cut"), n.begin("running")
+		is.Equal(cut.BreakOff(t.Context()), quarantiner.CrashID("a@1000"))
+		is.Equal(running.BreakOff(t.Context()), quarantiner.CrashID("a@1000"))
+		is.Equal(n.State().Crashes, uint64(1))
+		is.Equal(n.probed, 1)
+		is.True(bytes.Contains(n.log.Bytes(), []byte(`"running":2`)))
+		is.True(!bytes.Contains(n.log.Bytes(), []byte("answered")))
+		is.NoErr(n.Close())
+	})
+}
+
+// TestEvidence checks which events prove that the backend server of a broken attempt
+// crashed.
+func TestEvidence(t *testing.T) {
+	later := instance
+	later.ID, later.Started = "b", 2000
+	restarted := instance
+	restarted.Started = 2000
+	tests := map[string]struct {
+		connect func() error
+		leaving bool
+		after   time.Duration
+		event   func(n *installation)
+		crashes uint64
+	}{
+		"refused":           {connect: refuse, crashes: 1},
+		"refused, leaving":  {connect: refuse, leaving: true},
+		"connected":         {connect: accept},
+		"unreachable":       {connect: silent},
+		"same announcement": {connect: silent, event: func(n *installation) { n.Announced(instance) }},
+		"unreachable, address taken over": {
+			connect: silent, after: 10 * time.Second, event: func(n *installation) { n.Announced(later) }, crashes: 1,
+		},
+		"unreachable, restarted": {
+			connect: silent, after: 10 * time.Second, event: func(n *installation) { n.Announced(restarted) }, crashes: 1,
+		},
+		"unreachable, restarted much later": {
+			connect: silent, after: time.Minute, event: func(n *installation) { n.Announced(restarted) },
+		},
+		"connected to a restarted one": {
+			connect: accept, after: 500 * time.Millisecond,
+			event: func(n *installation) { n.Announced(restarted) }, crashes: 1,
+		},
+		"connected, restarted later": {
+			connect: accept, after: 3 * time.Second, event: func(n *installation) { n.Announced(restarted) },
+		},
+		"another one answers": {
+			connect: accept, event: func(n *installation) { n.Replaced(instance.BackendIncarnation) }, crashes: 1,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newInstallation(test.connect)
+				n.leaving = test.leaving
+				n.begin("cut").BreakOff(t.Context())
+				time.Sleep(test.after)
+				if test.event != nil {
+					test.event(n)
+				}
+				is.Equal(n.State().Crashes, test.crashes)
+				is.NoErr(n.Close())
+			})
+		})
+	}
+}
+
+// TestLaterProbe checks that a connection that was opened before an attempt broke off
+// does not count as proof that the backend server lives.
+func TestLaterProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(nil)
+		n.connect = func() error {
+			time.Sleep(100 * time.Millisecond)
+			if n.probed == 1 {
+				return nil
+			}
+			return syscall.ECONNREFUSED
+		}
+		first, second := n.begin("first"), n.begin("second")
+		go first.BreakOff(t.Context())
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(second.BreakOff(t.Context()), quarantiner.CrashID("a@1000"))
+		is.Equal(n.probed, 2)
+		is.NoErr(n.Close())
+	})
+}
+
+// TestCallerLeaves checks that an attempt does not wait for a probe longer than its
+// caller does.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(func() error {
+			time.Sleep(time.Second)
+			return syscall.ECONNREFUSED
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		is.Equal(n.begin("cut").BreakOff(ctx), quarantiner.CrashID(""))
+		is.Equal(time.Since(began), 20*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		is.Equal(n.State().Crashes, uint64(1))
+		is.NoErr(n.Close())
+	})
+}
--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -34,7 +34,9 @@
 		// SinceOutage returns how long the store has been reachable since its
 		// last failure, and false if it has never failed.
 		SinceOutage func() (time.Duration, bool)
-		Log         zerolog.Logger
+		// Announced receives each valid announcement, if it is not nil.
+		Announced func(carawaybeam.Instance)
+		Log       zerolog.Logger
 	}
 
 	// Discoverer maintains the set of backend servers. It is safe for concurrent
@@ -130,15 +132,40 @@
 	d.rebuild()
 }
 
+// InUse reports whether a backend server may receive requests.
+func (d *Discoverer) InUse(instance carawaybeam.Instance) bool {
+	return slices.ContainsFunc(d.Instances(instance.Pool), func(other carawaybeam.Instance) bool {
+		return other.BackendIncarnation == instance.BackendIncarnation
+	})
+}
+
 // Replace replaces all announcements by the given ones.
 func (d *Discoverer) Replace(objects []carawaybeam.Object) {
+	d.notify(d.replace(objects))
+}
+
+// notify passes announcements on to Options.Announced.
+func (d *Discoverer) notify(announced []carawaybeam.Instance) {
+	if d.options.Announced == nil {
+		return
+	}
+	for _, instance := range announced {
+		d.options.Announced(instance)
+	}
+}
+
+// replace implements Replace and returns the valid announcements.
+func (d *Discoverer) replace(objects []carawaybeam.Object) []carawaybeam.Instance {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.loaded = true
+	var announced []carawaybeam.Instance
 	present := make(map[carawaybeam.BackendID]struct{}, len(objects))
 	for _, o := range objects {
 		present[carawaybeam.BackendID(o.Name)] = struct{}{}
-		d.applyAnnouncement(o)
+		if instance, ok := d.applyAnnouncement(o); ok {
+			announced = append(announced, instance)
+		}
 	}
 	for id := range d.members {
 		if _, ok := present[id]; !ok {
@@ -146,31 +173,42 @@
 		}
 	}
 	d.rebuild()
+	return announced
 }
 
 // Apply applies changed and deleted announcements.
 func (d *Discoverer) Apply(changes []carawaybeam.Object) {
+	d.notify(d.apply(changes))
+}
+
+// apply implements Apply and returns the valid announcements.
+func (d *Discoverer) apply(changes []carawaybeam.Object) []carawaybeam.Instance {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var announced []carawaybeam.Instance
 	for _, o := range changes {
 		if o.Deleted {
 			d.withdraw(carawaybeam.BackendID(o.Name))
-		} else {
-			d.applyAnnouncement(o)
+			continue
+		}
+		if instance, ok := d.applyAnnouncement(o); ok {
+			announced = append(announced, instance)
 		}
 	}
 	d.rebuild()
+	return announced
 }
 
-// applyAnnouncement applies one announcement. The caller holds mu.
-func (d *Discoverer) applyAnnouncement(o carawaybeam.Object) {
+// applyAnnouncement applies one announcement. It returns false if the announcement is
+// invalid. The caller holds mu.
+func (d *Discoverer) applyAnnouncement(o carawaybeam.Object) (carawaybeam.Instance, bool) {
 	instance, err := d.options.Decode(o)
 	if err != nil {
 		// An invalid announcement also ends the use of a backend server that
 		// was known before.
 		d.options.Log.Warn().Err(err).Str("backend", o.Name).Msg("discoverer: announcement is invalid and not used")
 		d.withdraw(carawaybeam.BackendID(o.Name))
-		return
+		return instance, false
 	}
 	if _, ended := d.ended[instance.BackendIncarnation]; ended {
 		instance.Leaving = true
@@ -186,6 +224,7 @@
 		d.markEnded(instance.BackendIncarnation)
 	}
 	d.members[instance.ID] = &member{instance: instance}
+	return instance, true
 }
 
 // markEnded records that an incarnation receives no more requests. The caller
--- a/dispatcher/fingerprint.go
+++ b/dispatcher/fingerprint.go
@@ -1,37 +1,24 @@
 package dispatcher
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
-// fingerprintBytes is the length to which hash truncates a hash.
-const fingerprintBytes = 16
-
-// hash returns a hash of the parts and of the request's method, path, content
-// type and body.
-func (r Request) hash(parts ...string) []byte {
-	h := sha256.New()
-	for _, part := range append(parts, r.Method, r.Path, r.ContentType) {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
-	}
-	h.Write(r.Body)
-	return h.Sum(nil)[:fingerprintBytes]
-}
-
 // bodyHash returns a hash that differs between requests with the same
 // idempotency key and different content.
-func bodyHash(r Request) string { return hex.EncodeToString(r.hash()) }
+func bodyHash(r Request) string {
+	return quarantiner.NewFingerprint(r.Body, r.Method, r.Path, r.ContentType).String()
+}
 
 // fingerprint identifies the request in the quarantine of requests that crash
 // backend servers.
 func (r Request) fingerprint() quarantiner.Fingerprint {
-	return quarantiner.Fingerprint(r.hash(string(r.Class.ID), string(r.Organisation)))
+	return quarantiner.NewFingerprint(
+		r.Body, string(r.Class.ID), string(r.Organisation), r.Method, r.Path, r.ContentType,
+	)
 }
 
 // quarantineError returns the error of a quarantined request. The outcome is
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
 const (
@@ -38,6 +39,8 @@
 		organisation carawaybeam.OrganisationID
 		priority     int
 		writer       AnswerWriter
+		// fingerprint identifies the request among others with other identifiers.
+		fingerprint quarantiner.Fingerprint
 
 		// tried lists the backend servers that the request was sent to, and
 		// unsent those that could not be reached.
@@ -74,6 +77,14 @@
 		held *heldAnswer
 		// unsent is set when no byte of the request was sent.
 		unsent bool
+		// brokenOff is set when the request may have run and its answer did not
+		// come to its end, as after a crash of the backend server.
+		brokenOff bool
+		// crash is the crash of the backend server that caused the failure, or
+		// empty.
+		crash quarantiner.CrashID
+		// misdirected is set when another backend server answered at the address.
+		misdirected bool
 		// backendFault is set when the backend server is at fault.
 		backendFault bool
 		// culprit is the backend server that caused a refusal, according to the
@@ -253,15 +264,24 @@
 	}
 	began := time.Now()
 	own := f.counter.Add(began, instance.ID, p.request.Prompt)
-	ctx, cancel := context.WithCancelCause(ctx)
+	run := f.options.Detector.Begin(p.request.ID, p.fingerprint, instance)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	o := &observation{forwarder: f, decision: decision, own: own, began: began}
 	if p.idempotent() {
-		f.watchReports(ctx, cancel, instance, o)
+		f.watchReports(attemptCtx, cancel, instance, o)
 	}
-	r := f.exchange(ctx, p, instance, o)
+	r := f.exchange(attemptCtx, p, instance, o)
 	own.Done(time.Now())
-	o.end(ctx, r)
+	o.end(attemptCtx, r)
+	if r.brokenOff && !errors.Is(ctx.Err(), context.Canceled) {
+		r.crash = run.BreakOff(ctx)
+	} else {
+		run.End()
+	}
+	if r.misdirected {
+		f.options.Detector.Replaced(instance.BackendIncarnation)
+	}
 	if r.unsent {
 		p.unsent = append(p.unsent, instance.ID)
 	} else {
@@ -337,7 +357,7 @@
 		return interrupted(ctx, "no answer came in time")
 	}
 	f.options.Sender.CloseIdle(instance.Address)
-	return result{failure: unknownOutcome(carawaybeam.ReasonBackendFailed, err.Error()), backendFault: true}
+	return brokenOff(err.Error())
 }
 
 // refusal returns the result of an attempt whose answer proves that the request
@@ -349,6 +369,7 @@
 	detail := "backend server refused with status " + http.StatusText(reply.Status)
 	return result{
 		failure:      carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, shortRetryAfter),
+		misdirected:  reply.Misdirected,
 		backendFault: true,
 		culprit:      reply.FaultyBackend,
 	}
@@ -362,7 +383,7 @@
 		if ctx.Err() != nil {
 			return interrupted(ctx, "answer did not come in time")
 		}
-		return result{failure: unknownOutcome(carawaybeam.ReasonBackendFailed, err.Error()), backendFault: true}
+		return brokenOff(err.Error())
 	}
 	answer := &heldAnswer{status: reply.Status, header: reply.Header, body: data}
 	switch {
@@ -412,11 +433,14 @@
 	}
 	line := f.options.Log.Info().Str("request", string(p.request.ID)).Int("try", p.attempts).
 		Str("backend", string(instance.ID)).Str("address", string(instance.Address)).
-		Bool("unsent", r.unsent).Dur("took", time.Since(began)).Uint64("lastEvent", uint64(p.lastEvent))
+		Str("fingerprint", p.fingerprint.String()).Bool("unsent", r.unsent).Dur("took", time.Since(began)).Uint64("lastEvent", uint64(p.lastEvent))
 	if r.held != nil {
 		line.Int("status", r.held.status).Msg("forwarder: backend server answered with an error status")
 		return
 	}
+	if r.crash != "" {
+		line = line.Str("crash", string(r.crash))
+	}
 	if r.culprit != "" {
 		line = line.Str("culprit", string(r.culprit))
 	}
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -15,8 +15,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/detector"
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/randomizer"
 	"github.com/carawaybeam/carawaybeam/router/counter"
 )
@@ -101,11 +103,14 @@
 		// or false if there is no recent report.
 		Report func(address carawaybeam.Address) (Report, bool)
 		// Encode returns the header of the request to a backend server.
-		Encode  func(*carawaybeam.ClientRequest, carawaybeam.Forwarding) http.Header
-		Router  carawaybeam.Router
-		Limiter carawaybeam.Limiter
-		Retrier carawaybeam.Retrier
-		Log     zerolog.Logger
+		Encode func(*carawaybeam.ClientRequest, carawaybeam.Forwarding) http.Header
+		// Detector detects which requests were running when a backend server
+		// crashed.
+		Detector *detector.Detector
+		Router   carawaybeam.Router
+		Limiter  carawaybeam.Limiter
+		Retrier  carawaybeam.Retrier
+		Log      zerolog.Logger
 	}
 
 	// Forwarder serves requests. Its methods are safe for concurrent use.
@@ -193,9 +198,22 @@
 		p.pool = &carawaybeam.Pool{ID: pool}
 	}
 	p.deadline = arrived.Add(timeout(request, p.route))
+	p.fingerprint = fingerprint(request, p.organisation)
 	return p, nil
 }
 
+// fingerprint identifies a request in the quarantine of requests that crash backend
+// servers. A client that sends the request again gives it a new identifier, and
+// another route or pool may serve it then.
+func fingerprint(
+	request *carawaybeam.ClientRequest,
+	organisation carawaybeam.OrganisationID,
+) quarantiner.Fingerprint {
+	return quarantiner.NewFingerprint(
+		request.Body, string(organisation), request.Method, request.Host, request.Target,
+	)
+}
+
 // authorize determines the organisation that holds the request's key. It accepts
 // no key while the configuration is so old that keys may have been revoked since.
 func (f *Forwarder) authorize(p *pendingRequest, age time.Duration) *carawaybeam.RequestError {
@@ -254,7 +272,7 @@
 	line := f.options.Log.Info().Str("request", string(p.request.ID)).
 		Str("organisation", string(p.organisation)).
 		Dur("configAge", p.configAge).Int("tries", p.attempts).Str("backend", string(p.backend)).
-		Dur("first", p.firstPart).Dur("took", time.Since(p.arrived))
+		Str("fingerprint", p.fingerprint.String()).Dur("first", p.firstPart).Dur("took", time.Since(p.arrived))
 	if p.config != nil {
 		line = line.Uint64("config", uint64(p.config.Version()))
 	}
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/detector"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
 	"github.com/carawaybeam/carawaybeam/matcher"
@@ -55,6 +57,8 @@
 		instances []carawaybeam.Instance
 		reserve   float64
 		forwarded []carawaybeam.Forwarding
+		// refusing is the address of a backend server that has ended.
+		refusing carawaybeam.Address
 	}
 )
 
@@ -94,6 +98,18 @@
 
 func (env *environment) Instances(carawaybeam.PoolID) []carawaybeam.Instance { return env.instances }
 
+func (env *environment) InUse(instance carawaybeam.Instance) bool {
+	return slices.Contains(env.instances, instance)
+}
+
+// Probe connects to a backend server. Those at the address refusing do not exist any more.
+func (env *environment) Probe(_ context.Context, address carawaybeam.Address) error {
+	if address == env.refusing {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
 func (env *environment) ReportMisdirected(incarnation carawaybeam.BackendIncarnation) {
 	env.instances = slices.DeleteFunc(
 		env.instances,
@@ -138,6 +154,7 @@
 		ConfigAge:     func() (time.Duration, bool) { return env.age, !env.unknown },
 		MaxKeyAge:     func() time.Duration { return 5 * time.Second },
 		Members:       env,
+		Detector:      detector.New(detector.Options{Probe: env.Probe, InUse: env.InUse, Log: env.log}),
 		Sender:        env.sender,
 		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
 			if report, ok := env.reports[address]; ok {
@@ -293,10 +310,13 @@
 	env := newEnvironment(reply(http.StatusMisdirectedRequest, strings.NewReader(""), func(h *carawaybeam.ReplyHead) {
 		h.NotRun, h.Misdirected = true, true
 	}), whole("x"))
+	var lines bytes.Buffer
+	env.log = zerolog.New(&lines)
 	_, failure := env.serve(request(carawaybeam.RouteUnsafe))
 	is.True(failure == nil)
 	is.Equal(len(env.instances), 1)
 	is.Equal(env.forwarded[1].Backend, env.instances[0].ID)
+	is.True(!strings.Contains(lines.String(), "crash")) // The request did not run on the one that ended.
 }
 
 // TestCulpritIsLogged checks that the log shows which other backend server caused
@@ -313,6 +333,22 @@
 	is.True(strings.Contains(lines.String(), `"culprit":"rank-7"`))
 }
 
+// TestCrashIsLogged checks that the log names the crash that an attempt was cut off by,
+// and the fingerprint that the request has in common with its repetitions.
+func TestCrashIsLogged(t *testing.T) {
+	is := is.New(t)
+	env := newEnvironment(broken(), whole("x"))
+	env.refusing = "10.0.0.1:80"
+	var lines bytes.Buffer
+	env.log = zerolog.New(&lines)
+	_, failure := env.serve(request(carawaybeam.RouteUnsafe))
+	is.Equal(failure.Outcome, carawaybeam.OutcomeUnknown)
+	first, _, _ := strings.Cut(lines.String(), "\n")
+	is.True(strings.Contains(first, `"requests":["id"]`))
+	is.True(strings.Contains(lines.String(), `"crash":"a@0"`) || strings.Contains(lines.String(), `"crash":"b@0"`))
+	is.Equal(strings.Count(lines.String(), `"fingerprint":"`), 2)
+}
+
 // TestNoBudget checks that there is no further attempt once the retry budget is
 // exhausted.
 func TestNoBudget(t *testing.T) {
--- a/dispatcher/forwarder/reports.go
+++ b/dispatcher/forwarder/reports.go
@@ -56,10 +56,17 @@
 // of errReportsStopped, the deadline or the client.
 func interrupted(ctx context.Context, detail string) result {
 	if errors.Is(context.Cause(ctx), errReportsStopped) {
-		return result{
-			failure:      unknownOutcome(carawaybeam.ReasonBackendFailed, errReportsStopped.Error()),
-			backendFault: true,
-		}
+		return brokenOff(errReportsStopped.Error())
+	}
+	return result{failure: unknownOutcome(carawaybeam.ReasonDeadline, detail), brokenOff: true}
+}
+
+// brokenOff returns the result of an attempt that may have run and was cut off on
+// the side of the backend server.
+func brokenOff(detail string) result {
+	return result{
+		failure:      unknownOutcome(carawaybeam.ReasonBackendFailed, detail),
+		brokenOff:    true,
+		backendFault: true,
 	}
-	return result{failure: unknownOutcome(carawaybeam.ReasonDeadline, detail)}
 }
--- a/dispatcher/forwarder/stream.go
+++ b/dispatcher/forwarder/stream.go
@@ -92,10 +92,7 @@
 		case err != nil && ctx.Err() != nil:
 			return interrupted(ctx, "stream did not end in time")
 		case err != nil:
-			return result{
-				failure:      unknownOutcome(carawaybeam.ReasonBackendFailed, "stream broke off: "+err.Error()),
-				backendFault: true,
-			}
+			return brokenOff("stream broke off: " + err.Error())
 		}
 		o.markFirstPart()
 		if id != 0 && id != p.lastEvent+1 {
--- a/logkeeper/logkeeper_test.go
+++ b/logkeeper/logkeeper_test.go
@@ -26,6 +26,18 @@
 	is.Equal(len(c.Lines("r2")), 0)
 }
 
+// TestLinesWithSeveralRequests checks that a line with a list of requests is found by
+// each of them.
+func TestLinesWithSeveralRequests(t *testing.T) {
+	is := is.New(t)
+	c := logkeeper.New(1 << 10)
+	log := zerolog.New(c)
+	log.Info().Strs("requests", []string{"r1", "r2"}).Strs("fingerprints", []string{"r3"}).Msg("crash")
+	is.Equal(len(c.Lines("r1")), 1)
+	is.Equal(len(c.Lines("r2")), 1)
+	is.Equal(len(c.Lines("r3")), 0)
+}
+
 // TestLimit checks that the latest line is kept, the oldest one is dropped and the kept
 // lines are within the limit.
 func TestLimit(t *testing.T) {
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -239,6 +239,26 @@
 	return reply, nil
 }
 
+// Probe opens a connection to an address and keeps it for a later request. Its error
+// wraps syscall.ECONNREFUSED if no process listens there.
+func (p *Pooler) Probe(ctx context.Context, address carawaybeam.Address) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(c, 0)
+	return nil
+}
+
+// dial opens a connection to an address.
+func (p *Pooler) dial(ctx context.Context, address carawaybeam.Address) (*connection, error) {
+	conn, err := p.options.Dial(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+}
+
 // get returns an idle connection that is still usable, or opens a new one.
 func (p *Pooler) get(ctx context.Context, address carawaybeam.Address) (*connection, error) {
 	for {
@@ -260,11 +280,7 @@
 		}
 		c.discard()
 	}
-	conn, err := p.options.Dial(ctx, "tcp", string(address))
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	return p.dial(ctx, address)
 }
 
 // exchange writes a request and reads the head of its answer.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -43,9 +43,6 @@
 )
 
 type (
-	// Fingerprint identifies requests that are identical to a backend server.
-	Fingerprint string
-
 	// CrashID identifies one crash of one backend server.
 	CrashID string
 
