Reproduce the request that crashes backend servers without end

The stand-ins for backend servers now crash when they begin to run a marked request, and return after 1.5 s under another identifier. Their links refuse connections meanwhile, as the kernel does for a process that has ended. In the test such a request comes again and again at any of three entries, each time with another identifier, on each of the four routes: two for plain services without agents, one that moves, one for ranks with agents.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -94,7 +94,10 @@
 			connect: silent, after: 10 * time.Second, event: func(n *installation) { n.Announced(later) }, crashes: 1,
 		},
 		"unreachable, restarted": {
-			connect: silent, after: 10 * time.Second, event: func(n *installation) { n.Announced(restarted) }, crashes: 1,
+			connect: silent,
+			after:   10 * time.Second,
+			event:   func(n *installation) { n.Announced(restarted) },
+			crashes: 1,
 		},
 		"unreachable, restarted much later": {
 			connect: silent, after: time.Minute, event: func(n *installation) { n.Announced(restarted) },
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -433,7 +433,8 @@
 	}
 	line := f.options.Log.Info().Str("request", string(p.request.ID)).Int("try", p.attempts).
 		Str("backend", string(instance.ID)).Str("address", string(instance.Address)).
-		Str("fingerprint", p.fingerprint.String()).Bool("unsent", r.unsent).Dur("took", time.Since(began)).Uint64("lastEvent", uint64(p.lastEvent))
+		Str("fingerprint", p.fingerprint.String()).
+		Bool("unsent", r.unsent).Dur("took", time.Since(began)).Uint64("lastEvent", uint64(p.lastEvent))
 	if r.held != nil {
 		line.Int("status", r.held.status).Msg("forwarder: backend server answered with an error status")
 		return
--- a/fakes/forwarder/forwarder.go
+++ b/fakes/forwarder/forwarder.go
@@ -15,14 +15,15 @@
 	// Forwarder forwards connections until Close. Its methods are safe for
 	// concurrent use.
 	Forwarder struct {
-		listener net.Listener
-		target   string
-		wait     sync.WaitGroup
+		target string
+		wait   sync.WaitGroup
 
 		// fault is the current fault of all connections.
 		fault atomic.Pointer[Fault]
 
-		mu          sync.Mutex
+		mu sync.Mutex
+		// listener is nil while connections are refused.
+		listener    net.Listener
 		connections map[*connection]struct{}
 	}
 
@@ -49,9 +50,9 @@
 // New returns a Forwarder that forwards connections accepted by the listener to
 // the target address. It closes the listener in Close.
 func New(listener net.Listener, target string) *Forwarder {
-	f := &Forwarder{listener: listener, target: target, connections: make(map[*connection]struct{})}
+	f := &Forwarder{target: target, connections: make(map[*connection]struct{})}
 	f.fault.Store(&Fault{})
-	f.wait.Go(f.accept)
+	f.Resume(listener)
 	return f
 }
 
@@ -67,12 +68,34 @@
 
 // Close closes the listener and all connections and waits for them to end.
 func (f *Forwarder) Close() error {
-	err := f.listener.Close()
+	err := f.Suspend()
 	f.Cut()
 	f.wait.Wait()
 	return err
 }
 
+// Suspend closes the listener, so that the kernel refuses connections as it does for a
+// process that has ended. Current connections stay open.
+func (f *Forwarder) Suspend() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener == nil {
+		return nil
+	}
+	listener := f.listener
+	f.listener = nil
+	return listener.Close()
+}
+
+// Resume accepts connections on the listener. It must not be called after Close or
+// while another listener is in use.
+func (f *Forwarder) Resume(listener net.Listener) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listener = listener
+	f.wait.Go(func() { f.accept(listener) })
+}
+
 // SetFault replaces the current fault.
 func (f *Forwarder) SetFault(fault Fault) { f.fault.Store(&fault) }
 
@@ -94,9 +117,9 @@
 	}
 }
 
-func (f *Forwarder) accept() {
+func (f *Forwarder) accept(listener net.Listener) {
 	for {
-		client, err := f.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/platform/emulator"
@@ -26,12 +28,20 @@
 	maxAbandonDelay = 400 * time.Millisecond
 	// withdrawnKeyShare is the share of requests that use a withdrawn key.
 	withdrawnKeyShare = 0.1
+
+	// crashingInterval is the mean time after which a request that crashes backend
+	// servers is sent again. It is sent no more in the crashingMargin before the final
+	// phase.
+	crashingInterval = 250 * time.Millisecond
+	crashingMargin   = 6 * time.Second
 )
 
 var paths = []string{"/book/visits", "/look/orders", "/move/vans", "/stream/summary"}
 
-// runCaller sends the requests of one caller, one after another, until the end time.
+// runCaller sends the requests of one caller, one after another, until the end time. It
+// sends a request that failed once more, with another identifier.
 func (s *Soaker) runCaller(ctx context.Context, random *rand.Rand, number int, end time.Time) {
+	var failed *sentRequest
 	for n := 0; time.Now().Before(end); {
 		e := s.pickEntry(random)
 		conn, err := emulator.Dial(ctx, e.callers)
@@ -42,8 +52,21 @@
 		keepsOpen := number%2 == 0
 		for i := 0; (i < requestsPerConnection || keepsOpen) && time.Now().Before(end); i++ {
 			n++
-			abandons := !keepsOpen && random.Float64() < abandonShare
-			if !s.send(conn, random, e, fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n), abandons) {
+			next := sentRequest{
+				id:        fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n),
+				path:      paths[random.IntN(len(paths))],
+				abandoned: !keepsOpen && random.Float64() < abandonShare,
+			}
+			if failed != nil {
+				next.id, next.path = emulator.RepetitionOf(failed.id, 1), failed.path
+			}
+			sent := s.send(conn, random, e, next)
+			if failed == nil && sent.mayRepeat() {
+				failed = &sent
+			} else {
+				failed = nil
+			}
+			if !sent.keepsConnection() {
 				break
 			}
 			time.Sleep(thinkTime)
@@ -53,6 +76,22 @@
 	}
 }
 
+// runCrashingCaller sends a request that crashes backend servers again and again, each
+// time through a random entry and with another identifier.
+func (s *Soaker) runCrashingCaller(ctx context.Context, path string) {
+	random := rand.New(rand.NewPCG(s.options.Seed, uint64(len(path))))
+	id := fmt.Sprintf("%s%d-%s", emulator.CrashingID, s.options.Seed, path[1:])
+	end := s.history.finalPhaseStart().Add(-crashingMargin)
+	for n := 1; time.Now().Before(end); n++ {
+		e := s.pickEntry(random)
+		if conn, err := emulator.Dial(ctx, e.callers); err == nil {
+			s.send(conn, random, e, sentRequest{id: emulator.RepetitionOf(id, n), path: path})
+			_ = conn.Close()
+		}
+		time.Sleep(crashingInterval/2 + rand.N(crashingInterval))
+	}
+}
+
 // pickEntry returns a random ready entry, or any entry if none is ready.
 func (s *Soaker) pickEntry(random *rand.Rand) *daemon {
 	var ready []*daemon
@@ -67,25 +106,40 @@
 	return ready[random.IntN(len(ready))]
 }
 
-// send sends one request and records it and its reply. If abandons is set, the
-// connection is closed after a random delay. It reports whether the connection can be
-// used for another request.
-func (s *Soaker) send(conn *emulator.Connection, random *rand.Rand, e *daemon, id string, abandons bool) bool {
-	sent := sentRequest{
-		id:     id,
-		entry:  e.index,
-		path:   paths[random.IntN(len(paths))],
-		key:    s.history.pickKey(random.Float64() < withdrawnKeyShare),
-		sentAt: time.Now(),
-	}
-	if abandons {
-		sent.abandoned = true
+// send sends a request to an entry, records it and its reply, and returns both. If the
+// caller abandons the request, the connection is closed after a random delay.
+func (s *Soaker) send(conn *emulator.Connection, random *rand.Rand, e *daemon, sent sentRequest) sentRequest {
+	sent.entry = e.index
+	sent.key = s.history.pickKey(random.Float64() < withdrawnKeyShare)
+	sent.sentAt = time.Now()
+	if sent.abandoned {
 		timer := time.AfterFunc(time.Duration(random.Int64N(int64(maxAbandonDelay))), func() { _ = conn.Close() })
 		defer timer.Stop()
 	}
 	s.history.addRequest(sent)
-	sent.reply, sent.whole, sent.err = conn.Do(id, sent.path, sent.key, callerTimeout)
+	sent.reply, sent.whole, sent.err = conn.Do(sent.id, sent.path, sent.key, callerTimeout)
 	sent.endedAt = time.Now()
 	s.history.addRequest(sent)
-	return sent.err == nil && !sent.reply.Closes && !sent.abandoned
+	return sent
+}
+
+// keepsConnection reports whether the connection can be used for another request.
+func (s *sentRequest) keepsConnection() bool { return s.err == nil && !s.reply.Closes && !s.abandoned }
+
+// mayRepeat reports whether a caller sends the request again: one that certainly did not
+// run, or one that failed and may run more than once.
+func (s *sentRequest) mayRepeat() bool {
+	switch {
+	case s.abandoned:
+		return false
+	case s.err == nil && isRefusal(s.reply.Status):
+		return true
+	}
+	return !s.unsafe() && (s.err != nil || s.reply.Status >= http.StatusInternalServerError)
 }
+
+// unsafe reports whether the request may run only once.
+func (s *sentRequest) unsafe() bool { return strings.HasPrefix(s.path, "/book") }
+
+// crashes reports whether the request crashes the backend servers that run it.
+func (s *sentRequest) crashes() bool { return strings.HasPrefix(s.id, emulator.CrashingID) }
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -12,6 +12,15 @@
 // maxViolations limits the number of violations that a result lists.
 const maxViolations = 20
 
+// crashRuns holds the runs that crashed their backend server, by the body of the request.
+type crashRuns map[string][]emulator.Run
+
+func (c crashRuns) add(r emulator.Run) {
+	if body := emulator.BodyOf(r.Request); r.Crashes {
+		c[body] = append(c[body], r)
+	}
+}
+
 // check checks the history of the run against the promises.
 func (s *Soaker) check() Result {
 	h := &s.history
@@ -31,13 +40,20 @@
 	for _, problem := range h.problems {
 		addViolation("%s", problem)
 	}
-	runs := make(map[string][]emulator.Run)
+	runs, crashes := make(map[string][]emulator.Run), make(crashRuns)
 	for _, r := range s.journal.Runs() {
 		runs[r.Request] = append(runs[r.Request], r)
+		crashes.add(r)
 		if found := h.checkRun(r); found != "" {
 			addViolation("request %s ran on %s: %s", r.Request, r.Server, found)
 		}
 	}
+	for body, crashed := range crashes {
+		result.Crashes += len(crashed)
+		if found := h.checkCrashes(crashed); found != "" {
+			addViolation("requests with %s: %s", body, found)
+		}
+	}
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
@@ -86,6 +102,8 @@
 		return "success that no backend server has sealed"
 	case status == http.StatusOK && s.reply.Body != want:
 		return fmt.Sprintf("answer of %d bytes differs from the expected one of %d bytes", len(s.reply.Body), len(want))
+	case status == http.StatusTooManyRequests && !s.crashes():
+		return "refused as if it crashed backend servers"
 	case status == http.StatusUnauthorized && h.keyMayBeUnknown(s), isRefusal(status):
 		return ""
 	case status >= http.StatusMultipleChoices && status < http.StatusInternalServerError:
@@ -97,7 +115,7 @@
 // checkCount returns a violation if a request ran too often, or ran although it was
 // refused, or "".
 func (h *history) checkCount(s sentRequest, runs []emulator.Run) string {
-	isUnsafe := strings.HasPrefix(s.path, "/book")
+	isUnsafe := s.unsafe()
 	switch {
 	case isUnsafe && len(runs) > 1:
 		return fmt.Sprintf("ran %d times", len(runs))
@@ -109,6 +127,30 @@
 	return ""
 }
 
+// checkCrashes returns a violation if a request was run by too many backend servers after
+// it had crashed provenCrashes of them, or "". The runs are in order.
+func (h *history) checkCrashes(runs []emulator.Run) string {
+	crashes, late := 0, 0
+	var proven time.Time
+	for _, r := range runs {
+		entry := h.requests[r.Request].entry
+		if crashes >= provenCrashes && r.At.Sub(proven) > stableWindow && h.undisturbed(entry, r.At, r.At, "") {
+			late++
+		}
+		if left, leaves := h.leavingSince[r.Server]; leaves && left.Before(r.At) {
+			continue
+		}
+		if crashes++; crashes == provenCrashes {
+			proven = r.At
+		}
+	}
+	if late <= maxLateRuns {
+		return ""
+	}
+	return fmt.Sprintf("ran %d times later than %v after they had crashed %d backend servers, and crashed %d in all",
+		late, stableWindow, provenCrashes, crashes)
+}
+
 // checkEnd returns a violation if a request ended late, was cut off or was refused
 // although no fault explains it, or "".
 func (h *history) checkEnd(s sentRequest, runs []emulator.Run) string {
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -78,6 +79,9 @@
 		"refused at the end": {func(h *history, s *sentRequest, r *emulator.Run) {
 			s.path, r.Path, s.reply.Status, h.finalPhase = "/look/orders", "/look/orders", 503, at(0)
 		}, true},
+		"refused as crashing": {func(_ *history, s *sentRequest, r *emulator.Run) {
+			s.path, r.Path, s.reply.Status = "/look/orders", "/look/orders", 429
+		}, true},
 		"changed request":    {func(_ *history, _ *sentRequest, r *emulator.Run) { r.Exact = false }, true},
 		"other organisation": {func(_ *history, _ *sentRequest, r *emulator.Run) { r.Organisation = "office" }, true},
 		"wrong pool":         {func(_ *history, _ *sentRequest, r *emulator.Run) { r.Pool = "annex" }, true},
@@ -141,3 +145,44 @@
 		t.Error("lookup that ran four times is not reported")
 	}
 }
+
+// TestChecksFindCrashingRequests checks that runs of a request that has crashed three
+// backend servers violate a promise if there are more than three of them, later than
+// 3 s after the third crash and through undisturbed entries.
+func TestChecksFindCrashingRequests(t *testing.T) {
+	tests := map[string]struct {
+		seconds  []int
+		change   func(h *history)
+		violates bool
+	}{
+		"three crashes and three late runs": {[]int{10, 11, 12, 16, 17, 18}, nil, false},
+		"four late runs":                    {[]int{10, 11, 12, 16, 17, 18, 19}, nil, true},
+		"many runs within the time":         {[]int{10, 11, 12, 13, 13, 14, 14, 15}, nil, false},
+		"four late runs, entry killed": {[]int{10, 11, 12, 16, 17, 18, 19}, func(h *history) {
+			h.faultBegan(injectedFault{kind: "kill", beganAt: at(15 * time.Second)})
+		}, false},
+		"third one was leaving": {[]int{10, 11, 12, 16, 17, 18, 19}, func(h *history) {
+			h.leavingAccepted("desk-12", at(11*time.Second))
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, _, _ := newHistory()
+			var runs []emulator.Run
+			for _, second := range test.seconds {
+				id := fmt.Sprintf("%s%d", emulator.CrashingID, second)
+				h.addRequest(sentRequest{id: id, path: "/look/orders"})
+				runs = append(runs, emulator.Run{
+					Request: id, Server: fmt.Sprintf("desk-%d", second), At: at(time.Duration(second) * time.Second),
+					Crashes: true,
+				})
+			}
+			if test.change != nil {
+				test.change(h)
+			}
+			if got := h.checkCrashes(runs) != ""; got != test.violates {
+				t.Errorf("found a violation %t, want %t", got, test.violates)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/soaker/crash_test.go
@@ -0,0 +1,47 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/prover"
+)
+
+// TestPromisePoisonProcesses guards against requests that crash backend servers being
+// sent on forever by entries that call backend servers themselves. The requests come again
+// at any entry, with new identifiers, for backend servers with and without agents.
+func TestPromisePoisonProcesses(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+	defer cancel()
+	options, err := Prepare(ctx, "..", filepath.Join(t.TempDir(), "bin"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Directory, options.Entries, options.Callers = t.TempDir(), 3, 12
+	options.FaultWindow = 10 * time.Second
+	schedule := make([]fault, 0, len(paths)+1)
+	for target := range paths {
+		schedule = append(
+			schedule,
+			fault{kind: "crashingRequest", target: target, at: time.Duration(target) * time.Second},
+		)
+	}
+	schedule = append(schedule, fault{kind: "kill", target: 1, at: 9 * time.Second})
+	result, err := run(ctx, options, schedule)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range result.Violations {
+		t.Log(v)
+	}
+	fmt.Printf(
+		"crashing requests: %d requests, %d served, %d crashes\n",
+		result.Requests,
+		result.Served,
+		result.Crashes,
+	)
+	prover.Report(t, prover.PoisonRequest, len(paths), len(result.Violations))
+}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -44,6 +44,10 @@
 	// exceeds the time in which entries must stop using the server.
 	leavingTime = drainBound + time.Second
 
+	// crashDowntime is how long a backend server that was crashed by a request stays
+	// down.
+	crashDowntime = 1500 * time.Millisecond
+
 	// addressReuseDelay is how long an address stays unused after a planned stop of
 	// its backend server.
 	addressReuseDelay = 2 * time.Second
@@ -81,6 +85,8 @@
 	onServer
 	// onConfig is a change of the configuration. It excuses no violation.
 	onConfig
+	// onCaller is a misbehaving caller. It excuses no violation.
+	onCaller
 )
 
 // targets returns the number of possible targets of a fault, or 0 if it has no single
@@ -93,6 +99,8 @@
 		return emulator.GroupRanks
 	case onServer:
 		return len(startPools)
+	case onCaller:
+		return len(paths)
 	}
 	return 0
 }
@@ -152,6 +160,9 @@
 	"linkSlow":         {onServer, linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false)},
 	"linkMute":         {onServer, linkFault(hostLink, forwarder.Fault{LoseAnswers: true}, false)},
 	"linkDeaf":         {onServer, linkFault(hostLink, forwarder.Fault{LoseRequests: true}, false)},
+	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
+		s.runCrashingCaller(ctx, paths[f.target])
+	}},
 	"move": {onConfig, func(ctx context.Context, s *Soaker, _ fault) {
 		s.reconfigure(ctx, func(c *emulator.Configuration) {
 			c.Routes = slices.Clone(c.Routes)
@@ -184,9 +195,11 @@
 }
 
 // newSchedule returns the faults of a run: random ones, with equal probability for each
-// kind, and one pair. Consecutive seeds use the pairs in turn.
+// kind except those of callers, and one pair. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
-	names := slices.Sorted(maps.Keys(kinds))
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
+		return kinds[name].scope == onCaller
+	})
 	n := minFaults + random.IntN(extraFaults)
 	faults := make([]fault, 0, n+len(pairs[0]))
 	for range n {
@@ -324,6 +337,32 @@
 	}
 }
 
+// crashedByRequest ends a backend server that a request has crashed, and starts another
+// one at its address. The platform drops the announcement of the first one later.
+func (s *Soaker) crashedByRequest(ctx context.Context, h *host, server *emulator.Server) {
+	h.changing.Lock()
+	defer h.changing.Unlock()
+	_, pool, current := h.current()
+	if current != server {
+		return
+	}
+	index := s.history.faultBegan(
+		injectedFault{kind: "crashedByRequest", scope: onServer, target: h.index, beganAt: time.Now()},
+	)
+	defer func() { s.history.faultEnded(index, time.Now()) }()
+	s.closeServer(h, server)
+	s.wait.Go(func() {
+		time.Sleep(announcementExpiry)
+		if _, err := server.Withdraw(ctx); err != nil {
+			s.history.addProblem("request to the platform failed: " + err.Error())
+		}
+	})
+	time.Sleep(crashDowntime)
+	if err := s.startServer(ctx, h, s.newName(pool), pool); err != nil {
+		s.history.addProblem("backend server failed to start: " + err.Error())
+	}
+}
+
 // leaveServer stops a backend server as planned, and starts another one at its address.
 // If announced is set, the server announces first that it leaves. Otherwise its
 // announcement is withdrawn.
@@ -355,9 +394,15 @@
 	}
 }
 
+// closeServer ends a backend server, so that its address refuses connections. The caller
+// holds h.changing.
 func (s *Soaker) closeServer(h *host, server *emulator.Server) {
 	if err := server.Close(); err != nil {
 		s.history.addProblem("backend server failed to close: " + err.Error())
 	}
+	h.down = true
+	if err := h.link.Suspend(); err != nil {
+		s.history.addProblem("link failed to close: " + err.Error())
+	}
 	h.link.Cut()
 }
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -104,6 +104,12 @@
 	h.finalPhase = at
 }
 
+func (h *history) finalPhaseStart() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.finalPhase
+}
+
 // pickKey returns the current key or, if withdrawn is set and there is one, the key
 // that was withdrawn last.
 func (h *history) pickKey(withdrawn bool) string {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -54,6 +54,11 @@
 	keyBound     = 5 * time.Second
 	stopBound    = 8 * time.Second
 	answerBound  = emulator.RouteTimeout + 500*time.Millisecond
+
+	// A request that has crashed provenCrashes backend servers may be run at most
+	// maxLateRuns times later than stableWindow after that.
+	provenCrashes = 3
+	maxLateRuns   = 3
 )
 
 // startPools holds the pool of the first backend server of each host.
@@ -76,6 +81,8 @@
 	// Result is the result of a run.
 	Result struct {
 		Requests, Served, Faults int
+		// Crashes is the number of runs that crashed a backend server.
+		Crashes int
 		// MapChanges is the number of changes of the expert map, added up over all
 		// ranks.
 		MapChanges int
@@ -131,12 +138,16 @@
 	// host is a fixed address at which backend servers run, one after another. linkAddress
 	// is the address of the link that leads to it.
 	host struct {
+		index       int
 		address     string
 		link        *forwarder.Forwarder
 		linkAddress string
 
 		// changing is held while one server is replaced by the next.
 		changing sync.Mutex
+		// down is set while the link refuses connections. It is used by the holder
+		// of changing.
+		down bool
 
 		// rank is the number of the rank, or -1 if the server is not a rank of a group.
 		rank int
@@ -175,11 +186,16 @@
 // Run runs the soak test with one seed and stops everything that it started. The error
 // is about the run itself. Violations of promises are in the result.
 func Run(ctx context.Context, options Options) (Result, error) {
+	return run(ctx, options, newSchedule(rand.New(rand.NewPCG(options.Seed, 0)), options))
+}
+
+// run runs the soak test with the faults of a schedule.
+func run(ctx context.Context, options Options, schedule []fault) (Result, error) {
 	s := &Soaker{options: options, platform: emulator.New(), group: emulator.NewGroup("g"), stop: make(chan struct{})}
 	s.wait.Go(func() { s.group.Run(s.stop) })
 	err := s.start(ctx)
 	if err == nil {
-		s.runLoad(ctx)
+		s.runLoad(ctx, schedule)
 	}
 	return s.check(), errors.Join(err, s.close())
 }
@@ -236,9 +252,14 @@
 	if h.address, err = launcher.FreeAddress(); err != nil {
 		return err
 	}
-	if h.link, h.linkAddress, err = forwarder.Listen(h.address); err != nil {
+	if h.linkAddress, err = launcher.FreeAddress(); err != nil {
+		return err
+	}
+	listener, err := launcher.Listen(h.linkAddress)
+	if err != nil {
 		return err
 	}
+	h.index, h.link = len(s.hosts), forwarder.New(listener, h.address)
 	s.hosts = append(s.hosts, h)
 	if err := s.startServer(ctx, h, s.newName(pool), pool); err != nil || h.rank < 0 {
 		return err
@@ -252,8 +273,12 @@
 	if err != nil {
 		return err
 	}
+	if err := s.resumeLink(h); err != nil {
+		return err
+	}
 	server := emulator.ServerOptions{
 		Platform: s.platform, Journal: &s.journal, ID: id, Pool: pool, AnnouncedAddress: h.linkAddress,
+		Crash: func(server *emulator.Server) { s.wait.Go(func() { s.crashedByRequest(ctx, h, server) }) },
 	}
 	if h.rank >= 0 {
 		server.Group, server.Rank = s.group, h.rank
@@ -266,6 +291,21 @@
 	return err
 }
 
+// resumeLink makes the link to a host accept connections again after its backend server
+// had ended.
+func (s *Soaker) resumeLink(h *host) error {
+	if !h.down {
+		return nil
+	}
+	listener, err := launcher.Listen(h.linkAddress)
+	if err != nil {
+		return err
+	}
+	h.down = false
+	h.link.Resume(listener)
+	return nil
+}
+
 func (h *host) current() (id, pool string, server *emulator.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -419,9 +459,8 @@
 	return nil
 }
 
-// runLoad runs the callers and injects the faults of the seed.
-func (s *Soaker) runLoad(ctx context.Context) {
-	random := rand.New(rand.NewPCG(s.options.Seed, 0))
+// runLoad runs the callers and injects the faults of a schedule.
+func (s *Soaker) runLoad(ctx context.Context, schedule []fault) {
 	began := time.Now()
 	faultsEnd := began.Add(warmUpTime + s.options.FaultWindow)
 	finalStart := faultsEnd.Add(settleTime)
@@ -431,7 +470,7 @@
 		seed := rand.NewPCG(s.options.Seed, uint64(n+1))
 		callers.Go(func() { s.runCaller(ctx, rand.New(seed), n, finalStart.Add(finalTime)) })
 	}
-	for _, f := range newSchedule(random, s.options) {
+	for _, f := range schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(began.Add(warmUpTime + f.at)))
 			s.injectFault(ctx, f)
