Refuse requests that crash backend servers on the direct path, too

What callers saw: a request that crashes what runs it was sent on each time it came again, and each crash cut off the streams beside it and stopped the group of ranks for seconds.

Its class: a promise tied to the mechanism of one of two paths.

Fix: entries lay the crashes that the detector finds to the requests that were running, share these records through the store (publisher), also with entries that start later, and refuse a request after two crashes that nothing else explains, at the first attempt and before each further one. The quarantiner now decides who caused the crashes: what was answered since is cleared, and what only ran beside a culprit is not refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -174,7 +174,7 @@
 			return
 		}
 		exchange.Receive(frame)
-		a.options.Executor.Quarantiner().Merge(frame.GetSuspects().GetSuspects())
+		a.options.Executor.Quarantiner().MergeFrame(frame.GetSuspects().GetSuspects())
 		requested := requestedInterval(frame)
 		if requested == 0 || requested == current {
 			continue
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -23,6 +23,8 @@
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/logkeeper"
 	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/publisher"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/readier"
 	"github.com/carawaybeam/carawaybeam/reloader"
 	"github.com/carawaybeam/carawaybeam/retrier/quota"
@@ -45,6 +47,12 @@
 	instanceWait     = 4 * time.Second
 	instanceInterval = 200 * time.Millisecond
 
+	// crashesWait is the time that one watch of the records of crashes waits for a
+	// change, crashesInterval the minimum time between two watches. Both are short
+	// compared to the seconds within which a crashed backend server returns.
+	crashesWait     = 4 * time.Second
+	crashesInterval = 100 * time.Millisecond
+
 	// entriesWait is the time that one watch of the enrolled entries waits for a
 	// change, entriesInterval the minimum time between two watches. Entries seldom
 	// start or stop, and learning of it late does no harm.
@@ -80,6 +88,8 @@
 	configFollower   *follower.Follower
 	discoverer       *discoverer.Discoverer
 	detector         *detector.Detector
+	quarantiner      *quarantiner.Quarantiner
+	publisher        *publisher.Publisher
 	instanceFollower *follower.Follower
 	pooler           *pooler.Pooler
 	router           carawaybeam.Router
@@ -101,6 +111,7 @@
 	ConfigAgeMs int64                     `json:"configAgeMs"`
 	Connections pooler.State              `json:"connections"`
 	Crashes     detector.State            `json:"crashes"`
+	Quarantine  quarantiner.State         `json:"quarantine"`
 	Retries     any                       `json:"retries"`
 	Entries     []enroller.Entry          `json:"entries"`
 	// Pools holds the number of backend servers that accept requests.
@@ -120,7 +131,7 @@
 
 // runDirect runs the daemon until it receives the signal to stop.
 func runDirect(stop context.Context, file string, settings loader.Entry) {
-	e := &directEntry{settings: settings, logKeeper: logkeeper.New(logBytes)}
+	e := &directEntry{settings: settings, logKeeper: logkeeper.New(logBytes), quarantiner: quarantiner.New()}
 	e.log = starter.NewLog(settings.Process, e.logKeeper)
 	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Log: e.log}))
 	e.apply(settings.Direct)
@@ -167,6 +178,7 @@
 		return err
 	}
 	e.startFollowers()
+	e.startPublisher()
 	if err := e.startCoordinators(); err != nil {
 		return err
 	}
@@ -188,7 +200,9 @@
 		Announced:   func(instance carawaybeam.Instance) { e.detector.Announced(instance) },
 		Log:         e.log,
 	})
-	e.detector = detector.New(detector.Options{Probe: e.pooler.Probe, InUse: e.discoverer.InUse, Log: e.log})
+	e.detector = detector.New(detector.Options{
+		Probe: e.pooler.Probe, InUse: e.discoverer.InUse, Quarantiner: e.quarantiner, Log: e.log,
+	})
 	e.closers.Add(e.detector)
 	e.instanceFollower = follower.New(follower.Options{
 		Store: e.store, Kind: e.dialect.InstanceKind(), Sink: e.discoverer, Clock: clock.SinceBoot,
@@ -197,6 +211,19 @@
 	e.closers.Add(e.instanceFollower)
 }
 
+// startPublisher starts to share the requests that crash backend servers with the other
+// entries.
+func (e *directEntry) startPublisher() {
+	e.publisher = publisher.New(publisher.Options{
+		Store: e.store, Name: e.settings.Process, Quarantiner: e.quarantiner, Log: e.log,
+	})
+	e.closers.Add(e.publisher)
+	e.closers.Add(follower.New(follower.Options{
+		Store: e.store, Kind: carawaybeam.KindCrashes, Sink: e.publisher, Clock: clock.SinceBoot,
+		Wait: crashesWait, MinInterval: crashesInterval, Log: e.log,
+	}))
+}
+
 // startCoordinators starts to collect the statuses of ranks, enrols the entry to
 // receive them, and starts to coordinate the groups of the ranks.
 func (e *directEntry) startCoordinators() error {
@@ -305,6 +332,7 @@
 			Sender:        e.pooler,
 			Encode:        e.dialect.EncodeForwarding,
 			Detector:      e.detector,
+			Quarantiner:   e.quarantiner,
 			Router:        e.router,
 			Limiter:       limiter,
 			Retrier:       e.retrier,
@@ -323,7 +351,8 @@
 // ready reports whether the entry accepts new clients.
 func (e *directEntry) ready() bool {
 	age, known := e.configFollower.Age()
-	return !e.leaving.Load() && known && age <= maxReadyAge && e.adopter.Current() != nil && e.discoverer.Loaded()
+	return !e.leaving.Load() && known && age <= maxReadyAge && e.adopter.Current() != nil &&
+		e.discoverer.Loaded() && e.publisher.Loaded()
 }
 
 // stop refuses new clients, waits for running requests until stopMargin before the
@@ -349,6 +378,7 @@
 		DataCentre:  e.settings.DataCentre,
 		Connections: e.pooler.State(),
 		Crashes:     e.detector.State(),
+		Quarantine:  e.quarantiner.State(),
 		Retries:     e.retrier.State(),
 		Entries:     e.entries.Entries(),
 		Pools:       e.discoverer.Pools(),
--- a/cmd/cbentry/direct_metrics.go
+++ b/cmd/cbentry/direct_metrics.go
@@ -82,6 +82,9 @@
 	if age, known := e.configFollower.Age(); known {
 		scope.Gauge("config_age_seconds").Update(age.Seconds())
 	}
+	quarantine := e.quarantiner.State()
+	scope.Gauge("suspect_requests").Update(float64(quarantine.Suspects))
+	scope.Gauge("quarantined_requests").Update(float64(quarantine.Quarantined))
 	scope.Gauge("backend_crashes").Update(float64(e.detector.State().Crashes))
 	connections := e.pooler.State()
 	scope.Gauge("connections_idle").Update(float64(connections.Idle))
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -45,6 +45,15 @@
 	maxLogged = 24
 )
 
+const (
+	// Answered means that the backend server answered or refused the request.
+	Answered Ending = iota
+	// NotReceived means that the backend server did not receive the request.
+	NotReceived
+	// Abandoned means that the caller left.
+	Abandoned
+)
+
 type (
 	// Options configures a Detector.
 	Options struct {
@@ -53,9 +62,14 @@
 		Probe func(ctx context.Context, address carawaybeam.Address) error
 		// InUse reports whether a backend server is announced and not leaving.
 		InUse func(instance carawaybeam.Instance) bool
-		Log   zerolog.Logger
+		// Quarantiner receives the requests that were running in a crash.
+		Quarantiner *quarantiner.Quarantiner
+		Log         zerolog.Logger
 	}
 
+	// Ending is how an attempt ended that did not break off.
+	Ending int
+
 	// Detector detects crashes until Close. It is safe for concurrent use.
 	Detector struct {
 		options Options
@@ -76,6 +90,9 @@
 		request     carawaybeam.RequestID
 		fingerprint quarantiner.Fingerprint
 		life        *life
+		// afterCrash is set if the attempt began after the crash of its backend
+		// server was recorded.
+		afterCrash bool
 	}
 
 	// life is one incarnation of a backend server with the attempts on it.
@@ -85,8 +102,10 @@
 		broken   []brokenRun
 		probe    *probe
 		// crash identifies the crash that ended the incarnation, or is empty.
+		// crashed holds the attempts that it is laid to.
 		crash     quarantiner.CrashID
 		crashedAt time.Time
+		crashed   []*Run
 	}
 
 	// brokenRun is an attempt that broke off for a reason that is not known yet.
@@ -150,7 +169,7 @@
 		l = &life{instance: instance, runs: make(map[*Run]struct{})}
 		d.lives[instance.BackendIncarnation] = l
 	}
-	r := &Run{detector: d, request: request, fingerprint: fingerprint, life: l}
+	r := &Run{detector: d, request: request, fingerprint: fingerprint, life: l, afterCrash: l.crash != ""}
 	l.runs[r] = struct{}{}
 	return r
 }
@@ -181,12 +200,26 @@
 	l.broken = kept
 }
 
-// End records that the attempt ended in a way that no crash explains: with an answer,
-// without having been sent, or because the client left.
-func (r *Run) End() {
-	r.detector.mu.Lock()
-	defer r.detector.mu.Unlock()
-	delete(r.life.runs, r)
+// End records that the attempt ended in a way that no crash explains. A crash that was
+// recorded meanwhile then does not count against the request, unless the caller left.
+func (r *Run) End(ending Ending) {
+	d := r.detector
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := r.life
+	delete(l.runs, r)
+	switch {
+	case l.crash == "" || ending == Abandoned:
+	case !r.afterCrash:
+		d.options.Quarantiner.Acquit(r.fingerprint, l.crash)
+	case ending == Answered:
+		d.options.Log.Warn().Str("crash", string(l.crash)).Str("request", string(r.request)).
+			Msg("detector: backend server answers, it has not crashed")
+		for _, other := range l.crashed {
+			d.options.Quarantiner.Acquit(other.fingerprint, l.crash)
+		}
+		l.crash, l.crashed = "", nil
+	}
 }
 
 // BreakOff records that the attempt ended without a whole answer although it may have
@@ -290,27 +323,31 @@
 	}
 	l.crash, l.crashedAt = NewCrashID(l.instance.BackendIncarnation), now
 	d.crashes++
-	hits := make([]*Run, 0, len(l.runs)+len(l.broken))
 	for r := range l.runs {
-		hits = append(hits, r)
+		l.crashed = append(l.crashed, r)
 	}
 	for _, b := range l.broken {
-		hits = append(hits, b.Run)
+		l.crashed = append(l.crashed, b.Run)
 	}
 	l.broken = nil
-	d.log(l, hits, evidence)
+	records := make([]quarantiner.Record, 0, len(l.crashed))
+	for _, r := range l.crashed {
+		records = append(records, quarantiner.Record{Fingerprint: r.fingerprint, Crash: l.crash, At: now})
+	}
+	d.options.Quarantiner.Merge(records)
+	d.log(l, evidence)
 }
 
 // log logs a crash with the requests that were running. The caller holds mu.
-func (d *Detector) log(l *life, hits []*Run, evidence string) {
+func (d *Detector) log(l *life, evidence string) {
 	requests, fingerprints := zerolog.Arr(), zerolog.Arr()
-	for _, r := range hits[:min(len(hits), maxLogged)] {
+	for _, r := range l.crashed[:min(len(l.crashed), maxLogged)] {
 		requests.Str(string(r.request))
 		fingerprints.Str(r.fingerprint.String())
 	}
 	d.options.Log.Warn().Str("crash", string(l.crash)).Str("backend", string(l.instance.ID)).
 		Str("address", string(l.instance.Address)).Str("pool", string(l.instance.Pool)).
-		Str("evidence", evidence).Int("running", len(hits)).
+		Str("evidence", evidence).Int("running", len(l.crashed)).
 		Array("requests", requests).Array("fingerprints", fingerprints).
 		Msg("detector: backend server crashed")
 }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -24,6 +24,8 @@
 	probed  int
 	connect func() error
 	leaving bool
+
+	quarantiner *quarantiner.Quarantiner
 }
 
 var instance = carawaybeam.Instance{
@@ -37,14 +39,15 @@
 func silent() error { return errors.New("timeout") }
 
 func newInstallation(connect func() error) *installation {
-	n := &installation{connect: connect}
+	n := &installation{connect: connect, quarantiner: quarantiner.New()}
 	n.Detector = detector.New(detector.Options{
 		Probe: func(context.Context, carawaybeam.Address) error {
 			n.probed++
 			return n.connect()
 		},
-		InUse: func(carawaybeam.Instance) bool { return !n.leaving },
-		Log:   zerolog.New(&n.log),
+		InUse:       func(carawaybeam.Instance) bool { return !n.leaving },
+		Quarantiner: n.quarantiner,
+		Log:         zerolog.New(&n.log),
 	})
 	return n
 }
@@ -59,7 +62,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newInstallation(refuse)
-		n.begin("answered").End()
+		n.begin("answered").End(detector.Answered)
 		cut, running := n.begin("cut"), n.begin("running")
 		is.Equal(cut.BreakOff(t.Context()), quarantiner.CrashID("a@1000"))
 		is.Equal(running.BreakOff(t.Context()), quarantiner.CrashID("a@1000"))
@@ -71,6 +74,41 @@
 	})
 }
 
+// TestOnlyRunsInCrash checks that a crash does not count against requests that the
+// backend server answered, or never received, although they were in flight.
+func TestOnlyRunsInCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(refuse)
+		cut, answered, unsent, left := n.begin("cut"), n.begin("answered"), n.begin("unsent"), n.begin("left")
+		cut.BreakOff(t.Context())
+		answered.End(detector.Answered)
+		unsent.End(detector.NotReceived)
+		left.End(detector.Abandoned)
+		is.Equal(n.quarantiner.Status("cut"), quarantiner.Suspect)
+		is.Equal(n.quarantiner.Status("answered"), quarantiner.Clear)
+		is.Equal(n.quarantiner.Status("unsent"), quarantiner.Clear)
+		is.Equal(n.quarantiner.Status("left"), quarantiner.Suspect)
+		is.NoErr(n.Close())
+	})
+}
+
+// TestAnswerDisprovesCrash checks that a crash does not count if the backend server
+// answers later, as one does that refused connections for another reason.
+func TestAnswerDisprovesCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(refuse)
+		n.begin("cut").BreakOff(t.Context())
+		is.Equal(n.quarantiner.Status("cut"), quarantiner.Suspect)
+		n.begin("unsent").End(detector.NotReceived)
+		is.Equal(n.quarantiner.Status("cut"), quarantiner.Suspect)
+		n.begin("answered").End(detector.Answered)
+		is.Equal(n.quarantiner.Status("cut"), quarantiner.Clear)
+		is.NoErr(n.Close())
+	})
+}
+
 // TestEvidence checks which events prove that the backend server of a broken attempt
 // crashed.
 func TestEvidence(t *testing.T) {
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/detector"
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
@@ -118,6 +119,9 @@
 // runAttempts makes attempts until one of them delivers the answer or no further
 // attempt is allowed.
 func (f *Forwarder) runAttempts(ctx context.Context, p *pendingRequest) *carawaybeam.RequestError {
+	if f.isQuarantined(p) {
+		return f.quarantineError(p)
+	}
 	now := time.Now()
 	decision, ok := f.choose(now, p)
 	if !ok {
@@ -144,8 +148,12 @@
 	for {
 		r := f.attempt(ctx, p, decision)
 		if r.failure == nil && r.held == nil {
+			f.options.Quarantiner.Clear(p.fingerprint)
 			return nil
 		}
+		if f.isQuarantined(p) {
+			return f.finish(p, result{failure: f.quarantineError(p), held: r.held})
+		}
 		if !f.mayRetry(ctx, p, r) {
 			return f.finish(p, r)
 		}
@@ -157,6 +165,17 @@
 	}
 }
 
+// isQuarantined reports whether the request crashes the backend servers that run it.
+func (f *Forwarder) isQuarantined(p *pendingRequest) bool {
+	return f.options.Quarantiner.Status(p.fingerprint) == quarantiner.Quarantined
+}
+
+// quarantineError returns the error of a quarantined request that has not run.
+func (f *Forwarder) quarantineError(p *pendingRequest) *carawaybeam.RequestError {
+	detail := fmt.Sprintf("request was running in the crashes %v", f.options.Quarantiner.Crashes(p.fingerprint))
+	return carawaybeam.NotRun(carawaybeam.ReasonQuarantined, detail, quarantiner.RetryAfter)
+}
+
 // mayRetry reports whether another attempt is safe, in time and within the
 // limits of the route and the retrier.
 func (f *Forwarder) mayRetry(ctx context.Context, p *pendingRequest, r result) bool {
@@ -274,14 +293,7 @@
 	r := f.exchange(attemptCtx, p, instance, o)
 	own.Done(time.Now())
 	o.end(attemptCtx, r)
-	if r.brokenOff && !errors.Is(ctx.Err(), context.Canceled) {
-		r.crash = run.BreakOff(ctx)
-	} else {
-		run.End()
-	}
-	if r.misdirected {
-		f.options.Detector.Replaced(instance.BackendIncarnation)
-	}
+	f.endRun(ctx, run, instance, &r)
 	if r.unsent {
 		p.unsent = append(p.unsent, instance.ID)
 	} else {
@@ -292,6 +304,25 @@
 	return r
 }
 
+// endRun tells the detector how an attempt ended, and sets the crash that it was cut off
+// by.
+func (f *Forwarder) endRun(ctx context.Context, run *detector.Run, instance carawaybeam.Instance, r *result) {
+	left := errors.Is(ctx.Err(), context.Canceled)
+	switch {
+	case r.brokenOff && !left:
+		r.crash = run.BreakOff(ctx)
+	case r.unsent:
+		run.End(detector.NotReceived)
+	case r.misdirected:
+		run.End(detector.NotReceived)
+		f.options.Detector.Replaced(instance.BackendIncarnation)
+	case left:
+		run.End(detector.Abandoned)
+	default:
+		run.End(detector.Answered)
+	}
+}
+
 // instance returns a backend server of the pool, or false if the pool has no
 // such backend server that accepts work.
 func (f *Forwarder) instance(pool carawaybeam.PoolID, id carawaybeam.BackendID) (carawaybeam.Instance, bool) {
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -107,10 +107,12 @@
 		// Detector detects which requests were running when a backend server
 		// crashed.
 		Detector *detector.Detector
-		Router   carawaybeam.Router
-		Limiter  carawaybeam.Limiter
-		Retrier  carawaybeam.Retrier
-		Log      zerolog.Logger
+		// Quarantiner knows the requests that crash backend servers.
+		Quarantiner *quarantiner.Quarantiner
+		Router      carawaybeam.Router
+		Limiter     carawaybeam.Limiter
+		Retrier     carawaybeam.Retrier
+		Log         zerolog.Logger
 	}
 
 	// Forwarder serves requests. Its methods are safe for concurrent use.
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -21,6 +22,7 @@
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/retrier/quota"
 	"github.com/carawaybeam/carawaybeam/router/occupancy"
 )
@@ -58,7 +60,8 @@
 		reserve   float64
 		forwarded []carawaybeam.Forwarding
 		// refusing is the address of a backend server that has ended.
-		refusing carawaybeam.Address
+		refusing    carawaybeam.Address
+		quarantiner *quarantiner.Quarantiner
 	}
 )
 
@@ -149,13 +152,19 @@
 
 // serve serves one request with a new Forwarder.
 func (env *environment) serve(r *carawaybeam.ClientRequest) (*recordedAnswer, *carawaybeam.RequestError) {
+	if env.quarantiner == nil {
+		env.quarantiner = quarantiner.New()
+	}
 	f := forwarder.New(forwarder.Options{
 		Configuration: env,
 		ConfigAge:     func() (time.Duration, bool) { return env.age, !env.unknown },
 		MaxKeyAge:     func() time.Duration { return 5 * time.Second },
 		Members:       env,
-		Detector:      detector.New(detector.Options{Probe: env.Probe, InUse: env.InUse, Log: env.log}),
-		Sender:        env.sender,
+		Detector: detector.New(detector.Options{
+			Probe: env.Probe, InUse: env.InUse, Quarantiner: env.quarantiner, Log: env.log,
+		}),
+		Quarantiner: env.quarantiner,
+		Sender:      env.sender,
 		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
 			if report, ok := env.reports[address]; ok {
 				return report()
@@ -349,6 +358,79 @@
 	is.Equal(strings.Count(lines.String(), `"fingerprint":"`), 2)
 }
 
+// TestCrashingRequestIsRefused guards against a request that crashes backend servers being
+// sent on: after two crashes no entry that knows of them may send it again, neither when
+// it comes again with another identifier nor as a retry.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	for _, kind := range []carawaybeam.RouteKind{
+		carawaybeam.RouteSafe, carawaybeam.RouteUnsafe, carawaybeam.RouteStream,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			is := is.New(t)
+			env := newEnvironment(broken(), broken(), broken(), broken())
+			env.routing.Routes[0].MaxAttempts, env.routing.Routes[2].MaxAttempts = 5, 5
+			env.refusing = "10.0.0.1:80"
+			r := request(kind)
+			for n := range 6 {
+				r.ID = carawaybeam.RequestID(fmt.Sprint("id", n))
+				answer, failure := env.serve(r)
+				is.Equal(answer.status, 0)
+				if failure.Outcome == carawaybeam.OutcomeNotRun {
+					is.Equal(failure.Reason, carawaybeam.ReasonQuarantined)
+					is.Equal(failure.RetryAfter, quarantiner.RetryAfter)
+				}
+				for i := range env.instances {
+					env.instances[i].Started++ // They are started again.
+				}
+			}
+			is.Equal(len(env.sender.sent), 2)
+		})
+	}
+}
+
+// TestOnlyTheRequestItselfIsRefused checks that the quarantine of a request affects
+// neither other requests nor other callers' requests with the same content.
+func TestOnlyTheRequestItselfIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		change  func(r *carawaybeam.ClientRequest)
+		refused bool
+	}{
+		"same request":   {func(*carawaybeam.ClientRequest) {}, true},
+		"new identifier": {func(r *carawaybeam.ClientRequest) { r.ID = "other" }, true},
+		"resumed":        {func(r *carawaybeam.ClientRequest) { r.After = 3 }, true},
+		"other body":     {func(r *carawaybeam.ClientRequest) { r.Body = []byte("other") }, false},
+		"other path":     {func(r *carawaybeam.ClientRequest) { r.Target = "/safe/other" }, false},
+		"other caller":   {func(r *carawaybeam.ClientRequest) { r.Key = "key2" }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newEnvironment(broken(), broken(), whole("x"))
+			env.routing.KeyHolders = append(
+				env.routing.KeyHolders, carawaybeam.KeyHolder{ID: "org2", Keys: []carawaybeam.APIKey{"key2"}},
+			)
+			env.refusing = "10.0.0.1:80"
+			_, failure := env.serve(request(carawaybeam.RouteSafe))
+			is.Equal(failure.Outcome, carawaybeam.OutcomeUnknown)
+			r := request(carawaybeam.RouteSafe)
+			test.change(r)
+			_, failure = env.serve(r)
+			is.Equal(failure != nil, test.refused)
+		})
+	}
+}
+
+// TestAnswerClearsSuspect checks that a request that was cut off by a crash and is
+// answered by another backend server does not stay suspect.
+func TestAnswerClearsSuspect(t *testing.T) {
+	is := is.New(t)
+	env := newEnvironment(broken(), whole("x"))
+	env.refusing = "10.0.0.1:80"
+	_, failure := env.serve(request(carawaybeam.RouteSafe))
+	is.True(failure == nil)
+	is.Equal(env.quarantiner.State(), quarantiner.State{})
+}
+
 // TestNoBudget checks that there is no further attempt once the retry budget is
 // exhausted.
 func TestNoBudget(t *testing.T) {
--- /dev/null
+++ b/publisher/publisher.go
@@ -0,0 +1,305 @@
+// Package publisher shares the requests that crash backend servers between entries
+// through the platform's store, so that all entries refuse them, also those that were
+// started or cut off meanwhile.
+//
+// Each entry writes one object of its own, so that writes do not conflict. It holds the
+// records that no other object has.
+package publisher
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
+)
+
+const (
+	// batchTime is how long a Publisher waits after a change for further changes,
+	// because one crash affects several requests at about the same time.
+	batchTime = 10 * time.Millisecond
+
+	// retryDelay is the delay before a failed write is retried.
+	retryDelay = 300 * time.Millisecond
+
+	// maxRecords is the maximum number of records in an object.
+	maxRecords = 4096
+)
+
+type (
+	// Options configures a Publisher.
+	Options struct {
+		Store carawaybeam.Store
+		// Name is the name of this entry's object.
+		Name        string
+		Quarantiner *quarantiner.Quarantiner
+		Log         zerolog.Logger
+	}
+
+	// Publisher shares records until Close. A follower of the store passes it the
+	// objects of all entries through Replace and Apply. It is safe for concurrent use.
+	Publisher struct {
+		options Options
+		ctx     context.Context
+		cancel  context.CancelFunc
+		wait    sync.WaitGroup
+		// received signals that objects were received.
+		received chan struct{}
+
+		mu      sync.Mutex
+		loaded  bool
+		objects map[string]object
+	}
+
+	// object is the stored object of one entry.
+	object struct {
+		version carawaybeam.StoreVersion
+		records []quarantiner.Record
+	}
+
+	// key identifies a record.
+	key struct {
+		fingerprint quarantiner.Fingerprint
+		crash       quarantiner.CrashID
+	}
+
+	// storedRecord is a record in an object. Fingerprint is hexadecimal and At in
+	// Unix milliseconds.
+	storedRecord struct {
+		Fingerprint string `json:"fingerprint"`
+		Crash       string `json:"crash"`
+		At          int64  `json:"at"`
+		Cleared     bool   `json:"cleared,omitempty"`
+	}
+
+	// value is the value of an object.
+	value struct {
+		Records []storedRecord `json:"records"`
+	}
+)
+
+// New returns a Publisher that has not received any objects yet.
+func New(options Options) *Publisher {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Publisher{
+		options:  options,
+		ctx:      ctx,
+		cancel:   cancel,
+		received: make(chan struct{}, 1),
+		objects:  make(map[string]object),
+	}
+	p.wait.Go(p.publish)
+	return p
+}
+
+// Close stops publishing and waits for the goroutine. The error is always nil. The
+// object remains in the store.
+func (p *Publisher) Close() error {
+	p.cancel()
+	p.wait.Wait()
+	return nil
+}
+
+// Loaded reports whether the objects have been read.
+func (p *Publisher) Loaded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loaded
+}
+
+// Replace replaces the objects of all entries.
+func (p *Publisher) Replace(objects []carawaybeam.Object) {
+	p.mu.Lock()
+	clear(p.objects)
+	p.loaded = true
+	p.mu.Unlock()
+	p.Apply(objects)
+}
+
+// Apply updates changed objects. It merges their records into the Quarantiner.
+func (p *Publisher) Apply(changes []carawaybeam.Object) {
+	for _, o := range changes {
+		p.apply(o)
+	}
+	select {
+	case p.received <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Publisher) apply(o carawaybeam.Object) {
+	records, err := decode(o)
+	if err != nil {
+		p.options.Log.Warn().Err(err).Str("object", o.Name).Msg("publisher: cannot decode records of crashes")
+	}
+	p.mu.Lock()
+	switch known, ok := p.objects[o.Name]; {
+	case o.Deleted:
+		delete(p.objects, o.Name)
+	case !ok || o.Version > known.version:
+		p.objects[o.Name] = object{version: o.Version, records: records}
+	}
+	p.mu.Unlock()
+	p.options.Quarantiner.Merge(records)
+}
+
+func decode(o carawaybeam.Object) ([]quarantiner.Record, error) {
+	if o.Deleted {
+		return nil, nil
+	}
+	var v value
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		return nil, err
+	}
+	records := make([]quarantiner.Record, 0, len(v.Records))
+	for _, r := range v.Records {
+		fingerprint, err := hex.DecodeString(r.Fingerprint)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, quarantiner.Record{
+			Fingerprint: quarantiner.Fingerprint(fingerprint),
+			Crash:       quarantiner.CrashID(r.Crash),
+			At:          time.UnixMilli(r.At),
+			Cleared:     r.Cleared,
+		})
+	}
+	return records, nil
+}
+
+func encode(records []quarantiner.Record) ([]byte, error) {
+	v := value{Records: make([]storedRecord, 0, len(records))}
+	for _, r := range records {
+		v.Records = append(v.Records, storedRecord{
+			Fingerprint: r.Fingerprint.String(), Crash: string(r.Crash), At: r.At.UnixMilli(), Cleared: r.Cleared,
+		})
+	}
+	return json.Marshal(v)
+}
+
+// publish writes the object of this entry whenever the store lacks a record.
+func (p *Publisher) publish() {
+	for p.ctx.Err() == nil {
+		records, changed := p.options.Quarantiner.Records()
+		if next, stored, ok := p.next(records); ok {
+			if err := p.write(next, stored); err != nil {
+				p.options.Log.Warn().Err(err).Msg("publisher: cannot write records of crashes, retrying")
+				p.sleep(retryDelay)
+			}
+			continue
+		}
+		p.deleteExpired()
+		select {
+		case <-changed:
+		case <-p.received:
+		case <-p.ctx.Done():
+		}
+		p.sleep(batchTime)
+	}
+}
+
+// deleteExpired deletes objects of other entries that hold only records that no longer
+// count, such as those of entries that were removed.
+func (p *Publisher) deleteExpired() {
+	p.mu.Lock()
+	expired := make(map[string]carawaybeam.StoreVersion)
+	for name, o := range p.objects {
+		if name != p.options.Name && !slices.ContainsFunc(o.records, quarantiner.Record.Counts) {
+			expired[name] = o.version
+		}
+	}
+	p.mu.Unlock()
+	for name, version := range expired {
+		if _, err := p.options.Store.Delete(p.ctx, carawaybeam.KindCrashes, name, version); err != nil {
+			p.options.Log.Debug().
+				Err(err).
+				Str("object", name).
+				Msg("publisher: cannot delete expired records of crashes")
+			continue
+		}
+		p.apply(carawaybeam.Object{Name: name, Deleted: true})
+	}
+}
+
+func (p *Publisher) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.ctx.Done():
+	}
+}
+
+// next returns the records that the object of this entry should hold, and the version of
+// the object. It returns false if the store has all records already, or has not been
+// read.
+func (p *Publisher) next(records []quarantiner.Record) ([]quarantiner.Record, carawaybeam.StoreVersion, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.loaded {
+		return nil, 0, false
+	}
+	elsewhere, own := make(map[key]bool), make(map[key]bool)
+	for name, o := range p.objects {
+		stored := elsewhere
+		if name == p.options.Name {
+			stored = own
+		}
+		for _, r := range o.records {
+			k := key{fingerprint: r.Fingerprint, crash: r.Crash}
+			stored[k] = stored[k] || r.Cleared
+		}
+	}
+	var next []quarantiner.Record
+	missing := false
+	for _, r := range records {
+		k := key{fingerprint: r.Fingerprint, crash: r.Crash}
+		clearedElsewhere, inOther := elsewhere[k]
+		clearedOwn, inOwn := own[k]
+		if inOther && (clearedElsewhere || !r.Cleared) && !inOwn {
+			continue
+		}
+		missing = missing || !inOwn || r.Cleared && !clearedOwn && !clearedElsewhere
+		if len(next) < maxRecords {
+			next = append(next, r)
+		}
+	}
+	return next, p.objects[p.options.Name].version, missing
+}
+
+// write writes the object of this entry.
+func (p *Publisher) write(records []quarantiner.Record, stored carawaybeam.StoreVersion) error {
+	data, err := encode(records)
+	if err != nil {
+		return err
+	}
+	own := carawaybeam.Object{Kind: carawaybeam.KindCrashes, Name: p.options.Name, Value: data}
+	own.Version, err = p.options.Store.Put(p.ctx, own, stored)
+	if err == nil {
+		p.apply(own)
+		return nil
+	}
+	var failed *carawaybeam.StoreError
+	if !errors.As(err, &failed) || failed.Failure != carawaybeam.StoreConflict &&
+		failed.Failure != carawaybeam.StoreNotFound {
+		return err
+	}
+	// The object was written by an earlier incarnation or by a call whose answer was
+	// lost, or it was deleted.
+	current, err := p.options.Store.Get(p.ctx, carawaybeam.KindCrashes, p.options.Name)
+	if errors.As(err, &failed) && failed.Failure == carawaybeam.StoreNotFound {
+		current, err = carawaybeam.Object{Name: p.options.Name, Deleted: true}, nil
+	}
+	if err != nil {
+		return err
+	}
+	p.apply(current)
+	return nil
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,9 +1,10 @@
 // Package quarantiner records the requests that were running when a backend server
-// crashed. A request that was running in two crashes is quarantined, which means
-// that it is refused until an hour has passed since the second crash.
+// crashed and determines which of them caused the crashes. Those are quarantined,
+// which means that they are refused until an hour has passed since their last crash.
 //
-// Each crash has an identifier, so that it is counted once even if it is reported
-// over several links.
+// Each crash has an identifier, so that it is counted once even if several processes
+// report it. A crash no longer counts against a request that was answered since,
+// because a request that crashes backend servers is never answered.
 package quarantiner
 
 import (
@@ -23,22 +24,29 @@
 	// retention is how long a suspect is kept after its last crash.
 	retention = time.Hour
 
-	// maxSuspects is the maximum number of suspects that are kept.
+	// maxSuspects is the maximum number of suspects that are kept, and maxCrashes
+	// the maximum number of crashes that are kept of one.
 	maxSuspects = 4096
+	maxCrashes  = 8
 
 	// quarantineCrashes is the number of crashes after which a request is
-	// quarantined.
+	// quarantined if no other request explains them.
 	quarantineCrashes = 2
+
+	// maxSharedCrashes is the number of crashes after which a request is
+	// quarantined even if another one was running in all of them. One request runs
+	// beside another that often only if the two always run together.
+	maxSharedCrashes = 4
 )
 
 const (
-	// Clear is the status of a request that was not running in any crash.
+	// Clear is the status of a request without a crash that counts against it.
 	Clear Status = iota
-	// Suspect is the status of a request that was running in one crash. It runs
-	// on one backend server at a time.
+	// Suspect is the status of a request that may have caused a crash. On linked
+	// backend servers it runs on one at a time.
 	Suspect
-	// Quarantined is the status of a request that is refused because it was
-	// running in several crashes.
+	// Quarantined is the status of a request that is refused because it caused
+	// several crashes.
 	Quarantined
 )
 
@@ -49,17 +57,29 @@
 	// Status determines how a request is treated.
 	Status int
 
+	// Record states that a request was running in a crash.
+	Record struct {
+		Fingerprint Fingerprint
+		Crash       CrashID
+		// At is when the crash was recorded.
+		At time.Time
+		// Cleared is set if the crash does not count against the request.
+		Cleared bool
+	}
+
 	// Quarantiner keeps the suspects. It is safe for concurrent use.
 	Quarantiner struct {
 		mu       sync.Mutex
 		suspects map[Fingerprint]*suspect
-		sequence uint64
-		changed  chan struct{}
+		// quarantined is derived from suspects after each change.
+		quarantined map[Fingerprint]struct{}
+		sequence    uint64
+		changed     chan struct{}
 	}
 
 	// suspect is a request that was running in at least one crash.
 	suspect struct {
-		crashes   []CrashID
+		records   []Record
 		lastCrash time.Time
 		// sequence is the sequence number of the last change.
 		sequence uint64
@@ -74,57 +94,118 @@
 
 // New returns a Quarantiner without suspects.
 func New() *Quarantiner {
-	return &Quarantiner{suspects: make(map[Fingerprint]*suspect), changed: make(chan struct{})}
+	return &Quarantiner{
+		suspects:    make(map[Fingerprint]*suspect),
+		quarantined: make(map[Fingerprint]struct{}),
+		changed:     make(chan struct{}),
+	}
 }
 
 // Add records that a request was running during a crash.
 func (q *Quarantiner) Add(fingerprint Fingerprint, crash CrashID) {
-	if fingerprint == "" || crash == "" {
+	q.Merge([]Record{{Fingerprint: fingerprint, Crash: crash, At: time.Now()}})
+}
+
+// Acquit records that a crash does not count against a request, because the backend
+// server answered the request or did not run it.
+func (q *Quarantiner) Acquit(fingerprint Fingerprint, crash CrashID) {
+	q.Merge([]Record{{Fingerprint: fingerprint, Crash: crash, At: time.Now(), Cleared: true}})
+}
+
+// Clear records that a request was answered, so that no crash so far counts against it.
+func (q *Quarantiner) Clear(fingerprint Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known, ok := q.suspects[fingerprint]
+	if !ok || len(known.counted()) == 0 {
 		return
 	}
+	for i := range known.records {
+		known.records[i].Cleared = true
+	}
+	q.sequence++
+	known.sequence = q.sequence
+	q.update()
+}
+
+// Merge adds records, which may come from other processes.
+func (q *Quarantiner) Merge(records []Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.add(fingerprint, crash) {
-		q.notify()
+	changed := false
+	for _, r := range records {
+		changed = q.add(r) || changed
+	}
+	if changed {
+		q.update()
 	}
 }
 
-// add records a crash and reports whether it was new for the request. The caller
-// holds mu.
-func (q *Quarantiner) add(fingerprint Fingerprint, crash CrashID) bool {
-	known, ok := q.suspects[fingerprint]
+// add adds a record and reports whether it was new. The caller holds mu.
+func (q *Quarantiner) add(r Record) bool {
+	if r.Fingerprint == "" || r.Crash == "" || !r.Counts() {
+		return false
+	}
+	known, ok := q.suspects[r.Fingerprint]
 	if !ok {
 		q.evict()
 		known = &suspect{}
-		q.suspects[fingerprint] = known
+		q.suspects[r.Fingerprint] = known
 	}
-	if slices.Contains(known.crashes, crash) || len(known.crashes) >= quarantineCrashes {
+	i := slices.IndexFunc(known.records, func(other Record) bool { return other.Crash == r.Crash })
+	switch {
+	case i >= 0 && (known.records[i].Cleared || !r.Cleared), i < 0 && len(known.records) >= maxCrashes:
 		return false
+	case i >= 0:
+		known.records[i].Cleared = true
+	default:
+		known.records = append(known.records, r)
+		if r.At.After(known.lastCrash) {
+			known.lastCrash = r.At
+		}
 	}
 	q.sequence++
-	known.crashes = append(known.crashes, crash)
-	known.lastCrash = time.Now()
 	known.sequence = q.sequence
 	return true
 }
 
-// evict removes the suspect with the oldest last crash if there is no room for
-// another one. The caller holds mu.
+// Counts reports whether the record is recent enough to matter.
+func (r Record) Counts() bool { return time.Since(r.At) <= retention }
+
+// counted returns the crashes that count against the suspect.
+func (s *suspect) counted() []CrashID {
+	var crashes []CrashID
+	for _, r := range s.records {
+		if !r.Cleared {
+			crashes = append(crashes, r.Crash)
+		}
+	}
+	return crashes
+}
+
+// evict removes a suspect if there is no room for another one: the one with the fewest
+// crashes and, of these, the oldest last crash. The caller holds mu.
 func (q *Quarantiner) evict() {
 	if len(q.suspects) < maxSuspects {
 		return
 	}
-	var oldest Fingerprint
+	var least Fingerprint
 	for fingerprint, s := range q.suspects {
-		if oldest == "" || s.lastCrash.Before(q.suspects[oldest].lastCrash) {
-			oldest = fingerprint
+		if least == "" || compareWeight(s, q.suspects[least]) < 0 {
+			least = fingerprint
 		}
 	}
-	delete(q.suspects, oldest)
+	delete(q.suspects, least)
+}
+
+func compareWeight(a, b *suspect) int {
+	return cmp.Or(cmp.Compare(len(a.counted()), len(b.counted())), a.lastCrash.Compare(b.lastCrash))
 }
 
-// notify signals a change to all subscriptions. The caller holds mu.
-func (q *Quarantiner) notify() {
+// update derives what follows from a change and signals the change to all
+// subscriptions. The caller holds mu.
+func (q *Quarantiner) update() {
+	q.quarantined = findCulprits(q.suspects)
 	close(q.changed)
 	q.changed = make(chan struct{})
 }
@@ -139,13 +220,44 @@
 		return Clear
 	case time.Since(known.lastCrash) > retention:
 		delete(q.suspects, fingerprint)
+		delete(q.quarantined, fingerprint)
 		return Clear
-	case len(known.crashes) >= quarantineCrashes:
+	}
+	if _, quarantined := q.quarantined[fingerprint]; quarantined {
 		return Quarantined
 	}
+	if len(known.counted()) == 0 {
+		return Clear
+	}
 	return Suspect
 }
 
+// Crashes returns the crashes that count against a request.
+func (q *Quarantiner) Crashes(fingerprint Fingerprint) []CrashID {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if known, ok := q.suspects[fingerprint]; ok {
+		return known.counted()
+	}
+	return nil
+}
+
+// Records returns all records that are not older than retention, and a channel that is
+// closed at the next change.
+func (q *Quarantiner) Records() ([]Record, <-chan struct{}) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var records []Record
+	for _, s := range q.suspects {
+		for _, r := range s.records {
+			if r.Counts() {
+				records = append(records, r)
+			}
+		}
+	}
+	return records, q.changed
+}
+
 // ChangedSince returns the suspects that changed after a sequence number, the
 // current sequence number, and a channel that is closed at the next change. The
 // suspects are ordered by fingerprint.
@@ -165,37 +277,35 @@
 }
 
 func encode(fingerprint Fingerprint, s *suspect) *framer.Suspect {
-	ids := make([]string, 0, len(s.crashes))
-	for _, crash := range s.crashes {
-		ids = append(ids, string(crash))
+	encoded := &framer.Suspect{Fingerprint: []byte(fingerprint)}
+	for _, crash := range s.counted() {
+		encoded.CrashIds = append(encoded.CrashIds, string(crash))
 	}
-	return &framer.Suspect{Fingerprint: []byte(fingerprint), Crashes: uint32(len(ids)), CrashIds: ids}
+	encoded.Crashes = uint32(len(encoded.CrashIds))
+	return encoded
 }
 
-// Merge adds the crashes of suspects that a peer sent.
-func (q *Quarantiner) Merge(suspects []*framer.Suspect) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	added := false
+// MergeFrame adds the crashes of suspects that a peer sent.
+func (q *Quarantiner) MergeFrame(suspects []*framer.Suspect) {
+	now := time.Now()
+	var records []Record
 	for _, s := range suspects {
+		fingerprint := Fingerprint(s.GetFingerprint())
 		for _, crash := range s.GetCrashIds() {
-			added = q.add(Fingerprint(s.GetFingerprint()), CrashID(crash)) || added
+			records = append(records, Record{Fingerprint: fingerprint, Crash: CrashID(crash), At: now})
 		}
 	}
-	if added {
-		q.notify()
-	}
+	q.Merge(records)
 }
 
 // State returns the state dump.
 func (q *Quarantiner) State() State {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var state State
+	state := State{Quarantined: len(q.quarantined)}
 	for _, s := range q.suspects {
-		state.Suspects++
-		if len(s.crashes) >= quarantineCrashes {
-			state.Quarantined++
+		if len(s.counted()) > 0 {
+			state.Suspects++
 		}
 	}
 	return state
--- a/store.go
+++ b/store.go
@@ -37,6 +37,9 @@
 	// KindEntry is the kind of objects that register the entries to which the
 	// statuses of backend servers are sent.
 	KindEntry StoreKind = "entry"
+	// KindCrashes is the kind of objects in which entries record the requests that
+	// were running when backend servers crashed.
+	KindCrashes StoreKind = "crashes"
 	// KindSettings is the kind of objects that hold the settings of the whole
 	// installation.
 	KindSettings StoreKind = "settings"
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -221,7 +221,7 @@
 			return
 		}
 		exchange.Receive(frame)
-		m.tracker.options.Quarantiner.Merge(frame.GetSuspects().GetSuspects())
+		m.tracker.options.Quarantiner.MergeFrame(frame.GetSuspects().GetSuspects())
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
 			m.applyReport(heartbeat, carawaybeam.ConfigVersion(frame.GetConfigVersion()))
 			m.setLink(link)
