Withhold the reserve of retries for a window after a start

What callers see: nothing yet; rule BUDGET could break when entries are killed. The bound on retries holds for all entries together, but each process counted only its own. A restarted entry had its share of the reserve anew within the same window, and the whole reserve until the store had told it how many entries there are.

Now the reserve is available one window after the start of the process, when no earlier incarnation can have used it in the same window, and not before the number of entries is known.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -298,7 +298,9 @@
 		return err
 	}
 	e.router = router
-	e.retrier = quota.New(quota.Options{Bound: retryBound(e.settings.Direct.Retries), Entries: e.entries.Len})
+	e.retrier = quota.New(quota.Options{
+		Bound: retryBound(e.settings.Direct.Retries), Entries: e.entries.Len, Started: time.Now(),
+	})
 	admin, err := starter.Listen("operators", e.settings.Admin)
 	if err != nil {
 		return err
--- a/retrier/quota/retrier.go
+++ b/retrier/quota/retrier.go
@@ -40,17 +40,23 @@
 	// Options configures a Retrier.
 	Options struct {
 		Bound Bound
-		// Entries returns the number of entries that share the reserve.
+		// Entries returns the number of entries that share the reserve, or 0 if it
+		// is not known yet.
 		Entries func() int
+		// Started is when the process started. The reserve is available one window
+		// later, because an earlier incarnation may have used it shortly before.
+		Started time.Time
 	}
 
 	// Retrier counts the requests and retries of each class.
 	Retrier struct {
 		entries func() int
 
-		mu     sync.Mutex
-		bound  Bound
-		counts map[carawaybeam.ClassID]*count
+		mu    sync.Mutex
+		bound Bound
+		// reserveSince is the time since which the reserve may have been in use.
+		reserveSince time.Time
+		counts       map[carawaybeam.ClassID]*count
 	}
 
 	// count holds the requests and retries of a window in a ring of buckets.
@@ -76,18 +82,21 @@
 // New returns a Retrier without any counted requests.
 func New(options Options) *Retrier {
 	return &Retrier{
-		entries: options.Entries,
-		bound:   options.Bound,
-		counts:  make(map[carawaybeam.ClassID]*count),
+		entries:      options.Entries,
+		bound:        options.Bound,
+		reserveSince: options.Started,
+		counts:       make(map[carawaybeam.ClassID]*count),
 	}
 }
 
-// SetBound replaces the bound. If the window changes, all counts are reset.
+// SetBound replaces the bound. If the window changes, all counts are reset, and the
+// reserve is available one window later.
 func (r *Retrier) SetBound(bound Bound) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if bound.Window != r.bound.Window {
 		clear(r.counts)
+		r.reserveSince = time.Now()
 	}
 	r.bound = bound
 }
@@ -109,7 +118,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.count(now, request.Class.ID)
-	if r.left(c) < 1 {
+	if r.left(now, c) < 1 {
 		return carawaybeam.RetryDecision{}
 	}
 	c.retries[c.index()]++
@@ -123,19 +132,22 @@
 	state := State{Left: make(map[carawaybeam.ClassID]float64, len(r.counts))}
 	now := time.Now()
 	for class := range r.counts {
-		state.Left[class] = r.left(r.count(now, class))
+		state.Left[class] = r.left(now, r.count(now, class))
 	}
 	return state
 }
 
 // left returns the remaining retries. The caller holds mu.
-func (r *Retrier) left(c *count) float64 {
+func (r *Retrier) left(now time.Time, c *count) float64 {
 	requests, retries := 0, 0
 	for i := range c.requests {
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	reserve := r.bound.Reserve / float64(max(1, r.entries()))
+	reserve := 0.0
+	if entries := r.entries(); entries > 0 && now.Sub(r.reserveSince) >= r.bound.Window {
+		reserve = r.bound.Reserve / float64(entries)
+	}
 	return safety*(r.bound.Ratio*float64(requests)+reserve) - float64(retries)
 }
 
