Clear requests of crashes on the linked path when they are answered

What callers saw: a request that many callers send, and that backend servers answer all the time, was refused for an hour once it had been running in two crashes that others caused, and before that ran on one backend server at a time.

Cause: a crash counted against a request for an hour, whatever happened since. The direct path clears a request that is answered; a promise that holds on one path only.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -274,6 +274,7 @@
 			d.options.Recorder.Attempted(request.ID, number, backend, failure)
 		}
 		if failure == nil {
+			d.options.Quarantiner.Clear(request.fingerprint())
 			return nil
 		}
 		p.mayHaveRun = p.mayHaveRun || failure.Outcome != carawaybeam.OutcomeNotRun
--- a/dispatcher/promise_test.go
+++ b/dispatcher/promise_test.go
@@ -449,3 +449,26 @@
 		},
 	}.run(t)
 }
+
+// TestPromisePoisonRequestPopular guards against the quarantine of a popular request that
+// backend servers answer all the time, after it was running in crashes that it did not
+// cause. Callers send the same request through all entries while backend servers crash.
+func TestPromisePoisonRequestPopular(t *testing.T) {
+	promiseTest{
+		promise: prover.PoisonRequest,
+		generate: func(s *script) {
+			const span = 16 * time.Second
+			for at := time.Duration(0); at < span; at += 50*time.Millisecond + s.within(100*time.Millisecond) {
+				s.add(at, assembler.Event{
+					Do: assembler.ActionRequest, Entry: s.entry(), Class: assembler.ClassLookups, Body: "popular",
+				})
+			}
+			for n := range 4 {
+				at, slot := time.Duration(3*n)*time.Second+s.within(2*time.Second), s.slot()
+				s.add(at, assembler.Event{Do: assembler.ActionCrashBackend, Slot: slot})
+				s.add(at+time.Second, assembler.Event{Do: assembler.ActionRecoverBackend, Slot: slot})
+			}
+		},
+		violations: func(v assembler.Evaluation) int { return v.Quarantined },
+	}.run(t)
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -278,14 +278,18 @@
 
 func encode(fingerprint Fingerprint, s *suspect) *framer.Suspect {
 	encoded := &framer.Suspect{Fingerprint: []byte(fingerprint)}
-	for _, crash := range s.counted() {
-		encoded.CrashIds = append(encoded.CrashIds, string(crash))
+	for _, r := range s.records {
+		if r.Cleared {
+			encoded.ClearedCrashIds = append(encoded.ClearedCrashIds, string(r.Crash))
+		} else {
+			encoded.CrashIds = append(encoded.CrashIds, string(r.Crash))
+		}
 	}
 	encoded.Crashes = uint32(len(encoded.CrashIds))
 	return encoded
 }
 
-// MergeFrame adds the crashes of suspects that a peer sent.
+// MergeFrame adds the records of suspects that a peer sent.
 func (q *Quarantiner) MergeFrame(suspects []*framer.Suspect) {
 	now := time.Now()
 	var records []Record
@@ -294,6 +298,9 @@
 		for _, crash := range s.GetCrashIds() {
 			records = append(records, Record{Fingerprint: fingerprint, Crash: CrashID(crash), At: now})
 		}
+		for _, crash := range s.GetClearedCrashIds() {
+			records = append(records, Record{Fingerprint: fingerprint, Crash: CrashID(crash), At: now, Cleared: true})
+		}
 	}
 	q.Merge(records)
 }
