Wait for other entries' records before a request is refused for its crashes

What callers saw: of 1,768 requests beside four that crash backend servers, two were answered 502 with reason quarantined. They had been running in two crashes, each time beside the request that caused them, which had come through other entries.

Cause: the entry judged by what it knew itself in the first milliseconds after the second crash. The records that explain the crash were on their way through the store.

An entry now waits until 250 ms have passed since it recorded the last crash before it refuses a request for it; all others are not delayed. TestOtherEntryExplainsCrashes failed before. The soak takes any answer that names the quarantine for a violation, also 502, unless the request crashes backend servers.

--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -22,6 +22,10 @@
 	// maxAnswerBytes is the maximum size of an answer that is not a stream.
 	maxAnswerBytes = 8 << 20
 
+	// crashShareTime is the time in which all entries learn of a crash while the store
+	// answers.
+	crashShareTime = 250 * time.Millisecond
+
 	// minTimeLeft is the time before the deadline within which no further
 	// attempt begins.
 	minTimeLeft = 20 * time.Millisecond
@@ -119,7 +123,7 @@
 // runAttempts makes attempts until one of them delivers the answer or no further
 // attempt is allowed.
 func (f *Forwarder) runAttempts(ctx context.Context, p *pendingRequest) *carawaybeam.RequestError {
-	if f.isQuarantined(p) {
+	if f.isQuarantined(ctx, p) {
 		return f.quarantineError(p)
 	}
 	now := time.Now()
@@ -151,7 +155,7 @@
 			f.options.Quarantiner.Clear(p.fingerprint)
 			return nil
 		}
-		if f.isQuarantined(p) {
+		if f.isQuarantined(ctx, p) {
 			return f.finish(p, result{failure: f.quarantineError(p), held: r.held})
 		}
 		if !f.mayRetry(ctx, p, r) {
@@ -165,8 +169,19 @@
 	}
 }
 
-// isQuarantined reports whether the request crashes the backend servers that run it.
-func (f *Forwarder) isQuarantined(p *pendingRequest) bool {
+// isQuarantined reports whether the request crashes the backend servers that run it. If
+// its last crash was recorded just now, isQuarantined first leaves the other entries time
+// to share what they know of it: the cause may be a request that one of them sent.
+func (f *Forwarder) isQuarantined(ctx context.Context, p *pendingRequest) bool {
+	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
+		return false
+	}
+	timer := time.NewTimer(crashShareTime - time.Since(f.options.Quarantiner.LastRecorded(p.fingerprint)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	return f.options.Quarantiner.Status(p.fingerprint) == quarantiner.Quarantined
 }
 
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -420,6 +421,27 @@
 	}
 }
 
+// TestOtherEntryExplainsCrashes guards against the refusal of a request that ran beside
+// one that crashes backend servers, when only another entry knows of the latter.
+func TestOtherEntryExplainsCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newEnvironment(broken(), broken(), whole("x"))
+		env.routing.Routes[0].MaxAttempts = 3
+		env.instances = append(env.instances, env.instances[0])
+		env.instances[2].ID = "c"
+		env.refusing = "10.0.0.1:80"
+		env.quarantiner = quarantiner.New()
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, crash := range []quarantiner.CrashID{"a@0", "b@0", "c@0", "d@0"} {
+				env.quarantiner.Add("culprit", crash)
+			}
+		})
+		_, failure := env.serve(request(carawaybeam.RouteSafe))
+		is.True(failure == nil)
+	})
+}
+
 // TestAnswerClearsSuspect checks that a request that was cut off by a crash and is
 // answered by another backend server does not stay suspect.
 func TestAnswerClearsSuspect(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -81,6 +81,8 @@
 	suspect struct {
 		records   []Record
 		lastCrash time.Time
+		// recorded is when the last crash was added to records here.
+		recorded time.Time
 		// sequence is the sequence number of the last change.
 		sequence uint64
 	}
@@ -160,6 +162,7 @@
 		known.records[i].Cleared = true
 	default:
 		known.records = append(known.records, r)
+		known.recorded = time.Now()
 		if r.At.After(known.lastCrash) {
 			known.lastCrash = r.At
 		}
@@ -242,6 +245,17 @@
 	return nil
 }
 
+// LastRecorded returns when a crash was last recorded here against a request, or the zero
+// time.
+func (q *Quarantiner) LastRecorded(fingerprint Fingerprint) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if known, ok := q.suspects[fingerprint]; ok {
+		return known.recorded
+	}
+	return time.Time{}
+}
+
 // Records returns all records that are not older than retention, and a channel that is
 // closed at the next change.
 func (q *Quarantiner) Records() ([]Record, <-chan struct{}) {
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/platform/emulator"
 )
 
@@ -74,7 +75,13 @@
 	return result
 }
 
-const timeFormat = "15:04:05.000"
+const (
+	timeFormat = "15:04:05.000"
+
+	// quarantined begins the body of an answer that an entry gives to a quarantined
+	// request.
+	quarantined = string(carawaybeam.ReasonQuarantined)
+)
 
 func isRefusal(status int) bool {
 	switch status {
@@ -102,7 +109,7 @@
 		return "success that no backend server has sealed"
 	case status == http.StatusOK && s.reply.Body != want:
 		return fmt.Sprintf("answer of %d bytes differs from the expected one of %d bytes", len(s.reply.Body), len(want))
-	case status == http.StatusTooManyRequests && !s.crashes():
+	case !s.crashes() && (status == http.StatusTooManyRequests || strings.HasPrefix(s.reply.Body, quarantined)):
 		return "refused as if it crashed backend servers"
 	case status == http.StatusUnauthorized && h.keyMayBeUnknown(s), isRefusal(status):
 		return ""
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -80,7 +80,7 @@
 			s.path, r.Path, s.reply.Status, h.finalPhase = "/look/orders", "/look/orders", 503, at(0)
 		}, true},
 		"refused as crashing": {func(_ *history, s *sentRequest, r *emulator.Run) {
-			s.path, r.Path, s.reply.Status = "/look/orders", "/look/orders", 429
+			s.path, r.Path, s.reply.Status, s.reply.Body = "/look/orders", "/look/orders", 502, "quarantined\n"
 		}, true},
 		"changed request":    {func(_ *history, _ *sentRequest, r *emulator.Run) { r.Exact = false }, true},
 		"other organisation": {func(_ *history, _ *sentRequest, r *emulator.Run) { r.Organisation = "office" }, true},
