--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -27,6 +27,11 @@
 	// maxPairGap limits the time from the first fault of a pair to the second.
 	maxPairGap = time.Second
 
+	// A run has up to maxCrashingRequests requests that crash backend servers. They
+	// are drawn from the random numbers of the stream crashingStream.
+	maxCrashingRequests = 2
+	crashingStream      = 1 << 32
+
 	// linkDelay is the delay of a slow link, storeDelay that of a slow store, and
 	// lateWriteDelay the time after which a late write takes effect.
 	linkDelay      = 150 * time.Millisecond
@@ -195,7 +200,8 @@
 }
 
 // newSchedule returns the faults of a run: random ones, with equal probability for each
-// kind except those of callers, and one pair. Consecutive seeds use the pairs in turn.
+// kind except those of callers, one pair, and requests that crash backend servers.
+// Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
 		return kinds[name].scope == onCaller
@@ -209,7 +215,21 @@
 		f.target = kinds[f.kind].scope.pickTarget(random, options)
 		faults = append(faults, f)
 	}
-	return append(faults, newPair(random, options)...)
+	faults = append(faults, newPair(random, options)...)
+	return append(faults, newCrashingRequests(options)...)
+}
+
+// newCrashingRequests returns up to maxCrashingRequests requests that crash backend
+// servers. They do not depend on the other faults of the seed.
+func newCrashingRequests(options Options) []fault {
+	random := rand.New(rand.NewPCG(options.Seed, crashingStream))
+	requests := make([]fault, random.IntN(maxCrashingRequests+1))
+	for i, target := range random.Perm(len(paths))[:len(requests)] {
+		requests[i] = fault{
+			at: time.Duration(random.Int64N(int64(options.FaultWindow))), kind: "crashingRequest", target: target,
+		}
+	}
+	return requests
 }
 
 func newPair(random *rand.Rand, options Options) []fault {
