Write cleared records of crashes at most once a second

After a crash the requests that it cut off are answered elsewhere one after another, and each answer led to a write by the entry and an event at all others. Crashes are still written at once.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -26,14 +26,34 @@
 	// because one crash affects several requests at about the same time.
 	batchTime = 10 * time.Millisecond
 
+	// clearedInterval is the minimum time between a write and one that adds only
+	// cleared records, which are less urgent. After a crash, the requests that it cut
+	// off are answered elsewhere one after another.
+	clearedInterval = time.Second
+
 	// retryDelay is the delay before a failed write is retried.
 	retryDelay = 300 * time.Millisecond
 
+	// idleInterval is how often expired objects are looked for.
+	idleInterval = 10 * time.Minute
+
 	// maxRecords is the maximum number of records in an object.
 	maxRecords = 4096
 )
 
+const (
+	// lackNothing means that the store has all records.
+	lackNothing lack = iota
+	// lackCleared means that the store lacks cleared records only.
+	lackCleared
+	// lackCrash means that the store lacks a crash that counts against a request.
+	lackCrash
+)
+
 type (
+	// lack is what the store lacks of the records.
+	lack int
+
 	// Options configures a Publisher.
 	Options struct {
 		Store carawaybeam.Store
@@ -186,21 +206,31 @@
 
 // publish writes the object of this entry whenever the store lacks a record.
 func (p *Publisher) publish() {
+	var written time.Time
 	for p.ctx.Err() == nil {
 		records, changed := p.options.Quarantiner.Records()
-		if next, stored, ok := p.next(records); ok {
-			if err := p.write(next, stored); err != nil {
+		next, lack := p.next(records)
+		wait := clearedInterval - time.Since(written)
+		switch {
+		case lack == lackCrash || lack == lackCleared && wait <= 0:
+			if err := p.write(next); err != nil {
 				p.options.Log.Warn().Err(err).Msg("publisher: cannot write records of crashes, retrying")
 				p.sleep(retryDelay)
 			}
+			written = time.Now()
 			continue
+		case lack == lackNothing:
+			p.deleteExpired()
+			wait = idleInterval
 		}
-		p.deleteExpired()
+		timer := time.NewTimer(wait)
 		select {
 		case <-changed:
 		case <-p.received:
+		case <-timer.C:
 		case <-p.ctx.Done():
 		}
+		timer.Stop()
 		p.sleep(batchTime)
 	}
 }
@@ -237,14 +267,13 @@
 	}
 }
 
-// next returns the records that the object of this entry should hold, and the version of
-// the object. It returns false if the store has all records already, or has not been
-// read.
-func (p *Publisher) next(records []quarantiner.Record) ([]quarantiner.Record, carawaybeam.StoreVersion, bool) {
+// next returns the records that the object of this entry should hold, and what the store
+// lacks of them.
+func (p *Publisher) next(records []quarantiner.Record) ([]quarantiner.Record, lack) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.loaded {
-		return nil, 0, false
+		return nil, lackNothing
 	}
 	elsewhere, own := make(map[key]bool), make(map[key]bool)
 	for name, o := range p.objects {
@@ -258,24 +287,32 @@
 		}
 	}
 	var next []quarantiner.Record
-	missing := false
+	lacks := lackNothing
 	for _, r := range records {
 		k := key{fingerprint: r.Fingerprint, crash: r.Crash}
 		clearedElsewhere, inOther := elsewhere[k]
 		clearedOwn, inOwn := own[k]
-		if inOther && (clearedElsewhere || !r.Cleared) && !inOwn {
+		if !inOwn && inOther && (clearedElsewhere || !r.Cleared) {
 			continue
 		}
-		missing = missing || !inOwn || r.Cleared && !clearedOwn && !clearedElsewhere
+		switch {
+		case !r.Cleared && !inOwn:
+			lacks = lackCrash
+		case r.Cleared && !clearedOwn && !clearedElsewhere:
+			lacks = max(lacks, lackCleared)
+		}
 		if len(next) < maxRecords {
 			next = append(next, r)
 		}
 	}
-	return next, p.objects[p.options.Name].version, missing
+	return next, lacks
 }
 
 // write writes the object of this entry.
-func (p *Publisher) write(records []quarantiner.Record, stored carawaybeam.StoreVersion) error {
+func (p *Publisher) write(records []quarantiner.Record) error {
+	p.mu.Lock()
+	stored := p.objects[p.options.Name].version
+	p.mu.Unlock()
 	data, err := encode(records)
 	if err != nil {
 		return err
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -140,7 +140,7 @@
 		entries[0].Add("a", "1")
 		time.Sleep(shareTime)
 		entries[1].Clear("a")
-		time.Sleep(shareTime)
+		time.Sleep(2 * shareTime)
 		for _, e := range entries {
 			is.Equal(e.Status("a"), quarantiner.Clear)
 			e.close()
@@ -148,8 +148,8 @@
 	})
 }
 
-// TestWritesAreBounded checks that an entry writes once for a crash, and that others do
-// not repeat what the store has.
+// TestWritesAreBounded checks that an entry writes once for a crash, that others do not
+// repeat what the store has, and that cleared records are written together.
 func TestWritesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -158,8 +158,13 @@
 		for i := range 12 {
 			entries[0].Add(quarantiner.Fingerprint(fmt.Sprint(i)), "1")
 		}
+		time.Sleep(shareTime)
+		for i := range 12 { // They are answered one after another.
+			entries[i%5].Clear(quarantiner.Fingerprint(fmt.Sprint(i)))
+			time.Sleep(100 * time.Millisecond)
+		}
 		time.Sleep(time.Minute)
-		is.True(store.Counts().Writes <= 1+2)
+		is.True(store.Counts().Writes <= 1+2+2*5)
 		for _, e := range entries {
 			e.close()
 		}
