Wait for stand-ins and agents to listen before tests ask them

TestPromiseOneMapProcesses read the history of the group's stand-in, and TestAgentWithoutBackendServerRunsNothing the readiness of the agent, as soon as the processes had been started. Both now wait for the first answer, and check the same as before.

--- a/cmd/cbentry/process_test.go
+++ b/cmd/cbentry/process_test.go
@@ -309,6 +309,7 @@
 	start(t, "cbagent", agentSettings(links, agentAdmin, "http://"+service))
 	start(t, "cbentry", entrySettings(callers, admin, store.URL))
 	await(t, "the entry is ready", func() bool { return status("http://"+admin+"/readyz") == http.StatusOK })
+	await(t, "the agent answers", func() bool { return status("http://"+agentAdmin+"/readyz") != 0 })
 	is.Equal(status("http://"+agentAdmin+"/readyz"), http.StatusServiceUnavailable)
 	refused := book(t, callers)
 	is.Equal(refused.status/100, 5)
--- a/fakes/launcher/group.go
+++ b/fakes/launcher/group.go
@@ -78,7 +78,7 @@
 		}
 		g.Links, peers[rank] = append(g.Links, link), forwarded
 	}
-	if err := g.startRanks(options); err != nil {
+	if err := g.startRanks(ctx, options); err != nil {
 		return g, err
 	}
 	if err := f.startEntries(options.Entries); err != nil {
@@ -95,7 +95,8 @@
 	return g, g.configure(ctx, peers)
 }
 
-func (g *Group) startRanks(options GroupOptions) error {
+// startRanks starts the ranks and waits until they answer.
+func (g *Group) startRanks(ctx context.Context, options GroupOptions) error {
 	address, err := FreeAddress()
 	if err != nil {
 		return err
@@ -105,7 +106,21 @@
 		"cbfake", "-role", "group", "-listen", address,
 		"-ranks", fmt.Sprint(options.Ranks), fmt.Sprintf("-fencing=%t", options.CheckFencing),
 	)
-	return err
+	if err != nil {
+		return err
+	}
+	for {
+		var history json.RawMessage
+		err := FetchJSON(ctx, g.URL+"/history", &history)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(readyInterval):
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		}
+	}
 }
 
 func (g *Group) addAgent(rank int, address string, peers []string) error {
