Do not wait long for an unreachable backend server before the next attempt

A broken attempt waited up to 300 ms for the connection that tells whether its backend server has ended. Where it is unreachable, as behind a cut or on a VM that stopped, that time is lost to the next attempt, and clients leave 2 s after their request arrived. It now waits at most 50 ms; a result that comes later is recorded all the same. TestUnreachableDoesNotDelay failed before.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -28,6 +28,11 @@
 	// probeTimeout is the timeout for connecting to a backend server.
 	probeTimeout = 300 * time.Millisecond
 
+	// maxProbeWait is how long a broken attempt waits for the result. A refused
+	// connection takes a round trip; an unreachable backend server must not delay
+	// the next attempt.
+	maxProbeWait = 50 * time.Millisecond
+
 	// unreachableTime is how long after an attempt broke off the announcement of a
 	// later incarnation proves a crash, if the backend server could not be reached.
 	// A crashed backend server returns within some seconds.
@@ -224,7 +229,7 @@
 
 // BreakOff records that the attempt ended without a whole answer although it may have
 // run. It returns the crash that caused it, or "" if none is known when the backend
-// server has been probed or ctx ends.
+// server has been probed, when maxProbeWait has passed or when ctx ends.
 func (r *Run) BreakOff(ctx context.Context) quarantiner.CrashID {
 	d := r.detector
 	// A planned end of the backend server is no crash.
@@ -239,6 +244,8 @@
 	}
 	r.life.broken = append(r.life.broken, brokenRun{Run: r, at: now, until: now.Add(unreachableTime)})
 	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, maxProbeWait)
+	defer cancel()
 	d.awaitProbe(ctx, r.life, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
