Let only an answer show that a backend server lived on

A backend server that crashes and is back before the entry connects was taken for alive, unless its announcement came within a second; behind a cut it comes much later. A connection does not tell which incarnation accepted it. An attempt that broke off is now kept for 15 s, whatever the connection shows, and dropped once the same incarnation has answered a later request: requests name the incarnation that may answer them. A backend server that has announced that it leaves no longer counts as crashed when another one takes over its address.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -4,15 +4,16 @@
 // An attempt that breaks off may have been cut by the network, or its backend server
 // may have ended. The Detector therefore connects to the backend server: a refused
 // connection shows that no process listens there any more. If the backend server
-// cannot be reached, or has started again before the Detector connects, the
-// announcement of a later incarnation shows it. A backend server that has announced
-// that it leaves, or whose announcement is gone, is expected to end, which is no
-// crash.
+// cannot be reached, or has started again before the Detector connects, a later
+// incarnation that announces itself or answers shows it, unless the first one has
+// answered another request since. A backend server that has announced that it leaves,
+// or whose announcement is gone, is expected to end, which is no crash.
 package detector
 
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -33,15 +34,9 @@
 	// the next attempt.
 	maxProbeWait = 50 * time.Millisecond
 
-	// unreachableTime is how long after an attempt broke off the announcement of a
-	// later incarnation proves a crash, if the backend server could not be reached.
-	// A crashed backend server returns within some seconds.
-	unreachableTime = 15 * time.Second
-
-	// reachableTime is the same for a backend server that accepted a connection,
-	// which may be one that has just started again. It leaves time for its
-	// announcement to arrive.
-	reachableTime = time.Second
+	// returnTime is how long after an attempt broke off a later incarnation proves a
+	// crash. A crashed backend server returns within some seconds.
+	returnTime = 15 * time.Second
 
 	// sweepInterval is how often the state of unused incarnations is dropped.
 	sweepInterval = 10 * time.Second
@@ -95,6 +90,7 @@
 		request     carawaybeam.RequestID
 		fingerprint quarantiner.Fingerprint
 		life        *life
+		began       time.Time
 		// afterCrash is set if the attempt began after the crash of its backend
 		// server was recorded.
 		afterCrash bool
@@ -106,6 +102,8 @@
 		runs     map[*Run]struct{}
 		broken   []brokenRun
 		probe    *probe
+		// leaving is set once the backend server has announced that it leaves.
+		leaving bool
 		// crash identifies the crash that ended the incarnation, or is empty.
 		// crashed holds the attempts that it is laid to.
 		crash     quarantiner.CrashID
@@ -117,8 +115,6 @@
 	brokenRun struct {
 		*Run
 		at time.Time
-		// until is when the attempt is no longer considered.
-		until time.Time
 	}
 
 	// probe is one attempt to connect. done is closed when it has ended.
@@ -174,7 +170,10 @@
 		l = &life{instance: instance, runs: make(map[*Run]struct{})}
 		d.lives[instance.BackendIncarnation] = l
 	}
-	r := &Run{detector: d, request: request, fingerprint: fingerprint, life: l, afterCrash: l.crash != ""}
+	r := &Run{
+		detector: d, request: request, fingerprint: fingerprint, life: l,
+		began: time.Now(), afterCrash: l.crash != "",
+	}
 	l.runs[r] = struct{}{}
 	return r
 }
@@ -188,7 +187,7 @@
 	d.lastSweep = now
 	for incarnation, l := range d.lives {
 		l.forgetExpired(now)
-		if len(l.runs) == 0 && len(l.broken) == 0 && now.Sub(l.crashedAt) > unreachableTime {
+		if len(l.runs) == 0 && len(l.broken) == 0 && now.Sub(l.crashedAt) > returnTime {
 			delete(d.lives, incarnation)
 		}
 	}
@@ -196,13 +195,7 @@
 
 // forgetExpired drops attempts that are no longer considered.
 func (l *life) forgetExpired(now time.Time) {
-	kept := l.broken[:0]
-	for _, b := range l.broken {
-		if now.Before(b.until) {
-			kept = append(kept, b)
-		}
-	}
-	l.broken = kept
+	l.broken = slices.DeleteFunc(l.broken, func(b brokenRun) bool { return now.Sub(b.at) >= returnTime })
 }
 
 // End records that the attempt ended in a way that no crash explains. A crash that was
@@ -213,6 +206,10 @@
 	defer d.mu.Unlock()
 	l := r.life
 	delete(l.runs, r)
+	if ending == Answered {
+		// What broke off before this attempt began did not end the backend server.
+		l.broken = slices.DeleteFunc(l.broken, func(b brokenRun) bool { return b.at.Before(r.began) })
+	}
 	switch {
 	case l.crash == "" || ending == Abandoned:
 	case !r.afterCrash:
@@ -242,7 +239,7 @@
 		defer d.mu.Unlock()
 		return r.life.crash
 	}
-	r.life.broken = append(r.life.broken, brokenRun{Run: r, at: now, until: now.Add(unreachableTime)})
+	r.life.broken = append(r.life.broken, brokenRun{Run: r, at: now})
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, maxProbeWait)
 	defer cancel()
@@ -280,29 +277,24 @@
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
 	err := d.options.Probe(ctx, l.instance.Address)
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l.probe = nil
 	defer close(p.done)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		d.recordCrash(l, now, "connection refused")
-	case err == nil:
-		for i, b := range l.broken {
-			if !b.at.After(p.began) {
-				l.broken[i].until = now.Add(reachableTime)
-			}
-		}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.recordCrash(l, time.Now(), "connection refused")
 	}
 }
 
-// Announced records that a backend server has announced itself. It proves the crash of
-// earlier incarnations with the same identifier or address.
+// Announced records the announcement of a backend server. It proves the crash of earlier
+// incarnations with the same identifier or address that had not announced that they leave.
 func (d *Detector) Announced(instance carawaybeam.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if l, ok := d.lives[instance.BackendIncarnation]; ok && instance.Leaving {
+		l.leaving = true
+	}
 	for _, l := range d.lives {
 		same := l.instance.ID == instance.ID || l.instance.Address == instance.Address
 		if same && l.instance.Started < instance.Started {
@@ -325,7 +317,7 @@
 // running on it or broke off without a known reason. The caller holds mu.
 func (d *Detector) recordCrash(l *life, now time.Time, evidence string) {
 	l.forgetExpired(now)
-	if l.crash != "" || len(l.runs)+len(l.broken) == 0 {
+	if l.crash != "" || l.leaving || len(l.runs)+len(l.broken) == 0 {
 		return
 	}
 	l.crash, l.crashedAt = NewCrashID(l.instance.BackendIncarnation), now
