--- a/detector/detector.go
+++ b/detector/detector.go
@@ -78,7 +78,7 @@
 		wait    sync.WaitGroup
 
 		mu        sync.Mutex
-		lives     map[carawaybeam.BackendIncarnation]*life
+		instances map[carawaybeam.BackendIncarnation]*instanceState
 		lastSweep time.Time
 		crashes   uint64
 	}
@@ -89,15 +89,15 @@
 		detector    *Detector
 		request     carawaybeam.RequestID
 		fingerprint quarantiner.Fingerprint
-		life        *life
+		state       *instanceState
 		began       time.Time
 		// afterCrash is set if the attempt began after the crash of its backend
 		// server was recorded.
 		afterCrash bool
 	}
 
-	// life is one incarnation of a backend server with the attempts on it.
-	life struct {
+	// instanceState is one incarnation of a backend server with the attempts on it.
+	instanceState struct {
 		instance carawaybeam.Instance
 		runs     map[*Run]struct{}
 		broken   []brokenRun
@@ -137,7 +137,7 @@
 		options:   options,
 		ctx:       ctx,
 		cancel:    cancel,
-		lives:     make(map[carawaybeam.BackendIncarnation]*life),
+		instances: make(map[carawaybeam.BackendIncarnation]*instanceState),
 		lastSweep: time.Now(),
 	}
 }
@@ -165,16 +165,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep(time.Now())
-	l, ok := d.lives[instance.BackendIncarnation]
+	s, ok := d.instances[instance.BackendIncarnation]
 	if !ok {
-		l = &life{instance: instance, runs: make(map[*Run]struct{})}
-		d.lives[instance.BackendIncarnation] = l
+		s = &instanceState{instance: instance, runs: make(map[*Run]struct{})}
+		d.instances[instance.BackendIncarnation] = s
 	}
 	r := &Run{
-		detector: d, request: request, fingerprint: fingerprint, life: l,
-		began: time.Now(), afterCrash: l.crash != "",
+		detector: d, request: request, fingerprint: fingerprint, state: s,
+		began: time.Now(), afterCrash: s.crash != "",
 	}
-	l.runs[r] = struct{}{}
+	s.runs[r] = struct{}{}
 	return r
 }
 
@@ -185,17 +185,17 @@
 		return
 	}
 	d.lastSweep = now
-	for incarnation, l := range d.lives {
-		l.forgetExpired(now)
-		if len(l.runs) == 0 && len(l.broken) == 0 && now.Sub(l.crashedAt) > returnTime {
-			delete(d.lives, incarnation)
+	for incarnation, s := range d.instances {
+		s.forgetExpired(now)
+		if len(s.runs) == 0 && len(s.broken) == 0 && now.Sub(s.crashedAt) > returnTime {
+			delete(d.instances, incarnation)
 		}
 	}
 }
 
 // forgetExpired drops attempts that are no longer considered.
-func (l *life) forgetExpired(now time.Time) {
-	l.broken = slices.DeleteFunc(l.broken, func(b brokenRun) bool { return now.Sub(b.at) >= returnTime })
+func (s *instanceState) forgetExpired(now time.Time) {
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenRun) bool { return now.Sub(b.at) >= returnTime })
 }
 
 // End records that the attempt ended in a way that no crash explains. A crash that was
@@ -204,23 +204,23 @@
 	d := r.detector
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := r.life
-	delete(l.runs, r)
+	s := r.state
+	delete(s.runs, r)
 	if ending == Answered {
 		// What broke off before this attempt began did not end the backend server.
-		l.broken = slices.DeleteFunc(l.broken, func(b brokenRun) bool { return b.at.Before(r.began) })
+		s.broken = slices.DeleteFunc(s.broken, func(b brokenRun) bool { return b.at.Before(r.began) })
 	}
 	switch {
-	case l.crash == "" || ending == Abandoned:
+	case s.crash == "" || ending == Abandoned:
 	case !r.afterCrash:
-		d.options.Quarantiner.Acquit(r.fingerprint, l.crash)
+		d.options.Quarantiner.Acquit(r.fingerprint, s.crash)
 	case ending == Answered:
-		d.options.Log.Warn().Str("crash", string(l.crash)).Str("request", string(r.request)).
+		d.options.Log.Warn().Str("crash", string(s.crash)).Str("request", string(r.request)).
 			Msg("detector: backend server answers, it has not crashed")
-		for _, other := range l.crashed {
-			d.options.Quarantiner.Acquit(other.fingerprint, l.crash)
+		for _, other := range s.crashed {
+			d.options.Quarantiner.Acquit(other.fingerprint, s.crash)
 		}
-		l.crash, l.crashed = "", nil
+		s.crash, s.crashed = "", nil
 	}
 }
 
@@ -230,35 +230,35 @@
 func (r *Run) BreakOff(ctx context.Context) quarantiner.CrashID {
 	d := r.detector
 	// A planned end of the backend server is no crash.
-	expected := !d.options.InUse(r.life.instance)
+	expected := !d.options.InUse(r.state.instance)
 	now := time.Now()
 	d.mu.Lock()
-	_, known := r.life.runs[r]
-	delete(r.life.runs, r)
-	if !known || expected || r.life.crash != "" {
+	_, known := r.state.runs[r]
+	delete(r.state.runs, r)
+	if !known || expected || r.state.crash != "" {
 		defer d.mu.Unlock()
-		return r.life.crash
+		return r.state.crash
 	}
-	r.life.broken = append(r.life.broken, brokenRun{Run: r, at: now})
+	r.state.broken = append(r.state.broken, brokenRun{Run: r, at: now})
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, maxProbeWait)
 	defer cancel()
-	d.awaitProbe(ctx, r.life, now)
+	d.awaitProbe(ctx, r.state, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return r.life.crash
+	return r.state.crash
 }
 
 // awaitProbe waits until a probe that began at or after the given time has ended, or
 // until ctx ends.
-func (d *Detector) awaitProbe(ctx context.Context, l *life, since time.Time) {
+func (d *Detector) awaitProbe(ctx context.Context, s *instanceState, since time.Time) {
 	for {
 		d.mu.Lock()
-		p := l.probe
+		p := s.probe
 		if p == nil {
 			p = &probe{began: time.Now(), done: make(chan struct{})}
-			l.probe = p
-			d.wait.Go(func() { d.runProbe(l, p) })
+			s.probe = p
+			d.wait.Go(func() { d.runProbe(s, p) })
 		}
 		d.mu.Unlock()
 		select {
@@ -273,16 +273,16 @@
 }
 
 // runProbe connects to the backend server and evaluates the result.
-func (d *Detector) runProbe(l *life, p *probe) {
+func (d *Detector) runProbe(s *instanceState, p *probe) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
-	err := d.options.Probe(ctx, l.instance.Address)
+	err := d.options.Probe(ctx, s.instance.Address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l.probe = nil
+	s.probe = nil
 	defer close(p.done)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		d.recordCrash(l, time.Now(), "connection refused")
+		d.recordCrash(s, time.Now(), "connection refused")
 	}
 }
 
@@ -292,13 +292,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if l, ok := d.lives[instance.BackendIncarnation]; ok && instance.Leaving {
-		l.leaving = true
+	if s, ok := d.instances[instance.BackendIncarnation]; ok && instance.Leaving {
+		s.leaving = true
 	}
-	for _, l := range d.lives {
-		same := l.instance.ID == instance.ID || l.instance.Address == instance.Address
-		if same && l.instance.Started < instance.Started {
-			d.recordCrash(l, now, "later incarnation announced")
+	for _, s := range d.instances {
+		same := s.instance.ID == instance.ID || s.instance.Address == instance.Address
+		if same && s.instance.Started < instance.Started {
+			d.recordCrash(s, now, "later incarnation announced")
 		}
 	}
 }
@@ -308,45 +308,45 @@
 func (d *Detector) Replaced(incarnation carawaybeam.BackendIncarnation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l, ok := d.lives[incarnation]; ok {
-		d.recordCrash(l, time.Now(), "another backend server answers")
+	if s, ok := d.instances[incarnation]; ok {
+		d.recordCrash(s, time.Now(), "another backend server answers")
 	}
 }
 
 // recordCrash records that an incarnation has crashed, with the attempts that were
 // running on it or broke off without a known reason. The caller holds mu.
-func (d *Detector) recordCrash(l *life, now time.Time, evidence string) {
-	l.forgetExpired(now)
-	if l.crash != "" || l.leaving || len(l.runs)+len(l.broken) == 0 {
+func (d *Detector) recordCrash(s *instanceState, now time.Time, evidence string) {
+	s.forgetExpired(now)
+	if s.crash != "" || s.leaving || len(s.runs)+len(s.broken) == 0 {
 		return
 	}
-	l.crash, l.crashedAt = NewCrashID(l.instance.BackendIncarnation), now
+	s.crash, s.crashedAt = NewCrashID(s.instance.BackendIncarnation), now
 	d.crashes++
-	for r := range l.runs {
-		l.crashed = append(l.crashed, r)
+	for r := range s.runs {
+		s.crashed = append(s.crashed, r)
 	}
-	for _, b := range l.broken {
-		l.crashed = append(l.crashed, b.Run)
+	for _, b := range s.broken {
+		s.crashed = append(s.crashed, b.Run)
 	}
-	l.broken = nil
-	records := make([]quarantiner.Record, 0, len(l.crashed))
-	for _, r := range l.crashed {
-		records = append(records, quarantiner.Record{Fingerprint: r.fingerprint, Crash: l.crash, At: now})
+	s.broken = nil
+	records := make([]quarantiner.Record, 0, len(s.crashed))
+	for _, r := range s.crashed {
+		records = append(records, quarantiner.Record{Fingerprint: r.fingerprint, Crash: s.crash, At: now})
 	}
 	d.options.Quarantiner.Merge(records)
-	d.log(l, evidence)
+	d.log(s, evidence)
 }
 
 // log logs a crash with the requests that were running. The caller holds mu.
-func (d *Detector) log(l *life, evidence string) {
+func (d *Detector) log(s *instanceState, evidence string) {
 	requests, fingerprints := zerolog.Arr(), zerolog.Arr()
-	for _, r := range l.crashed[:min(len(l.crashed), maxLogged)] {
+	for _, r := range s.crashed[:min(len(s.crashed), maxLogged)] {
 		requests.Str(string(r.request))
 		fingerprints.Str(r.fingerprint.String())
 	}
-	d.options.Log.Warn().Str("crash", string(l.crash)).Str("backend", string(l.instance.ID)).
-		Str("address", string(l.instance.Address)).Str("pool", string(l.instance.Pool)).
-		Str("evidence", evidence).Int("running", len(l.crashed)).
+	d.options.Log.Warn().Str("crash", string(s.crash)).Str("backend", string(s.instance.ID)).
+		Str("address", string(s.instance.Address)).Str("pool", string(s.instance.Pool)).
+		Str("evidence", evidence).Int("running", len(s.crashed)).
 		Array("requests", requests).Array("fingerprints", fingerprints).
 		Msg("detector: backend server crashed")
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -42,17 +42,17 @@
 )
 
 const (
-	// lackNothing means that the store has all records.
-	lackNothing lack = iota
-	// lackCleared means that the store lacks cleared records only.
-	lackCleared
-	// lackCrash means that the store lacks a crash that counts against a request.
-	lackCrash
+	// nothingToWrite means that the store has all records.
+	nothingToWrite urgency = iota
+	// writeSoon means that the store lacks cleared records only.
+	writeSoon
+	// writeNow means that the store lacks a crash that counts against a request.
+	writeNow
 )
 
 type (
-	// lack is what the store lacks of the records.
-	lack int
+	// urgency is how soon the object of this entry must be written.
+	urgency int
 
 	// Options configures a Publisher.
 	Options struct {
@@ -209,17 +209,17 @@
 	var written time.Time
 	for p.ctx.Err() == nil {
 		records, changed := p.options.Quarantiner.Records()
-		next, lack := p.next(records)
+		next, urgency := p.next(records)
 		wait := clearedInterval - time.Since(written)
 		switch {
-		case lack == lackCrash || lack == lackCleared && wait <= 0:
+		case urgency == writeNow || urgency == writeSoon && wait <= 0:
 			if err := p.write(next); err != nil {
 				p.options.Log.Warn().Err(err).Msg("publisher: cannot write records of crashes, retrying")
 				p.sleep(retryDelay)
 			}
 			written = time.Now()
 			continue
-		case lack == lackNothing:
+		case urgency == nothingToWrite:
 			p.deleteExpired()
 			wait = idleInterval
 		}
@@ -267,13 +267,13 @@
 	}
 }
 
-// next returns the records that the object of this entry should hold, and what the store
-// lacks of them.
-func (p *Publisher) next(records []quarantiner.Record) ([]quarantiner.Record, lack) {
+// next returns the records that the object of this entry should hold, and how soon it must
+// be written.
+func (p *Publisher) next(records []quarantiner.Record) ([]quarantiner.Record, urgency) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.loaded {
-		return nil, lackNothing
+		return nil, nothingToWrite
 	}
 	elsewhere, own := make(map[key]bool), make(map[key]bool)
 	for name, o := range p.objects {
@@ -287,7 +287,7 @@
 		}
 	}
 	var next []quarantiner.Record
-	lacks := lackNothing
+	soon := nothingToWrite
 	for _, r := range records {
 		k := key{fingerprint: r.Fingerprint, crash: r.Crash}
 		clearedElsewhere, inOther := elsewhere[k]
@@ -297,15 +297,15 @@
 		}
 		switch {
 		case !r.Cleared && !inOwn:
-			lacks = lackCrash
+			soon = writeNow
 		case r.Cleared && !clearedOwn && !clearedElsewhere:
-			lacks = max(lacks, lackCleared)
+			soon = max(soon, writeSoon)
 		}
 		if len(next) < maxRecords {
 			next = append(next, r)
 		}
 	}
-	return next, lacks
+	return next, soon
 }
 
 // write writes the object of this entry.
