Bound the records of crashes that an entry writes

An entry with more records than its object holds wrote the object again and again without a pause, in a random choice each time. It now writes the newest ones, and pauses after each write. A list read anew no longer makes the objects seem absent for a moment.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -37,7 +38,8 @@
 	// idleInterval is how often expired objects are looked for.
 	idleInterval = 10 * time.Minute
 
-	// maxRecords is the maximum number of records in an object.
+	// maxRecords is the maximum number of records in an object, the newest ones. They
+	// take about 400 KB.
 	maxRecords = 4096
 )
 
@@ -136,11 +138,19 @@
 
 // Replace replaces the objects of all entries.
 func (p *Publisher) Replace(objects []carawaybeam.Object) {
+	present := make(map[string]struct{}, len(objects))
+	for _, o := range objects {
+		present[o.Name] = struct{}{}
+		p.apply(o)
+	}
 	p.mu.Lock()
-	clear(p.objects)
+	maps.DeleteFunc(p.objects, func(name string, _ object) bool {
+		_, ok := present[name]
+		return !ok
+	})
 	p.loaded = true
 	p.mu.Unlock()
-	p.Apply(objects)
+	p.signal()
 }
 
 // Apply updates changed objects. It merges their records into the Quarantiner.
@@ -148,6 +158,11 @@
 	for _, o := range changes {
 		p.apply(o)
 	}
+	p.signal()
+}
+
+// signal makes publish compare the records with the objects again.
+func (p *Publisher) signal() {
 	select {
 	case p.received <- struct{}{}:
 	default:
@@ -213,11 +228,13 @@
 		wait := clearedInterval - time.Since(written)
 		switch {
 		case urgency == writeNow || urgency == writeSoon && wait <= 0:
+			delay := batchTime
 			if err := p.write(next); err != nil {
 				p.options.Log.Warn().Err(err).Msg("publisher: cannot write records of crashes, retrying")
-				p.sleep(retryDelay)
+				delay = retryDelay
 			}
 			written = time.Now()
+			p.sleep(delay)
 			continue
 		case urgency == nothingToWrite:
 			p.deleteExpired()
@@ -295,15 +312,16 @@
 		if !inOwn && inOther && (clearedElsewhere || !r.Cleared) {
 			continue
 		}
+		if len(next) >= maxRecords {
+			break
+		}
+		next = append(next, r)
 		switch {
 		case !r.Cleared && !inOwn:
 			soon = writeNow
 		case r.Cleared && !clearedOwn && !clearedElsewhere:
 			soon = max(soon, writeSoon)
 		}
-		if len(next) < maxRecords {
-			next = append(next, r)
-		}
 	}
 	return next, soon
 }
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -171,6 +171,28 @@
 	})
 }
 
+// TestTooManyRecords guards against an entry that writes again and again because its object
+// cannot hold all records.
+func TestTooManyRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore(t)
+		entries := startEntries(store, 1)
+		records := make([]quarantiner.Record, 0, 6000)
+		for i := range 3000 {
+			for _, crash := range []quarantiner.CrashID{"1", "2"} {
+				records = append(records, quarantiner.Record{
+					Fingerprint: quarantiner.Fingerprint(fmt.Sprint(i)), Crash: crash, At: time.Now(),
+				})
+			}
+		}
+		entries[0].Merge(records)
+		time.Sleep(time.Minute)
+		is.True(store.Counts().Writes <= 1+2)
+		entries[0].close()
+	})
+}
+
 // TestExpiredObjectsAreDeleted checks that the objects of entries that no longer exist do
 // not stay in the store forever.
 func TestExpiredObjectsAreDeleted(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -256,8 +256,8 @@
 	return time.Time{}
 }
 
-// Records returns all records that are not older than retention, and a channel that is
-// closed at the next change.
+// Records returns all records that are not older than retention, the newest first, and a
+// channel that is closed at the next change.
 func (q *Quarantiner) Records() ([]Record, <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -269,6 +269,9 @@
 			}
 		}
 	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Crash, b.Crash))
+	})
 	return records, q.changed
 }
 
