Take more crashes to refuse a request while entries cannot share them

What callers saw: in a store outage a lookup that had run twice beside a request that crashes backend servers was refused, with 502 and then with 429.

Cause: the records that explain its crashes were with another entry, which could not write them. The entry that refused had just failed to write its own.

While an entry's crashes are not in the store, or it cannot follow those of the others, it now refuses a request after four crashes, the number at which a companion no longer matters. TestCrashesAreNotShared fails without this.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -90,6 +90,7 @@
 	detector         *detector.Detector
 	quarantiner      *quarantiner.Quarantiner
 	publisher        *publisher.Publisher
+	crashFollower    *follower.Follower
 	instanceFollower *follower.Follower
 	pooler           *pooler.Pooler
 	router           carawaybeam.Router
@@ -218,10 +219,18 @@
 		Store: e.store, Name: e.settings.Process, Quarantiner: e.quarantiner, Log: e.log,
 	})
 	e.closers.Add(e.publisher)
-	e.closers.Add(follower.New(follower.Options{
+	e.crashFollower = follower.New(follower.Options{
 		Store: e.store, Kind: carawaybeam.KindCrashes, Sink: e.publisher, Clock: clock.SinceBoot,
 		Wait: crashesWait, MinInterval: crashesInterval, Log: e.log,
-	}))
+	})
+	e.closers.Add(e.crashFollower)
+}
+
+// crashesShared reports whether the entry has shared the crashes that it knows of, and is
+// following those of other entries.
+func (e *directEntry) crashesShared() bool {
+	sinceOutage, hadOutage := e.crashFollower.SinceOutage()
+	return e.publisher.Published() && (!hadOutage || sinceOutage > 0)
 }
 
 // startCoordinators starts to collect the statuses of ranks, enrols the entry to
@@ -335,6 +344,7 @@
 			Encode:        e.dialect.EncodeForwarding,
 			Detector:      e.detector,
 			Quarantiner:   e.quarantiner,
+			CrashesShared: e.crashesShared,
 			Router:        e.router,
 			Limiter:       limiter,
 			Retrier:       e.retrier,
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -171,7 +171,8 @@
 
 // isQuarantined reports whether the request crashes the backend servers that run it. If
 // its last crash was recorded just now, isQuarantined first leaves the other entries time
-// to share what they know of it: the cause may be a request that one of them sent.
+// to share what they know of it: the cause may be a request that one of them sent. While
+// entries cannot share, it takes more crashes.
 func (f *Forwarder) isQuarantined(ctx context.Context, p *pendingRequest) bool {
 	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
 		return false
@@ -182,7 +183,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return f.options.Quarantiner.Status(p.fingerprint) == quarantiner.Quarantined
+	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
+		return false
+	}
+	return f.options.CrashesShared() ||
+		len(f.options.Quarantiner.Crashes(p.fingerprint)) >= quarantiner.CertainCrashes
 }
 
 // quarantineError returns the error of a quarantined request that has not run.
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -109,10 +109,13 @@
 		Detector *detector.Detector
 		// Quarantiner knows the requests that crash backend servers.
 		Quarantiner *quarantiner.Quarantiner
-		Router      carawaybeam.Router
-		Limiter     carawaybeam.Limiter
-		Retrier     carawaybeam.Retrier
-		Log         zerolog.Logger
+		// CrashesShared reports whether Quarantiner knows what the other entries
+		// know of crashes, as far as this entry can tell.
+		CrashesShared func() bool
+		Router        carawaybeam.Router
+		Limiter       carawaybeam.Limiter
+		Retrier       carawaybeam.Retrier
+		Log           zerolog.Logger
 	}
 
 	// Forwarder serves requests. Its methods are safe for concurrent use.
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -63,6 +63,8 @@
 		// refusing is the address of a backend server that has ended.
 		refusing    carawaybeam.Address
 		quarantiner *quarantiner.Quarantiner
+		// notSharing is set while entries cannot share what they know of crashes.
+		notSharing bool
 	}
 )
 
@@ -164,8 +166,9 @@
 		Detector: detector.New(detector.Options{
 			Probe: env.Probe, InUse: env.InUse, Quarantiner: env.quarantiner, Log: env.log,
 		}),
-		Quarantiner: env.quarantiner,
-		Sender:      env.sender,
+		Quarantiner:   env.quarantiner,
+		CrashesShared: func() bool { return !env.notSharing },
+		Sender:        env.sender,
 		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
 			if report, ok := env.reports[address]; ok {
 				return report()
@@ -442,6 +445,35 @@
 	})
 }
 
+// TestCrashesAreNotShared guards against the refusal of a request that ran beside one that
+// crashes backend servers, while the store is away and other entries cannot tell of it. It
+// takes four crashes then.
+func TestCrashesAreNotShared(t *testing.T) {
+	for crashes := range 5 {
+		is := is.New(t)
+		env := newEnvironment(whole("x"))
+		env.notSharing = true
+		env.quarantiner = quarantiner.New()
+		for i := range crashes {
+			env.quarantiner.Add(fingerprintOf(t), quarantiner.CrashID(fmt.Sprint(i)))
+		}
+		_, failure := env.serve(request(carawaybeam.RouteSafe))
+		is.Equal(failure != nil, crashes == 4)
+	}
+}
+
+// fingerprintOf returns the fingerprint of the request for a safe route.
+func fingerprintOf(t *testing.T) quarantiner.Fingerprint {
+	t.Helper()
+	env := newEnvironment(broken(), broken())
+	env.refusing = "10.0.0.1:80"
+	if _, failure := env.serve(request(carawaybeam.RouteSafe)); failure == nil {
+		t.Fatal("request did not fail")
+	}
+	records, _ := env.quarantiner.Records()
+	return records[0].Fingerprint
+}
+
 // TestAnswerClearsSuspect checks that a request that was cut off by a crash and is
 // answered by another backend server does not stay suspect.
 func TestAnswerClearsSuspect(t *testing.T) {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -136,6 +136,13 @@
 	return p.loaded
 }
 
+// Published reports whether the store has all crashes that this entry knows of.
+func (p *Publisher) Published() bool {
+	records, _ := p.options.Quarantiner.Records()
+	_, urgency := p.next(records)
+	return p.Loaded() && urgency != writeNow
+}
+
 // Replace replaces the objects of all entries.
 func (p *Publisher) Replace(objects []carawaybeam.Object) {
 	present := make(map[string]struct{}, len(objects))
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -119,11 +119,14 @@
 				store.SetFault(storer.Fault{Mode: mode, Delay: 2 * time.Second})
 				entries[0].Add("g", "1")
 				entries[1].Add("g", "2")
-				time.Sleep(10 * time.Second)
+				time.Sleep(shareTime)
+				is.True(mode != storer.FaultDown || !entries[0].publisher.Published())
+				time.Sleep(9 * time.Second)
 				store.SetFault(storer.Fault{})
 				time.Sleep(2 * shareTime)
 				for _, e := range entries {
 					is.Equal(e.Status("g"), quarantiner.Quarantined)
+					is.True(e.publisher.Published())
 					e.close()
 				}
 			})
--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -18,7 +18,7 @@
 //   - a request that has to be a culprit, because one of its crashes has no other
 //     candidate (an essential set of the set cover),
 //   - a request with more crashes than all candidates that it shares a crash with,
-//   - a request with maxSharedCrashes.
+//   - a request with CertainCrashes.
 //
 // As long as none of this holds, the next crash may tell the candidates apart.
 func findCulprits(suspects map[Fingerprint]*suspect) map[Fingerprint]struct{} {
@@ -41,7 +41,7 @@
 		if i < 0 {
 			i = slices.IndexFunc(candidates, func(c candidate) bool { return c.isDominant(candidates) })
 		}
-		if i < 0 && len(candidates[0].crashes) >= maxSharedCrashes {
+		if i < 0 && len(candidates[0].crashes) >= CertainCrashes {
 			i = 0
 		}
 		if i < 0 {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -33,10 +33,10 @@
 	// quarantined if no other request explains them.
 	quarantineCrashes = 2
 
-	// maxSharedCrashes is the number of crashes after which a request is
-	// quarantined even if another one was running in all of them. One request runs
-	// beside another that often only if the two always run together.
-	maxSharedCrashes = 4
+	// CertainCrashes is the number of crashes after which a request is quarantined
+	// even if another one was, or may have been, running in all of them. One request
+	// runs beside another that often only if the two always run together.
+	CertainCrashes = 4
 )
 
 const (
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -36,6 +36,10 @@
 	// since the records that explain the crashes came from another entry a moment later
 	// (forwarder.TestOtherEntryExplainsCrashes).
 	5009,
+	// A lookup that ran twice beside a request that crashes backend servers was refused
+	// while the store was down and the entries could not share what they knew
+	// (forwarder.TestCrashesAreNotShared).
+	9039,
 }
 
 // TestSoak runs the first seeds of the soak test, and those that failed in the past.
