--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -71,7 +72,8 @@
 					t.Error(err)
 				}
 				for _, v := range result.Violations {
-					t.Log(v)
+					// The log of a subtest that passes is not printed.
+					fmt.Printf("seed %d: %s\n", seed, v)
 				}
 				requests.Add(int64(result.Requests))
 				violations.Add(int64(len(result.Violations)))
