Log and count requests that are read and end without an answer

Who closed a client's connection, and why, could not be told from logs or metrics: a cancelled request was logged as a disconnected client, also when the entry itself had closed the connection. The connections of clients now record their end.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,15 +8,16 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
+	"github.com/carawaybeam/carawaybeam/keeper"
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
@@ -62,16 +63,19 @@
 		// WriteTimeout is how long a client may take to receive one part of an
 		// answer.
 		WriteTimeout time.Duration
-		Log          zerolog.Logger
+		// Scope receives the metrics.
+		Scope tally.Scope
+		Log   zerolog.Logger
 	}
 
 	// Acceptor accepts requests of clients on one listener.
 	Acceptor struct {
-		options Options
-		http    *http.Server
-		ctx     context.Context
-		cancel  context.CancelFunc
-		wait    sync.WaitGroup
+		options  Options
+		reporter keeper.Reporter
+		http     *http.Server
+		ctx      context.Context
+		cancel   context.CancelFunc
+		wait     sync.WaitGroup
 		// leaving is set when Drain begins.
 		leaving atomic.Bool
 
@@ -85,16 +89,23 @@
 // New returns an Acceptor that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Acceptor {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &Acceptor{options: options, ctx: ctx, cancel: cancel, idle: make(map[net.Conn]time.Time)}
+	a := &Acceptor{
+		options:  options,
+		reporter: keeper.Reporter{Component: "acceptor", Log: options.Log, Scope: options.Scope},
+		ctx:      ctx,
+		cancel:   cancel,
+		idle:     make(map[net.Conn]time.Time),
+	}
 	a.http = &http.Server{
 		Handler:           http.HandlerFunc(a.serve),
 		ReadHeaderTimeout: options.ReadTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
 		ErrorLog:          starter.NewConnectionLog(options.Log, "acceptor"),
+		ConnContext:       keeper.Context,
 		ConnState:         a.trackIdle,
 	}
 	a.wait.Go(func() {
-		if err := a.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.http.Serve(keeper.New(listener)); !errors.Is(err, http.ErrServerClosed) {
 			a.options.Log.Error().Err(err).Msg("acceptor: clients are no longer served")
 		}
 	})
@@ -129,6 +140,7 @@
 // trackIdle records when a connection becomes idle. It is called by net/http for
 // each change of a connection's state.
 func (a *Acceptor) trackIdle(conn net.Conn, state http.ConnState) {
+	keeper.ConnState(conn, state)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if state == http.StateIdle {
@@ -157,7 +169,9 @@
 		for conn, since := range a.idle {
 			if time.Since(since) > limits.IdleTimeout {
 				// An error means that the connection is already closed.
-				_ = conn.Close()
+				if kept, ok := conn.(*keeper.Conn); ok {
+					_ = kept.CloseFor(keeper.CauseIdle)
+				}
 			}
 		}
 		a.mu.Unlock()
@@ -171,21 +185,26 @@
 	}
 	answer := &answerWriter{w: w, control: http.NewResponseController(w), timeout: a.options.WriteTimeout}
 	request, failure := a.read(w, r)
-	if failure == nil {
-		failure = a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
-	} else {
+	if failure != nil {
 		a.options.Log.Info().Str("request", string(request.ID)).Str("reason", string(failure.Reason)).
 			Str("detail", failure.Detail).Msg("acceptor: request is refused")
+		_ = a.writeFailure(answer, failure)
+		return
 	}
+	defer a.reporter.Panicked(request.ID, &answer.headWritten)
+	failure = a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
 	if failure == nil {
 		return
 	}
 	if answer.headWritten {
+		a.reporter.Interrupted(r.Context(), request.ID, true)
 		// Abort the connection, so that the incomplete answer does not look
 		// complete.
 		panic(http.ErrAbortHandler)
 	}
-	a.writeFailure(w, failure)
+	if err := a.writeFailure(answer, failure); err != nil || r.Context().Err() != nil {
+		a.reporter.Interrupted(r.Context(), request.ID, false)
+	}
 }
 
 // read decodes a request and reads its body.
@@ -212,15 +231,17 @@
 	return request, nil
 }
 
-func (a *Acceptor) writeFailure(w http.ResponseWriter, failure *carawaybeam.RequestError) {
+// writeFailure answers a request with an error. An error means that the client has not
+// received the answer.
+func (a *Acceptor) writeFailure(answer *answerWriter, failure *carawaybeam.RequestError) error {
 	status, header := a.options.Dialect.EncodeFailure(failure)
-	for name, values := range header {
-		w.Header()[name] = values
-	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := string(failure.Reason) + "\n"
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	// An error means that the client has closed the connection.
-	_, _ = io.WriteString(w, body)
+	if err := answer.Head(status, header, len(body)); err != nil {
+		return err
+	}
+	if _, err := answer.Write([]byte(body)); err != nil {
+		return err
+	}
+	return answer.Flush()
 }
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/acceptor"
@@ -43,7 +44,7 @@
 	}
 	a := acceptor.New(listener, acceptor.Options{
 		Dialect: platform.Dialect{}, Forwarder: h, BodyBytes: 1 << 20, HeaderBytes: 4096,
-		ReadTimeout: time.Second, WriteTimeout: time.Second, Log: zerolog.Nop(),
+		ReadTimeout: time.Second, WriteTimeout: time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
 	})
 	t.Cleanup(func() {
 		if err := a.Close(); err != nil {
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -354,6 +354,7 @@
 		HeaderBytes:  e.settings.Limits.HeaderBytes,
 		ReadTimeout:  time.Duration(e.settings.Limits.ReadTimeout),
 		WriteTimeout: time.Duration(e.settings.Limits.WriteTimeout),
+		Scope:        operators.Scope(),
 		Log:          e.log,
 	})
 	e.closers.Add(e.acceptor)
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"slices"
 	"strings"
@@ -226,10 +227,14 @@
 	e.closers.Add(operators)
 	g := &gauges{entry: e, scope: operators.Scope()}
 	e.closers.Add(starter.Repeat(gaugeInterval, g.set))
-	callers, err := e.listenCallers()
+	callers, err := starter.Listen("callers", e.settings.Callers)
 	if err != nil {
 		return err
 	}
+	callerTLS, err := e.callerTLS()
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
 	e.server = server.New(callers, server.Options{
 		Configuration: e.configurer,
 		Dispatcher:    meteredDispatcher{Dispatcher: e.dispatcher, scope: operators.Scope()},
@@ -238,6 +243,8 @@
 		ReadTimeout:   time.Duration(e.settings.Limits.ReadTimeout),
 		WriteTimeout:  time.Duration(e.settings.Limits.WriteTimeout),
 		Ready:         e.ready,
+		TLS:           callerTLS,
+		Scope:         operators.Scope(),
 		Log:           e.log,
 	})
 	e.closers.Add(e.server)
--- a/cmd/cbentry/tls.go
+++ b/cmd/cbentry/tls.go
@@ -41,15 +41,15 @@
 	return certifier.Listen(listener, e.security.Server(certifier.RoleEntry), e.log), nil
 }
 
-// listenCallers listens for callers, over TLS if the settings enable it.
-func (e *entry) listenCallers() (net.Listener, error) {
-	listener, err := starter.Listen("callers", e.settings.Callers)
-	if err != nil || !e.settings.CallerTLS.Enabled() {
-		return listener, err
+// callerTLS returns the TLS configuration for callers, or nil if the settings do not
+// enable TLS for callers.
+func (e *entry) callerTLS() (*tls.Config, error) {
+	if !e.settings.CallerTLS.Enabled() {
+		return nil, nil
 	}
 	c, err := e.certifier(e.settings.CallerTLS)
 	if err != nil {
 		return nil, err
 	}
-	return tls.NewListener(listener, c.CallerServer()), nil
+	return c.CallerServer(), nil
 }
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -288,7 +288,7 @@
 	case failure == nil:
 		line.Int("status", p.status).Msg("forwarder: request answered")
 	case ctx.Err() != nil && time.Now().Before(p.deadline):
-		line.Str("outcome", string(failure.Outcome)).Msg("forwarder: client disconnected")
+		line.Str("outcome", string(failure.Outcome)).Msg("forwarder: request cancelled")
 	default:
 		line.Str("outcome", string(failure.Outcome)).Str("reason", string(failure.Reason)).
 			Str("detail", failure.Detail).Dur("retryAfter", failure.RetryAfter).
--- a/server/endtoend_test.go
+++ b/server/endtoend_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/agent"
@@ -81,6 +82,7 @@
 		ReadTimeout:   time.Minute,
 		WriteTimeout:  time.Minute,
 		Ready:         func() bool { return true },
+		Scope:         tally.NoopScope,
 		Log:           zerolog.Nop(),
 	})
 	for !linked(t) {
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -15,9 +16,11 @@
 
 	"github.com/labstack/echo/v5"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
+	"github.com/carawaybeam/carawaybeam/keeper"
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
@@ -86,13 +89,18 @@
 		WriteTimeout time.Duration
 		// Ready reports whether requests can be served.
 		Ready func() bool
+		// TLS is the configuration for callers that connect over TLS, or nil.
+		TLS *tls.Config
+		// Scope receives the metrics.
+		Scope tally.Scope
 		Log   zerolog.Logger
 	}
 
 	// Server accepts requests of callers over HTTP.
 	Server struct {
-		options Options
-		http    *http.Server
+		options  Options
+		reporter keeper.Reporter
+		http     *http.Server
 		// done is closed when the listener is no longer served.
 		done chan struct{}
 		// leaving is set when Drain begins.
@@ -102,7 +110,11 @@
 
 // New returns a Server that serves callers on the listener until Close.
 func New(listener net.Listener, options Options) *Server {
-	s := &Server{options: options, done: make(chan struct{})}
+	s := &Server{
+		options:  options,
+		reporter: keeper.Reporter{Component: "server", Log: options.Log, Scope: options.Scope},
+		done:     make(chan struct{}),
+	}
 	router := echo.New()
 	router.HTTPErrorHandler = s.handleError
 	router.POST("/v1/completions", s.serveModel)
@@ -116,9 +128,15 @@
 		ReadTimeout:       options.ReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
+		ConnContext:       keeper.Context,
+		ConnState:         keeper.ConnState,
 		ErrorLog:          starter.NewConnectionLog(options.Log, "server"),
 	}
-	go s.serve(listener)
+	var connections net.Listener = keeper.New(listener)
+	if options.TLS != nil {
+		connections = tls.NewListener(connections, options.TLS)
+	}
+	go s.serve(connections)
 	return s
 }
 
@@ -197,7 +215,12 @@
 	request.ID = id
 	request.Path = path
 	w := newAnswerWriter(c.Response(), s.options.WriteTimeout)
-	w.finish(s.options.Dispatcher.Do(c.Request().Context(), request, w))
+	defer s.reporter.Panicked(id, &w.headSent)
+	ctx := c.Request().Context()
+	if failure = s.options.Dispatcher.Do(ctx, request, w); failure != nil && (w.headSent || ctx.Err() != nil) {
+		s.reporter.Interrupted(ctx, id, w.headSent)
+	}
+	w.finish(failure)
 }
 
 // read validates a request and reads its body.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
@@ -101,6 +102,7 @@
 		ReadTimeout:   readTimeout,
 		WriteTimeout:  writeTimeout,
 		Ready:         func() bool { return true },
+		Scope:         tally.NoopScope,
 		Log:           zerolog.Nop(),
 	})
 	t.Cleanup(func() { _ = s.Close() })
