--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -31,9 +31,9 @@
 	CauseClosed Cause = "closed"
 	// CauseIdle means that the connection was idle for longer than its limit.
 	CauseIdle Cause = "idle"
-	// CauseReadTimeout and CauseWriteTimeout mean that a time limit for receiving or
-	// sending data was exceeded.
-	CauseReadTimeout  Cause = "readTimeout"
+	// CauseReadTimeout means that the client did not send a request in time.
+	CauseReadTimeout Cause = "readTimeout"
+	// CauseWriteTimeout means that the client did not receive an answer in time.
 	CauseWriteTimeout Cause = "writeTimeout"
 	// CauseStopped means that the process stopped serving while requests were running.
 	CauseStopped Cause = "stopped"
@@ -218,7 +218,7 @@
 	if cause == nil {
 		return
 	}
-	if cause != http.ErrAbortHandler {
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		r.report(request, End{By: PartyEntry, Cause: CausePanic}, *begun)
 	}
 	panic(cause)
