Let only the reader of a connection end it as idle

What callers saw: a whole request on a kept connection got neither an answer nor a refusal, while its backend server was given the request and lost it at once.

Cause: a connection counted as idle until net/http had read the header of the next request. The acceptor checked once a second for connections that were idle for longer than the limit in the configuration, and closed them from another goroutine. A request that was just being read was passed on and cancelled, since its connection was closed under it. A lowered limit made all connections that were idle for longer due at once, while their clients counted on the old one. The class of fault: one goroutine ends what another one uses, by a state that is already past.

The reader of a connection now ends it itself, after a last read that found nothing, so that a request is either read and served or not read at all. A connection is kept for the longer of the limits at the beginning and the end of its idle time. Drain uses the same way in place of http.Server.Shutdown, which drops requests that it has read, and also on the linked path. No ticker is left: an idle connection has one deadline.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -21,16 +21,10 @@
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
-const (
-	// drainDelay is how long a process that is being stopped still accepts
-	// connections. The load balancer in front of it checks its readiness once a
-	// second and removes a VM after two failed checks.
-	drainDelay = 2500 * time.Millisecond
-
-	// idleCheckInterval is how often idle connections are checked for the idle
-	// timeout.
-	idleCheckInterval = time.Second
-)
+// drainDelay is how long a process that is being stopped still accepts connections. The
+// load balancer in front of it checks its readiness once a second and removes a VM after
+// two failed checks.
+const drainDelay = 2500 * time.Millisecond
 
 type (
 	// Forwarder serves requests.
@@ -71,45 +65,36 @@
 	// Acceptor accepts requests of clients on one listener.
 	Acceptor struct {
 		options  Options
+		keeper   *keeper.Keeper
 		reporter keeper.Reporter
 		http     *http.Server
-		ctx      context.Context
-		cancel   context.CancelFunc
 		wait     sync.WaitGroup
 		// leaving is set when Drain begins.
 		leaving atomic.Bool
-
-		mu sync.Mutex
-		// idle maps each idle connection to the time since which it has been
-		// idle.
-		idle map[net.Conn]time.Time
 	}
 )
 
 // New returns an Acceptor that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Acceptor {
-	ctx, cancel := context.WithCancel(context.Background())
 	a := &Acceptor{
 		options:  options,
 		reporter: keeper.Reporter{Component: "acceptor", Log: options.Log, Scope: options.Scope},
-		ctx:      ctx,
-		cancel:   cancel,
-		idle:     make(map[net.Conn]time.Time),
 	}
+	a.keeper = keeper.New(listener, keeper.Options{IdleLimit: a.idleLimit, HeaderTimeout: options.ReadTimeout})
 	a.http = &http.Server{
 		Handler:           http.HandlerFunc(a.serve),
 		ReadHeaderTimeout: options.ReadTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
 		ErrorLog:          starter.NewConnectionLog(options.Log, "acceptor"),
 		ConnContext:       keeper.Context,
-		ConnState:         a.trackIdle,
+		ConnState:         keeper.ConnState,
 	}
 	a.wait.Go(func() {
-		if err := a.http.Serve(keeper.New(listener)); !errors.Is(err, http.ErrServerClosed) {
+		err := a.http.Serve(a.keeper)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			a.options.Log.Error().Err(err).Msg("acceptor: clients are no longer served")
 		}
 	})
-	a.wait.Go(a.closeIdle)
 	return a
 }
 
@@ -126,56 +111,20 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return a.http.Shutdown(ctx)
+	return a.keeper.Drain(ctx)
 }
 
 // Close aborts all requests in flight and closes the listener.
 func (a *Acceptor) Close() error {
-	a.cancel()
 	err := a.http.Close()
 	a.wait.Wait()
 	return err
 }
 
-// trackIdle records when a connection becomes idle. It is called by net/http for
-// each change of a connection's state.
-func (a *Acceptor) trackIdle(conn net.Conn, state http.ConnState) {
-	keeper.ConnState(conn, state)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if state == http.StateIdle {
-		a.idle[conn] = time.Now()
-	} else {
-		delete(a.idle, conn)
-	}
-}
-
-// closeIdle closes connections that have been idle for longer than the idle timeout
-// in the configuration, which may change at any time.
-func (a *Acceptor) closeIdle() {
-	ticker := time.NewTicker(idleCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-a.ctx.Done():
-			return
-		}
-		limits, ok := a.options.Forwarder.Limits()
-		if !ok || limits.IdleTimeout <= 0 {
-			continue
-		}
-		a.mu.Lock()
-		for conn, since := range a.idle {
-			if time.Since(since) > limits.IdleTimeout {
-				// An error means that the connection is already closed.
-				if kept, ok := conn.(*keeper.Conn); ok {
-					_ = kept.CloseFor(keeper.CauseIdle)
-				}
-			}
-		}
-		a.mu.Unlock()
-	}
+// idleLimit returns the idle timeout in the configuration, or 0 if there is none.
+func (a *Acceptor) idleLimit() time.Duration {
+	limits, _ := a.options.Forwarder.Limits()
+	return limits.IdleTimeout
 }
 
 func (a *Acceptor) serve(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/keeper/idle_test.go
@@ -0,0 +1,280 @@
+package keeper_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam/keeper"
+)
+
+const headerTimeout = 3 * time.Second
+
+type (
+	// pipeListener accepts the server's ends of pipes.
+	pipeListener struct {
+		accepted chan net.Conn
+		closed   chan struct{}
+	}
+
+	// service is an HTTP server behind a Keeper, for the clock of a test.
+	service struct {
+		keeper   *keeper.Keeper
+		http     http.Server
+		listener *pipeListener
+		idle     atomic.Int64
+		// served counts the requests that reached the handler.
+		served atomic.Int64
+		// delay is how long the handler takes.
+		delay time.Duration
+		done  chan struct{}
+	}
+
+	// client is a client's connection to a service.
+	client struct {
+		net.Conn
+		reader *bufio.Reader
+	}
+)
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func newService(idle time.Duration) *service {
+	s := &service{
+		listener: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})},
+		done:     make(chan struct{}),
+	}
+	s.idle.Store(int64(idle))
+	s.keeper = keeper.New(s.listener, keeper.Options{
+		IdleLimit:     func() time.Duration { return time.Duration(s.idle.Load()) },
+		HeaderTimeout: headerTimeout,
+	})
+	s.http.ConnContext, s.http.ConnState = keeper.Context, keeper.ConnState
+	s.http.ReadHeaderTimeout = headerTimeout
+	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.served.Add(1)
+		time.Sleep(s.delay)
+		if s.delay > 0 || r.Context().Err() != nil {
+			w.Header().Set("Connection", "close")
+		}
+	})
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(s.keeper)
+	}()
+	return s
+}
+
+func (s *service) close() {
+	_ = s.http.Close()
+	<-s.done
+	// The handlers of aborted requests end.
+	time.Sleep(s.delay)
+}
+
+// connect connects to the service. wrap wraps the server's end of the connection.
+func (s *service) connect(wrap func(net.Conn) net.Conn) *client {
+	near, far := net.Pipe()
+	if wrap != nil {
+		far = wrap(far)
+	}
+	s.listener.accepted <- far
+	return &client{Conn: near, reader: bufio.NewReader(near)}
+}
+
+// do sends a request and reports whether it was answered.
+func (c *client) do() bool {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil
+}
+
+// closedAfter returns how long it takes until the server closes the connection.
+func (c *client) closedAfter() time.Duration {
+	begun := time.Now()
+	_, _ = c.reader.ReadByte()
+	return time.Since(begun).Round(10 * time.Millisecond)
+}
+
+// TestIdleLimitChanges guards against closing a connection that a client may still use under
+// an earlier or a later idle limit.
+func TestIdleLimitChanges(t *testing.T) {
+	const second = time.Second
+	tests := map[string]struct {
+		limits []time.Duration // The limits from the beginning on, changed every 400 ms.
+		want   time.Duration
+	}{
+		"constant":      {[]time.Duration{2 * second}, 2 * second},
+		"lowered":       {[]time.Duration{8 * second, 2 * second}, 8 * second},
+		"raised":        {[]time.Duration{2 * second, 8 * second}, 8 * second},
+		"changed twice": {[]time.Duration{6 * second, second, 4 * second}, 6 * second},
+		"removed":       {[]time.Duration{2 * second, 0, 2 * second}, 2 * second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newService(test.limits[0])
+				defer s.close()
+				c := s.connect(nil)
+				is.True(c.do())
+				go func() {
+					for _, limit := range test.limits[1:] {
+						time.Sleep(400 * time.Millisecond)
+						s.idle.Store(int64(limit))
+					}
+				}()
+				is.Equal(c.closedAfter(), test.want)
+			})
+		})
+	}
+}
+
+// TestNoIdleLimit checks that a connection without an idle limit stays open.
+func TestNoIdleLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(0)
+		defer s.close()
+		c := s.connect(nil)
+		is.True(c.do())
+		time.Sleep(24 * time.Hour)
+		is.True(c.do())
+	})
+}
+
+// lateConn is a connection whose reads time out once although data has arrived, as they do in
+// a process that was suspended.
+type lateConn struct {
+	net.Conn
+	late atomic.Bool
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	if c.late.CompareAndSwap(true, false) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
+// TestRequestBeforeLateTimeout guards against closing a connection as idle although the next
+// request has arrived in time.
+func TestRequestBeforeLateTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(time.Second)
+		defer s.close()
+		conn := &lateConn{}
+		c := s.connect(func(inner net.Conn) net.Conn {
+			conn.Conn = inner
+			return conn
+		})
+		is.True(c.do())
+		time.Sleep(999 * time.Millisecond)
+		conn.late.Store(true)
+		is.True(c.do())
+		is.Equal(s.served.Load(), int64(2))
+	})
+}
+
+// TestHeaderTimeout guards against a client that begins a request on a kept connection and
+// never completes it.
+func TestHeaderTimeout(t *testing.T) {
+	for _, part := range []string{"G", "GET / HT"} {
+		t.Run(part, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newService(time.Minute)
+				defer s.close()
+				c := s.connect(nil)
+				is.True(c.do())
+				time.Sleep(10 * time.Second)
+				_, _ = io.WriteString(c, part)
+				is.Equal(c.closedAfter(), headerTimeout)
+			})
+		})
+	}
+}
+
+// TestDrain checks that Drain ends idle connections at once and new ones soon, and waits for
+// requests that run.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(time.Minute)
+		defer s.close()
+		idle, begun, running := s.connect(nil), s.connect(nil), s.connect(nil)
+		is.True(idle.do())
+		is.True(begun.do())
+		s.delay = 5 * time.Second
+		_, _ = io.WriteString(begun, "GET / HTTP/1.1\r\n")
+		answered := make(chan bool, 1)
+		go func() { answered <- running.do() }()
+		time.Sleep(time.Second)
+		fresh := s.connect(nil)
+		start := time.Now()
+		drained := make(chan error, 1)
+		go func() { drained <- s.keeper.Drain(context.Background()) }()
+		is.Equal(idle.closedAfter(), time.Duration(0))
+		is.Equal(fresh.closedAfter(), time.Second)
+		_, _ = io.WriteString(begun, "Host: h\r\n\r\n")
+		response, err := http.ReadResponse(begun.reader, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.True(<-answered)
+		is.NoErr(<-drained)
+		is.Equal(time.Since(start).Round(time.Second), 6*time.Second)
+	})
+}
+
+// TestDrainIsBounded checks that Drain returns when its time is over.
+func TestDrainIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(time.Minute)
+		defer s.close()
+		s.delay = time.Minute
+		c := s.connect(nil)
+		go c.do()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		start := time.Now()
+		err := s.keeper.Drain(ctx)
+		is.True(err != nil && strings.Contains(err.Error(), context.DeadlineExceeded.Error()))
+		is.Equal(time.Since(start), 3*time.Second)
+	})
+}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -122,7 +122,10 @@
 				test.handle(server, reporter, w, r)
 			})
 			served := make(chan struct{})
-			go func() { defer close(served); _ = server.Serve(keeper.New(listener)) }()
+			go func() {
+				defer close(served)
+				_ = server.Serve(keeper.New(listener, keeper.Options{HeaderTimeout: time.Minute}))
+			}()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			is.NoErr(err)
 			// The first request on the connection is answered. What net/http does in
--- a/server/server.go
+++ b/server/server.go
@@ -99,6 +99,7 @@
 	// Server accepts requests of callers over HTTP.
 	Server struct {
 		options  Options
+		keeper   *keeper.Keeper
 		reporter keeper.Reporter
 		http     *http.Server
 		// done is closed when the listener is no longer served.
@@ -126,13 +127,16 @@
 		Handler:           router,
 		ReadHeaderTimeout: options.ReadTimeout,
 		ReadTimeout:       options.ReadTimeout,
-		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
 		ConnContext:       keeper.Context,
 		ConnState:         keeper.ConnState,
 		ErrorLog:          starter.NewConnectionLog(options.Log, "server"),
 	}
-	var connections net.Listener = keeper.New(listener)
+	s.keeper = keeper.New(listener, keeper.Options{
+		IdleLimit:     func() time.Duration { return idleTimeout },
+		HeaderTimeout: options.ReadTimeout,
+	})
+	var connections net.Listener = s.keeper
 	if options.TLS != nil {
 		connections = tls.NewListener(connections, options.TLS)
 	}
@@ -142,15 +146,14 @@
 
 func (s *Server) serve(listener net.Listener) {
 	defer close(s.done)
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.options.Log.Error().Err(err).Msg("server: callers are no longer served")
 	}
 }
 
 // Drain stops the Server gracefully. It first waits for two seconds, in which the
 // load balancer detects that the process is no longer ready. Requests that arrive
-// in this time are served, but each answer closes its connection: a request sent
-// on a connection that Shutdown considers idle would be lost. Drain then accepts
+// in this time are served, but each answer closes its connection. Drain then accepts
 // no more connections and waits until all requests in flight have ended or ctx is
 // done, in which case it returns the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
@@ -161,7 +164,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return s.http.Shutdown(ctx)
+	return s.keeper.Drain(ctx)
 }
 
 // Close aborts all requests in flight and closes the listener.
