Serve the clients of both paths in package keeper

The acceptor and the server each had a copy of the same parts: the HTTP server, the end of idle connections, the delay of a drain, the log lines. Package keeper now owns them, so that what holds for the connections of clients holds on both paths. No change of behaviour.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,7 +16,6 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
 	"github.com/carawaybeam/carawaybeam/keeper"
-	"github.com/carawaybeam/carawaybeam/starter"
 )
 
 // drainDelay is how long a process that is being stopped still accepts connections. The
@@ -64,62 +61,33 @@
 
 	// Acceptor accepts requests of clients on one listener.
 	Acceptor struct {
-		options  Options
-		keeper   *keeper.Keeper
-		reporter keeper.Reporter
-		http     *http.Server
-		wait     sync.WaitGroup
-		// leaving is set when Drain begins.
-		leaving atomic.Bool
+		options Options
+		keeper  *keeper.Keeper
 	}
 )
 
 // New returns an Acceptor that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Acceptor {
-	a := &Acceptor{
-		options:  options,
-		reporter: keeper.Reporter{Component: "acceptor", Log: options.Log, Scope: options.Scope},
-	}
-	a.keeper = keeper.New(listener, keeper.Options{IdleLimit: a.idleLimit, HeaderTimeout: options.ReadTimeout})
-	a.http = &http.Server{
-		Handler:           http.HandlerFunc(a.serve),
-		ReadHeaderTimeout: options.ReadTimeout,
-		MaxHeaderBytes:    options.HeaderBytes,
-		ErrorLog:          starter.NewConnectionLog(options.Log, "acceptor"),
-		ConnContext:       keeper.Context,
-		ConnState:         keeper.ConnState,
-	}
-	a.wait.Go(func() {
-		err := a.http.Serve(a.keeper)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			a.options.Log.Error().Err(err).Msg("acceptor: clients are no longer served")
-		}
+	a := &Acceptor{options: options}
+	a.keeper = keeper.New(listener, keeper.Options{
+		Component:     "acceptor",
+		Handler:       http.HandlerFunc(a.serve),
+		IdleLimit:     a.idleLimit,
+		HeaderTimeout: options.ReadTimeout,
+		HeaderBytes:   options.HeaderBytes,
+		DrainDelay:    drainDelay,
+		Scope:         options.Scope,
+		Log:           options.Log,
 	})
 	return a
 }
 
-// Drain stops the Acceptor gracefully. It first waits until the load balancer has
-// had time to detect that the process is no longer ready; answers in this time
-// close their connections. Drain then accepts no more connections and waits until
-// all requests in flight have ended or ctx is done, in which case it returns the
-// error of ctx.
-func (a *Acceptor) Drain(ctx context.Context) error {
-	a.leaving.Store(true)
-	timer := time.NewTimer(drainDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return a.keeper.Drain(ctx)
-}
+// Drain stops the Acceptor gracefully. It waits until all requests in flight have ended or
+// ctx is done, in which case it returns the error of ctx.
+func (a *Acceptor) Drain(ctx context.Context) error { return a.keeper.Drain(ctx) }
 
 // Close aborts all requests in flight and closes the listener.
-func (a *Acceptor) Close() error {
-	err := a.http.Close()
-	a.wait.Wait()
-	return err
-}
+func (a *Acceptor) Close() error { return a.keeper.Close() }
 
 // idleLimit returns the idle timeout in the configuration, or 0 if there is none.
 func (a *Acceptor) idleLimit() time.Duration {
@@ -129,9 +97,6 @@
 
 func (a *Acceptor) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if a.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	answer := &answerWriter{w: w, control: http.NewResponseController(w), timeout: a.options.WriteTimeout}
 	request, failure := a.read(w, r)
 	if failure != nil {
@@ -140,20 +105,20 @@
 		_ = a.writeFailure(answer, failure)
 		return
 	}
-	defer a.reporter.Panicked(request.ID, &answer.headWritten)
+	defer a.keeper.Panicked(request.ID, &answer.headWritten)
 	failure = a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
 	if failure == nil {
 		return
 	}
 	if answer.headWritten {
-		a.reporter.Interrupted(r.Context(), request.ID, true)
+		a.keeper.Interrupted(r.Context(), request.ID, true)
 		// Abort the connection, so that the incomplete answer does not look
 		// complete.
 		panic(http.ErrAbortHandler)
 	}
-	if err := a.writeFailure(answer, failure); err != nil || r.Context().Err() != nil {
-		a.reporter.Interrupted(r.Context(), request.ID, false)
-	}
+	// An error is reported as the end of the connection.
+	_ = a.writeFailure(answer, failure)
+	a.keeper.Interrupted(r.Context(), request.ID, false)
 }
 
 // read decodes a request and reads its body.
--- a/keeper/idle_test.go
+++ b/keeper/idle_test.go
@@ -3,22 +3,27 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam/keeper"
 )
 
-const headerTimeout = 3 * time.Second
+const (
+	headerTimeout = 3 * time.Second
+	drainDelay    = 2 * time.Second
+)
 
 type (
 	// pipeListener accepts the server's ends of pipes.
@@ -27,17 +32,15 @@
 		closed   chan struct{}
 	}
 
-	// service is an HTTP server behind a Keeper, for the clock of a test.
+	// service is a Keeper for the clock of a test.
 	service struct {
-		keeper   *keeper.Keeper
-		http     http.Server
+		*keeper.Keeper
 		listener *pipeListener
 		idle     atomic.Int64
 		// served counts the requests that reached the handler.
 		served atomic.Int64
 		// delay is how long the handler takes.
 		delay time.Duration
-		done  chan struct{}
 	}
 
 	// client is a client's connection to a service.
@@ -68,34 +71,23 @@
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func newService(idle time.Duration) *service {
-	s := &service{
-		listener: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})},
-		done:     make(chan struct{}),
-	}
+	s := &service{listener: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}}
 	s.idle.Store(int64(idle))
-	s.keeper = keeper.New(s.listener, keeper.Options{
+	s.Keeper = keeper.New(s.listener, keeper.Options{
+		Component: "test", Scope: tally.NoopScope, Log: zerolog.Nop(),
 		IdleLimit:     func() time.Duration { return time.Duration(s.idle.Load()) },
 		HeaderTimeout: headerTimeout,
+		DrainDelay:    drainDelay,
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			s.served.Add(1)
+			time.Sleep(s.delay)
+		}),
 	})
-	s.http.ConnContext, s.http.ConnState = keeper.Context, keeper.ConnState
-	s.http.ReadHeaderTimeout = headerTimeout
-	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.served.Add(1)
-		time.Sleep(s.delay)
-		if s.delay > 0 || r.Context().Err() != nil {
-			w.Header().Set("Connection", "close")
-		}
-	})
-	go func() {
-		defer close(s.done)
-		_ = s.http.Serve(s.keeper)
-	}()
 	return s
 }
 
 func (s *service) close() {
-	_ = s.http.Close()
-	<-s.done
+	_ = s.Close()
 	// The handlers of aborted requests end.
 	time.Sleep(s.delay)
 }
@@ -229,34 +221,38 @@
 	}
 }
 
-// TestDrain checks that Drain ends idle connections at once and new ones soon, and waits for
-// requests that run.
+// TestDrain checks that Drain serves on at first, then ends idle connections at once and new
+// ones soon, and waits for requests that run.
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newService(time.Minute)
 		defer s.close()
-		idle, begun, running := s.connect(nil), s.connect(nil), s.connect(nil)
-		is.True(idle.do())
-		is.True(begun.do())
+		idle, begun, running, last := s.connect(nil), s.connect(nil), s.connect(nil), s.connect(nil)
+		for _, c := range []*client{idle, begun, last} {
+			is.True(c.do())
+		}
+		start := time.Now()
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(context.Background()) }()
+		time.Sleep(drainDelay / 2)
+		is.True(last.do())
+		is.Equal(last.closedAfter(), time.Duration(0))
 		s.delay = 5 * time.Second
 		_, _ = io.WriteString(begun, "GET / HTTP/1.1\r\n")
 		answered := make(chan bool, 1)
 		go func() { answered <- running.do() }()
-		time.Sleep(time.Second)
+		time.Sleep(drainDelay/2 - 100*time.Millisecond)
 		fresh := s.connect(nil)
-		start := time.Now()
-		drained := make(chan error, 1)
-		go func() { drained <- s.keeper.Drain(context.Background()) }()
-		is.Equal(idle.closedAfter(), time.Duration(0))
-		is.Equal(fresh.closedAfter(), time.Second)
+		is.Equal(idle.closedAfter(), 100*time.Millisecond)
+		is.Equal(fresh.closedAfter(), 900*time.Millisecond)
 		_, _ = io.WriteString(begun, "Host: h\r\n\r\n")
 		response, err := http.ReadResponse(begun.reader, nil)
 		is.NoErr(err)
 		is.NoErr(response.Body.Close())
 		is.True(<-answered)
 		is.NoErr(<-drained)
-		is.Equal(time.Since(start).Round(time.Second), 6*time.Second)
+		is.Equal(time.Since(start).Round(time.Second), 8*time.Second)
 	})
 }
 
@@ -273,8 +269,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		start := time.Now()
-		err := s.keeper.Drain(ctx)
-		is.True(err != nil && strings.Contains(err.Error(), context.DeadlineExceeded.Error()))
+		err := s.Drain(ctx)
+		is.True(errors.Is(err, context.DeadlineExceeded))
 		is.Equal(time.Since(start), 3*time.Second)
 	})
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -44,63 +42,67 @@
 	const id = "request-1"
 	tests := map[string]struct {
 		by, cause string
-		begun     bool
-		// handle serves the request. server is its server.
-		handle func(server *http.Server, reporter keeper.Reporter, w http.ResponseWriter, r *http.Request)
+		// handle serves the request.
+		handle func(k *keeper.Keeper, w http.ResponseWriter, r *http.Request)
 		// client continues after the client has sent its request.
 		client func(conn net.Conn)
 	}{
 		"client closes": {
 			by: "client", cause: "closed",
-			handle: func(_ *http.Server, reporter keeper.Reporter, _ http.ResponseWriter, r *http.Request) {
+			handle: func(k *keeper.Keeper, _ http.ResponseWriter, r *http.Request) {
 				<-r.Context().Done()
-				reporter.Interrupted(r.Context(), id, false)
+				k.Interrupted(r.Context(), id, false)
 			},
 			client: func(conn net.Conn) { _ = conn.Close() },
 		},
 		"server closes": {
 			by: "entry", cause: "stopped",
-			handle: func(server *http.Server, reporter keeper.Reporter, _ http.ResponseWriter, r *http.Request) {
-				go func() { _ = server.Close() }()
+			handle: func(k *keeper.Keeper, _ http.ResponseWriter, r *http.Request) {
+				go func() { _ = k.Close() }()
 				<-r.Context().Done()
-				reporter.Interrupted(r.Context(), id, false)
+				k.Interrupted(r.Context(), id, false)
 			},
 		},
 		"read timeout": {
 			by: "entry", cause: "readTimeout",
-			handle: func(_ *http.Server, reporter keeper.Reporter, w http.ResponseWriter, r *http.Request) {
+			handle: func(k *keeper.Keeper, w http.ResponseWriter, r *http.Request) {
 				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 				<-r.Context().Done()
-				reporter.Interrupted(r.Context(), id, false)
+				k.Interrupted(r.Context(), id, false)
 			},
 		},
 		"write timeout": {
-			by: "entry", cause: "writeTimeout", begun: true,
-			handle: func(_ *http.Server, reporter keeper.Reporter, w http.ResponseWriter, r *http.Request) {
+			by: "entry", cause: "writeTimeout",
+			handle: func(k *keeper.Keeper, w http.ResponseWriter, r *http.Request) {
 				control := http.NewResponseController(w)
 				_ = control.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
 				for control.Flush() == nil {
 					_, _ = w.Write(make([]byte, 1<<16))
 				}
-				reporter.Interrupted(r.Context(), id, true)
+				k.Interrupted(r.Context(), id, true)
 			},
 		},
 		"incomplete answer": {
-			by: "backend", cause: "incomplete", begun: true,
-			handle: func(_ *http.Server, reporter keeper.Reporter, w http.ResponseWriter, r *http.Request) {
+			by: "backend", cause: "incomplete",
+			handle: func(k *keeper.Keeper, w http.ResponseWriter, r *http.Request) {
 				_, _ = w.Write([]byte("part"))
-				reporter.Interrupted(r.Context(), id, true)
+				k.Interrupted(r.Context(), id, true)
 				panic(http.ErrAbortHandler)
 			},
 		},
 		"panic": {
 			by: "entry", cause: "panic",
-			handle: func(_ *http.Server, reporter keeper.Reporter, _ http.ResponseWriter, _ *http.Request) {
+			handle: func(k *keeper.Keeper, _ http.ResponseWriter, _ *http.Request) {
 				begun := false
-				defer reporter.Panicked(id, &begun)
+				defer k.Panicked(id, &begun)
 				panic("fault of the handler")
 			},
 		},
+		"answered": {
+			handle: func(k *keeper.Keeper, _ http.ResponseWriter, r *http.Request) {
+				k.Interrupted(r.Context(), id, false)
+			},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -108,28 +110,25 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			lines, scope := &syncBuffer{}, tally.NewTestScope("", nil)
-			reporter := keeper.Reporter{Component: "test", Log: zerolog.New(lines), Scope: scope}
-			server := &http.Server{
-				ConnContext: keeper.Context, ConnState: keeper.ConnState, ErrorLog: log.New(io.Discard, "", 0),
-				ReadHeaderTimeout: time.Minute,
-			}
 			ended := make(chan struct{})
-			server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == "/first" {
-					return
-				}
-				defer close(ended)
-				test.handle(server, reporter, w, r)
+			var k *keeper.Keeper
+			ready := make(chan struct{})
+			k = keeper.New(listener, keeper.Options{
+				Component: "test", HeaderTimeout: time.Minute, Scope: scope, Log: zerolog.New(lines),
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/first" {
+						return
+					}
+					<-ready
+					defer close(ended)
+					test.handle(k, w, r)
+				}),
 			})
-			served := make(chan struct{})
-			go func() {
-				defer close(served)
-				_ = server.Serve(keeper.New(listener, keeper.Options{HeaderTimeout: time.Minute}))
-			}()
+			close(ready)
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			is.NoErr(err)
-			// The first request on the connection is answered. What net/http does in
-			// between must not be taken for the end of the second.
+			// The first request on the connection is answered. What the HTTP server does
+			// in between must not be taken for the end of the second.
 			_, _ = io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
 			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			is.NoErr(err)
@@ -140,8 +139,11 @@
 			}
 			<-ended
 			_ = conn.Close()
-			_ = server.Close()
-			<-served
+			is.NoErr(k.Close())
+			if test.by == "" {
+				is.Equal(len(scope.Snapshot().Counters()), 0)
+				return
+			}
 			for _, want := range []string{
 				`"request":"` + id + `"`, `"by":"` + test.by + `"`, `"cause":"` + test.cause + `"`,
 			} {
@@ -159,10 +161,3 @@
 		})
 	}
 }
-
-// TestEndWithoutConnection checks that the end of a request that arrived on a connection of
-// another kind is told as a close of the client.
-func TestEndWithoutConnection(t *testing.T) {
-	is := is.New(t)
-	is.Equal(keeper.EndOf(context.Background()), keeper.End{By: keeper.PartyClient, Cause: keeper.CauseClosed})
-}
--- a/server/server.go
+++ b/server/server.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v5"
@@ -21,7 +20,6 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/keeper"
-	"github.com/carawaybeam/carawaybeam/starter"
 )
 
 const (
@@ -98,24 +96,14 @@
 
 	// Server accepts requests of callers over HTTP.
 	Server struct {
-		options  Options
-		keeper   *keeper.Keeper
-		reporter keeper.Reporter
-		http     *http.Server
-		// done is closed when the listener is no longer served.
-		done chan struct{}
-		// leaving is set when Drain begins.
-		leaving atomic.Bool
+		options Options
+		keeper  *keeper.Keeper
 	}
 )
 
 // New returns a Server that serves callers on the listener until Close.
 func New(listener net.Listener, options Options) *Server {
-	s := &Server{
-		options:  options,
-		reporter: keeper.Reporter{Component: "server", Log: options.Log, Scope: options.Scope},
-		done:     make(chan struct{}),
-	}
+	s := &Server{options: options}
 	router := echo.New()
 	router.HTTPErrorHandler = s.handleError
 	router.POST("/v1/completions", s.serveModel)
@@ -123,56 +111,27 @@
 	router.POST("/v1/chat/completions", s.serveModel)
 	router.Any("/services/:class", s.serveService)
 	router.Any("/services/:class/*", s.serveService)
-	s.http = &http.Server{
-		Handler:           router,
-		ReadHeaderTimeout: options.ReadTimeout,
-		ReadTimeout:       options.ReadTimeout,
-		MaxHeaderBytes:    options.HeaderBytes,
-		ConnContext:       keeper.Context,
-		ConnState:         keeper.ConnState,
-		ErrorLog:          starter.NewConnectionLog(options.Log, "server"),
-	}
 	s.keeper = keeper.New(listener, keeper.Options{
+		Component:     "server",
+		Handler:       router,
 		IdleLimit:     func() time.Duration { return idleTimeout },
 		HeaderTimeout: options.ReadTimeout,
+		ReadTimeout:   options.ReadTimeout,
+		HeaderBytes:   options.HeaderBytes,
+		DrainDelay:    drainDelay,
+		TLS:           options.TLS,
+		Scope:         options.Scope,
+		Log:           options.Log,
 	})
-	var connections net.Listener = s.keeper
-	if options.TLS != nil {
-		connections = tls.NewListener(connections, options.TLS)
-	}
-	go s.serve(connections)
 	return s
 }
 
-func (s *Server) serve(listener net.Listener) {
-	defer close(s.done)
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		s.options.Log.Error().Err(err).Msg("server: callers are no longer served")
-	}
-}
-
-// Drain stops the Server gracefully. It first waits for two seconds, in which the
-// load balancer detects that the process is no longer ready. Requests that arrive
-// in this time are served, but each answer closes its connection. Drain then accepts
-// no more connections and waits until all requests in flight have ended or ctx is
-// done, in which case it returns the error of ctx.
-func (s *Server) Drain(ctx context.Context) error {
-	s.leaving.Store(true)
-	timer := time.NewTimer(drainDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.keeper.Drain(ctx)
-}
+// Drain stops the Server gracefully. It waits until all requests in flight have ended or ctx
+// is done, in which case it returns the error of ctx.
+func (s *Server) Drain(ctx context.Context) error { return s.keeper.Drain(ctx) }
 
 // Close aborts all requests in flight and closes the listener.
-func (s *Server) Close() error {
-	err := s.http.Close()
-	<-s.done
-	return err
-}
+func (s *Server) Close() error { return s.keeper.Close() }
 
 // handleError answers requests that match no route.
 func (s *Server) handleError(c *echo.Context, err error) {
@@ -207,9 +166,6 @@
 func (s *Server) serveRequest(c *echo.Context, class carawaybeam.ClassID, kind carawaybeam.WorkKind, path string) {
 	id := carawaybeam.NewRequestID()
 	c.Response().Header().Set(HeaderRequest, string(id))
-	if s.leaving.Load() {
-		c.Response().Header().Set("Connection", "close")
-	}
 	request, failure := s.read(c.Request(), class, kind)
 	if failure != nil {
 		writeProblem(c.Response(), statusOf(failure), failure)
@@ -218,10 +174,10 @@
 	request.ID = id
 	request.Path = path
 	w := newAnswerWriter(c.Response(), s.options.WriteTimeout)
-	defer s.reporter.Panicked(id, &w.headSent)
+	defer s.keeper.Panicked(id, &w.headSent)
 	ctx := c.Request().Context()
-	if failure = s.options.Dispatcher.Do(ctx, request, w); failure != nil && (w.headSent || ctx.Err() != nil) {
-		s.reporter.Interrupted(ctx, id, w.headSent)
+	if failure = s.options.Dispatcher.Do(ctx, request, w); failure != nil {
+		s.keeper.Interrupted(ctx, id, w.headSent)
 	}
 	w.finish(failure)
 }
