Close only the link on which a stream timed out

A stream that broke off, or timed out, made the entry close the link that it had to the agent at that moment. All other requests on the link were cut, and had to be resolved over a third one: idempotent ones have a second for that, after which callers get a second run or an error of unknown outcome.

Cause: the dispatcher reported the backend server, not the stream, and any error of Receive, not only a timeout. The link of the report may have been replaced by then, and a stream ends alone as well, such as when its caller reads so slowly that the agent's writes time out.

Evidence: TestBrokenStreamLeavesOtherRequests, in which one of four streams is cut, failed with all four resolved. TestLateTimeoutLeavesNewLink failed with the report applied to the current link.

Now a stream knows its link, only a timeout is reported, and that link alone is closed. A link that has failed is still found by its control stream.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -190,8 +191,9 @@
 	for {
 		frame, err := stream.Receive(streamTimeout)
 		if err != nil {
-			if ctx.Err() == nil {
-				a.dispatcher.options.Members.ReportUnresponsive(a.target.backend)
+			var timeout *carawaybeam.ReceiveTimeoutError
+			if errors.As(err, &timeout) && ctx.Err() == nil {
+				a.dispatcher.options.Members.ReportUnresponsive(stream)
 			}
 			return streamResult{}
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -73,9 +73,9 @@
 		Members(pool carawaybeam.PoolID) []tracker.Member
 		// Open opens a stream to the agent of the backend server.
 		Open(ctx context.Context, backend carawaybeam.BackendID) (carawaybeam.Stream, error)
-		// ReportUnresponsive reports that the agent of the backend server does not
-		// respond.
-		ReportUnresponsive(backend carawaybeam.BackendID)
+		// ReportUnresponsive reports that the agent does not respond on a stream
+		// that Open returned.
+		ReportUnresponsive(stream carawaybeam.Stream)
 		// EnsureLink links to a backend server outside the entry's subset and reports
 		// whether there is a link.
 		EnsureLink(ctx context.Context, pool carawaybeam.PoolID, backend carawaybeam.BackendID) bool
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -86,6 +86,40 @@
 	})
 }
 
+// TestBrokenStreamLeavesOtherRequests checks that a stream that breaks off does not
+// interrupt the other requests on its link.
+func TestBrokenStreamLeavesOtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newSystem(t, 1)
+		var mu sync.Mutex
+		var cut string
+		resolved := make(map[string]bool)
+		p.Network.SetInjector(func(_ carawaybeam.Address, _ linker.Direction, f *framer.Frame) linker.Decision {
+			mu.Lock()
+			defer mu.Unlock()
+			if id := f.GetResolve().GetAttempt(); id != "" {
+				resolved[id] = true
+			}
+			if chunk := f.GetChunk(); chunk.GetOffset() > 0 && cut == "" {
+				cut = chunk.GetAttempt()
+				return linker.Decision{Cut: true}
+			}
+			return linker.Decision{}
+		})
+		var wait sync.WaitGroup
+		answers := make([]assembler.Answer, 4)
+		for i := range answers {
+			wait.Go(func() { _ = p.Entries[0].Dispatcher.Do(t.Context(), booking("b1", ""), &answers[i]) })
+		}
+		wait.Wait()
+		for i := range answers {
+			is.Equal(answers[i].Body.String(), assembler.FullAnswer("b1"))
+		}
+		is.Equal(resolved, map[string]bool{cut: true})
+	})
+}
+
 func TestSameKeyRunsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/tracker/link_test.go
+++ b/tracker/link_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/fakes/assembler"
+	"github.com/carawaybeam/carawaybeam/framer"
 	"github.com/carawaybeam/carawaybeam/tracker"
 )
 
@@ -23,6 +24,32 @@
 	return n
 }
 
+// TestLateTimeoutLeavesNewLink checks that a stream which times out on a link that has
+// been replaced does not end the streams on the new one.
+func TestLateTimeoutLeavesNewLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := assembler.New(assembler.Options{Agents: 1, Concurrency: 1, PartTime: time.Millisecond})
+		tr := tracker.New(tracker.Options{
+			Process: "entry", Lister: a.Store.VMList(), Dialer: a.Network, Config: configurer.New(), Log: zerolog.Nop(),
+		})
+		time.Sleep(10 * time.Second)
+		old, err := tr.Open(t.Context(), "desk-0")
+		is.NoErr(err)
+		a.Network.Cut(a.Slots[0].VM.Address)
+		time.Sleep(time.Second)
+		stream, err := tr.Open(t.Context(), "desk-0")
+		is.NoErr(err)
+		tr.ReportUnresponsive(old)
+		time.Sleep(time.Millisecond)
+		is.NoErr(stream.Send(&framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{}}}))
+		is.NoErr(old.Close())
+		is.NoErr(stream.Close())
+		is.NoErr(tr.Close())
+		is.NoErr(a.Close())
+	})
+}
+
 func TestAgentOutsideSubsetIsReachedOnDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -45,6 +45,8 @@
 	reportingStream struct {
 		carawaybeam.Stream
 		member *member
+		// link carries the stream.
+		link   carawaybeam.Link
 		closed sync.Once
 	}
 )
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -188,14 +188,14 @@
 		m.addStreams(-1)
 		return nil, err
 	}
-	return &reportingStream{Stream: stream, member: m}, nil
+	return &reportingStream{Stream: stream, member: m, link: link}, nil
 }
 
-// ReportUnresponsive closes the link to a backend server on which a stream timed
-// out. A new link is made afterwards.
-func (t *Tracker) ReportUnresponsive(backend carawaybeam.BackendID) {
-	if _, link := t.link(backend); link != nil {
-		_ = link.Close()
+// ReportUnresponsive closes the link of a stream that timed out. A new link is made
+// afterwards, or is in use already.
+func (t *Tracker) ReportUnresponsive(stream carawaybeam.Stream) {
+	if s, ok := stream.(*reportingStream); ok {
+		_ = s.link.Close()
 	}
 }
 
