Send no request over a link that is about to end

When the subset of agents that an entry links to changed, or the time for which a link was pinned ended, a request that took the link at the same moment was sent over it, and the link was closed under it. Outside the subset there is no new link over which to resolve the request: a caller got an error of unknown outcome after 8 s.

Cause: a link that was to end stayed available until its goroutine had noticed, and a link was taken and its stream counted in two steps, between which it was judged unused.

Now the link is taken and the stream counted in one step, and a link that ends is no longer handed out from that step on, nor set again by a heartbeat that was still received on it.

--- a/tracker/member.go
+++ b/tracker/member.go
@@ -63,12 +63,33 @@
 	return m.state
 }
 
+// current returns the link and the backend server. The link is nil if there is no working
+// one or if it is about to end.
 func (m *member) current() (carawaybeam.Link, carawaybeam.BackendID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.link, m.state.Backend
 }
 
+// acquire returns the link, and counts a stream that keeps it, if it is a link to the
+// backend server.
+func (m *member) acquire(backend carawaybeam.BackendID) (carawaybeam.Link, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.link == nil || m.state.Backend != backend {
+		return nil, false
+	}
+	m.streams++
+	return m.link, true
+}
+
+// release removes a stream that acquire has counted.
+func (m *member) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.streams--
+}
+
 // setVM applies a row of the list. A VM that was listed as leaving stays
 // leaving, even if an older list is read later.
 func (m *member) setVM(vm carawaybeam.VM) {
@@ -129,16 +150,16 @@
 		m.cancel = cancel
 		m.tracker.wait.Go(func() { m.run(ctx) })
 	case !wanted && m.cancel != nil:
-		m.cancel()
+		m.endLink()
 		m.cancel = nil
 	}
 }
 
-// addStreams changes the number of open streams by n.
-func (m *member) addStreams(n int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.streams += n
+// endLink ends the link. No stream is opened on it any more. The caller holds mu.
+func (m *member) endLink() {
+	m.cancel()
+	m.link = nil
+	m.state.Linked = false
 }
 
 // stop ends the link permanently.
@@ -146,7 +167,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.cancel != nil {
-		m.cancel()
+		m.endLink()
 	}
 }
 
@@ -186,9 +207,13 @@
 	return m.unlink(link)
 }
 
-func (m *member) setLink(link carawaybeam.Link) {
+// setLink makes the link the current one, unless ctx has ended and the link with it.
+func (m *member) setLink(ctx context.Context, link carawaybeam.Link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	m.link = link
 	m.state.Linked = true
 }
@@ -226,7 +251,7 @@
 		m.tracker.options.Quarantiner.MergeFrame(frame.GetSuspects().GetSuspects())
 		if heartbeat := frame.GetHeartbeat(); heartbeat != nil {
 			m.applyReport(heartbeat, carawaybeam.ConfigVersion(frame.GetConfigVersion()))
-			m.setLink(link)
+			m.setLink(ctx, link)
 		}
 	}
 }
@@ -330,6 +355,6 @@
 
 // Close closes the stream, which then no longer keeps the link.
 func (s *reportingStream) Close() error {
-	s.closed.Do(func() { s.member.addStreams(-1) })
+	s.closed.Do(func() { s.member.release() })
 	return s.Stream.Close()
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -178,14 +178,13 @@
 // Open opens a stream to the agent of a backend server. It returns ErrNoLink if
 // there is no working link.
 func (t *Tracker) Open(ctx context.Context, backend carawaybeam.BackendID) (carawaybeam.Stream, error) {
-	m, link := t.link(backend)
-	if link == nil {
+	m, link := t.acquire(backend)
+	if m == nil {
 		return nil, ErrNoLink
 	}
-	m.addStreams(1)
 	stream, err := link.Open(ctx)
 	if err != nil {
-		m.addStreams(-1)
+		m.release()
 		return nil, err
 	}
 	return &reportingStream{Stream: stream, member: m, link: link}, nil
@@ -203,7 +202,7 @@
 // for up to linkTimeout and reports whether there is a link. The link is kept
 // for some time.
 func (t *Tracker) EnsureLink(ctx context.Context, pool carawaybeam.PoolID, backend carawaybeam.BackendID) bool {
-	if _, link := t.link(backend); link != nil {
+	if t.isLinked(backend) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
@@ -211,7 +210,7 @@
 	ticker := time.NewTicker(linkPollInterval)
 	defer ticker.Stop()
 	for pinned := t.pin(pool, backend); pinned; {
-		if _, link := t.link(backend); link != nil {
+		if t.isLinked(backend) {
 			return true
 		}
 		select {
@@ -246,17 +245,31 @@
 	return len(unnamed) > 0
 }
 
-func (t *Tracker) link(backend carawaybeam.BackendID) (*member, carawaybeam.Link) {
+// acquire returns the member of a backend server and its link, which a stream is about
+// to use, or nil if there is no working link.
+func (t *Tracker) acquire(backend carawaybeam.BackendID) (*member, carawaybeam.Link) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range t.members {
-		if link, id := m.current(); id == backend && link != nil {
+		if link, ok := m.acquire(backend); ok {
 			return m, link
 		}
 	}
 	return nil, nil
 }
 
+// isLinked reports whether there is a working link to the agent of a backend server.
+func (t *Tracker) isLinked(backend carawaybeam.BackendID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		if link, id := m.current(); id == backend && link != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // reportInterval returns the report interval that agents are asked to use.
 func (t *Tracker) reportInterval() time.Duration {
 	t.mu.Lock()
