Send an attempt to the backend server at most once

A request without a body whose method is GET, HEAD, OPTIONS or TRACE could reach the backend server twice in one attempt: beside a backend server that closed a kept connection after it had read the request. Of a class that is not idempotent it could run twice, and no retry was counted.

Cause: net/http's transport repeats a request by itself if its method is idempotent and it has no body. GetBody was cleared against this, but is not asked for where there is no body to restart.

Evidence: TestAttemptIsSentOnce failed for GET, HEAD and OPTIONS: the attempt was answered by the second connection. POST passed before.

Now such a request has a body of its own that is empty, which the transport cannot restart. On the wire it has neither a body nor a length, and connections are still kept.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -89,8 +89,13 @@
 	if err != nil {
 		return nil, &carawaybeam.NotSentError{Cause: err}
 	}
-	// Without GetBody the transport never retries a request by itself.
+	// The transport repeats a request by itself if it can restart its body, or if there is
+	// none and the method is idempotent. What may run twice is decided by the class.
 	request.GetBody = nil
+	if request.Body == http.NoBody && transportRepeats(call.Method) {
+		request.Body = io.NopCloser(http.NoBody)
+		request.TransferEncoding = []string{"identity"}
+	}
 	request.Header.Set("Content-Type", call.ContentType)
 	request.Header.Set(HeaderAttempt, string(call.Attempt))
 	if c.engine {
@@ -108,6 +113,15 @@
 	}, nil
 }
 
+// transportRepeats reports whether net/http repeats requests of the method that have no body.
+func transportRepeats(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // startError wraps errors of establishing the connection, before which nothing is
 // sent, in a *carawaybeam.NotSentError.
 func startError(err error) error {
