Refuse what is on its way to an idle agent that is stopped

A request that an entry had sent to an agent without work, as the agent was stopped, got neither an answer nor a refusal from it: the agent closed its links before the request arrived. The caller got an error of unknown outcome after 8 s although the request had not run; an idempotent one lost a second.

Cause: Drain waits for running requests and for answers that are not yet fetched. An agent without either returned at once, and its links were closed while the news that it is leaving was still under way to the entries.

Evidence: TestRequestCrossesStopOfIdleAgent, with 5 ms between entry and agent, failed.

Now an agent refuses requests for 2 s after it has told the entries, as an entry serves on for a while after it has become unready.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,11 @@
 	minReceiveTimeout = 10 * time.Second
 	maxMissedFrames   = 3
 
+	// leaveDelay is how long an agent that leaves still refuses requests at least.
+	// In this time the entries learn that it is leaving, and what they had sent
+	// before arrives.
+	leaveDelay = 2 * time.Second
+
 	// loadTimeout is the timeout for reading the load of the backend server.
 	loadTimeout = 500 * time.Millisecond
 )
@@ -88,11 +93,18 @@
 	return nil
 }
 
-// Drain tells all entries that the backend server is leaving, and waits as
-// executor.Executor.Drain does. If ctx ends earlier, it returns the error of ctx.
+// Drain tells all entries that the backend server is leaving, waits until no more
+// requests are on their way to it, and then as executor.Executor.Drain does. If ctx ends
+// earlier, it returns the error of ctx.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.options.Executor.Leave()
 	a.notify()
+	timer := time.NewTimer(leaveDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	return a.options.Executor.Drain(ctx)
 }
 
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -186,6 +186,40 @@
 	})
 }
 
+// TestRequestCrossesStopOfIdleAgent checks that a request that is on its way to an agent
+// without work, as that agent is stopped, is refused by it and runs elsewhere.
+func TestRequestCrossesStopOfIdleAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newSystem(t, 2)
+		dispatched := make(chan carawaybeam.Address, 4)
+		p.Network.SetInjector(func(address carawaybeam.Address, _ linker.Direction, f *framer.Frame) linker.Decision {
+			if f.GetDispatch() != nil {
+				dispatched <- address
+			}
+			return linker.Decision{Latency: 5 * time.Millisecond}
+		})
+		var stopped sync.WaitGroup
+		stopped.Go(func() {
+			address := <-dispatched
+			for i, s := range p.Slots {
+				if s.VM.Address != address {
+					continue
+				}
+				if err := p.StopAgent(t.Context(), i); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+		var a assembler.Answer
+		failure := p.Entries[0].Dispatcher.Do(t.Context(), booking("b1", ""), &a)
+		stopped.Wait()
+		is.True(failure == nil)
+		is.Equal(a.Body.String(), assembler.FullAnswer("b1"))
+		is.Equal(runs(p, "b1"), 1)
+	})
+}
+
 // silenceAgent drops all frames from the first agent that is sent a request, from
 // that moment on. If others is set, it drops the frames from all agents.
 func silenceAgent(p *assembler.Assembler, others bool) {
