Close the connection of an answer only once

Direct path, found by reading; no caller was seen to fail. Closing the body of an answer a second time closed its connection to the backend server, although the first time had put that into the pool and the next request may have been using it by then: that request was cut.

Cause: Close asked the context whether it had closed the connection, and the answer is the same once nobody watches the context any more.

The one user of the pool closes each answer once.

Now only the first Close does anything.

--- a/pooler/body.go
+++ b/pooler/body.go
@@ -23,6 +23,7 @@
 	reusable bool
 	idleFor  time.Duration
 	complete bool
+	closed   bool
 }
 
 // Read reads from the body. It returns io.EOF only if the answer is complete.
@@ -34,8 +35,13 @@
 	return n, err
 }
 
-// Close returns the connection to the pool or closes it.
+// Close returns the connection to the pool or closes it. Further calls do nothing, since
+// another request may be using the connection by then.
 func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
 	alive := b.stop()
 	if alive && b.complete && b.reusable && b.sent() && b.connection.reader.Buffered() == 0 {
 		b.pooler.put(b.connection, b.idleFor)
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -302,3 +302,52 @@
 		t.Error("backend server did not notice that the request was cancelled")
 	}
 }
+
+// TestAnswerClosedTwice checks that closing the body of an answer again does not close
+// the connection, which the next request may be using by then.
+func TestAnswerClosedTwice(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		if n == 2 {
+			<-second
+		}
+		answer(conn, fmt.Sprint(n), "body")
+		return true
+	})
+	p := newPooler(t)
+	first, err := p.Send(t.Context(), b.address(), request("1"))
+	is.NoErr(err)
+	_, err = first.ReadAll(1 << 20)
+	is.NoErr(err)
+	is.NoErr(first.Body.Close())
+	time.AfterFunc(50*time.Millisecond, func() {
+		if err := first.Body.Close(); err != nil {
+			t.Error(err)
+		}
+		close(second)
+	})
+	body, err := send(t, p, b, request("2"))
+	is.NoErr(err)
+	is.Equal(body, "body")
+	is.Equal(b.connections(), 1)
+}
+
+// TestAnswerReadAfterClose checks that nothing is read through the body of an answer whose
+// connection has been handed back, such as the answer to the next request.
+func TestAnswerReadAfterClose(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		answer(conn, fmt.Sprint(n), "body")
+		return true
+	})
+	p := newPooler(t)
+	first, err := p.Send(t.Context(), b.address(), request("1"))
+	is.NoErr(err)
+	_, err = first.ReadAll(1 << 20)
+	is.NoErr(err)
+	is.NoErr(first.Body.Close())
+	n, err := first.Body.Read(make([]byte, 1))
+	is.Equal(n, 0)
+	is.True(err != nil)
+}
