Reload the settings of an entry that is still starting

An entry that received SIGHUP, or whose settings file changed, in the time between its first steps and its listening ended with a panic. A change in that time could also be undone by the settings with which the entry started.

Cause: the reloader starts first, and sets the bound of the retrier, which was made last.

Evidence: TestReloadBeforeStart panics with a nil pointer dereference if the retrier is not made before.

Now all that a reload changes is made, with the settings of the start in force, before the reloader starts.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -132,10 +132,8 @@
 
 // runDirect runs the daemon until it receives the signal to stop.
 func runDirect(stop context.Context, file string, settings loader.Entry) {
-	e := &directEntry{settings: settings, logKeeper: logkeeper.New(logBytes), quarantiner: quarantiner.New()}
-	e.log = starter.NewLog(settings.Process, e.logKeeper)
+	e := newDirectEntry(settings)
 	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Log: e.log}))
-	e.apply(settings.Direct)
 	if err := e.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
 	}
@@ -146,6 +144,19 @@
 	e.log.Info().Msg("entry: stopped")
 }
 
+// newDirectEntry returns a directEntry with the settings in force. Settings can be
+// reloaded before it is started.
+func newDirectEntry(settings loader.Entry) *directEntry {
+	e := &directEntry{settings: settings, logKeeper: logkeeper.New(logBytes), quarantiner: quarantiner.New()}
+	e.log = starter.NewLog(settings.Process, e.logKeeper)
+	e.entries = enroller.NewEntrySet(e.log)
+	e.retrier = quota.New(quota.Options{
+		Bound: retryBound(settings.Direct.Retries), Entries: e.entries.Len, Started: time.Now(),
+	})
+	e.apply(settings.Direct)
+	return e
+}
+
 // reload applies the settings that can change while the process is running.
 func (e *directEntry) reload(file string) error {
 	settings, err := loader.LoadEntry(file)
@@ -242,7 +253,6 @@
 	}
 	e.collector = collector.New(collector.Options{Conn: conn, Log: e.log})
 	e.closers.Add(e.collector)
-	e.entries = enroller.NewEntrySet(e.log)
 	e.closers.Add(follower.New(follower.Options{
 		Store: e.store, Kind: carawaybeam.KindEntry, Sink: e.entries, Clock: clock.SinceBoot,
 		Wait: entriesWait, MinInterval: entriesInterval, Log: e.log,
@@ -307,9 +317,6 @@
 		return err
 	}
 	e.router = router
-	e.retrier = quota.New(quota.Options{
-		Bound: retryBound(e.settings.Direct.Retries), Entries: e.entries.Len, Started: time.Now(),
-	})
 	admin, err := starter.Listen("operators", e.settings.Admin)
 	if err != nil {
 		return err
