Keep SIGHUP from ending processes

SIGHUP ended an entry or agent that works over links at once, with all requests that it served: callers got a closed connection. It also ended a process of the direct path that had not yet begun to watch its settings.

Cause: only the reloader catches the signal. Processes of the linked path have none, as they have no settings to reload, and the others start it after they have read their settings. A file that changed in between was taken for the one read.

Now the signal is caught before the settings are read, and one that arrives before the reloader starts makes it reload. Processes without a reloader go on.

--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -58,6 +58,7 @@
 }
 
 func main() {
+	reload := starter.ReloadSignal()
 	flags := starter.ParseFlags(program, os.Args[1:])
 	settings, err := loader.LoadAgent(flags.Settings)
 	if err != nil {
@@ -69,7 +70,7 @@
 	stop, cancel := starter.StopSignal()
 	defer cancel()
 	if settings.Reporting.Enabled() {
-		if err := runReporting(stop, flags.Settings, settings, starter.NewLog(settings.Process)); err != nil {
+		if err := runReporting(stop, reload, flags.Settings, settings, starter.NewLog(settings.Process)); err != nil {
 			starter.Fail(program, starter.ExitStart, err)
 		}
 		return
--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -34,10 +35,16 @@
 
 // runReporting reports the state of a rank to all enrolled entries until it receives
 // the signal to stop.
-func runReporting(stop context.Context, file string, settings loader.Agent, log zerolog.Logger) error {
+func runReporting(
+	stop context.Context,
+	reload chan os.Signal,
+	file string,
+	settings loader.Agent,
+	log zerolog.Logger,
+) error {
 	starter.LimitMemory(settings.Reporting.MemoryMB)
 	var closers starter.Closers
-	closers.Add(reloader.New(reloader.Options{File: file, Log: log, Apply: func(path string) error {
+	closers.Add(reloader.New(reloader.Options{File: file, Signals: reload, Log: log, Apply: func(path string) error {
 		changed, err := loader.LoadAgent(path)
 		if err == nil {
 			starter.LimitMemory(changed.Reporting.MemoryMB)
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -131,9 +132,9 @@
 }
 
 // runDirect runs the daemon until it receives the signal to stop.
-func runDirect(stop context.Context, file string, settings loader.Entry) {
+func runDirect(stop context.Context, reload chan os.Signal, file string, settings loader.Entry) {
 	e := newDirectEntry(settings)
-	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Log: e.log}))
+	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Signals: reload, Log: e.log}))
 	if err := e.start(); err != nil {
 		starter.Fail(program, starter.ExitStart, err)
 	}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -96,6 +96,7 @@
 }
 
 func main() {
+	reload := starter.ReloadSignal()
 	flags := starter.ParseFlags(program, os.Args[1:])
 	settings, err := loader.LoadEntry(flags.Settings)
 	if err != nil {
@@ -107,7 +108,7 @@
 	stop, cancel := starter.StopSignal()
 	defer cancel()
 	if settings.Direct.Enabled() {
-		runDirect(stop, flags.Settings, settings)
+		runDirect(stop, reload, flags.Settings, settings)
 		return
 	}
 	e := &entry{settings: settings, log: starter.NewLog(settings.Process), shutDown: cancel}
--- a/cmd/cbentry/process_test.go
+++ b/cmd/cbentry/process_test.go
@@ -127,7 +127,7 @@
 
 // start starts a program and stops it gracefully at the end of the test. The test fails
 // if the program exits with an error.
-func start(t *testing.T, program, settings string) {
+func start(t *testing.T, program, settings string) *os.Process {
 	t.Helper()
 	directory, err := programs()
 	if err != nil {
@@ -145,6 +145,7 @@
 			t.Errorf("%s: %v\n%s", program, err, messages.String())
 		}
 	})
+	return command.Process
 }
 
 // await polls until the condition holds. It fails the test after waitTimeout.
@@ -336,3 +337,23 @@
 	is.Equal(dump.State.Targets[0].Class, carawaybeam.ClassID("bookings"))
 	is.True(dump.State.Targets[0].Requests >= 2) // the refused requests and the one that ran
 }
+
+// TestHangupDoesNotEndProcess checks that SIGHUP does not end a process that has no settings
+// to reload, and with it the requests that it serves.
+func TestHangupDoesNotEndProcess(t *testing.T) {
+	for program, settings := range map[string]func(address, admin, url string) string{
+		"cbentry": entrySettings,
+		"cbagent": agentSettings,
+	} {
+		t.Run(program, func(t *testing.T) {
+			is := is.New(t)
+			admin := freeAddress(t)
+			process := start(t, program, settings(freeAddress(t), admin, "http://"+freeAddress(t)))
+			live := func() bool { return status("http://"+admin+"/healthz") == http.StatusOK }
+			await(t, "the admin port answers", live)
+			is.NoErr(process.Signal(syscall.SIGHUP))
+			time.Sleep(200 * time.Millisecond)
+			is.True(live())
+		})
+	}
+}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -186,6 +186,14 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+// ReloadSignal returns a channel that receives SIGHUP, which then no longer ends the
+// process. It is to be called before the settings are read, so that no change is missed.
+func ReloadSignal() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // Add adds a component.
 func (c *Closers) Add(component io.Closer) { c.components = append(c.components, component) }
 
