Pass redirecting answers of backend servers on

A backend server that redirected a request made its agent send the request again, to wherever the answer pointed, up to ten times: also one without a body that is not idempotent. The caller got the answer of the last one, or an error of unknown outcome.

Cause: net/http's client follows redirects by itself unless it is told not to.

Evidence: TestRedirectIsNotFollowed failed for 302 and 307: "stopped after 10 redirects".

Now the answer that redirects is the answer of the attempt.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -78,7 +78,12 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
 	}
-	return &Caller{url: options.URL, client: &http.Client{Transport: transport}, engine: engine}
+	client := &http.Client{
+		Transport: transport,
+		// An answer that redirects is the caller's to follow.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Caller{url: options.URL, client: client, engine: engine}
 }
 
 // Start sends a request and returns once the response begins. An error that wraps
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -81,3 +82,27 @@
 		}
 	}
 }
+
+// TestRedirectIsNotFollowed checks that an answer that redirects is passed on, and does not
+// make the attempt run a second time elsewhere.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				requests.Add(1)
+				http.Redirect(w, r, "/elsewhere", status)
+			}))
+			t.Cleanup(server.Close)
+			c := caller.New(carawaybeam.BackendOptions{URL: server.URL}, false)
+			answer, err := c.Start(t.Context(), carawaybeam.BackendRequest{
+				Attempt: "1", Method: http.MethodPost, Path: "/",
+			})
+			is.NoErr(err)
+			is.NoErr(answer.Body.Close())
+			is.Equal(answer.Status, status)
+			is.Equal(requests.Load(), int32(1))
+		})
+	}
+}
