Count the time without readers from the last link that was lost

An idempotent request whose link was lost twice could be cancelled while its entry was opening a new one: the backend server's work was lost and the request had to run again.

Cause: each loss of the last reader starts a timer of 10 s, and when that ran out the request was cancelled if it had no reader at that moment, although one had been there until just before.

Evidence: TestLinkLostTwiceIsNoAbandonment failed: 0.5 s after the second loss the request ended as failed.

Now it is cancelled only if its last reader has been gone for the whole time.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -174,3 +174,58 @@
 		}
 	})
 }
+
+// delayedBackend answers each request after a time, unless it is cancelled before.
+type delayedBackend struct {
+	textBackend
+	after time.Duration
+}
+
+func (b delayedBackend) Start(
+	ctx context.Context,
+	call carawaybeam.BackendRequest,
+) (*carawaybeam.BackendResponse, error) {
+	select {
+	case <-time.After(b.after):
+		return b.textBackend.Start(ctx, call)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestLinkLostTwiceIsNoAbandonment checks that a request is not cancelled between two links
+// of its entry because an earlier link was lost some time before.
+func TestLinkLostTwiceIsNoAbandonment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := executor.New(executor.Options{
+			Backend: delayedBackend{after: 15 * time.Second}, Incarnation: "i", Concurrency: 64, Log: zerolog.Nop(),
+		})
+		network := &linker.Network{}
+		network.Listen(address, handler{e})
+		connect := func() carawaybeam.Link {
+			link, err := network.Dial(t.Context(), address)
+			is.NoErr(err)
+			return link
+		}
+		open := func(first *framer.Frame) {
+			stream, err := connect().Open(t.Context())
+			is.NoErr(err)
+			is.NoErr(stream.Send(first))
+			time.Sleep(time.Millisecond)
+		}
+		resolve := &framer.Frame{Body: &framer.Frame_Resolve{Resolve: &framer.Resolve{Attempt: "a"}}}
+		first := dispatch("a", "")
+		first.GetDispatch().Idempotent = true
+		open(first)
+		network.Cut(address)
+		time.Sleep(time.Second)
+		open(resolve)
+		time.Sleep(8800 * time.Millisecond)
+		network.Cut(address)
+		time.Sleep(500 * time.Millisecond)
+		is.True(exchange(t, connect(), resolve, "a").GetTail() != nil)
+		is.NoErr(network.Close())
+		is.NoErr(e.Close())
+	})
+}
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// abandon cancels an idempotent attempt if it has no readers after abandonTimeout.
+// abandon cancels an idempotent attempt if no reader attaches within abandonTimeout.
 // Other attempts run to their end, because their effects matter more than their
 // answers.
 func (e *Executor) abandon(a *attempt) {
@@ -100,15 +100,16 @@
 	case <-e.ctx.Done():
 		return
 	}
-	if a.readerCount() == 0 {
+	if a.isAbandoned() {
 		a.stop()
 	}
 }
 
-func (a *attempt) readerCount() int {
+// isAbandoned reports whether the attempt has had no readers for abandonTimeout.
+func (a *attempt) isAbandoned() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.readers
+	return a.readers == 0 && time.Since(a.lastDetached) >= abandonTimeout
 }
 
 // stop cancels the request to the backend server.
