Test cancelling and closing idle connections beside requests

Two orders that were ruled out on the direct path, with real sockets: a request that is cancelled as its answer ends, and the idle connections of a backend server being closed while requests take them.

--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -351,3 +351,71 @@
 	is.Equal(n, 0)
 	is.True(err != nil)
 }
+
+// TestCancelBesideEnd checks that a request which is cancelled as its answer ends does not
+// leave a connection in the pool that is closed under the next request.
+func TestCancelBesideEnd(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		answer(conn, r.Header.Get("Request-Id"), "body")
+		return true
+	})
+	p := newPooler(t)
+	for i := range 500 {
+		ctx, cancel := context.WithCancel(t.Context())
+		reply, err := p.Send(ctx, b.address(), numbered(2*i))
+		is.NoErr(err)
+		_, err = reply.ReadAll(1 << 20)
+		is.NoErr(err)
+		var cancelled sync.WaitGroup
+		cancelled.Go(cancel)
+		is.NoErr(reply.Body.Close())
+		_, err = send(t, p, b, numbered(2*i+1))
+		is.NoErr(err)
+		cancelled.Wait()
+	}
+}
+
+// TestCloseIdleBesideRequests checks that closing the idle connections to a backend server
+// does not end a request that takes one of them at the same moment.
+func TestCloseIdleBesideRequests(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		answer(conn, r.Header.Get("Request-Id"), "body")
+		return true
+	})
+	p := newPooler(t)
+	done := make(chan struct{})
+	var closing sync.WaitGroup
+	closing.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(100 * time.Microsecond):
+				p.CloseIdle(b.address())
+			}
+		}
+	})
+	var requests sync.WaitGroup
+	for worker := range 4 {
+		requests.Go(func() {
+			for i := range 200 {
+				if _, err := send(t, p, b, numbered(1000*worker+i)); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	requests.Wait()
+	close(done)
+	closing.Wait()
+	is.True(p.State().Reused > 0)
+}
+
+// numbered returns a request that sends its number as its identifier.
+func numbered(n int) pooler.Request {
+	r := request(fmt.Sprint(n))
+	r.Header = http.Header{"Request-Id": {fmt.Sprint(n)}}
+	return r
+}
