Accept links again after a failure to accept one

A process that for a moment had no file descriptors left accepted no links any more until it was restarted: connections to it were established, but nothing on them was read, and requests for its backend server failed.

Cause: messenger and certifier end at the first error of Accept, whatever it is. The HTTP servers try again.

Now only a closed listener ends Accept, and other errors are logged.

--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -138,8 +138,12 @@
 // listenLinks listens for links, over TLS if the settings enable it.
 func (d *daemon) listenLinks() (net.Listener, error) {
 	listener, err := starter.Listen("links", d.settings.Links)
-	if err != nil || !d.settings.LinkTLS.Enabled() {
-		return listener, err
+	if err != nil {
+		return nil, err
+	}
+	listener = starter.RetryAccept(listener, d.log)
+	if !d.settings.LinkTLS.Enabled() {
+		return listener, nil
 	}
 	c, err := certifier.New(certifier.Files(d.settings.LinkTLS), d.log)
 	if err != nil {
--- a/cmd/cbentry/tls.go
+++ b/cmd/cbentry/tls.go
@@ -35,8 +35,12 @@
 // listenLinks listens for links from other entries, over TLS if the settings enable it.
 func (e *entry) listenLinks() (net.Listener, error) {
 	listener, err := starter.Listen("links", e.settings.Links)
-	if err != nil || e.security == nil {
-		return listener, err
+	if err != nil {
+		return nil, err
+	}
+	listener = starter.RetryAccept(listener, e.log)
+	if e.security == nil {
+		return listener, nil
 	}
 	return certifier.Listen(listener, e.security.Server(certifier.RoleEntry), e.log), nil
 }
