Hold what an entry that lost its link still needs of an answer

An answer longer than 1 MiB could be lost if the link broke in the middle of it: the agent told the entry, which resolved the attempt within a second, that the answer was gone, so that the caller could only get part of it.

Cause: an agent holds the last 1 MiB of an answer. It dropped older parts as soon as no reader was attached, as in the moment between two links, and took what it had sent for received, although a stream and its buffers hold some hundred KiB.

Now an agent keeps the last 512 KiB that it has sent, and reads no further ahead for 15 s while a reader that has not acknowledged the answer is away. That is the time for which a stopping agent waits for it.

--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -11,10 +11,16 @@
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
-// maxHeldBytes is the maximum number of bytes of an answer that are held for an
-// attempt. If an entry reads the answer, the backend server is read at most this far
-// ahead of the entry.
-const maxHeldBytes = 1 << 20
+const (
+	// maxHeldBytes is the maximum number of bytes of an answer that are held for an
+	// attempt. If an entry reads the answer, the backend server is read at most this
+	// far ahead of the entry.
+	maxHeldBytes = 1 << 20
+
+	// resendBytes is how much of an answer that was sent to an entry is held in case
+	// its link is lost. It is more than a stream and its buffers hold.
+	resendBytes = 512 << 10
+)
 
 type (
 	// phase is the phase of the life cycle of an attempt.
@@ -113,8 +119,8 @@
 }
 
 // append adds answer bytes. If there is no room for them, it drops the oldest bytes,
-// or waits while an attached reader still needs those. It returns false if stop is
-// closed before the bytes are added.
+// or waits while a reader may still need those. It returns false if stop is closed
+// before the bytes are added.
 func (a *attempt) append(data []byte, stop <-chan struct{}) bool {
 	for {
 		a.mu.Lock()
@@ -127,20 +133,33 @@
 		}
 		changed := a.changed
 		a.mu.Unlock()
-		select {
-		case <-changed:
-		case <-stop:
+		if !awaitChange(changed, stop) {
 			return false
 		}
 	}
 }
 
+// awaitChange waits for a change, for at most fetchGracePeriod. It returns false if stop
+// is closed before.
+func awaitChange(changed, stop <-chan struct{}) bool {
+	timer := time.NewTimer(fetchGracePeriod)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-stop:
+		return false
+	}
+	return true
+}
+
 // trim drops held bytes to make room for need more. It returns false, and drops
-// nothing, if an attached reader still needs some of them. The caller holds mu.
+// nothing, if a reader may still need some of them. The caller holds mu.
 func (a *attempt) trim(need int) bool {
 	excess := len(a.held) + need - maxHeldBytes
-	readable := int(a.readOffset - min(a.readOffset, a.heldOffset))
-	if a.readers > 0 && readable < excess {
+	received := a.readOffset - min(a.readOffset, resendBytes)
+	unneeded := int(received - min(received, a.heldOffset))
+	if a.isAwaited(time.Now()) && unneeded < excess {
 		return false
 	}
 	excess = min(excess, len(a.held))
@@ -149,6 +168,12 @@
 	return true
 }
 
+// isAwaited reports whether a reader is attached, or may still attach again after it has
+// lost its link. The caller holds mu.
+func (a *attempt) isAwaited(now time.Time) bool {
+	return a.readers > 0 || len(a.unacknowledged) > 0 && now.Sub(a.lastDetached) < fetchGracePeriod
+}
+
 func (a *attempt) finish(p phase, failure carawaybeam.RequestError) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -40,8 +40,9 @@
 	// acknowledged or cancelled it.
 	fetchedRetention = 5 * time.Second
 
-	// fetchGracePeriod is how long Drain waits for an entry to fetch an answer.
-	// It is longer than an entry needs to open a new link and resolve an attempt.
+	// fetchGracePeriod is how long an answer waits for an entry that lost its link to
+	// fetch it, also while the agent is draining. It is longer than an entry needs to
+	// open a new link and resolve an attempt.
 	fetchGracePeriod = 15 * time.Second
 
 	// acknowledgeTimeout is how long a stream stays open after the last frame for
