Answer the requests that still run at the end of the time to stop

What callers saw: a request that still ran half a second before the platform kills a stopping process ended with a closed connection. The entry could have told it that its outcome is unknown.

Cause: Close closed all connections under their handlers. It now cancels the requests, leaves their handlers 250 ms to answer, and then closes what remains.

keeper.TestCloseAnswersRequests failed before: no answer.

--- a/keeper/idle_test.go
+++ b/keeper/idle_test.go
@@ -78,19 +78,18 @@
 		IdleLimit:     func() time.Duration { return time.Duration(s.idle.Load()) },
 		HeaderTimeout: headerTimeout,
 		DrainDelay:    drainDelay,
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			s.served.Add(1)
-			time.Sleep(s.delay)
+			select {
+			case <-time.After(s.delay):
+			case <-r.Context().Done():
+			}
 		}),
 	})
 	return s
 }
 
-func (s *service) close() {
-	_ = s.Close()
-	// The handlers of aborted requests end.
-	time.Sleep(s.delay)
-}
+func (s *service) close() { _ = s.Close() }
 
 // connect connects to the service. wrap wraps the server's end of the connection.
 func (s *service) connect(wrap func(net.Conn) net.Conn) *client {
@@ -274,3 +273,21 @@
 		is.Equal(time.Since(start), 3*time.Second)
 	})
 }
+
+// TestCloseAnswersRequests guards against closing the connection of a request that runs at the
+// end of the time to stop without any answer.
+func TestCloseAnswersRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(time.Minute)
+		s.delay = time.Minute
+		c := s.connect(nil)
+		answered := make(chan bool, 1)
+		go func() { answered <- c.do() }()
+		time.Sleep(time.Second)
+		start := time.Now()
+		is.NoErr(s.Close())
+		is.True(<-answered)
+		is.True(time.Since(start) < 100*time.Millisecond)
+	})
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -23,6 +23,9 @@
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
+// answerTime is how long Close waits until the requests in flight have been answered.
+const answerTime = 250 * time.Millisecond
+
 type (
 	// Options configures a Keeper.
 	Options struct {
@@ -57,6 +60,9 @@
 		options  Options
 		listener net.Listener
 		http     *http.Server
+		// ctx is the context of all requests.
+		ctx    context.Context
+		cancel context.CancelFunc
 		// leaving is set when Drain begins, and draining when idle connections end.
 		leaving, draining atomic.Bool
 		// stopped is closed when no more connections are accepted, and drained when
@@ -76,9 +82,12 @@
 
 // New returns a Keeper that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
 		options:  options,
 		listener: listener,
+		ctx:      ctx,
+		cancel:   cancel,
 		stopped:  make(chan struct{}),
 		drained:  make(chan struct{}),
 		conns:    make(map[*conn]struct{}),
@@ -89,6 +98,7 @@
 		ReadTimeout:       options.ReadTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
 		ErrorLog:          starter.NewConnectionLog(options.Log, options.Component),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
 		},
@@ -157,10 +167,19 @@
 	}
 }
 
-// Close aborts all requests in flight and closes the listener.
+// Close cancels all requests in flight and closes the listener. It leaves the handlers a
+// short time to answer them before it closes the remaining connections.
 func (k *Keeper) Close() error {
+	k.leaving.Store(true)
+	k.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	drained := k.endIdle(ctx)
 	err := k.http.Close()
 	<-k.stopped
+	if errors.Is(drained, context.DeadlineExceeded) {
+		k.options.Log.Warn().Msg(k.options.Component + ": connections were closed while they were in use")
+	}
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -59,10 +59,22 @@
 			by: "entry", cause: "stopped",
 			handle: func(k *keeper.Keeper, _ http.ResponseWriter, r *http.Request) {
 				go func() { _ = k.Close() }()
-				<-r.Context().Done()
+				for keeper.EndOf(r.Context()) == (keeper.End{}) {
+					time.Sleep(time.Millisecond)
+				}
 				k.Interrupted(r.Context(), id, false)
 			},
 		},
+		"server closes after a part of the answer": {
+			by: "entry", cause: "stopped",
+			handle: func(k *keeper.Keeper, w http.ResponseWriter, r *http.Request) {
+				_, _ = w.Write([]byte("part"))
+				go func() { _ = k.Close() }()
+				<-r.Context().Done()
+				k.Interrupted(r.Context(), id, true)
+				panic(http.ErrAbortHandler)
+			},
+		},
 		"read timeout": {
 			by: "entry", cause: "readTimeout",
 			handle: func(k *keeper.Keeper, w http.ResponseWriter, r *http.Request) {
