Answer a request whose handler panics

What callers saw: a panic in the handling of a request closed its connection without an answer. Cause: net/http recovers from the panic by closing the connection. The handlers now turn a panic into an error of a request that may have run, and log the stack with the request. TestPanicIsAnswered failed before in acceptor and server: EOF. None was seen outside of tests.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -105,20 +105,21 @@
 		_ = a.writeFailure(answer, failure)
 		return
 	}
-	defer a.keeper.Panicked(request.ID, &answer.headWritten)
-	failure = a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
+	failure = a.keeper.Guard(request.ID, func() *carawaybeam.RequestError {
+		return a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
+	})
 	if failure == nil {
 		return
 	}
-	if answer.headWritten {
-		a.keeper.Interrupted(r.Context(), request.ID, true)
-		// Abort the connection, so that the incomplete answer does not look
-		// complete.
-		panic(http.ErrAbortHandler)
+	if !answer.headWritten {
+		// An error is reported as the end of the connection.
+		_ = a.writeFailure(answer, failure)
+		a.keeper.Interrupted(r.Context(), request.ID, failure, false)
+		return
 	}
-	// An error is reported as the end of the connection.
-	_ = a.writeFailure(answer, failure)
-	a.keeper.Interrupted(r.Context(), request.ID, false)
+	a.keeper.Interrupted(r.Context(), request.ID, failure, true)
+	// Abort the connection, so that the incomplete answer does not look complete.
+	panic(http.ErrAbortHandler)
 }
 
 // read decodes a request and reads its body.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -146,6 +146,19 @@
 	is.True(err != nil)
 }
 
+// TestPanicIsAnswered guards against a panic that closes the connection of a request without
+// any answer.
+func TestPanicIsAnswered(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, func(
+		context.Context, *carawaybeam.ClientRequest, forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		panic("fault of the test")
+	})
+	response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	is.Equal(response.status, http.StatusBadGateway)
+}
+
 // TestFailureHasRetryAfter checks that a refused request is answered with the time
 // after which to retry.
 func TestFailureHasRetryAfter(t *testing.T) {
--- a/errors.go
+++ b/errors.go
@@ -62,6 +62,8 @@
 	ReasonBackendFailed Reason = "backendFailed"
 	// ReasonAnswerGone means that the answer is no longer stored.
 	ReasonAnswerGone Reason = "answerGone"
+	// ReasonInternal means that a fault in the entry ended the request.
+	ReasonInternal Reason = "internal"
 	// ReasonDeadline means that the deadline of the request passed.
 	ReasonDeadline Reason = "deadline"
 	// ReasonBadTicket means that the ticket is not open for the class and
--- a/keeper/end.go
+++ b/keeper/end.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
+	"fmt"
+	"runtime/debug"
 
 	"github.com/carawaybeam/carawaybeam"
 )
@@ -63,38 +63,47 @@
 	return c.end
 }
 
-// Interrupted logs and counts a request that was read if the client gets no complete answer.
-// ctx is the context of the request. begun tells that the client has a part of the answer,
-// which will not be completed.
-func (k *Keeper) Interrupted(ctx context.Context, request carawaybeam.RequestID, begun bool) {
+// Guard calls serve for a request that was read and returns its error. A panic in serve is
+// logged, and is returned as the error of a request that may have run.
+func (k *Keeper) Guard(
+	request carawaybeam.RequestID,
+	serve func() *carawaybeam.RequestError,
+) (failure *carawaybeam.RequestError) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		k.options.Log.Error().Str("request", string(request)).Str("panic", fmt.Sprint(cause)).
+			Str("stack", string(debug.Stack())).Msg(k.options.Component + ": handler panicked")
+		failure = &carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeUnknown, Reason: carawaybeam.ReasonInternal, Detail: "the entry failed",
+		}
+	}()
+	return serve()
+}
+
+// Interrupted logs and counts a request that was read and failed, if the client gets no
+// complete answer. ctx is the context of the request. begun tells that the client has a part
+// of the answer, which will not be completed.
+func (k *Keeper) Interrupted(
+	ctx context.Context,
+	request carawaybeam.RequestID,
+	failure *carawaybeam.RequestError,
+	begun bool,
+) {
 	end := EndOf(ctx)
 	switch {
 	case end != (End{}):
 	case !begun:
 		return
+	case failure.Reason == carawaybeam.ReasonInternal:
+		end = End{By: PartyEntry, Cause: CausePanic}
 	case ctx.Err() != nil:
 		end = End{By: PartyEntry, Cause: CauseStopped}
 	default:
 		end = End{By: PartyBackend, Cause: CauseIncomplete}
 	}
-	k.report(request, end, begun)
-}
-
-// Panicked must be deferred by the handler of a request. It reports a panic, which ends the
-// connection. begun is read when the handler panics.
-func (k *Keeper) Panicked(request carawaybeam.RequestID, begun *bool) {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		k.report(request, End{By: PartyEntry, Cause: CausePanic}, *begun)
-	}
-	panic(cause)
-}
-
-// report logs and counts a request that was read and ended without a complete answer.
-func (k *Keeper) report(request carawaybeam.RequestID, end End, begun bool) {
 	k.options.Scope.Tagged(map[string]string{"by": string(end.By), "cause": string(end.Cause)}).
 		Counter("requests_unanswered").Inc(1)
 	k.options.Log.Info().Str("request", string(request)).Str("by", string(end.By)).
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -60,8 +60,7 @@
 		options  Options
 		listener net.Listener
 		http     *http.Server
-		// ctx is the context of all requests.
-		ctx    context.Context
+		// cancel cancels the context of all requests.
 		cancel context.CancelFunc
 		// leaving is set when Drain begins, and draining when idle connections end.
 		leaving, draining atomic.Bool
@@ -86,7 +85,6 @@
 	k := &Keeper{
 		options:  options,
 		listener: listener,
-		ctx:      ctx,
 		cancel:   cancel,
 		stopped:  make(chan struct{}),
 		drained:  make(chan struct{}),
--- a/server/answer.go
+++ b/server/answer.go
@@ -66,6 +66,7 @@
 	carawaybeam.ReasonBackendFailed:    {http.StatusBadGateway, "Backend server failed"},
 	carawaybeam.ReasonAnswerGone:       {http.StatusBadGateway, "Answer is no longer held"},
 	carawaybeam.ReasonCorrupt:          {http.StatusBadGateway, "Answer was damaged"},
+	carawaybeam.ReasonInternal:         {http.StatusInternalServerError, "Entry failed"},
 	carawaybeam.ReasonDeadline:         {http.StatusGatewayTimeout, "Answer came too late"},
 	carawaybeam.ReasonWrongIncarnation: {http.StatusGatewayTimeout, "Agent has restarted"},
 }
--- a/server/server.go
+++ b/server/server.go
@@ -174,10 +174,10 @@
 	request.ID = id
 	request.Path = path
 	w := newAnswerWriter(c.Response(), s.options.WriteTimeout)
-	defer s.keeper.Panicked(id, &w.headSent)
 	ctx := c.Request().Context()
-	if failure = s.options.Dispatcher.Do(ctx, request, w); failure != nil {
-		s.keeper.Interrupted(ctx, id, w.headSent)
+	failure = s.keeper.Guard(id, func() *carawaybeam.RequestError { return s.options.Dispatcher.Do(ctx, request, w) })
+	if failure != nil {
+		s.keeper.Interrupted(ctx, id, failure, w.headSent)
 	}
 	w.finish(failure)
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -222,6 +222,22 @@
 	}
 }
 
+// TestPanicIsAnswered guards against a panic that closes the connection of a request without
+// any answer.
+func TestPanicIsAnswered(t *testing.T) {
+	is := is.New(t)
+	url := serve(
+		t,
+		&fakeDispatcher{answer: func(context.Context, dispatcher.AnswerWriter) *carawaybeam.RequestError {
+			panic("fault of the test")
+		}},
+	)
+	response, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
+	is.NoErr(err)
+	is.Equal(response.status, http.StatusInternalServerError)
+	is.True(strings.Contains(response.body, `"outcome":"unknown"`))
+}
+
 // TestAnswerOutlastsReadTimeout checks that the timeout for reading a request
 // does not end the request while its answer is awaited.
 func TestAnswerOutlastsReadTimeout(t *testing.T) {
