Test that a stop drops no request that it has read

TestDrainCutsNoRequest lets the next request arrive on 8 kept connections just as a stop closes the first of them.

--- a/acceptor/idle_test.go
+++ b/acceptor/idle_test.go
@@ -33,7 +33,8 @@
 	observedListener struct {
 		net.Listener
 		beforeClose func()
-		received    func()
+		// arrived receives the client's address at each read that returned data.
+		arrived chan string
 	}
 
 	observedConn struct {
@@ -76,7 +77,7 @@
 func (c *observedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.listener.received()
+		c.listener.arrived <- c.RemoteAddr().String()
 	}
 	return n, err
 }
@@ -116,28 +117,46 @@
 // TestIdleCloseCutsNoRequest guards against passing a request on although its connection is
 // being closed as idle, so that it gets neither an answer nor a refusal.
 func TestIdleCloseCutsNoRequest(t *testing.T) {
+	const idleTimeout = 300 * time.Millisecond
+	f := &passedOn{}
+	f.idle.Store(int64(idleTimeout))
+	cross(t, f, func(*acceptor.Acceptor) {})
+}
+
+// TestDrainCutsNoRequest guards against dropping a request that was read although its
+// connection is being closed by a stop.
+func TestDrainCutsNoRequest(t *testing.T) {
+	f := &passedOn{}
+	f.idle.Store(int64(time.Minute))
+	cross(t, f, func(a *acceptor.Acceptor) {
+		if err := a.Drain(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// cross lets the next request arrive on all connections just as the first of them is closed,
+// and checks that what was read or passed on is answered. closeIdle begins to close them.
+func cross(t *testing.T, f *passedOn, closeIdle func(*acceptor.Acceptor)) {
+	t.Helper()
 	const (
 		connections = 8
-		idleTimeout = 300 * time.Millisecond
 		patience    = 300 * time.Millisecond
 	)
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	f := &passedOn{}
-	f.idle.Store(int64(idleTimeout))
+	listener := &observedListener{Listener: inner, arrived: make(chan string, 16*connections)}
 	var conns [connections]net.Conn
 	var readers [connections]*bufio.Reader
-	// The next request arrives on every connection just as the first one is closed.
 	var crossing sync.Once
-	arrived := make(chan struct{}, 16*connections)
-	listener := &observedListener{Listener: inner, received: func() { arrived <- struct{}{} }}
 	ready := make(chan struct{})
+	var received sync.Map
 	listener.beforeClose = func() {
 		<-ready
 		crossing.Do(func() {
-			for len(arrived) > 0 {
-				<-arrived
+			for len(listener.arrived) > 0 {
+				<-listener.arrived
 			}
 			for i, conn := range conns {
 				request(conn, fmt.Sprint("second-", i))
@@ -145,14 +164,15 @@
 			limit := time.After(patience)
 			for range connections {
 				select {
-				case <-arrived:
+				case address := <-listener.arrived:
+					received.Store(address, true)
 				case <-limit:
 					return
 				}
 			}
 		})
 	}
-	start(t, listener, f)
+	a := start(t, listener, f)
 	for i := range conns {
 		conns[i], err = net.Dial("tcp", inner.Addr().String())
 		is.NoErr(err)
@@ -162,18 +182,23 @@
 		is.True(answered(readers[i]))
 	}
 	close(ready)
-	var unanswered []string
+	closeIdle(a)
+	unanswered := make(map[int]bool)
 	for i := range conns {
 		is.NoErr(conns[i].SetReadDeadline(time.Now().Add(5 * time.Second)))
-		if !answered(readers[i]) {
-			unanswered = append(unanswered, fmt.Sprint("second-", i))
-		}
+		unanswered[i] = !answered(readers[i])
 	}
 	// A request may still be on its way through the server when its client sees the close.
 	time.Sleep(patience)
-	for _, id := range unanswered {
-		if f.has(id) {
-			t.Errorf("request %s was passed on and got no answer", id)
+	for i := range conns {
+		if !unanswered[i] {
+			continue
+		}
+		if _, ok := received.Load(conns[i].LocalAddr().String()); ok {
+			t.Errorf("request second-%d was read and got no answer", i)
+		}
+		if f.has(fmt.Sprint("second-", i)) {
+			t.Errorf("request second-%d was passed on and got no answer", i)
 		}
 	}
 }
