Close the connections of requests that were read before a stop and are answered in it

What callers saw: an answer given after SIGTERM to a request from before it kept its connection, which the stop then closed as idle, at times while the next request was on its way. Cause: the header was set when the request arrived. It is now set when the head of the answer is written. keeper.TestDrainEndsConnections failed before.

--- a/keeper/idle_test.go
+++ b/keeper/idle_test.go
@@ -78,12 +78,13 @@
 		IdleLimit:     func() time.Duration { return time.Duration(s.idle.Load()) },
 		HeaderTimeout: headerTimeout,
 		DrainDelay:    drainDelay,
-		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.served.Add(1)
 			select {
 			case <-time.After(s.delay):
 			case <-r.Context().Done():
 			}
+			w.WriteHeader(http.StatusOK)
 		}),
 	})
 	return s
@@ -255,6 +256,27 @@
 	})
 }
 
+// TestDrainEndsConnections guards against keeping the connection of a request that was read
+// before Drain and is answered after it began: the client would use it again.
+func TestDrainEndsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(time.Minute)
+		defer s.close()
+		s.delay = time.Second
+		c := s.connect(nil)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(context.Background()) }()
+		response, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.True(response.Close)
+		is.NoErr(<-drained)
+	})
+}
+
 // TestDrainIsBounded checks that Drain returns when its time is over.
 func TestDrainIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -72,6 +72,13 @@
 		conns map[*conn]struct{}
 	}
 
+	// responseWriter writes the answer to one request.
+	responseWriter struct {
+		http.ResponseWriter
+		keeper      *Keeper
+		headWritten bool
+	}
+
 	// connListener accepts connections of the type *conn.
 	connListener struct {
 		net.Listener
@@ -121,15 +128,40 @@
 	k.checkDrained()
 }
 
-// serveHTTP passes a request to the handler. The answers of a process that is leaving close
-// their connections.
+// serveHTTP passes a request to the handler.
 func (k *Keeper) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	if k.leaving.Load() {
+	k.options.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, keeper: k}, r)
+}
+
+// WriteHeader writes the head of the answer. The answers of a process that is leaving close
+// their connections.
+func (w *responseWriter) WriteHeader(status int) {
+	w.headWritten = true
+	if w.keeper.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	k.options.Handler.ServeHTTP(w, r)
+	w.ResponseWriter.WriteHeader(status)
 }
 
+// Write writes a part of the answer.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError sends what was written to the client.
+func (w *responseWriter) FlushError() error {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap returns the ResponseWriter of the HTTP server, for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Drain stops the Keeper gracefully. For the time DrainDelay it serves on, and each answer
 // closes its connection. Drain then closes the listener, ends each connection as it becomes
 // idle, and waits until the last one has ended or ctx is done, in which case it returns the
