Prove that what was read is answered, with guards

A promise of its own, readIsAnswered. TestPromiseRequestsAroundIdleLimit lets 16 clients a seed leave connections idle for about the limit, which changes all the time, until a stop.

--- a/acceptor/idle_test.go
+++ b/acceptor/idle_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/acceptor"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
 	"github.com/carawaybeam/carawaybeam/platform"
+	"github.com/carawaybeam/carawaybeam/prover"
 )
 
 type (
@@ -43,7 +45,12 @@
 	}
 )
 
-const serveTime = 20 * time.Millisecond
+const (
+	serveTime = 20 * time.Millisecond
+
+	// concurrentRuns is how many runs of one test take place at the same time.
+	concurrentRuns = 20
+)
 
 func (f *passedOn) Serve(
 	ctx context.Context, _ time.Time, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
@@ -114,18 +121,18 @@
 	return err == nil
 }
 
-// TestIdleCloseCutsNoRequest guards against passing a request on although its connection is
-// being closed as idle, so that it gets neither an answer nor a refusal.
-func TestIdleCloseCutsNoRequest(t *testing.T) {
+// TestPromiseIdleCloseCutsNoRequest guards against passing a request on although its connection
+// is being closed as idle, so that it gets neither an answer nor a refusal.
+func TestPromiseIdleCloseCutsNoRequest(t *testing.T) {
 	const idleTimeout = 300 * time.Millisecond
 	f := &passedOn{}
 	f.idle.Store(int64(idleTimeout))
 	cross(t, f, func(*acceptor.Acceptor) {})
 }
 
-// TestDrainCutsNoRequest guards against dropping a request that was read although its
+// TestPromiseDrainCutsNoRequest guards against dropping a request that was read although its
 // connection is being closed by a stop.
-func TestDrainCutsNoRequest(t *testing.T) {
+func TestPromiseDrainCutsNoRequest(t *testing.T) {
 	f := &passedOn{}
 	f.idle.Store(int64(time.Minute))
 	cross(t, f, func(a *acceptor.Acceptor) {
@@ -190,15 +197,134 @@
 	}
 	// A request may still be on its way through the server when its client sees the close.
 	time.Sleep(patience)
+	violations := 0
 	for i := range conns {
-		if !unanswered[i] {
-			continue
+		_, read := received.Load(conns[i].LocalAddr().String())
+		if passed := f.has(fmt.Sprint("second-", i)); unanswered[i] && (read || passed) {
+			t.Logf("request second-%d got no answer: read %t, passed on %t", i, read, passed)
+			violations++
+		}
+	}
+	prover.Report(t, prover.ReadIsAnswered, connections, violations)
+}
+
+// TestPromiseRequestsAroundIdleLimit guards against passing requests on that are cut off as their
+// connection is closed. Clients leave connections idle for about the limit, which changes all
+// the time, and a stop ends each run.
+func TestPromiseRequestsAroundIdleLimit(t *testing.T) {
+	var trials, violations atomic.Int64
+	var runs sync.WaitGroup
+	slots := make(chan struct{}, concurrentRuns)
+	for seed := range prover.Seeds() {
+		slots <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-slots }()
+			sent, cut := idleRun(t, uint64(seed))
+			trials.Add(int64(sent))
+			violations.Add(int64(cut))
+		})
+	}
+	runs.Wait()
+	prover.Report(t, prover.ReadIsAnswered, int(trials.Load()), int(violations.Load()))
+}
+
+// idleRun runs clients and a changing idle limit until a stop. It returns the number of requests
+// sent, and of those that were passed on and got no answer.
+func idleRun(t *testing.T, seed uint64) (sent, cut int) {
+	t.Helper()
+	const (
+		clients  = 16
+		runTime  = 400 * time.Millisecond
+		minLimit = 10 * time.Millisecond
+		maxLimit = 60 * time.Millisecond
+	)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Error(err)
+		return 0, 0
+	}
+	f := &passedOn{}
+	f.idle.Store(int64(maxLimit))
+	a := start(t, listener, f)
+	stop := make(chan struct{})
+	var changes, callers sync.WaitGroup
+	changes.Go(func() {
+		random := rand.New(rand.NewPCG(seed, 0))
+		for !closed(stop) {
+			f.idle.Store(int64(minLimit) + random.Int64N(int64(maxLimit-minLimit)))
+			time.Sleep(time.Duration(random.Int64N(int64(maxLimit))))
+		}
+	})
+	all := make([]*idler, clients)
+	for i := range all {
+		all[i] = &idler{random: rand.New(rand.NewPCG(seed, uint64(i+1))), f: f, name: fmt.Sprintf("%d-%d", seed, i)}
+		callers.Go(func() { all[i].run(listener.Addr().String()) })
+	}
+	time.Sleep(runTime)
+	if err := a.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+	close(stop)
+	changes.Wait()
+	// A request may still be on its way through the server when its client sees the close.
+	time.Sleep(2 * serveTime)
+	for _, c := range all {
+		sent += c.sent
+		cut += c.cut()
+	}
+	return sent, cut
+}
+
+// idler is a client that leaves its connections idle for about the idle limit.
+type idler struct {
+	random *rand.Rand
+	f      *passedOn
+	name   string
+	sent   int
+	// unanswered lists the requests that got no answer.
+	unanswered []string
+}
+
+// run sends requests until the server accepts no more connections.
+func (c *idler) run(address string) {
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
 		}
-		if _, ok := received.Load(conns[i].LocalAddr().String()); ok {
-			t.Errorf("request second-%d was read and got no answer", i)
+		reader := bufio.NewReader(conn)
+		for {
+			id := fmt.Sprintf("%s-%d", c.name, c.sent)
+			c.sent++
+			request(conn, id)
+			if !answered(reader) {
+				c.unanswered = append(c.unanswered, id)
+				break
+			}
+			limit := c.f.idle.Load()
+			time.Sleep(time.Duration(limit/2 + c.random.Int64N(limit)))
 		}
-		if f.has(fmt.Sprint("second-", i)) {
-			t.Errorf("request second-%d was passed on and got no answer", i)
+		_ = conn.Close()
+	}
+}
+
+// cut returns the number of requests that were passed on and got no answer.
+func (c *idler) cut() int {
+	n := 0
+	for _, id := range c.unanswered {
+		if c.f.has(id) {
+			n++
 		}
 	}
+	return n
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -28,6 +28,9 @@
 	LeavingServer Promise = "leavingServer"
 	// PlannedStop promises that a planned stop interrupts no request in flight.
 	PlannedStop Promise = "plannedStop"
+	// ReadIsAnswered promises that a request of a client that an entry has read gets an
+	// answer, also while its connection is about to be closed.
+	ReadIsAnswered Promise = "readIsAnswered"
 	// ConfigInForce promises that accepted configuration comes into force in
 	// all processes and never reverts.
 	ConfigInForce Promise = "configInForce"
