--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -213,6 +213,44 @@
 	is.Equal(err, io.EOF)
 }
 
+// TestWriteTimeoutOfEarlierAnswer guards against a limit for writing one answer that ends a later
+// one on the same connection.
+func TestWriteTimeoutOfEarlierAnswer(t *testing.T) {
+	const writeTimeout = 50 * time.Millisecond
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	n := 0
+	a := acceptor.New(listener, acceptor.Options{
+		Dialect: platform.Dialect{}, BodyBytes: 1 << 20, HeaderBytes: 4096, ReadTimeout: time.Second,
+		WriteTimeout: writeTimeout, Scope: tally.NoopScope, Log: zerolog.Nop(),
+		Forwarder: handlerFunc(func(
+			ctx context.Context, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+		) *carawaybeam.RequestError {
+			if n++; n == 1 {
+				return echoBody(ctx, r, w)
+			}
+			time.Sleep(2 * writeTimeout)
+			return carawaybeam.NotRun(carawaybeam.ReasonBusy, "", 0)
+		}),
+	})
+	defer func() { is.NoErr(a.Close()) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n"+head+"\r\n")
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, status)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		time.Sleep(2 * writeTimeout)
+	}
+}
+
 // TestDrain checks that requests that arrive during the delay of Drain are served
 // and close their connections, and that Drain waits for a request in flight.
 func TestDrain(t *testing.T) {
