--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -14,6 +14,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/agent"
 	"github.com/carawaybeam/carawaybeam/certifier"
+	"github.com/carawaybeam/carawaybeam/clock"
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/executor"
@@ -103,11 +104,14 @@
 		return err
 	}
 	incarnation := carawaybeam.NewIncarnation()
+	pulse := clock.NewPulse(clock.SinceBoot)
+	d.closers.Add(pulse)
 	d.executor = executor.New(executor.Options{
 		Backend:     backend,
 		BackendID:   d.settings.Backend.ID,
 		Incarnation: incarnation,
 		Concurrency: d.settings.Backend.Concurrency,
+		Suspended:   pulse.Suspended,
 		Log:         d.log,
 	})
 	d.closers.Add(d.executor)
--- a/executor/admit.go
+++ b/executor/admit.go
@@ -85,6 +85,9 @@
 		refusal = quarantined()
 	case e.leaving || e.closed:
 		refusal.Reason = carawaybeam.ReasonLeaving
+	case e.options.Suspended != nil && e.options.Suspended():
+		refusal.Reason = carawaybeam.ReasonBusy
+		refusal.Detail = "agent was suspended"
 	case !e.tickets.allows(d):
 		refusal.Reason = carawaybeam.ReasonBadTicket
 		refusal.RetryAfter = 0
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -81,6 +81,10 @@
 		// Quarantiner keeps the requests that crash backend servers. If it is
 		// nil, the Executor creates its own.
 		Quarantiner *quarantiner.Quarantiner
+		// Suspended reports whether the process was suspended a moment ago. What
+		// arrived meanwhile is refused, since its senders have turned elsewhere and
+		// the process may have been told to stop. If nil, it never was.
+		Suspended func() bool
 		// Log receives one line per failure.
 		Log zerolog.Logger
 	}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,7 +87,16 @@
 // newLink returns an executor and a link to it.
 func newLink(t *testing.T) (*executor.Executor, carawaybeam.Link) {
 	t.Helper()
-	e := executor.New(executor.Options{Backend: textBackend{}, Incarnation: "i", Concurrency: 64, Log: zerolog.Nop()})
+	return newLinkTo(
+		t,
+		executor.Options{Backend: textBackend{}, Incarnation: "i", Concurrency: 64, Log: zerolog.Nop()},
+	)
+}
+
+// newLinkTo returns an executor with the options and a link to it.
+func newLinkTo(t *testing.T, options executor.Options) (*executor.Executor, carawaybeam.Link) {
+	t.Helper()
+	e := executor.New(options)
 	network := &linker.Network{}
 	network.Listen(address, handler{e})
 	link, err := network.Dial(t.Context(), address)
@@ -162,6 +172,26 @@
 	})
 }
 
+// TestSuspendedAgentRefuses guards against running, after a suspension, what was sent before it
+// or while the signal to stop has not been handled yet.
+func TestSuspendedAgentRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var suspended atomic.Bool
+		e, link := newLinkTo(t, executor.Options{
+			Backend: textBackend{}, Incarnation: "i", Concurrency: 64, Suspended: suspended.Load, Log: zerolog.Nop(),
+		})
+		suspended.Store(true)
+		got := exchange(t, link, dispatch("a.1", ""), "a.1").GetRefused()
+		is.Equal(got.GetReason(), string(carawaybeam.ReasonBusy))
+		suspended.Store(false)
+		// A late copy of a refused attempt does not run either.
+		is.True(exchange(t, link, dispatch("a.1", ""), "a.1").GetRefused() != nil)
+		is.True(exchange(t, link, dispatch("b.1", ""), "b.1").GetTail() != nil)
+		is.Equal(e.State().Leaving, false)
+	})
+}
+
 func TestLeavingAgentReleasesKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
