Check for a suspension once more before a request is sent to the backend server

So an attempt is also admitted before the suspension and sent after it; that the frame is read as the process wakes is not the whole cause. executor.TestSuspendedBeforeSending failed before.

--- a/executor/admit.go
+++ b/executor/admit.go
@@ -85,7 +85,7 @@
 		refusal = quarantined()
 	case e.leaving || e.closed:
 		refusal.Reason = carawaybeam.ReasonLeaving
-	case e.options.Suspended != nil && e.options.Suspended():
+	case e.suspended():
 		refusal.Reason = carawaybeam.ReasonBusy
 		refusal.Detail = "agent was suspended"
 	case !e.tickets.allows(d):
@@ -101,6 +101,9 @@
 	return refusal, true
 }
 
+// suspended reports whether the process was suspended a moment ago.
+func (e *Executor) suspended() bool { return e.options.Suspended != nil && e.options.Suspended() }
+
 // resolve returns the attempt if it is known, and otherwise records that it will
 // never run.
 func (e *Executor) resolve(r *framer.Resolve) *attempt {
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -92,6 +92,13 @@
 	if e.options.Quarantiner.Status(a.fingerprint) == quarantiner.Quarantined {
 		return quarantined(), true
 	}
+	if e.suspended() {
+		return carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeNotRun,
+			Reason:  carawaybeam.ReasonBusy,
+			Detail:  "agent was suspended before the request was sent",
+		}, true
+	}
 	e.crashes.add(a, suspect)
 	defer e.crashes.remove(a)
 	failure, failed := e.callBackend(a.ctx, a, d)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -192,6 +192,26 @@
 	})
 }
 
+// TestSuspendedBeforeSending guards against sending a request to the backend server after a
+// suspension that began when the request had been accepted.
+func TestSuspendedBeforeSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		asked := 0
+		_, link := newLinkTo(t, executor.Options{
+			Backend: textBackend{}, Incarnation: "i", Concurrency: 64, Log: zerolog.Nop(),
+			// The process is suspended between the admission and the sending.
+			Suspended: func() bool {
+				asked++
+				return asked > 1
+			},
+		})
+		got := exchange(t, link, dispatch("a.1", ""), "a.1").GetFailed()
+		is.Equal(got.GetOutcome(), string(carawaybeam.OutcomeNotRun))
+		is.Equal(asked, 2)
+	})
+}
+
 func TestLeavingAgentReleasesKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
