--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -23,6 +23,9 @@
 	"github.com/carawaybeam/carawaybeam/starter"
 )
 
+// answerTime is how long Close waits until the requests in flight have been answered.
+const answerTime = 250 * time.Millisecond
+
 type (
 	// Options configures a Keeper.
 	Options struct {
@@ -57,6 +60,8 @@
 		options  Options
 		listener net.Listener
 		http     *http.Server
+		// cancel cancels the context of all requests.
+		cancel context.CancelFunc
 		// leaving is set when Drain begins, and draining when idle connections end.
 		leaving, draining atomic.Bool
 		// stopped is closed when no more connections are accepted, and drained when
@@ -67,6 +72,13 @@
 		conns map[*conn]struct{}
 	}
 
+	// responseWriter writes the answer to one request.
+	responseWriter struct {
+		http.ResponseWriter
+		keeper      *Keeper
+		headWritten bool
+	}
+
 	// connListener accepts connections of the type *conn.
 	connListener struct {
 		net.Listener
@@ -76,9 +88,11 @@
 
 // New returns a Keeper that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
 		options:  options,
 		listener: listener,
+		cancel:   cancel,
 		stopped:  make(chan struct{}),
 		drained:  make(chan struct{}),
 		conns:    make(map[*conn]struct{}),
@@ -89,6 +103,7 @@
 		ReadTimeout:       options.ReadTimeout,
 		MaxHeaderBytes:    options.HeaderBytes,
 		ErrorLog:          starter.NewConnectionLog(options.Log, options.Component),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
 		},
@@ -113,15 +128,40 @@
 	k.checkDrained()
 }
 
-// serveHTTP passes a request to the handler. The answers of a process that is leaving close
-// their connections.
+// serveHTTP passes a request to the handler.
 func (k *Keeper) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	if k.leaving.Load() {
+	k.options.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, keeper: k}, r)
+}
+
+// WriteHeader writes the head of the answer. The answers of a process that is leaving close
+// their connections.
+func (w *responseWriter) WriteHeader(status int) {
+	w.headWritten = true
+	if w.keeper.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	k.options.Handler.ServeHTTP(w, r)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError sends what was written to the client.
+func (w *responseWriter) FlushError() error {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
+// Unwrap returns the ResponseWriter of the HTTP server, for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Drain stops the Keeper gracefully. For the time DrainDelay it serves on, and each answer
 // closes its connection. Drain then closes the listener, ends each connection as it becomes
 // idle, and waits until the last one has ended or ctx is done, in which case it returns the
@@ -157,10 +197,19 @@
 	}
 }
 
-// Close aborts all requests in flight and closes the listener.
+// Close cancels all requests in flight and closes the listener. It leaves the handlers a
+// short time to answer them before it closes the remaining connections.
 func (k *Keeper) Close() error {
+	k.leaving.Store(true)
+	k.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	drained := k.endIdle(ctx)
 	err := k.http.Close()
 	<-k.stopped
+	if errors.Is(drained, context.DeadlineExceeded) {
+		k.options.Log.Warn().Msg(k.options.Component + ": connections were closed while they were in use")
+	}
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
