--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -66,11 +66,12 @@
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				run := options
-				run.Directory, run.Seed = t.TempDir(), seed
+				run.Directory, run.Seed = makeLogs(t, seed), seed
 				result, err := soaker.Run(t.Context(), run)
 				if err != nil {
 					t.Error(err)
 				}
+				closeLogs(t, run.Directory, err != nil, result.Violations)
 				for _, v := range result.Violations {
 					// The log of a subtest that passes is not printed.
 					fmt.Printf("seed %d: %s\n", seed, v)
@@ -82,3 +83,27 @@
 	})
 	prover.Report(t, prover.Soak, int(requests.Load()), int(violations.Load()))
 }
+
+// makeLogs returns a directory for the logs of a seed, which the test does not remove.
+func makeLogs(t *testing.T, seed uint64) string {
+	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return directory
+}
+
+// closeLogs removes the logs of a run that kept all promises. Otherwise, it prints the
+// lines that concern the violations, and where all of them are.
+func closeLogs(t *testing.T, directory string, failed bool, violations []string) {
+	if !failed && len(violations) == 0 {
+		if err := os.RemoveAll(directory); err != nil {
+			t.Error(err)
+		}
+		return
+	}
+	fmt.Printf("logs of the violations are in %s\n", directory)
+	if err := soaker.PrintEvidence(os.Stdout, directory, violations); err != nil {
+		t.Error(err)
+	}
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -197,7 +197,11 @@
 	if err == nil {
 		s.runLoad(ctx, schedule)
 	}
-	return s.check(), errors.Join(err, s.close())
+	result := s.check()
+	if len(result.Violations) > 0 {
+		err = errors.Join(err, s.writeHistory())
+	}
+	return result, errors.Join(err, s.close())
 }
 
 func (s *Soaker) start(ctx context.Context) error {
