Confirm by the watch that crashes are shared

A request that had run beside one that crashes backend servers was refused with 429 or 502 while the watch of the store was silent: its entry had written both crashes and took them for shared, though it could not see the records of the entry that sent the cause. An outage of the watch is noticed only when the watch times out, seconds later.

What an entry has written now counts as shared once the watch has shown it. The watch has then also shown what other entries wrote before. The question is asked for one request, so that a request that was refused is not let pass while another crash is being written. Entries wait up to 400 ms in place of 250 ms for what others know: two watches, which begin at most every 100 ms, two writes and the detection. TestSilentWatch fails without the confirmation.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -226,11 +226,11 @@
 	e.closers.Add(e.crashFollower)
 }
 
-// crashesShared reports whether the entry has shared the crashes that it knows of, and is
-// following those of other entries.
-func (e *directEntry) crashesShared() bool {
+// crashesShared reports whether the entry has shared the crashes that count against a
+// request, and is following those of other entries.
+func (e *directEntry) crashesShared(fingerprint quarantiner.Fingerprint) bool {
 	sinceOutage, hadOutage := e.crashFollower.SinceOutage()
-	return e.publisher.Published() && (!hadOutage || sinceOutage > 0)
+	return e.publisher.Published(fingerprint) && (!hadOutage || sinceOutage > 0)
 }
 
 // startCoordinators starts to collect the statuses of ranks, enrols the entry to
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -24,7 +24,7 @@
 
 	// crashShareTime is the time in which all entries learn of a crash while the store
 	// answers.
-	crashShareTime = 250 * time.Millisecond
+	crashShareTime = 400 * time.Millisecond
 
 	// minTimeLeft is the time before the deadline within which no further
 	// attempt begins.
@@ -186,7 +186,7 @@
 	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
 		return false
 	}
-	return f.options.CrashesShared() ||
+	return f.options.CrashesShared(p.fingerprint) ||
 		len(f.options.Quarantiner.Crashes(p.fingerprint)) >= quarantiner.CertainCrashes
 }
 
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -110,8 +110,9 @@
 		// Quarantiner knows the requests that crash backend servers.
 		Quarantiner *quarantiner.Quarantiner
 		// CrashesShared reports whether Quarantiner knows what the other entries
-		// know of crashes, as far as this entry can tell.
-		CrashesShared func() bool
+		// know of the crashes that count against a request, as far as this entry
+		// can tell.
+		CrashesShared func(fingerprint quarantiner.Fingerprint) bool
 		Router        carawaybeam.Router
 		Limiter       carawaybeam.Limiter
 		Retrier       carawaybeam.Retrier
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -78,6 +78,9 @@
 		mu      sync.Mutex
 		loaded  bool
 		objects map[string]object
+		// shown holds the records of this entry's object as the follower last received
+		// it.
+		shown []quarantiner.Record
 	}
 
 	// object is the stored object of one entry.
@@ -136,11 +139,32 @@
 	return p.loaded
 }
 
-// Published reports whether the store has all crashes that this entry knows of.
-func (p *Publisher) Published() bool {
-	records, _ := p.options.Quarantiner.Records()
-	_, urgency := p.next(records)
-	return p.Loaded() && urgency != writeNow
+// Published reports whether the store has shown all crashes that count against a request.
+// What this entry has written counts only once the store has shown it, because the store
+// then has also shown what other entries wrote before.
+func (p *Publisher) Published(fingerprint quarantiner.Fingerprint) bool {
+	crashes := p.options.Quarantiner.Crashes(fingerprint)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loaded && !slices.ContainsFunc(crashes, func(crash quarantiner.CrashID) bool {
+		return !p.isShown(key{fingerprint: fingerprint, crash: crash})
+	})
+}
+
+// isShown reports whether the store has shown a record. The caller holds mu.
+func (p *Publisher) isShown(k key) bool {
+	for name, o := range p.objects {
+		records := o.records
+		if name == p.options.Name {
+			records = p.shown
+		}
+		if slices.ContainsFunc(records, func(r quarantiner.Record) bool {
+			return r.Fingerprint == k.fingerprint && r.Crash == k.crash
+		}) {
+			return true
+		}
+	}
+	return false
 }
 
 // Replace replaces the objects of all entries.
@@ -148,7 +172,7 @@
 	present := make(map[string]struct{}, len(objects))
 	for _, o := range objects {
 		present[o.Name] = struct{}{}
-		p.apply(o)
+		p.receive(o)
 	}
 	p.mu.Lock()
 	maps.DeleteFunc(p.objects, func(name string, _ object) bool {
@@ -163,7 +187,7 @@
 // Apply updates changed objects. It merges their records into the Quarantiner.
 func (p *Publisher) Apply(changes []carawaybeam.Object) {
 	for _, o := range changes {
-		p.apply(o)
+		p.receive(o)
 	}
 	p.signal()
 }
@@ -176,7 +200,19 @@
 	}
 }
 
-func (p *Publisher) apply(o carawaybeam.Object) {
+// receive applies an object that the follower passes on.
+func (p *Publisher) receive(o carawaybeam.Object) {
+	records := p.apply(o)
+	if o.Name != p.options.Name {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shown = records
+}
+
+// apply merges the records of an object into the Quarantiner, and returns them.
+func (p *Publisher) apply(o carawaybeam.Object) []quarantiner.Record {
 	records, err := decode(o)
 	if err != nil {
 		p.options.Log.Warn().Err(err).Str("object", o.Name).Msg("publisher: cannot decode records of crashes")
@@ -190,6 +226,7 @@
 	}
 	p.mu.Unlock()
 	p.options.Quarantiner.Merge(records)
+	return records
 }
 
 func decode(o carawaybeam.Object) ([]quarantiner.Record, error) {
