Ask for a third crash if another suspect was in one of two

A request that ran beside requests that crash backend servers was refused after two crashes that it did not cause (429, or 502 if it had run). The quarantiner compared a request only with others that had two crashes or more. One that had run in two crashes was taken for the cause although another suspect had been in one of them, or another one in each.

This holds on the direct path only, where entries know just what they sent, hear of other entries' records late or not at all, and do not keep suspects apart. There two crashes now prove something only if the request was the only suspect in both; of three it must have been alone in one, or share no two of them with the same suspect; four are enough as before. So a request that crashes backend servers is refused after three crashes, or after four if another one was in its crashes each time, within what the bound on runs after the third crash allows. On the linked path, where an agent names all requests that were running and suspects start one at a time, nothing changes.

TestRanBesideSuspects failed before in both cases.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -132,7 +132,11 @@
 
 // runDirect runs the daemon until it receives the signal to stop.
 func runDirect(stop context.Context, file string, settings loader.Entry) {
-	e := &directEntry{settings: settings, logKeeper: logkeeper.New(logBytes), quarantiner: quarantiner.New()}
+	e := &directEntry{
+		settings:    settings,
+		logKeeper:   logkeeper.New(logBytes),
+		quarantiner: quarantiner.New(quarantiner.Partial),
+	}
 	e.log = starter.NewLog(settings.Process, e.logKeeper)
 	e.closers.Add(reloader.New(reloader.Options{File: file, Apply: e.reload, Log: e.log}))
 	e.apply(settings.Direct)
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -133,7 +133,7 @@
 	if e.security, err = e.linkSecurity(); err != nil {
 		return err
 	}
-	e.quarantiner = quarantiner.New()
+	e.quarantiner = quarantiner.New(quarantiner.Complete)
 	e.assessor = assessor.New()
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
--- a/cmd/cbentry/targets_test.go
+++ b/cmd/cbentry/targets_test.go
@@ -16,7 +16,7 @@
 
 func TestPartOfStateDumpHoldsTargets(t *testing.T) {
 	is := is.New(t)
-	e := &entry{assessor: assessor.New(), quarantiner: quarantiner.New()}
+	e := &entry{assessor: assessor.New(), quarantiner: quarantiner.New(quarantiner.Complete)}
 	e.quarantiner.Add("request", "crash-1")
 	e.quarantiner.Add("request", "crash-2")
 	class := carawaybeam.Class{ID: "drafting", Targets: carawaybeam.Targets{Completion: 0.999}}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -39,7 +39,7 @@
 func silent() error { return errors.New("timeout") }
 
 func newInstallation(connect func() error) *installation {
-	n := &installation{connect: connect, quarantiner: quarantiner.New()}
+	n := &installation{connect: connect, quarantiner: quarantiner.New(quarantiner.Partial)}
 	n.Detector = detector.New(detector.Options{
 		Probe: func(context.Context, carawaybeam.Address) error {
 			n.probed++
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -173,7 +173,7 @@
 // New returns a Dispatcher.
 func New(options Options) *Dispatcher {
 	if options.Quarantiner == nil {
-		options.Quarantiner = quarantiner.New()
+		options.Quarantiner = quarantiner.New(quarantiner.Complete)
 	}
 	if options.Assessor == nil {
 		options.Assessor = assessor.New()
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -156,16 +156,18 @@
 // serve serves one request with a new Forwarder.
 func (env *environment) serve(r *carawaybeam.ClientRequest) (*recordedAnswer, *carawaybeam.RequestError) {
 	if env.quarantiner == nil {
-		env.quarantiner = quarantiner.New()
+		env.quarantiner = quarantiner.New(quarantiner.Partial)
 	}
+	detect := detector.New(detector.Options{
+		Probe: env.Probe, InUse: env.InUse, Quarantiner: env.quarantiner, Log: env.log,
+	})
+	defer func() { _ = detect.Close() }()
 	f := forwarder.New(forwarder.Options{
 		Configuration: env,
 		ConfigAge:     func() (time.Duration, bool) { return env.age, !env.unknown },
 		MaxKeyAge:     func() time.Duration { return 5 * time.Second },
 		Members:       env,
-		Detector: detector.New(detector.Options{
-			Probe: env.Probe, InUse: env.InUse, Quarantiner: env.quarantiner, Log: env.log,
-		}),
+		Detector:      detect,
 		Quarantiner:   env.quarantiner,
 		CrashesShared: func(quarantiner.Fingerprint) bool { return !env.notSharing },
 		Sender:        env.sender,
@@ -434,7 +436,7 @@
 		env.instances = append(env.instances, env.instances[0])
 		env.instances[2].ID = "c"
 		env.refusing = "10.0.0.1:80"
-		env.quarantiner = quarantiner.New()
+		env.quarantiner = quarantiner.New(quarantiner.Partial)
 		time.AfterFunc(100*time.Millisecond, func() {
 			for _, crash := range []quarantiner.CrashID{"a@0", "b@0", "c@0", "d@0"} {
 				env.quarantiner.Add("culprit", crash)
@@ -445,6 +447,31 @@
 	})
 }
 
+// TestRanBesideSuspects guards against the refusal of a request that ran beside one that
+// crashes backend servers in each of two crashes, or that did so in one crash while the
+// cause of the other one is not known yet.
+func TestRanBesideSuspects(t *testing.T) {
+	tests := map[string]map[quarantiner.CrashID]quarantiner.Fingerprint{
+		"another cause in each crash": {"a@0": "culprit", "b@0": "other culprit"},
+		"cause of one crash unknown":  {"a@0": "culprit"},
+	}
+	for name, causes := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newEnvironment(broken(), broken(), whole("x"))
+			env.refusing = "10.0.0.1:80"
+			env.quarantiner = quarantiner.New(quarantiner.Partial)
+			for crash, cause := range causes {
+				env.quarantiner.Add(cause, crash)
+			}
+			_, failure := env.serve(request(carawaybeam.RouteSafe))
+			is.True(failure.Reason != carawaybeam.ReasonQuarantined)
+			_, failure = env.serve(request(carawaybeam.RouteSafe))
+			is.True(failure == nil)
+		})
+	}
+}
+
 // TestCrashesAreNotShared guards against the refusal of a request that ran beside one that
 // crashes backend servers, while the store is away and other entries cannot tell of it. It
 // takes four crashes then.
@@ -453,7 +480,7 @@
 		is := is.New(t)
 		env := newEnvironment(whole("x"))
 		env.notSharing = true
-		env.quarantiner = quarantiner.New()
+		env.quarantiner = quarantiner.New(quarantiner.Partial)
 		for i := range crashes {
 			env.quarantiner.Add(fingerprintOf(t), quarantiner.CrashID(fmt.Sprint(i)))
 		}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -142,7 +142,7 @@
 // New returns an Executor and starts it. It runs until Close.
 func New(options Options) *Executor {
 	if options.Quarantiner == nil {
-		options.Quarantiner = quarantiner.New()
+		options.Quarantiner = quarantiner.New(quarantiner.Complete)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Executor{
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -117,7 +117,7 @@
 
 func (a *Assembler) addEntry(i int) {
 	config := configurer.New()
-	quarantine := quarantiner.New()
+	quarantine := quarantiner.New(quarantiner.Complete)
 	assess := assessor.New()
 	t := tracker.New(tracker.Options{
 		Process:     fmt.Sprintf("entry-%d", i),
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -27,7 +27,7 @@
 }
 
 func startEntry(store carawaybeam.Store, name string) *entry {
-	e := &entry{Quarantiner: quarantiner.New()}
+	e := &entry{Quarantiner: quarantiner.New(quarantiner.Partial)}
 	e.publisher = publisher.New(publisher.Options{
 		Store: store, Name: name, Quarantiner: e.Quarantiner, Log: zerolog.Nop(),
 	})
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -30,7 +30,7 @@
 	maxCrashes  = 8
 
 	// quarantineCrashes is the number of crashes after which a request is
-	// quarantined if no other request explains them.
+	// quarantined if no other request may explain them.
 	quarantineCrashes = 2
 
 	// CertainCrashes is the number of crashes after which a request is quarantined
@@ -69,6 +69,8 @@
 
 	// Quarantiner keeps the suspects. It is safe for concurrent use.
 	Quarantiner struct {
+		evidence Evidence
+
 		mu       sync.Mutex
 		suspects map[Fingerprint]*suspect
 		// quarantined is derived from suspects after each change.
@@ -95,8 +97,9 @@
 )
 
 // New returns a Quarantiner without suspects.
-func New() *Quarantiner {
+func New(evidence Evidence) *Quarantiner {
 	return &Quarantiner{
+		evidence:    evidence,
 		suspects:    make(map[Fingerprint]*suspect),
 		quarantined: make(map[Fingerprint]struct{}),
 		changed:     make(chan struct{}),
@@ -208,7 +211,7 @@
 // update derives what follows from a change and signals the change to all
 // subscriptions. The caller holds mu.
 func (q *Quarantiner) update() {
-	q.quarantined = findCulprits(q.suspects)
+	q.quarantined = findCulprits(q.suspects, q.evidence)
 	close(q.changed)
 	q.changed = make(chan struct{})
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -17,44 +18,73 @@
 func TestCulprits(t *testing.T) {
 	tests := map[string]struct {
 		// crashes holds the requests that were running in each crash.
-		crashes  []string
-		culprits string
+		crashes []string
+		// culprits holds those that are refused by complete evidence, and partial those
+		// by partial evidence.
+		culprits, partial string
 	}{
-		"one crash":                      {[]string{"g a b"}, ""},
-		"alone twice":                    {[]string{"g", "g"}, "g"},
-		"beside others":                  {[]string{"g a b", "g c d"}, "g"},
-		"together twice":                 {[]string{"g a", "g a"}, ""},
-		"together twice, then apart":     {[]string{"g a", "g a", "g"}, "g"},
-		"beside one, three times":        {[]string{"g a", "g a b", "g b c"}, "g"},
-		"two culprits":                   {[]string{"g a", "h a", "g", "h"}, "g h"},
-		"beside two culprits each twice": {[]string{"g a", "h a", "g a", "h a", "g", "h"}, "g h"},
-		"always together":                {[]string{"g a", "g a", "g a", "g a"}, "a"},
-		"different requests":             {[]string{"a b", "c d", "e"}, ""},
+		"one crash":                      {[]string{"g a b"}, "", ""},
+		"alone twice":                    {[]string{"g", "g"}, "g", "g"},
+		"alone once":                     {[]string{"g", "g a"}, "g", ""},
+		"alone once of three":            {[]string{"g a", "g a", "g"}, "g", "g"},
+		"beside others":                  {[]string{"g a b", "g c d"}, "g", ""},
+		"beside others, three times":     {[]string{"g a b", "g c d", "g e"}, "g", "g"},
+		"together twice":                 {[]string{"g a", "g a"}, "", ""},
+		"beside one, three times":        {[]string{"g a", "g a b", "g b c"}, "g", ""},
+		"beside one, four times":         {[]string{"g a", "g a b", "g b c", "g b"}, "g", "g"},
+		"two culprits":                   {[]string{"g a", "h a", "g", "h"}, "g h", ""},
+		"two culprits, once more":        {[]string{"g a", "h a", "g", "h", "g", "h"}, "g h", "g h"},
+		"beside two culprits each twice": {[]string{"g a", "h a", "g a", "h a", "g", "h"}, "g h", "g h"},
+		"always together":                {[]string{"g a", "g a", "g a", "g a"}, "a", "a"},
+		"different requests":             {[]string{"a b", "c d", "e"}, "", ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			q := quarantiner.New()
-			requests := make(map[string]struct{})
-			for i, running := range test.crashes {
-				for request := range strings.FieldsSeq(running) {
-					requests[request] = struct{}{}
-					q.Add(quarantiner.Fingerprint(request), quarantiner.CrashID(fmt.Sprint(i)))
+			for evidence, culprits := range map[quarantiner.Evidence]string{
+				quarantiner.Complete: test.culprits, quarantiner.Partial: test.partial,
+			} {
+				q := quarantiner.New(evidence)
+				requests := make(map[string]struct{})
+				for i, running := range test.crashes {
+					for request := range strings.FieldsSeq(running) {
+						requests[request] = struct{}{}
+						q.Add(quarantiner.Fingerprint(request), quarantiner.CrashID(fmt.Sprint(i)))
+					}
+				}
+				for request := range requests {
+					refused := q.Status(quarantiner.Fingerprint(request)) == quarantiner.Quarantined
+					is.Equal(refused, strings.Contains(culprits, request))
 				}
-			}
-			for request := range requests {
-				refused := q.Status(quarantiner.Fingerprint(request)) == quarantiner.Quarantined
-				is.Equal(refused, strings.Contains(test.culprits, request))
 			}
 		})
 	}
 }
 
+// TestFourCrashesAreEnough guards against a request that crashes backend servers being sent
+// on because others were running in all of its crashes.
+func TestFourCrashesAreEnough(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	for range 1000 {
+		is := is.New(t)
+		q := quarantiner.New(quarantiner.Partial)
+		refused := false
+		for crash := range 4 {
+			for _, other := range random.Perm(6)[:random.IntN(6)] {
+				q.Add(quarantiner.Fingerprint(fmt.Sprint("a", other)), quarantiner.CrashID(fmt.Sprint(crash)))
+			}
+			q.Add("0", quarantiner.CrashID(fmt.Sprint(crash)))
+			refused = q.Status("0") == quarantiner.Quarantined
+		}
+		is.True(refused)
+	}
+}
+
 // TestAnsweredRequestIsCleared guards against the quarantine of a popular request that is
 // answered all the time and was running in several crashes that others caused.
 func TestAnsweredRequestIsCleared(t *testing.T) {
 	is := is.New(t)
-	q := quarantiner.New()
+	q := quarantiner.New(quarantiner.Complete)
 	for i := range 10 {
 		q.Add("popular", quarantiner.CrashID(fmt.Sprint(i)))
 		is.True(q.Status("popular") != quarantiner.Quarantined)
@@ -67,7 +97,7 @@
 // acquittals does not matter, and that nothing counts twice.
 func TestRecordsConverge(t *testing.T) {
 	is := is.New(t)
-	first, second := quarantiner.New(), quarantiner.New()
+	first, second := quarantiner.New(quarantiner.Complete), quarantiner.New(quarantiner.Complete)
 	first.Add("g", "1")
 	first.Add("a", "1")
 	second.Add("g", "2")
@@ -91,7 +121,7 @@
 func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		q := quarantiner.New()
+		q := quarantiner.New(quarantiner.Complete)
 		q.Add("g", "1")
 		time.Sleep(30 * time.Minute)
 		q.Add("g", "2")
@@ -108,7 +138,7 @@
 // request which is known to crash backend servers.
 func TestQuarantineSurvivesManySuspects(t *testing.T) {
 	is := is.New(t)
-	q := quarantiner.New()
+	q := quarantiner.New(quarantiner.Complete)
 	q.Add("g", "1")
 	q.Add("g", "2")
 	for i := range 5000 {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -122,7 +122,7 @@
 		options.MaxFullPool = maxFullPool
 	}
 	if options.Quarantiner == nil {
-		options.Quarantiner = quarantiner.New()
+		options.Quarantiner = quarantiner.New(quarantiner.Complete)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tracker{
