Detect a crash whose port closes late or that another entry saw

The entry that had sent the cause of a crash did not notice the crash, or noticed it only when the backend server was announced again, so that requests beside the cause at other entries had no other explanation for it and were refused.

An attempt that breaks off is followed by one connection to the backend server. If that comes after the connections of a process that ends were closed, but before its port was, it is accepted and proves nothing.

A backend server that accepted the connection is now probed once more after 100 ms. Besides, a crash that another process has recorded counts as evidence, unless the backend server has answered since, so that each entry lays it to what it had sent there. TestPortClosesLate and TestOtherEntrySeesCrash failed before.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -6,8 +6,9 @@
 // connection shows that no process listens there any more. If the backend server
 // cannot be reached, or has started again before the Detector connects, a later
 // incarnation that announces itself or answers shows it, unless the first one has
-// answered another request since. A backend server that has announced that it leaves,
-// or whose announcement is gone, is expected to end, which is no crash.
+// answered another request since. So does a crash that another process has recorded. A
+// backend server that has announced that it leaves, or whose announcement is gone, is
+// expected to end, which is no crash.
 package detector
 
 import (
@@ -34,6 +35,11 @@
 	// the next attempt.
 	maxProbeWait = 50 * time.Millisecond
 
+	// repeatDelay is the time after which a backend server that accepted a connection is
+	// probed once more, because the port of one that ends may close after its
+	// connections.
+	repeatDelay = 100 * time.Millisecond
+
 	// returnTime is how long after an attempt broke off a later incarnation proves a
 	// crash. A crashed backend server returns within some seconds.
 	returnTime = 15 * time.Second
@@ -62,7 +68,8 @@
 		Probe func(ctx context.Context, address carawaybeam.Address) error
 		// InUse reports whether a backend server is announced and not leaving.
 		InUse func(instance carawaybeam.Instance) bool
-		// Quarantiner receives the requests that were running in a crash.
+		// Quarantiner receives the requests that were running in a crash. It may hold
+		// crashes that other processes have recorded.
 		Quarantiner *quarantiner.Quarantiner
 		Log         zerolog.Logger
 	}
@@ -109,6 +116,9 @@
 		crash     quarantiner.CrashID
 		crashedAt time.Time
 		crashed   []*Run
+		// disproved is set once the backend server has answered after a crash was
+		// recorded.
+		disproved bool
 	}
 
 	// brokenRun is an attempt that broke off for a reason that is not known yet.
@@ -117,10 +127,12 @@
 		at time.Time
 	}
 
-	// probe is one attempt to connect. done is closed when it has ended.
+	// probe is one attempt to connect. done is closed when it has ended. repeats is set
+	// if it follows an earlier one that was accepted.
 	probe struct {
-		began time.Time
-		done  chan struct{}
+		began   time.Time
+		done    chan struct{}
+		repeats bool
 	}
 
 	// State is the state dump of a Detector.
@@ -133,16 +145,18 @@
 // New returns a Detector that knows of no attempts.
 func New(options Options) *Detector {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Detector{
+	d := &Detector{
 		options:   options,
 		ctx:       ctx,
 		cancel:    cancel,
 		instances: make(map[carawaybeam.BackendIncarnation]*instanceState),
 		lastSweep: time.Now(),
 	}
+	d.wait.Go(d.followRecords)
+	return d
 }
 
-// Close ends all probes. The error is always nil.
+// Close ends all probes and waits for them. The error is always nil.
 func (d *Detector) Close() error {
 	d.cancel()
 	d.wait.Wait()
@@ -220,7 +234,7 @@
 		for _, other := range s.crashed {
 			d.options.Quarantiner.Acquit(other.fingerprint, s.crash)
 		}
-		s.crash, s.crashed = "", nil
+		s.crash, s.crashed, s.disproved = "", nil, true
 	}
 }
 
@@ -281,9 +295,70 @@
 	defer d.mu.Unlock()
 	s.probe = nil
 	defer close(p.done)
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		d.recordCrash(s, time.Now(), "connection refused")
+	case err == nil && !p.repeats:
+		d.wait.Go(func() { d.repeatProbe(s) })
+	}
+}
+
+// repeatProbe connects to the backend server once more after repeatDelay, if attempts on it
+// have broken off for a reason that is not known yet.
+func (d *Detector) repeatProbe(s *instanceState) {
+	timer := time.NewTimer(repeatDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.ctx.Done():
+		return
+	}
+	// A planned end of the backend server is no crash.
+	if !d.options.InUse(s.instance) {
+		return
+	}
+	d.mu.Lock()
+	if s.probe != nil || s.crash != "" || len(s.broken) == 0 {
+		d.mu.Unlock()
+		return
+	}
+	p := &probe{began: time.Now(), done: make(chan struct{}), repeats: true}
+	s.probe = p
+	d.mu.Unlock()
+	d.runProbe(s, p)
+}
+
+// followRecords records the crashes that other processes have recorded, until Close.
+func (d *Detector) followRecords() {
+	for {
+		crashes, changed := d.options.Quarantiner.AllCrashes()
+		for _, s := range d.findUnknown(crashes) {
+			if d.options.InUse(s.instance) {
+				d.mu.Lock()
+				d.recordCrash(s, time.Now(), "recorded by another process")
+				d.mu.Unlock()
+			}
+		}
+		select {
+		case <-changed:
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// findUnknown returns the incarnations with one of the crashes that the Detector has not
+// recorded.
+func (d *Detector) findUnknown(crashes map[quarantiner.CrashID]struct{}) []*instanceState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var unknown []*instanceState
+	for incarnation, s := range d.instances {
+		if _, ok := crashes[NewCrashID(incarnation)]; ok && s.crash == "" && !s.disproved {
+			unknown = append(unknown, s)
+		}
 	}
+	return unknown
 }
 
 // Announced records the announcement of a backend server. It proves the crash of earlier
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -224,3 +224,63 @@
 		is.NoErr(n.Close())
 	})
 }
+
+// TestPortClosesLate guards against a crash that is noticed late because the attempt broke
+// off a moment before the port of the backend server closed.
+func TestPortClosesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(nil)
+		n.connect = func() error {
+			if n.probed == 1 {
+				return nil
+			}
+			return syscall.ECONNREFUSED
+		}
+		is.Equal(n.begin("cut").BreakOff(t.Context()), quarantiner.CrashID(""))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(n.State().Crashes, uint64(1))
+		is.Equal(n.quarantiner.Status("cut"), quarantiner.Suspect)
+		is.Equal(n.probed, 2)
+		is.NoErr(n.Close())
+	})
+}
+
+// TestOtherEntrySeesCrash guards against an entry that sent the cause of a crash and does
+// not notice the crash, while another one lays it to requests that ran beside the cause.
+func TestOtherEntrySeesCrash(t *testing.T) {
+	tests := map[string]struct {
+		leaving bool
+		record  quarantiner.Record
+		crashes uint64
+	}{
+		"crash":      {record: quarantiner.Record{Crash: "a@1000"}, crashes: 1},
+		"taken back": {record: quarantiner.Record{Crash: "a@1000", Cleared: true}},
+		"other one":  {record: quarantiner.Record{Crash: "a@2000"}},
+		"expired":    {record: quarantiner.Record{Crash: "a@1000", At: time.Unix(1, 0)}},
+		"leaving":    {leaving: true, record: quarantiner.Record{Crash: "a@1000"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newInstallation(silent)
+				cut, running := n.begin("cut"), n.begin("running")
+				cut.BreakOff(t.Context())
+				n.leaving = test.leaving
+				test.record.Fingerprint = "beside"
+				if test.record.At.IsZero() {
+					test.record.At = time.Now()
+				}
+				n.quarantiner.Merge([]quarantiner.Record{test.record})
+				synctest.Wait()
+				is.Equal(n.State().Crashes, test.crashes)
+				is.Equal(len(n.quarantiner.Crashes("cut")), int(test.crashes))
+				is.Equal(len(n.quarantiner.Crashes("running")), int(test.crashes))
+				running.End(detector.Answered)
+				is.Equal(len(n.quarantiner.Crashes("running")), 0)
+				is.NoErr(n.Close())
+			})
+		})
+	}
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -248,6 +248,22 @@
 	return nil
 }
 
+// AllCrashes returns the crashes that count against any request, and a channel that is
+// closed at the next change.
+func (q *Quarantiner) AllCrashes() (map[CrashID]struct{}, <-chan struct{}) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	crashes := make(map[CrashID]struct{})
+	for _, s := range q.suspects {
+		for _, r := range s.records {
+			if !r.Cleared && r.Counts() {
+				crashes[r.Crash] = struct{}{}
+			}
+		}
+	}
+	return crashes, q.changed
+}
+
 // LastRecorded returns when a crash was last recorded here against a request, or the zero
 // time.
 func (q *Quarantiner) LastRecorded(fingerprint Fingerprint) time.Time {
