--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -39,7 +39,8 @@
 	5009,
 	// A lookup that ran twice beside a request that crashes backend servers was refused
 	// while the store was down and the entries could not share what they knew
-	// (forwarder.TestCrashesAreNotShared).
+	// (forwarder.TestCrashesAreNotShared), and another one since the entry that had sent
+	// the cause noticed a crash too late (detector.TestPortClosesLate).
 	9039,
 }
 
