Find culprits among many suspects at less cost

With partial evidence each change of the quarantine compared and sorted all suspects that shared a crash with a candidate. A suspect with a single crash matters only as another explanation of that crash, so that a set of crashes takes their place.

--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -20,11 +20,21 @@
 	// Evidence is what the reports of crashes tell of their causes.
 	Evidence int
 
-	// candidate is a request with the crashes that no culprit explains.
+	// candidate is a request with the crashes that no culprit explains, quarantineCrashes
+	// or more.
 	candidate struct {
 		fingerprint Fingerprint
 		crashes     []CrashID
 	}
+
+	// inquiry is the search for culprits.
+	inquiry struct {
+		evidence   Evidence
+		candidates []candidate
+		// others holds, with partial evidence, the crashes that a request with too few
+		// crashes for a candidate may have caused.
+		others map[CrashID]struct{}
+	}
 )
 
 // findCulprits returns the requests that caused the crashes. Each time it chooses a
@@ -33,50 +43,44 @@
 // choose none, the next crash may tell the candidates apart.
 func findCulprits(suspects map[Fingerprint]*suspect, evidence Evidence) map[Fingerprint]struct{} {
 	culprits := make(map[Fingerprint]struct{})
-	candidates := findCandidates(suspects, evidence)
+	q := newInquiry(suspects, evidence)
 	for {
 		// The order is the same in all processes.
-		slices.SortFunc(candidates, func(a, b candidate) int {
+		slices.SortFunc(q.candidates, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.fingerprint, b.fingerprint))
 		})
-		i := choose(candidates, evidence)
+		i := q.choose()
 		if i < 0 {
 			return culprits
 		}
-		culprits[candidates[i].fingerprint] = struct{}{}
-		candidates = removeExplained(candidates, candidates[i], evidence)
+		culprits[q.candidates[i].fingerprint] = struct{}{}
+		q.removeExplained(q.candidates[i])
 	}
 }
 
-// findCandidates returns the requests that may be culprits, and with partial evidence also
-// those with a single crash that may have caused one of theirs.
-func findCandidates(suspects map[Fingerprint]*suspect, evidence Evidence) []candidate {
-	var candidates []candidate
-	unexplained := make(map[CrashID]struct{})
+func newInquiry(suspects map[Fingerprint]*suspect, evidence Evidence) *inquiry {
+	q := &inquiry{evidence: evidence, others: make(map[CrashID]struct{})}
 	for fingerprint, s := range suspects {
-		if len(s.records) < quarantineCrashes {
+		if evidence == Complete && len(s.records) < quarantineCrashes {
 			continue
 		}
-		if crashes := s.counted(); len(crashes) >= quarantineCrashes {
-			candidates = append(candidates, candidate{fingerprint: fingerprint, crashes: crashes})
-			for _, crash := range crashes {
-				unexplained[crash] = struct{}{}
-			}
-		}
+		q.add(candidate{fingerprint: fingerprint, crashes: s.counted()})
 	}
-	if evidence == Complete || len(candidates) == 0 {
-		return candidates
+	return q
+}
+
+// add adds a request with its crashes that no culprit explains.
+func (q *inquiry) add(c candidate) {
+	if len(c.crashes) >= quarantineCrashes {
+		q.candidates = append(q.candidates, c)
+		return
 	}
-	for fingerprint, s := range suspects {
-		crashes := s.counted()
-		if len(crashes) != 1 {
-			continue
-		}
-		if _, ok := unexplained[crashes[0]]; ok {
-			candidates = append(candidates, candidate{fingerprint: fingerprint, crashes: crashes})
-		}
+	if q.evidence == Complete {
+		return
+	}
+	for _, crash := range c.crashes {
+		q.others[crash] = struct{}{}
 	}
-	return candidates
 }
 
 // choose returns the index of a culprit, or -1 if the candidates, in their order, cannot
@@ -86,22 +90,22 @@
 //   - a request with CertainCrashes.
 //
 // With partial evidence CertainCrashes count for more than a comparison with others.
-func choose(candidates []candidate, evidence Evidence) int {
+func (q *inquiry) choose() int {
 	certain := -1
-	if len(candidates) > 0 && len(candidates[0].crashes) >= CertainCrashes {
+	if len(q.candidates) > 0 && len(q.candidates[0].crashes) >= CertainCrashes {
 		certain = 0
 	}
-	if evidence == Complete {
+	if q.evidence == Complete {
 		return firstIndex(
-			slices.IndexFunc(candidates, func(c candidate) bool { return c.isEssential(candidates) }),
-			slices.IndexFunc(candidates, func(c candidate) bool { return c.isDominant(candidates) }),
+			slices.IndexFunc(q.candidates, q.isEssential),
+			slices.IndexFunc(q.candidates, q.isDominant),
 			certain,
 		)
 	}
 	return firstIndex(
-		slices.IndexFunc(candidates, func(c candidate) bool { return c.isProven(candidates) }),
+		slices.IndexFunc(q.candidates, q.isProven),
 		certain,
-		slices.IndexFunc(candidates, func(c candidate) bool { return c.isIndependent(candidates) }),
+		slices.IndexFunc(q.candidates, q.isIndependent),
 	)
 }
 
@@ -126,60 +130,56 @@
 	return n
 }
 
-// isEssential reports whether one of the crashes has no other candidate (an essential set
-// of the set cover).
-func (c candidate) isEssential(candidates []candidate) bool {
-	return slices.ContainsFunc(c.crashes, func(crash CrashID) bool { return c.isAlone(crash, candidates) })
+// isEssential reports whether one of the crashes of c has no other candidate (an essential
+// set of the set cover).
+func (q *inquiry) isEssential(c candidate) bool {
+	return slices.ContainsFunc(c.crashes, func(crash CrashID) bool { return q.isAlone(c, crash) })
 }
 
-// isAlone reports whether a crash of c has no other candidate.
-func (c candidate) isAlone(crash CrashID, candidates []candidate) bool {
-	return !slices.ContainsFunc(candidates, func(other candidate) bool {
+// isAlone reports whether nothing but c may have caused a crash of c.
+func (q *inquiry) isAlone(c candidate, crash CrashID) bool {
+	_, shared := q.others[crash]
+	return !shared && !slices.ContainsFunc(q.candidates, func(other candidate) bool {
 		return other.fingerprint != c.fingerprint && slices.Contains(other.crashes, crash)
 	})
 }
 
 // isDominant reports whether c has more crashes than each candidate that shares one.
-func (c candidate) isDominant(candidates []candidate) bool {
-	return !slices.ContainsFunc(candidates, func(other candidate) bool {
+func (q *inquiry) isDominant(c candidate) bool {
+	return !slices.ContainsFunc(q.candidates, func(other candidate) bool {
 		return other.fingerprint != c.fingerprint && len(other.crashes) >= len(c.crashes) && c.countShared(other) > 0
 	})
 }
 
 // isProven reports whether c has to be a culprit although the evidence is partial: it has
 // been alone in each of two crashes, or in one of more.
-func (c candidate) isProven(candidates []candidate) bool {
+func (q *inquiry) isProven(c candidate) bool {
 	if len(c.crashes) > quarantineCrashes {
-		return c.isEssential(candidates)
+		return q.isEssential(c)
 	}
-	return len(c.crashes) == quarantineCrashes && !slices.ContainsFunc(c.crashes, func(crash CrashID) bool {
-		return !c.isAlone(crash, candidates)
-	})
+	return !slices.ContainsFunc(c.crashes, func(crash CrashID) bool { return !q.isAlone(c, crash) })
 }
 
 // isIndependent reports whether c has been in more than quarantineCrashes crashes, no two
 // of them with the same other candidate.
-func (c candidate) isIndependent(candidates []candidate) bool {
-	return len(c.crashes) > quarantineCrashes && !slices.ContainsFunc(candidates, func(other candidate) bool {
+func (q *inquiry) isIndependent(c candidate) bool {
+	return len(c.crashes) > quarantineCrashes && !slices.ContainsFunc(q.candidates, func(other candidate) bool {
 		return other.fingerprint != c.fingerprint && c.countShared(other) > 1
 	})
 }
 
-// removeExplained returns the candidates without the culprit and its crashes. Requests
-// with too few crashes left are no longer candidates.
-func removeExplained(candidates []candidate, culprit candidate, evidence Evidence) []candidate {
-	least := quarantineCrashes
-	if evidence == Partial {
-		least = 1
-	}
-	var left []candidate
+// removeExplained removes a culprit and its crashes. Requests with too few crashes left are
+// no longer candidates.
+func (q *inquiry) removeExplained(culprit candidate) {
+	candidates := q.candidates
+	q.candidates = nil
 	for _, c := range candidates {
+		if c.fingerprint == culprit.fingerprint {
+			continue
+		}
 		crashes := slices.DeleteFunc(slices.Clone(c.crashes), func(crash CrashID) bool {
 			return slices.Contains(culprit.crashes, crash)
 		})
-		if c.fingerprint != culprit.fingerprint && len(crashes) >= least {
-			left = append(left, candidate{fingerprint: c.fingerprint, crashes: crashes})
-		}
+		q.add(candidate{fingerprint: c.fingerprint, crashes: crashes})
 	}
-	return left
 }
