Leave connections idle in the soak test and change limits while it runs

A request that was cut beside a change of the configuration was no violation either.

The configuration now has limits of clients and a timeout of routes. Faults of new kinds lower and raise them, also several times in a second, beside all other kinds and in pairs with some of them, and suspend an entry again and again, as a busy machine does. They have random numbers of their own, so that the faults of a seed so far stay. Idle callers keep one connection each until it fails, and leave it idle up to the limit and beyond it.

New verdicts: a request that reached a backend server and whose connection is closed without an answer, unless the entry was killed or the time to stop was over, a backend server that got the request was disturbed, or the caller abandoned it; a request whose connection is closed later than 200 ms after it was sent; and a connection that is closed although it was idle for no longer than callers may count on. A request that crosses the close of a connection that was idle for longer and reaches no backend server is allowed, in the final phase too.

The time in which an answer is due now follows the timeouts that may be in force. Changes of the configuration no longer overtake each other. One seed in ten has 24 entries, and processes are stopped concurrently at the end of a run.

--- a/cmd/cbsoak/main.go
+++ b/cmd/cbsoak/main.go
@@ -22,6 +22,9 @@
 // program is the name of the command in its messages.
 const program = "cbsoak"
 
+// crowdInterval is the interval of the seeds that have more entries than the others.
+const crowdInterval = 10
+
 type options struct {
 	module  string
 	logs    string
@@ -30,6 +33,8 @@
 	jobs    int
 	entries int
 	callers int
+	idle    int
+	crowd   int
 	span    time.Duration
 }
 
@@ -49,6 +54,8 @@
 	flag.IntVar(&o.jobs, "jobs", 4, "seeds that run at once")
 	flag.IntVar(&o.entries, "entries", 3, "entries of each seed")
 	flag.IntVar(&o.callers, "callers", 12, "callers of each seed")
+	flag.IntVar(&o.idle, "idle", 96, "callers of each seed that leave connections idle")
+	flag.IntVar(&o.crowd, "crowd", 24, "entries of each seed that is a multiple of 10")
 	flag.DurationVar(&o.span, "span", 12*time.Second, "length of the period in which faults begin")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -64,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	run.Entries, run.Callers, run.FaultWindow = o.entries, o.callers, o.span
+	run.Callers, run.IdleCallers, run.FaultWindow = o.callers, o.idle, o.span
 	var (
 		wait     sync.WaitGroup
 		next     atomic.Uint64
@@ -73,7 +80,12 @@
 	for range o.jobs {
 		wait.Go(func() {
 			for n := next.Add(1); n <= o.seeds && ctx.Err() == nil; n = next.Add(1) {
-				if !runSeed(ctx, run, o.logs, o.first+n-1) {
+				seed := o.first + n - 1
+				run := run
+				if run.Entries = o.entries; seed%crowdInterval == 0 {
+					run.Entries = o.crowd
+				}
+				if !runSeed(ctx, run, o.logs, seed) {
 					violated.Add(1)
 				}
 			}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -14,7 +14,7 @@
 const (
 	// callerTimeout is how long a caller waits for an answer. It exceeds the time that
 	// an answer may take.
-	callerTimeout = emulator.RouteTimeout + 2*time.Second
+	callerTimeout = maxRouteTimeout + time.Second
 
 	// requestsPerConnection is how many requests a caller sends on one connection.
 	// Every other caller instead uses a connection until it is closed by the entry
@@ -34,6 +34,13 @@
 	// phase.
 	crashingInterval = 250 * time.Millisecond
 	crashingMargin   = 6 * time.Second
+
+	// idleStream is the stream of random numbers of the first idle caller.
+	idleStream = 1 << 34
+	// eagerShare is the share of requests before which an idle caller stays within the
+	// idle limit it knows of. Before the others it exceeds that limit by up to maxExcess.
+	eagerShare = 0.4
+	maxExcess  = 1200 * time.Millisecond
 )
 
 var paths = []string{"/book/visits", "/look/orders", "/move/vans", "/stream/summary"}
@@ -49,13 +56,14 @@
 			time.Sleep(thinkTime)
 			continue
 		}
-		keepsOpen := number%2 == 0
+		keepsOpen, idleSince := number%2 == 0, time.Now()
 		for i := 0; (i < requestsPerConnection || keepsOpen) && time.Now().Before(end); i++ {
 			n++
 			next := sentRequest{
 				id:        fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n),
 				path:      paths[random.IntN(len(paths))],
 				abandoned: !keepsOpen && random.Float64() < abandonShare,
+				idleSince: idleSince,
 			}
 			if failed != nil {
 				next.id, next.path = emulator.RepetitionOf(failed.id, 1), failed.path
@@ -69,6 +77,7 @@
 			if !sent.keepsConnection() {
 				break
 			}
+			idleSince = sent.endedAt
 			time.Sleep(thinkTime)
 		}
 		// Closing a connection that has no request in flight has no effect on the results.
@@ -76,6 +85,45 @@
 	}
 }
 
+// runIdleCaller sends the requests of one idle caller, one after another, until the end
+// time. It uses a connection until it is closed by the entry or fails.
+func (s *Soaker) runIdleCaller(ctx context.Context, random *rand.Rand, number int, end time.Time) {
+	for n := 1; time.Now().Before(end); {
+		e := s.pickEntry(random)
+		conn, err := emulator.Dial(ctx, e.callers)
+		if err != nil {
+			time.Sleep(thinkTime)
+			continue
+		}
+		sent := sentRequest{endedAt: time.Now()}
+		for ; sent.keepsConnection() && time.Now().Before(end); n++ {
+			sent = s.send(conn, random, e, sentRequest{
+				id:        fmt.Sprintf("%d-idle%d-%d", s.options.Seed, number, n),
+				path:      paths[random.IntN(len(paths))],
+				idleSince: sent.endedAt,
+			})
+			if sent.keepsConnection() {
+				time.Sleep(min(pickIdleTime(random, s.history.idleLimit()), time.Until(end)))
+			}
+		}
+		// Closing a connection that has no request in flight has no effect on the results.
+		_ = conn.Close()
+	}
+}
+
+// pickIdleTime returns how long a caller that knows of an idle limit leaves its connection
+// idle.
+func pickIdleTime(random *rand.Rand, limit time.Duration) time.Duration {
+	safe := usableIdleTime(limit)
+	if random.Float64() < eagerShare {
+		return time.Duration(random.Int64N(int64(safe)))
+	}
+	return pickDuration(random, safe, limit+maxExcess)
+}
+
+// usableIdleTime returns how long callers may count on a connection with an idle limit.
+func usableIdleTime(limit time.Duration) time.Duration { return limit * 4 / 5 }
+
 // runCrashingCaller sends a request that crashes backend servers again and again, each
 // time through a random entry and with another identifier.
 func (s *Soaker) runCrashingCaller(ctx context.Context, path string) {
@@ -85,7 +133,7 @@
 	for n := 1; time.Now().Before(end); n++ {
 		e := s.pickEntry(random)
 		if conn, err := emulator.Dial(ctx, e.callers); err == nil {
-			s.send(conn, random, e, sentRequest{id: emulator.RepetitionOf(id, n), path: path})
+			s.send(conn, random, e, sentRequest{id: emulator.RepetitionOf(id, n), path: path, idleSince: time.Now()})
 			_ = conn.Close()
 		}
 		time.Sleep(crashingInterval/2 + rand.N(crashingInterval))
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -1,8 +1,11 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +44,10 @@
 	for _, problem := range h.problems {
 		addViolation("%s", problem)
 	}
+	arrivals := make(map[string][]emulator.Arrival)
+	for _, a := range s.journal.Arrivals() {
+		arrivals[a.Request] = append(arrivals[a.Request], a)
+	}
 	runs, crashes := make(map[string][]emulator.Run), make(crashRuns)
 	for _, r := range s.journal.Runs() {
 		runs[r.Request] = append(runs[r.Request], r)
@@ -59,7 +66,10 @@
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
 		}
-		for _, found := range []string{h.checkAnswer(sent), h.checkCount(sent, runs[id]), h.checkEnd(sent, runs[id])} {
+		for _, found := range []string{
+			h.checkAnswer(sent), h.checkCount(sent, runs[id]),
+			h.checkEnd(sent, runs[id], arrivals[id]), h.checkClosed(sent, arrivals[id]),
+		} {
 			if found != "" {
 				addViolation(
 					"request %s (%s at entry-%d, %s): %s",
@@ -160,14 +170,16 @@
 
 // checkEnd returns a violation if a request ended late, was cut off or was refused
 // although no fault explains it, or "".
-func (h *history) checkEnd(s sentRequest, runs []emulator.Run) string {
+func (h *history) checkEnd(s sentRequest, runs []emulator.Run, arrivals []emulator.Arrival) string {
 	took := s.endedAt.Sub(s.sentAt)
 	served := s.err == nil && (s.reply.Status == http.StatusOK || s.reply.Status == http.StatusUnauthorized)
 	switch {
 	case s.abandoned || s.endedAt.IsZero():
 		return ""
-	case took > answerBound && h.undisturbed(s.entry, s.sentAt, s.endedAt, ""):
+	case took > h.longestTimeout(s)+answerMargin && h.undisturbed(s.entry, s.sentAt, s.endedAt, ""):
 		return fmt.Sprintf("got no answer for %v", took.Round(time.Millisecond))
+	case len(arrivals) == 0 && s.closed() && h.mayBeIdleTooLong(s):
+		return ""
 	case s.sentAt.After(h.finalPhase) && s.err != nil && s.whole:
 		return fmt.Sprintf("cut off in the final phase without faults: %v", s.err)
 	case s.sentAt.After(h.finalPhase) && !served:
@@ -179,6 +191,59 @@
 	return ""
 }
 
+// closed reports whether the connection was closed before an answer began.
+func (s *sentRequest) closed() bool {
+	return s.err != nil && s.reply.Status == 0 && !errors.Is(s.err, os.ErrDeadlineExceeded)
+}
+
+// mayBeIdleTooLong reports whether the connection of a request was idle for longer than a
+// caller may count on.
+func (h *history) mayBeIdleTooLong(s sentRequest) bool {
+	return s.sentAt.Sub(s.idleSince) > usableIdleTime(h.lowestIdleLimit(s))
+}
+
+// checkClosed returns a violation if the connection of a whole request was closed without an
+// answer, or "". It is allowed if the close crosses a request that no backend server got.
+func (h *history) checkClosed(s sentRequest, arrivals []emulator.Arrival) string {
+	if s.abandoned || !s.whole || !s.closed() || h.excusesClose(s, arrivals) {
+		return ""
+	}
+	took := s.endedAt.Sub(s.sentAt).Round(time.Millisecond)
+	switch {
+	case len(arrivals) > 0:
+		return fmt.Sprintf("passed on and closed without an answer after %v: %v", took, s.err)
+	case took > lostBound && h.undisturbed(s.entry, s.sentAt, s.endedAt, "stop"):
+		return fmt.Sprintf("read and closed without an answer after %v: %v", took, s.err)
+	case !h.mayBeIdleTooLong(s) && h.undisturbed(s.entry, s.idleSince, s.endedAt, ""):
+		return fmt.Sprintf("closed after %v without a request, within the idle limit of %v: %v",
+			s.sentAt.Sub(s.idleSince).Round(time.Millisecond), h.lowestIdleLimit(s), s.err)
+	}
+	return ""
+}
+
+// brokenOff holds the kinds of faults on backend servers that end an answer early.
+var brokenOff = map[string]bool{
+	"crash": true, "crashedByRequest": true, "leave": true, "vanish": true, "truncate": true, "babble": true,
+	"linkCut": true, "linkReset": true, "linkMute": true, "linkDeaf": true,
+}
+
+// excusesClose reports whether a fault explains that the connection of a request was closed:
+// the process was killed, or had exceeded the time to stop, or a backend server that got the
+// request was disturbed.
+func (h *history) excusesClose(s sentRequest, arrivals []emulator.Arrival) bool {
+	return slices.ContainsFunc(h.faults, func(f injectedFault) bool {
+		switch {
+		case !f.overlaps(s.sentAt, s.endedAt):
+			return false
+		case f.scope == onEntry && f.target == s.entry:
+			return f.kind == "kill" || f.kind == "stop" && s.endedAt.Sub(f.beganAt) >= stopBound
+		case f.scope == onServer && brokenOff[f.kind]:
+			return slices.ContainsFunc(arrivals, func(a emulator.Arrival) bool { return h.hosts[a.Server] == f.target })
+		}
+		return false
+	})
+}
+
 // checkRun returns a violation if a backend server ran a request that it must not have
 // run, or "".
 func (h *history) checkRun(r emulator.Run) string {
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -13,9 +13,14 @@
 // at returns the time d after the start of the test history.
 func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 
+// firstConfig is the configuration at the start of the test history.
+var firstConfig = acceptedConfig{
+	sentAt: at(0), at: at(0), pool: "desk", key: "key-1", routeTimeout: firstRouteTimeout, idleLimit: firstIdleLimit,
+}
+
 // newHistory returns a history with one request that was served correctly.
 func newHistory() (*history, *sentRequest, *emulator.Run) {
-	h := &history{configs: []acceptedConfig{{at: at(0), pool: "desk", key: "key-1"}}, finalPhase: at(time.Hour)}
+	h := &history{configs: []acceptedConfig{firstConfig}, finalPhase: at(time.Hour)}
 	s := &sentRequest{
 		id:      "r1",
 		path:    "/book/visits",
@@ -35,7 +40,12 @@
 // isViolation reports whether any check finds a violation by the request.
 func isViolation(h *history, s *sentRequest, runs ...emulator.Run) bool {
 	h.addRequest(*s)
-	wrong := h.checkAnswer(*s) != "" || h.checkCount(*s, runs) != "" || h.checkEnd(*s, runs) != ""
+	arrivals := make([]emulator.Arrival, 0, len(runs))
+	for _, r := range runs {
+		arrivals = append(arrivals, emulator.Arrival{Request: r.Request, Server: r.Server, At: r.At})
+	}
+	wrong := h.checkAnswer(*s) != "" || h.checkCount(*s, runs) != "" || h.checkEnd(*s, runs, arrivals) != "" ||
+		h.checkClosed(*s, arrivals) != ""
 	for _, r := range runs {
 		wrong = wrong || h.checkRun(r) != ""
 	}
@@ -61,10 +71,10 @@
 		"valid request denied": {func(_ *history, s *sentRequest, _ *emulator.Run) { s.reply.Status = 404 }, true},
 		"unknown result":       {func(_ *history, s *sentRequest, _ *emulator.Run) { s.reply.Status = 502 }, false},
 		"no answer in time": {func(_ *history, s *sentRequest, _ *emulator.Run) {
-			s.endedAt = s.sentAt.Add(answerBound + time.Second)
+			s.endedAt = s.sentAt.Add(firstRouteTimeout + answerMargin + time.Second)
 		}, true},
 		"no answer in time while paused": {func(h *history, s *sentRequest, _ *emulator.Run) {
-			s.endedAt = s.sentAt.Add(answerBound + time.Second)
+			s.endedAt = s.sentAt.Add(firstRouteTimeout + answerMargin + time.Second)
 			h.faultBegan(injectedFault{kind: "pause", beganAt: s.sentAt})
 		}, false},
 		"cut off without a fault": {func(_ *history, s *sentRequest, _ *emulator.Run) { s.err = errCut }, true},
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -149,22 +149,29 @@
 		time.Sleep(f.duration)
 		s.group.DelayOrders(f.target, 0)
 	}},
-	"storeDown":        {onStore, storeFault(storer.Fault{Mode: storer.FaultDown})},
-	"storeSlow":        {onStore, storeFault(storer.Fault{Mode: storer.FaultSlow, Delay: storeDelay})},
-	"storeLostAnswer":  {onStore, storeFault(storer.Fault{Mode: storer.FaultLostAnswer})},
-	"storeLateWrite":   {onStore, storeFault(storer.Fault{Mode: storer.FaultLateWrite, Delay: lateWriteDelay})},
-	"storeSilentWatch": {onStore, storeFault(storer.Fault{Mode: storer.FaultSilentWatch})},
-	"crash":            {onServer, crashServer},
-	"leave":            {onServer, func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, true) }},
-	"vanish":           {onServer, func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, false) }},
-	"truncate":         {onServer, behaviourFault(emulator.Truncating)},
-	"babble":           {onServer, behaviourFault(emulator.SendingGarbage)},
-	"repeat":           {onServer, behaviourFault(emulator.Repeating)},
-	"linkCut":          {onServer, linkFault(hostLink, forwarder.Fault{Refuse: true}, true)},
-	"linkReset":        {onServer, linkFault(hostLink, forwarder.Fault{}, true)},
-	"linkSlow":         {onServer, linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false)},
-	"linkMute":         {onServer, linkFault(hostLink, forwarder.Fault{LoseAnswers: true}, false)},
-	"linkDeaf":         {onServer, linkFault(hostLink, forwarder.Fault{LoseRequests: true}, false)},
+	"storeDown":          {onStore, storeFault(storer.Fault{Mode: storer.FaultDown})},
+	"storeSlow":          {onStore, storeFault(storer.Fault{Mode: storer.FaultSlow, Delay: storeDelay})},
+	"storeLostAnswer":    {onStore, storeFault(storer.Fault{Mode: storer.FaultLostAnswer})},
+	"storeLateWrite":     {onStore, storeFault(storer.Fault{Mode: storer.FaultLateWrite, Delay: lateWriteDelay})},
+	"storeSilentWatch":   {onStore, storeFault(storer.Fault{Mode: storer.FaultSilentWatch})},
+	"crash":              {onServer, crashServer},
+	"leave":              {onServer, func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, true) }},
+	"vanish":             {onServer, func(ctx context.Context, s *Soaker, f fault) { leaveServer(ctx, s, f, false) }},
+	"truncate":           {onServer, behaviourFault(emulator.Truncating)},
+	"babble":             {onServer, behaviourFault(emulator.SendingGarbage)},
+	"repeat":             {onServer, behaviourFault(emulator.Repeating)},
+	"linkCut":            {onServer, linkFault(hostLink, forwarder.Fault{Refuse: true}, true)},
+	"linkReset":          {onServer, linkFault(hostLink, forwarder.Fault{}, true)},
+	"linkSlow":           {onServer, linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false)},
+	"linkMute":           {onServer, linkFault(hostLink, forwarder.Fault{LoseAnswers: true}, false)},
+	"linkDeaf":           {onServer, linkFault(hostLink, forwarder.Fault{LoseRequests: true}, false)},
+	"idleLimit":          {onConfig, changeLimits(changeIdleLimit, false)},
+	"idleLimitBrief":     {onConfig, lowerIdleLimitBriefly},
+	"idleLimitSeries":    {onConfig, changeLimits(changeIdleLimit, true)},
+	"routeTimeout":       {onConfig, changeLimits(changeRouteTimeout, false)},
+	"routeTimeoutSeries": {onConfig, changeLimits(changeRouteTimeout, true)},
+	"sizeLimits":         {onConfig, changeLimits(changeSizeLimits, false)},
+	"stutter":            {onEntry, stutter},
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
 	}},
@@ -200,23 +207,29 @@
 }
 
 // newSchedule returns the faults of a run: random ones, with equal probability for each
-// kind except those of callers, one pair, and requests that crash backend servers.
-// Consecutive seeds use the pairs in turn.
+// kind except those of callers and of limits, one pair, requests that crash backend
+// servers, and faults that concern limits. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
-		return kinds[name].scope == onCaller
+		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name)
 	})
 	n := minFaults + random.IntN(extraFaults)
 	faults := make([]fault, 0, n+len(pairs[0]))
 	for range n {
-		f := fault{kind: names[random.IntN(len(names))]}
-		f.at = time.Duration(random.Int64N(int64(options.FaultWindow)))
-		f.duration = minDuration + time.Duration(random.Int64N(int64(extraDuration)))
-		f.target = kinds[f.kind].scope.pickTarget(random, options)
-		faults = append(faults, f)
+		faults = append(faults, newFault(random, options, names))
 	}
-	faults = append(faults, newPair(random, options)...)
-	return append(faults, newCrashingRequests(options)...)
+	faults = append(faults, newPair(random, options, pairs)...)
+	faults = append(faults, newCrashingRequests(options)...)
+	return append(faults, newLimitFaults(options)...)
+}
+
+// newFault returns a random fault of one of the kinds.
+func newFault(random *rand.Rand, options Options, names []string) fault {
+	f := fault{kind: names[random.IntN(len(names))]}
+	f.at = time.Duration(random.Int64N(int64(options.FaultWindow)))
+	f.duration = minDuration + time.Duration(random.Int64N(int64(extraDuration)))
+	f.target = kinds[f.kind].scope.pickTarget(random, options)
+	return f
 }
 
 // newCrashingRequests returns up to maxCrashingRequests requests that crash backend
@@ -232,7 +245,8 @@
 	return requests
 }
 
-func newPair(random *rand.Rand, options Options) []fault {
+// newPair returns one of the pairs, at a random time.
+func newPair(random *rand.Rand, options Options, pairs [][2]string) []fault {
 	names := pairs[options.Seed%uint64(len(pairs))]
 	at := time.Duration(random.Int64N(int64(options.FaultWindow / 2)))
 	pair := make([]fault, len(names))
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -13,6 +13,9 @@
 		id, path, key   string
 		entry           int
 		sentAt, endedAt time.Time
+		// idleSince is the time of the previous answer on the connection, or of its
+		// beginning.
+		idleSince time.Time
 		// abandoned is set if the caller closes the connection without waiting for the
 		// answer.
 		abandoned bool
@@ -31,11 +34,12 @@
 		target           int
 	}
 
-	// acceptedConfig is an accepted configuration: the pool of changedRoute and the key of
-	// changedOrganisation.
+	// acceptedConfig is an accepted configuration: when it was sent and accepted, the pool
+	// of changedRoute, the key of changedOrganisation, and limits.
 	acceptedConfig struct {
-		at        time.Time
-		pool, key string
+		sentAt, at              time.Time
+		pool, key               string
+		routeTimeout, idleLimit time.Duration
 	}
 
 	// history records requests, injected faults, accepted configurations and leaving
@@ -49,8 +53,10 @@
 		// leavingSince holds, by backend server, when the platform accepted that it
 		// leaves or was withdrawn.
 		leavingSince map[string]time.Time
-		problems     []string
-		finalPhase   time.Time
+		// hosts holds the index of the host of each backend server.
+		hosts      map[string]int
+		problems   []string
+		finalPhase time.Time
 	}
 )
 
@@ -92,6 +98,22 @@
 	h.leavingSince[server] = at
 }
 
+func (h *history) serverStarted(server string, host int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hosts == nil {
+		h.hosts = make(map[string]int)
+	}
+	h.hosts[server] = host
+}
+
+// idleLimit returns the idle limit of the configuration that was accepted last.
+func (h *history) idleLimit() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.configs[len(h.configs)-1].idleLimit
+}
+
 func (h *history) addProblem(text string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -127,6 +149,38 @@
 	return present
 }
 
+// inForce returns the configurations that an undisturbed entry may use at some time of a
+// span.
+func (h *history) inForce(from, to time.Time) []acceptedConfig {
+	var found []acceptedConfig
+	for i, v := range h.configs {
+		replaced := i+1 < len(h.configs) && h.configs[i+1].at.Add(configBound).Before(from)
+		if !replaced && !v.sentAt.After(to) {
+			found = append(found, v)
+		}
+	}
+	return found
+}
+
+// longestTimeout returns the longest timeout of routes that applies to a request.
+func (h *history) longestTimeout(s sentRequest) time.Duration {
+	var longest time.Duration
+	for _, v := range h.inForce(s.sentAt, s.sentAt.Add(lostBound)) {
+		longest = max(longest, v.routeTimeout)
+	}
+	return longest
+}
+
+// lowestIdleLimit returns the lowest idle limit that may be in force while the connection of
+// a request is idle before the request.
+func (h *history) lowestIdleLimit(s sentRequest) time.Duration {
+	lowest := firstIdleLimit
+	for _, v := range h.inForce(s.idleSince, s.endedAt) {
+		lowest = min(lowest, v.idleLimit)
+	}
+	return lowest
+}
+
 // withdrawnAt returns when a key was withdrawn, and whether it was.
 func (h *history) withdrawnAt(key string) (time.Time, bool) {
 	for i := 1; i < len(h.configs); i++ {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	options.Entries, options.Callers, options.FaultWindow = 3, 12, faultWindow
+	options.Entries, options.Callers, options.IdleCallers, options.FaultWindow = 3, 12, 96, faultWindow
 	list := failedSeeds
 	for seed := range seeds {
 		list = append(list, seed+1)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,11 @@
 	drainBound   = 2 * time.Second
 	keyBound     = 5 * time.Second
 	stopBound    = 8 * time.Second
-	answerBound  = emulator.RouteTimeout + 500*time.Millisecond
+	// answerMargin is how much later than the timeout of its route a request may be
+	// answered, and lostBound how long after it was sent a request that is not passed
+	// on may be dropped with its connection.
+	answerMargin = 500 * time.Millisecond
+	lostBound    = 200 * time.Millisecond
 
 	// A request that has crashed provenCrashes backend servers may be run at most
 	// maxLateRuns times later than stableWindow after that.
@@ -74,6 +79,9 @@
 		EntryTemplate, AgentTemplate string
 		Seed                         uint64
 		Entries, Callers             int
+		// IdleCallers is the number of callers that keep one connection each and leave
+		// it idle, up to the idle limit and beyond it.
+		IdleCallers int
 		// FaultWindow is the period in which faults begin.
 		FaultWindow time.Duration
 	}
@@ -110,8 +118,9 @@
 
 		history history
 
-		mu     sync.Mutex
-		config emulator.Configuration
+		// configuring is held while the configuration is being changed.
+		configuring sync.Mutex
+		config      emulator.Configuration
 	}
 
 	// daemon is an entry or an agent, with its link to the store.
@@ -215,6 +224,11 @@
 		Pools:      []string{"desk", rankedPool, "annex"},
 		RankedPool: rankedPool,
 		Keys:       map[string]string{"crews": "key-1", "office": "key-0"},
+
+		RouteTimeout: firstRouteTimeout,
+		Limits: emulator.ClientLimits{
+			HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: firstRouteTimeout, IdleTimeout: firstIdleLimit,
+		},
 	}
 	if err := s.configure(ctx, func(*emulator.Configuration) {}); err != nil {
 		return err
@@ -287,6 +301,7 @@
 	h.mu.Lock()
 	h.id, h.pool, h.server = id, pool, started
 	h.mu.Unlock()
+	s.history.serverStarted(id, h.index)
 	_, err = started.Announce(ctx, false)
 	return err
 }
@@ -444,18 +459,19 @@
 
 // configure changes the configuration and records when it was accepted.
 func (s *Soaker) configure(ctx context.Context, change func(*emulator.Configuration)) error {
-	s.mu.Lock()
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	change(&s.config)
 	s.config.Version++
-	config := s.config
-	s.mu.Unlock()
-	at, err := s.platform.Configure(ctx, config)
+	sentAt := time.Now()
+	at, err := s.platform.Configure(ctx, s.config)
 	if err != nil {
 		return err
 	}
-	s.history.configAccepted(
-		acceptedConfig{at: at, pool: config.Routes[changedRoute].Pool, key: config.Keys[changedOrganisation]},
-	)
+	s.history.configAccepted(acceptedConfig{
+		sentAt: sentAt, at: at, pool: s.config.Routes[changedRoute].Pool, key: s.config.Keys[changedOrganisation],
+		routeTimeout: s.config.RouteTimeout, idleLimit: s.config.Limits.IdleTimeout,
+	})
 	return nil
 }
 
@@ -470,6 +486,10 @@
 		seed := rand.NewPCG(s.options.Seed, uint64(n+1))
 		callers.Go(func() { s.runCaller(ctx, rand.New(seed), n, finalStart.Add(finalTime)) })
 	}
+	for n := range s.options.IdleCallers {
+		seed := rand.NewPCG(s.options.Seed, idleStream+uint64(n))
+		callers.Go(func() { s.runIdleCaller(ctx, rand.New(seed), n, finalStart.Add(finalTime)) })
+	}
 	for _, f := range schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(began.Add(warmUpTime + f.at)))
@@ -483,11 +503,16 @@
 // close stops everything that was started.
 func (s *Soaker) close() error {
 	close(s.stop)
-	var errs []error
-	for _, e := range append(s.entries, s.agents...) {
+	daemons := slices.Concat(s.entries, s.agents)
+	errs := make([]error, len(daemons))
+	var stopping sync.WaitGroup
+	for i, e := range daemons {
 		if process := e.running(true); process != nil {
-			errs = append(errs, process.Stop())
+			stopping.Go(func() { errs[i] = process.Stop() })
 		}
+	}
+	stopping.Wait()
+	for _, e := range daemons {
 		if e.link != nil {
 			errs = append(errs, e.link.Close())
 		}
