--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,28 +8,20 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
-	"github.com/carawaybeam/carawaybeam/starter"
+	"github.com/carawaybeam/carawaybeam/keeper"
 )
 
-const (
-	// drainDelay is how long a process that is being stopped still accepts
-	// connections. The load balancer in front of it checks its readiness once a
-	// second and removes a VM after two failed checks.
-	drainDelay = 2500 * time.Millisecond
-
-	// idleCheckInterval is how often idle connections are checked for the idle
-	// timeout.
-	idleCheckInterval = time.Second
-)
+// drainDelay is how long a process that is being stopped still accepts connections. The
+// load balancer in front of it checks its readiness once a second and removes a VM after
+// two failed checks.
+const drainDelay = 2500 * time.Millisecond
 
 type (
 	// Forwarder serves requests.
@@ -62,130 +54,72 @@
 		// WriteTimeout is how long a client may take to receive one part of an
 		// answer.
 		WriteTimeout time.Duration
-		Log          zerolog.Logger
+		// Scope receives the metrics.
+		Scope tally.Scope
+		Log   zerolog.Logger
 	}
 
 	// Acceptor accepts requests of clients on one listener.
 	Acceptor struct {
 		options Options
-		http    *http.Server
-		ctx     context.Context
-		cancel  context.CancelFunc
-		wait    sync.WaitGroup
-		// leaving is set when Drain begins.
-		leaving atomic.Bool
-
-		mu sync.Mutex
-		// idle maps each idle connection to the time since which it has been
-		// idle.
-		idle map[net.Conn]time.Time
+		keeper  *keeper.Keeper
 	}
 )
 
 // New returns an Acceptor that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Acceptor {
-	ctx, cancel := context.WithCancel(context.Background())
-	a := &Acceptor{options: options, ctx: ctx, cancel: cancel, idle: make(map[net.Conn]time.Time)}
-	a.http = &http.Server{
-		Handler:           http.HandlerFunc(a.serve),
-		ReadHeaderTimeout: options.ReadTimeout,
-		MaxHeaderBytes:    options.HeaderBytes,
-		ErrorLog:          starter.NewConnectionLog(options.Log, "acceptor"),
-		ConnState:         a.trackIdle,
-	}
-	a.wait.Go(func() {
-		if err := a.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			a.options.Log.Error().Err(err).Msg("acceptor: clients are no longer served")
-		}
+	a := &Acceptor{options: options}
+	a.keeper = keeper.New(listener, keeper.Options{
+		Component:     "acceptor",
+		Handler:       http.HandlerFunc(a.serve),
+		IdleLimit:     a.idleLimit,
+		HeaderTimeout: options.ReadTimeout,
+		HeaderBytes:   options.HeaderBytes,
+		DrainDelay:    drainDelay,
+		Scope:         options.Scope,
+		Log:           options.Log,
 	})
-	a.wait.Go(a.closeIdle)
 	return a
 }
 
-// Drain stops the Acceptor gracefully. It first waits until the load balancer has
-// had time to detect that the process is no longer ready; answers in this time
-// close their connections. Drain then accepts no more connections and waits until
-// all requests in flight have ended or ctx is done, in which case it returns the
-// error of ctx.
-func (a *Acceptor) Drain(ctx context.Context) error {
-	a.leaving.Store(true)
-	timer := time.NewTimer(drainDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return a.http.Shutdown(ctx)
-}
+// Drain stops the Acceptor gracefully. It waits until all requests in flight have ended or
+// ctx is done, in which case it returns the error of ctx.
+func (a *Acceptor) Drain(ctx context.Context) error { return a.keeper.Drain(ctx) }
 
 // Close aborts all requests in flight and closes the listener.
-func (a *Acceptor) Close() error {
-	a.cancel()
-	err := a.http.Close()
-	a.wait.Wait()
-	return err
-}
+func (a *Acceptor) Close() error { return a.keeper.Close() }
 
-// trackIdle records when a connection becomes idle. It is called by net/http for
-// each change of a connection's state.
-func (a *Acceptor) trackIdle(conn net.Conn, state http.ConnState) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if state == http.StateIdle {
-		a.idle[conn] = time.Now()
-	} else {
-		delete(a.idle, conn)
-	}
-}
-
-// closeIdle closes connections that have been idle for longer than the idle timeout
-// in the configuration, which may change at any time.
-func (a *Acceptor) closeIdle() {
-	ticker := time.NewTicker(idleCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-a.ctx.Done():
-			return
-		}
-		limits, ok := a.options.Forwarder.Limits()
-		if !ok || limits.IdleTimeout <= 0 {
-			continue
-		}
-		a.mu.Lock()
-		for conn, since := range a.idle {
-			if time.Since(since) > limits.IdleTimeout {
-				// An error means that the connection is already closed.
-				_ = conn.Close()
-			}
-		}
-		a.mu.Unlock()
-	}
+// idleLimit returns the idle timeout in the configuration, or 0 if there is none.
+func (a *Acceptor) idleLimit() time.Duration {
+	limits, _ := a.options.Forwarder.Limits()
+	return limits.IdleTimeout
 }
 
 func (a *Acceptor) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if a.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	answer := &answerWriter{w: w, control: http.NewResponseController(w), timeout: a.options.WriteTimeout}
 	request, failure := a.read(w, r)
-	if failure == nil {
-		failure = a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
-	} else {
+	if failure != nil {
 		a.options.Log.Info().Str("request", string(request.ID)).Str("reason", string(failure.Reason)).
 			Str("detail", failure.Detail).Msg("acceptor: request is refused")
+		_ = a.writeFailure(answer, failure)
+		return
 	}
+	failure = a.keeper.Guard(request.ID, func() *carawaybeam.RequestError {
+		return a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
+	})
 	if failure == nil {
 		return
 	}
-	if answer.headWritten {
-		// Abort the connection, so that the incomplete answer does not look
-		// complete.
-		panic(http.ErrAbortHandler)
+	if !answer.headWritten {
+		// An error is reported as the end of the connection.
+		_ = a.writeFailure(answer, failure)
+		a.keeper.Interrupted(r.Context(), request.ID, failure, false)
+		return
 	}
-	a.writeFailure(w, failure)
+	a.keeper.Interrupted(r.Context(), request.ID, failure, true)
+	// Abort the connection, so that the incomplete answer does not look complete.
+	panic(http.ErrAbortHandler)
 }
 
 // read decodes a request and reads its body.
@@ -212,15 +146,17 @@
 	return request, nil
 }
 
-func (a *Acceptor) writeFailure(w http.ResponseWriter, failure *carawaybeam.RequestError) {
+// writeFailure answers a request with an error. An error means that the client has not
+// received the answer.
+func (a *Acceptor) writeFailure(answer *answerWriter, failure *carawaybeam.RequestError) error {
 	status, header := a.options.Dialect.EncodeFailure(failure)
-	for name, values := range header {
-		w.Header()[name] = values
-	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := string(failure.Reason) + "\n"
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	// An error means that the client has closed the connection.
-	_, _ = io.WriteString(w, body)
+	if err := answer.Head(status, header, len(body)); err != nil {
+		return err
+	}
+	if _, err := answer.Write([]byte(body)); err != nil {
+		return err
+	}
+	return answer.Flush()
 }
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/acceptor"
@@ -43,7 +44,7 @@
 	}
 	a := acceptor.New(listener, acceptor.Options{
 		Dialect: platform.Dialect{}, Forwarder: h, BodyBytes: 1 << 20, HeaderBytes: 4096,
-		ReadTimeout: time.Second, WriteTimeout: time.Second, Log: zerolog.Nop(),
+		ReadTimeout: time.Second, WriteTimeout: time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
 	})
 	t.Cleanup(func() {
 		if err := a.Close(); err != nil {
@@ -145,6 +146,19 @@
 	is.True(err != nil)
 }
 
+// TestPanicIsAnswered guards against a panic that closes the connection of a request without
+// any answer.
+func TestPanicIsAnswered(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, func(
+		context.Context, *carawaybeam.ClientRequest, forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		panic("fault of the test")
+	})
+	response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	is.Equal(response.status, http.StatusBadGateway)
+}
+
 // TestFailureHasRetryAfter checks that a refused request is answered with the time
 // after which to retry.
 func TestFailureHasRetryAfter(t *testing.T) {
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,282 @@
+// Package keeper serves HTTP on the connections of clients. It ends connections that are idle
+// for too long or that a stopping process no longer serves, and records which side ended each
+// connection, and why.
+//
+// Only the goroutine that reads a connection may end it as idle, after a last read that found
+// nothing. A request is therefore either read and served, or not read at all. Closing a
+// connection from another goroutine would cut requests that had just been read.
+package keeper
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carawaybeam/carawaybeam/starter"
+)
+
+// answerTime is how long Close waits until the requests in flight have been answered.
+const answerTime = 250 * time.Millisecond
+
+type (
+	// Options configures a Keeper.
+	Options struct {
+		// Component is the prefix of the log messages.
+		Component string
+		Handler   http.Handler
+		// IdleLimit returns how long a connection may be idle, or 0 for any time. A
+		// connection is kept for the longer of the limits at the beginning and at the
+		// end of its idle time, so that a change of the limit ends none that a client
+		// may still use.
+		IdleLimit func() time.Duration
+		// HeaderTimeout is how long a client may take to send the header of a
+		// request, and HeaderBytes its maximum size.
+		HeaderTimeout time.Duration
+		HeaderBytes   int
+		// ReadTimeout is how long a client may take to send a whole request, or 0
+		// for any time.
+		ReadTimeout time.Duration
+		// DrainDelay is how long a Keeper that drains still accepts connections. In
+		// this time the load balancer in front of the process detects that it is no
+		// longer ready.
+		DrainDelay time.Duration
+		// TLS is the configuration for clients that connect over TLS, or nil.
+		TLS *tls.Config
+		// Scope receives the metrics.
+		Scope tally.Scope
+		Log   zerolog.Logger
+	}
+
+	// Keeper serves clients on one listener.
+	Keeper struct {
+		options  Options
+		listener net.Listener
+		http     *http.Server
+		// cancel cancels the context of all requests.
+		cancel context.CancelFunc
+		// leaving is set when Drain begins, and draining when idle connections end.
+		leaving, draining atomic.Bool
+		// stopped is closed when no more connections are accepted, and drained when
+		// all connections have ended after that.
+		stopped, drained chan struct{}
+
+		mu    sync.Mutex
+		conns map[*conn]struct{}
+	}
+
+	// responseWriter writes the answer to one request.
+	responseWriter struct {
+		http.ResponseWriter
+		keeper      *Keeper
+		headWritten bool
+	}
+
+	// connListener accepts connections of the type *conn.
+	connListener struct {
+		net.Listener
+		keeper *Keeper
+	}
+)
+
+// New returns a Keeper that serves clients on the listener until Close.
+func New(listener net.Listener, options Options) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{
+		options:  options,
+		listener: listener,
+		cancel:   cancel,
+		stopped:  make(chan struct{}),
+		drained:  make(chan struct{}),
+		conns:    make(map[*conn]struct{}),
+	}
+	k.http = &http.Server{
+		Handler:           http.HandlerFunc(k.serveHTTP),
+		ReadHeaderTimeout: options.HeaderTimeout,
+		ReadTimeout:       options.ReadTimeout,
+		MaxHeaderBytes:    options.HeaderBytes,
+		ErrorLog:          starter.NewConnectionLog(options.Log, options.Component),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, unwrap(c))
+		},
+		ConnState: trackState,
+	}
+	var conns net.Listener = connListener{Listener: listener, keeper: k}
+	if options.TLS != nil {
+		conns = tls.NewListener(conns, options.TLS)
+	}
+	go k.serve(conns)
+	return k
+}
+
+func (k *Keeper) serve(conns net.Listener) {
+	err := k.http.Serve(conns)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		k.options.Log.Error().Err(err).Msg(k.options.Component + ": clients are no longer served")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	close(k.stopped)
+	k.checkDrained()
+}
+
+// serveHTTP passes a request to the handler.
+func (k *Keeper) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	k.options.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, keeper: k}, r)
+}
+
+// WriteHeader writes the head of the answer. The answers of a process that is leaving close
+// their connections.
+func (w *responseWriter) WriteHeader(status int) {
+	w.headWritten = true
+	if w.keeper.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError sends what was written to the client.
+func (w *responseWriter) FlushError() error {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap returns the ResponseWriter of the HTTP server, for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Drain stops the Keeper gracefully. For the time DrainDelay it serves on, and each answer
+// closes its connection. Drain then closes the listener, ends each connection as it becomes
+// idle, and waits until the last one has ended or ctx is done, in which case it returns the
+// error of ctx.
+func (k *Keeper) Drain(ctx context.Context) error {
+	k.leaving.Store(true)
+	timer := time.NewTimer(k.options.DrainDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return k.endIdle(ctx)
+}
+
+// endIdle ends all connections as they become idle.
+func (k *Keeper) endIdle(ctx context.Context) error {
+	err := k.listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	k.draining.Store(true)
+	k.mu.Lock()
+	for c := range k.conns {
+		c.wake()
+	}
+	k.mu.Unlock()
+	select {
+	case <-k.drained:
+		return err
+	case <-ctx.Done():
+		return errors.Join(err, ctx.Err())
+	}
+}
+
+// Close cancels all requests in flight and closes the listener. It leaves the handlers a
+// short time to answer them before it closes the remaining connections.
+func (k *Keeper) Close() error {
+	k.leaving.Store(true)
+	k.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	drained := k.endIdle(ctx)
+	err := k.http.Close()
+	<-k.stopped
+	if errors.Is(drained, context.DeadlineExceeded) {
+		k.options.Log.Warn().Msg(k.options.Component + ": connections were closed while they were in use")
+	}
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Accept waits for the next connection.
+func (l connListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, keeper: l.keeper, accepted: time.Now(), idle: true, fresh: true}
+	l.keeper.mu.Lock()
+	defer l.keeper.mu.Unlock()
+	l.keeper.conns[c] = struct{}{}
+	return c, nil
+}
+
+// remove removes a connection that has ended.
+func (k *Keeper) remove(c *conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.conns, c)
+	k.checkDrained()
+}
+
+// checkDrained closes drained once the last connection has ended. The caller holds mu.
+func (k *Keeper) checkDrained() {
+	if isClosed(k.stopped) && len(k.conns) == 0 && !isClosed(k.drained) {
+		close(k.drained)
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// unwrap returns the accepted connection of an HTTP server's connection.
+func unwrap(served net.Conn) *conn {
+	if secure, ok := served.(*tls.Conn); ok {
+		served = secure.NetConn()
+	}
+	c, _ := served.(*conn)
+	return c
+}
+
+// trackState follows the state that the HTTP server gives to a connection.
+func trackState(served net.Conn, state http.ConnState) {
+	c := unwrap(served)
+	switch state {
+	case http.StateIdle:
+		c.setIdle()
+	case http.StateActive:
+		c.setActive()
+	}
+}
+
+// idleLimit returns the idle limit in force.
+func (k *Keeper) idleLimit() time.Duration {
+	if k.options.IdleLimit == nil {
+		return 0
+	}
+	return k.options.IdleLimit()
+}
--- a/server/server.go
+++ b/server/server.go
@@ -4,21 +4,22 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v5"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
-	"github.com/carawaybeam/carawaybeam/starter"
+	"github.com/carawaybeam/carawaybeam/keeper"
 )
 
 const (
@@ -86,23 +87,23 @@
 		WriteTimeout time.Duration
 		// Ready reports whether requests can be served.
 		Ready func() bool
+		// TLS is the configuration for callers that connect over TLS, or nil.
+		TLS *tls.Config
+		// Scope receives the metrics.
+		Scope tally.Scope
 		Log   zerolog.Logger
 	}
 
 	// Server accepts requests of callers over HTTP.
 	Server struct {
 		options Options
-		http    *http.Server
-		// done is closed when the listener is no longer served.
-		done chan struct{}
-		// leaving is set when Drain begins.
-		leaving atomic.Bool
+		keeper  *keeper.Keeper
 	}
 )
 
 // New returns a Server that serves callers on the listener until Close.
 func New(listener net.Listener, options Options) *Server {
-	s := &Server{options: options, done: make(chan struct{})}
+	s := &Server{options: options}
 	router := echo.New()
 	router.HTTPErrorHandler = s.handleError
 	router.POST("/v1/completions", s.serveModel)
@@ -110,48 +111,27 @@
 	router.POST("/v1/chat/completions", s.serveModel)
 	router.Any("/services/:class", s.serveService)
 	router.Any("/services/:class/*", s.serveService)
-	s.http = &http.Server{
-		Handler:           router,
-		ReadHeaderTimeout: options.ReadTimeout,
-		ReadTimeout:       options.ReadTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    options.HeaderBytes,
-		ErrorLog:          starter.NewConnectionLog(options.Log, "server"),
-	}
-	go s.serve(listener)
+	s.keeper = keeper.New(listener, keeper.Options{
+		Component:     "server",
+		Handler:       router,
+		IdleLimit:     func() time.Duration { return idleTimeout },
+		HeaderTimeout: options.ReadTimeout,
+		ReadTimeout:   options.ReadTimeout,
+		HeaderBytes:   options.HeaderBytes,
+		DrainDelay:    drainDelay,
+		TLS:           options.TLS,
+		Scope:         options.Scope,
+		Log:           options.Log,
+	})
 	return s
 }
 
-func (s *Server) serve(listener net.Listener) {
-	defer close(s.done)
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		s.options.Log.Error().Err(err).Msg("server: callers are no longer served")
-	}
-}
-
-// Drain stops the Server gracefully. It first waits for two seconds, in which the
-// load balancer detects that the process is no longer ready. Requests that arrive
-// in this time are served, but each answer closes its connection: a request sent
-// on a connection that Shutdown considers idle would be lost. Drain then accepts
-// no more connections and waits until all requests in flight have ended or ctx is
-// done, in which case it returns the error of ctx.
-func (s *Server) Drain(ctx context.Context) error {
-	s.leaving.Store(true)
-	timer := time.NewTimer(drainDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.http.Shutdown(ctx)
-}
+// Drain stops the Server gracefully. It waits until all requests in flight have ended or ctx
+// is done, in which case it returns the error of ctx.
+func (s *Server) Drain(ctx context.Context) error { return s.keeper.Drain(ctx) }
 
 // Close aborts all requests in flight and closes the listener.
-func (s *Server) Close() error {
-	err := s.http.Close()
-	<-s.done
-	return err
-}
+func (s *Server) Close() error { return s.keeper.Close() }
 
 // handleError answers requests that match no route.
 func (s *Server) handleError(c *echo.Context, err error) {
@@ -186,9 +166,6 @@
 func (s *Server) serveRequest(c *echo.Context, class carawaybeam.ClassID, kind carawaybeam.WorkKind, path string) {
 	id := carawaybeam.NewRequestID()
 	c.Response().Header().Set(HeaderRequest, string(id))
-	if s.leaving.Load() {
-		c.Response().Header().Set("Connection", "close")
-	}
 	request, failure := s.read(c.Request(), class, kind)
 	if failure != nil {
 		writeProblem(c.Response(), statusOf(failure), failure)
@@ -197,7 +174,12 @@
 	request.ID = id
 	request.Path = path
 	w := newAnswerWriter(c.Response(), s.options.WriteTimeout)
-	w.finish(s.options.Dispatcher.Do(c.Request().Context(), request, w))
+	ctx := c.Request().Context()
+	failure = s.keeper.Guard(id, func() *carawaybeam.RequestError { return s.options.Dispatcher.Do(ctx, request, w) })
+	if failure != nil {
+		s.keeper.Interrupted(ctx, id, failure, w.headSent)
+	}
+	w.finish(failure)
 }
 
 // read validates a request and reads its body.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
@@ -101,6 +102,7 @@
 		ReadTimeout:   readTimeout,
 		WriteTimeout:  writeTimeout,
 		Ready:         func() bool { return true },
+		Scope:         tally.NoopScope,
 		Log:           zerolog.Nop(),
 	})
 	t.Cleanup(func() { _ = s.Close() })
@@ -220,6 +222,22 @@
 	}
 }
 
+// TestPanicIsAnswered guards against a panic that closes the connection of a request without
+// any answer.
+func TestPanicIsAnswered(t *testing.T) {
+	is := is.New(t)
+	url := serve(
+		t,
+		&fakeDispatcher{answer: func(context.Context, dispatcher.AnswerWriter) *carawaybeam.RequestError {
+			panic("fault of the test")
+		}},
+	)
+	response, err := send(t, "POST", url+"/services/bookings/bookings", "", token, "{}")
+	is.NoErr(err)
+	is.Equal(response.status, http.StatusInternalServerError)
+	is.True(strings.Contains(response.body, `"outcome":"unknown"`))
+}
+
 // TestAnswerOutlastsReadTimeout checks that the timeout for reading a request
 // does not end the request while its answer is awaited.
 func TestAnswerOutlastsReadTimeout(t *testing.T) {
