Judge the idle time of a connection from when its last answer was ready

The caller measures the idle time from when it gets to see an answer; the entry's idle time begins when it has written the answer, which on a busy machine is much earlier: the entry logged 100 ms for a request that runs for 60 ms.

The judge now takes the span from when a backend server had the previous answer ready, or from when a refused request was sent, to when the caller saw its connection closed. The entry's idle time lies within that span, so that no delay of a caller can produce a violation. In return the span is held against the whole limit and no longer against four fifths of it, which closes the gap between the two: a connection that is closed at any time before its limit is reported.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -56,14 +56,14 @@
 			time.Sleep(thinkTime)
 			continue
 		}
-		keepsOpen, idleSince := number%2 == 0, time.Now()
+		keepsOpen, connectedAt, previous := number%2 == 0, time.Now(), ""
 		for i := 0; (i < requestsPerConnection || keepsOpen) && time.Now().Before(end); i++ {
 			n++
 			next := sentRequest{
-				id:        fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n),
-				path:      paths[random.IntN(len(paths))],
-				abandoned: !keepsOpen && random.Float64() < abandonShare,
-				idleSince: idleSince,
+				id:          fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n),
+				path:        paths[random.IntN(len(paths))],
+				abandoned:   !keepsOpen && random.Float64() < abandonShare,
+				connectedAt: connectedAt, previous: previous,
 			}
 			if failed != nil {
 				next.id, next.path = emulator.RepetitionOf(failed.id, 1), failed.path
@@ -77,7 +77,7 @@
 			if !sent.keepsConnection() {
 				break
 			}
-			idleSince = sent.endedAt
+			previous = sent.id
 			time.Sleep(thinkTime)
 		}
 		// Closing a connection that has no request in flight has no effect on the results.
@@ -95,12 +95,13 @@
 			time.Sleep(thinkTime)
 			continue
 		}
-		sent := sentRequest{endedAt: time.Now()}
+		connectedAt := time.Now()
+		var sent sentRequest
 		for ; sent.keepsConnection() && time.Now().Before(end); n++ {
 			sent = s.send(conn, random, e, sentRequest{
-				id:        fmt.Sprintf("%d-idle%d-%d", s.options.Seed, number, n),
-				path:      paths[random.IntN(len(paths))],
-				idleSince: sent.endedAt,
+				id:          fmt.Sprintf("%d-idle%d-%d", s.options.Seed, number, n),
+				path:        paths[random.IntN(len(paths))],
+				connectedAt: connectedAt, previous: sent.id,
 			})
 			if sent.keepsConnection() {
 				time.Sleep(min(pickIdleTime(random, s.history.idleLimit()), time.Until(end)))
@@ -133,7 +134,7 @@
 	for n := 1; time.Now().Before(end); n++ {
 		e := s.pickEntry(random)
 		if conn, err := emulator.Dial(ctx, e.callers); err == nil {
-			s.send(conn, random, e, sentRequest{id: emulator.RepetitionOf(id, n), path: path, idleSince: time.Now()})
+			s.send(conn, random, e, sentRequest{id: emulator.RepetitionOf(id, n), path: path, connectedAt: time.Now()})
 			_ = conn.Close()
 		}
 		time.Sleep(crashingInterval/2 + rand.N(crashingInterval))
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -48,6 +48,7 @@
 	for _, a := range s.journal.Arrivals() {
 		arrivals[a.Request] = append(arrivals[a.Request], a)
 	}
+	h.finished = s.journal.Finished()
 	runs, crashes := make(map[string][]emulator.Run), make(crashRuns)
 	for _, r := range s.journal.Runs() {
 		runs[r.Request] = append(runs[r.Request], r)
@@ -196,12 +197,6 @@
 	return s.err != nil && s.reply.Status == 0 && !errors.Is(s.err, os.ErrDeadlineExceeded)
 }
 
-// mayBeIdleTooLong reports whether the connection of a request was idle for longer than a
-// caller may count on.
-func (h *history) mayBeIdleTooLong(s sentRequest) bool {
-	return s.sentAt.Sub(s.idleSince) > usableIdleTime(h.lowestIdleLimit(s))
-}
-
 // checkClosed returns a violation if the connection of a whole request was closed without an
 // answer, or "". It is allowed if the close crosses a request that no backend server got.
 func (h *history) checkClosed(s sentRequest, arrivals []emulator.Arrival) string {
@@ -214,9 +209,9 @@
 		return fmt.Sprintf("passed on and closed without an answer after %v: %v", took, s.err)
 	case took > lostBound && h.undisturbed(s.entry, s.sentAt, s.endedAt, "stop"):
 		return fmt.Sprintf("read and closed without an answer after %v: %v", took, s.err)
-	case !h.mayBeIdleTooLong(s) && h.undisturbed(s.entry, s.idleSince, s.endedAt, ""):
+	case !h.mayBeIdleTooLong(s) && h.undisturbed(s.entry, h.idleSince(s), s.endedAt, ""):
 		return fmt.Sprintf("closed after %v without a request, within the idle limit of %v: %v",
-			s.sentAt.Sub(s.idleSince).Round(time.Millisecond), h.lowestIdleLimit(s), s.err)
+			s.endedAt.Sub(h.idleSince(s)).Round(time.Millisecond), h.lowestIdleLimit(s), s.err)
 	}
 	return ""
 }
--- a/soaker/closed_test.go
+++ b/soaker/closed_test.go
@@ -32,16 +32,20 @@
 		}
 	}
 	idleFor := func(idle time.Duration) func(*history, *sentRequest) {
-		return func(_ *history, s *sentRequest) { s.idleSince = s.sentAt.Add(-idle) }
+		return func(_ *history, s *sentRequest) { s.connectedAt = s.sentAt.Add(-idle) }
 	}
 	lowered := func(ago time.Duration) func(*history, *sentRequest) {
 		return func(h *history, s *sentRequest) {
 			v := firstConfig
 			v.sentAt, v.at, v.idleLimit = s.sentAt.Add(-ago), s.sentAt.Add(-ago), time.Second
 			h.configAccepted(v)
-			s.idleSince = s.sentAt.Add(-3 * time.Second)
+			s.connectedAt = s.sentAt.Add(-3 * time.Second)
 		}
 	}
+	afterRequest := func(h *history, s *sentRequest, ago time.Duration) {
+		s.previous, s.connectedAt = "r0", s.sentAt.Add(-time.Minute)
+		h.addRequest(sentRequest{id: s.previous, sentAt: s.sentAt.Add(-ago)})
+	}
 	none := func(*history, *sentRequest) {}
 	tests := map[string]struct {
 		change  func(h *history, s *sentRequest)
@@ -69,7 +73,7 @@
 		}, true, ""},
 		"crosses the close": {idleFor(time.Minute), false, ""},
 		"read, closed later": {func(_ *history, s *sentRequest) {
-			s.idleSince, s.endedAt = s.sentAt.Add(-time.Minute), s.sentAt.Add(lostBound+time.Millisecond)
+			s.connectedAt, s.endedAt = s.sentAt.Add(-time.Minute), s.sentAt.Add(lostBound+time.Millisecond)
 		}, false, read},
 		"read, closed later by a stop": {func(h *history, s *sentRequest) {
 			s.endedAt = s.sentAt.Add(lostBound + time.Millisecond)
@@ -81,6 +85,20 @@
 		"limit lowered just now":   {lowered(100 * time.Millisecond), false, ""},
 		"limit lowered long ago":   {lowered(time.Minute), false, ""},
 		"limit lowered after":      {lowered(-time.Second), false, beforeLimit},
+		"after an answer": {func(h *history, s *sentRequest) {
+			afterRequest(h, s, 10*time.Second)
+			h.finished = map[string]time.Time{s.previous: s.sentAt.Add(-4 * time.Second)}
+		}, false, beforeLimit},
+		"long after an answer": {func(h *history, s *sentRequest) {
+			afterRequest(h, s, 10*time.Second)
+			h.finished = map[string]time.Time{s.previous: s.sentAt.Add(-6 * time.Second)}
+		}, false, ""},
+		"after a refusal": {
+			func(h *history, s *sentRequest) { afterRequest(h, s, 4*time.Second) },
+			false,
+			beforeLimit,
+		},
+		"long after a refusal": {func(h *history, s *sentRequest) { afterRequest(h, s, 6*time.Second) }, false, ""},
 		"store down, usable": {func(h *history, s *sentRequest) {
 			h.faultBegan(injectedFault{kind: "storeDown", scope: onStore, beganAt: s.sentAt})
 		}, false, ""},
@@ -89,7 +107,7 @@
 		t.Run(name, func(t *testing.T) {
 			h, s, r := newHistory()
 			s.err, s.reply, s.endedAt = io.ErrUnexpectedEOF, emulator.Reply{}, s.sentAt.Add(3*time.Millisecond)
-			s.idleSince = s.sentAt
+			s.connectedAt = s.sentAt
 			h.serverStarted(r.Server, hostOfServer)
 			test.change(h, s)
 			var arrivals []emulator.Arrival
@@ -120,7 +138,7 @@
 		t.Run(name, func(t *testing.T) {
 			h, s, r := newHistory()
 			h.finalPhase = at(0)
-			s.err, s.reply, s.idleSince = io.ErrUnexpectedEOF, emulator.Reply{}, s.sentAt.Add(-test.idle)
+			s.err, s.reply, s.connectedAt = io.ErrUnexpectedEOF, emulator.Reply{}, s.sentAt.Add(-test.idle)
 			var arrivals []emulator.Arrival
 			if test.arrived {
 				arrivals = []emulator.Arrival{{Request: s.id, Server: r.Server, At: r.At}}
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -13,9 +13,10 @@
 		id, path, key   string
 		entry           int
 		sentAt, endedAt time.Time
-		// idleSince is the time of the previous answer on the connection, or of its
-		// beginning.
-		idleSince time.Time
+		// previous is the previous request on the connection, if there is one, and
+		// connectedAt the beginning of the connection.
+		previous    string
+		connectedAt time.Time
 		// abandoned is set if the caller closes the connection without waiting for the
 		// answer.
 		abandoned bool
@@ -53,6 +54,8 @@
 		// leavingSince holds, by backend server, when the platform accepted that it
 		// leaves or was withdrawn.
 		leavingSince map[string]time.Time
+		// finished holds, by request, when a backend server had its answer ready.
+		finished map[string]time.Time
 		// hosts holds the index of the host of each backend server.
 		hosts      map[string]int
 		problems   []string
@@ -171,16 +174,35 @@
 	return longest
 }
 
+// idleSince returns the earliest time from which the connection of a request may have been
+// idle before the request.
+func (h *history) idleSince(s sentRequest) time.Time {
+	previous, ok := h.requests[s.previous]
+	if !ok {
+		return s.connectedAt
+	}
+	if at, ok := h.finished[s.previous]; ok {
+		return at
+	}
+	return previous.sentAt
+}
+
 // lowestIdleLimit returns the lowest idle limit that may be in force while the connection of
 // a request is idle before the request.
 func (h *history) lowestIdleLimit(s sentRequest) time.Duration {
 	lowest := firstIdleLimit
-	for _, v := range h.inForce(s.idleSince, s.endedAt) {
+	for _, v := range h.inForce(h.idleSince(s), s.endedAt) {
 		lowest = min(lowest, v.idleLimit)
 	}
 	return lowest
 }
 
+// mayBeIdleTooLong reports whether the connection of a request may have been idle for longer
+// than its limit when the caller noticed that it was closed.
+func (h *history) mayBeIdleTooLong(s sentRequest) bool {
+	return s.endedAt.Sub(h.idleSince(s)) > h.lowestIdleLimit(s)
+}
+
 // withdrawnAt returns when a key was withdrawn, and whether it was.
 func (h *history) withdrawnAt(key string) (time.Time, bool) {
 	for i := 1; i < len(h.configs); i++ {
