Let the caller of the soak test observe that a request is held

The time was taken from before the request was written to when the caller came to see the close.

The caller now looks at its connection 200 ms after it has written a request. Only if the connection is open then and has nothing to read, and is closed later, has the request been held and dropped. A caller that is late cannot make a request held.

--- a/soaker/check.go
+++ b/soaker/check.go
@@ -207,7 +207,7 @@
 	switch {
 	case len(arrivals) > 0:
 		return fmt.Sprintf("passed on and closed without an answer after %v: %v", took, s.err)
-	case took > lostBound && h.undisturbed(s.entry, s.sentAt, s.endedAt, "stop"):
+	case s.reply.Held && h.undisturbed(s.entry, s.sentAt, s.endedAt, "stop"):
 		return fmt.Sprintf("read and closed without an answer after %v: %v", took, s.err)
 	case !h.mayBeIdleTooLong(s) && h.undisturbed(s.entry, h.idleSince(s), s.endedAt, ""):
 		return fmt.Sprintf("closed after %v without a request, within the idle limit of %v: %v",
--- a/soaker/closed_test.go
+++ b/soaker/closed_test.go
@@ -73,10 +73,10 @@
 		}, true, ""},
 		"crosses the close": {idleFor(time.Minute), false, ""},
 		"read, closed later": {func(_ *history, s *sentRequest) {
-			s.connectedAt, s.endedAt = s.sentAt.Add(-time.Minute), s.sentAt.Add(lostBound+time.Millisecond)
+			s.connectedAt, s.reply.Held = s.sentAt.Add(-time.Minute), true
 		}, false, read},
 		"read, closed later by a stop": {func(h *history, s *sentRequest) {
-			s.endedAt = s.sentAt.Add(lostBound + time.Millisecond)
+			s.reply.Held = true
 			entryFault("stop", time.Second, 4*time.Second)(h, s)
 		}, false, read},
 		"new connection":           {idleFor(0), false, beforeLimit},
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -168,7 +168,7 @@
 // longestTimeout returns the longest timeout of routes that applies to a request.
 func (h *history) longestTimeout(s sentRequest) time.Duration {
 	var longest time.Duration
-	for _, v := range h.inForce(s.sentAt, s.sentAt.Add(lostBound)) {
+	for _, v := range h.inForce(s.sentAt, s.sentAt.Add(emulator.HeldTime)) {
 		longest = max(longest, v.routeTimeout)
 	}
 	return longest
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -55,10 +55,8 @@
 	keyBound     = 5 * time.Second
 	stopBound    = 8 * time.Second
 	// answerMargin is how much later than the timeout of its route a request may be
-	// answered, and lostBound how long after it was sent a request that is not passed
-	// on may be dropped with its connection.
+	// answered.
 	answerMargin = 500 * time.Millisecond
-	lostBound    = 200 * time.Millisecond
 
 	// A request that has crashed provenCrashes backend servers may be run at most
 	// maxLateRuns times later than stableWindow after that.
