--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -37,10 +37,10 @@
 
 	// idleStream is the stream of random numbers of the first idle caller.
 	idleStream = 1 << 34
-	// eagerShare is the share of requests before which an idle caller stays within the
+	// withinShare is the share of requests before which an idle caller stays within the
 	// idle limit it knows of. Before the others it exceeds that limit by up to maxExcess.
-	eagerShare = 0.4
-	maxExcess  = 1200 * time.Millisecond
+	withinShare = 0.4
+	maxExcess   = 1200 * time.Millisecond
 )
 
 var paths = []string{"/book/visits", "/look/orders", "/move/vans", "/stream/summary"}
@@ -116,7 +116,7 @@
 // idle.
 func pickIdleTime(random *rand.Rand, limit time.Duration) time.Duration {
 	safe := usableIdleTime(limit)
-	if random.Float64() < eagerShare {
+	if random.Float64() < withinShare {
 		return time.Duration(random.Int64N(int64(safe)))
 	}
 	return pickDuration(random, safe, limit+maxExcess)
--- a/soaker/limits.go
+++ b/soaker/limits.go
@@ -85,6 +85,7 @@
 	}
 }
 
+// changeIdleLimit lowers a high idle limit, and sets a random one in place of a low one.
 func changeIdleLimit(c *emulator.Configuration, random *rand.Rand) {
 	longest := firstIdleLimit
 	if c.Limits.IdleTimeout > firstIdleLimit/2 {
@@ -93,6 +94,7 @@
 	c.Limits.IdleTimeout = pickDuration(random, minIdleLimit, longest)
 }
 
+// changeRouteTimeout sets a random timeout of all routes.
 func changeRouteTimeout(c *emulator.Configuration, random *rand.Rand) {
 	c.RouteTimeout = pickDuration(random, minRouteTimeout, maxRouteTimeout)
 }
