Give versions of the store the era in which they were read

The store may come back from a copy that is some seconds old. It then gives revisions out again, so that a cursor, an expected version or a comparison of versions meant another change than before.

A StoreVersion now holds the era of the store above the revision, so that each answer carries its era with its data and every comparison orders by era first. Without an era, versions are what they were.

A revision takes 48 bits and an era 16.

--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -44,7 +44,7 @@
 		}
 		return err
 	}}))
-	store, err := settings.Reporting.Store.OpenStore()
+	store, err := settings.Reporting.Store.OpenStore(log)
 	if err != nil {
 		return err
 	}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -175,7 +175,7 @@
 	e.dialect = newDialect()
 	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
 	e.closers.Add(e.pooler)
-	if e.store, err = e.settings.Store.OpenStore(); err != nil {
+	if e.store, err = e.settings.Store.OpenStore(e.log); err != nil {
 		return err
 	}
 	e.startFollowers()
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -161,7 +161,7 @@
 // connect creates the clients of the platform's store and list of VMs.
 func (e *entry) connect() error {
 	var err error
-	if e.store, err = e.settings.Store.OpenStore(); err != nil {
+	if e.store, err = e.settings.Store.OpenStore(e.log); err != nil {
 		return err
 	}
 	newLister, err := carawaybeam.Listers.Lookup(e.settings.VMList.Protocol)
--- a/fakes/storer/handler.go
+++ b/fakes/storer/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/storer"
 )
 
 type listing struct {
@@ -30,7 +31,7 @@
 	mux.HandleFunc("GET /v1/weights/{model}/{layer}/{expert}", serveWeights)
 	mux.HandleFunc("PUT /v1/vms", s.servePutVMs)
 	mux.HandleFunc("POST /fault", s.serveFault)
-	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counts(), nil) })
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, 0, s.Counts(), nil) })
 	return mux
 }
 
@@ -40,12 +41,12 @@
 
 func (s *Storer) serveGet(w http.ResponseWriter, r *http.Request) {
 	object, err := s.Get(r.Context(), kindOf(r), r.PathValue("name"))
-	reply(w, object, err)
+	reply(w, object.Version.Era(), object, err)
 }
 
 func (s *Storer) serveList(w http.ResponseWriter, r *http.Request) {
 	objects, version, err := s.List(r.Context(), kindOf(r))
-	reply(w, listing{Version: version, Objects: objects}, err)
+	reply(w, version.Era(), listing{Version: version, Objects: objects}, err)
 }
 
 func (s *Storer) servePut(w http.ResponseWriter, r *http.Request) {
@@ -56,12 +57,12 @@
 	}
 	object := carawaybeam.Object{Kind: kindOf(r), Name: r.PathValue("name"), Value: value}
 	object.Version, err = s.Put(r.Context(), object, expected(r))
-	reply(w, object, err)
+	reply(w, object.Version.Era(), object, err)
 }
 
 func (s *Storer) serveDelete(w http.ResponseWriter, r *http.Request) {
 	version, err := s.Delete(r.Context(), kindOf(r), r.PathValue("name"), expected(r))
-	reply(w, carawaybeam.Object{Version: version}, err)
+	reply(w, version.Era(), carawaybeam.Object{Version: version}, err)
 }
 
 func expected(r *http.Request) carawaybeam.StoreVersion {
@@ -90,12 +91,12 @@
 	}
 	wait := time.Duration(seconds * float64(time.Second))
 	objects, version, err := s.Watch(r.Context(), kinds, carawaybeam.StoreVersion(since), wait)
-	reply(w, listing{Version: version, Objects: objects}, err)
+	reply(w, version.Era(), listing{Version: version, Objects: objects}, err)
 }
 
 func (s *Storer) serveVMs(w http.ResponseWriter, r *http.Request) {
 	vms, err := s.VMList().List(r.Context())
-	reply(w, vms, err)
+	reply(w, 0, vms, err)
 }
 
 func (s *Storer) servePutVMs(w http.ResponseWriter, r *http.Request) {
@@ -105,7 +106,7 @@
 		return
 	}
 	s.SetVMs(vms)
-	reply(w, vms, nil)
+	reply(w, 0, vms, nil)
 }
 
 func (s *Storer) serveFault(w http.ResponseWriter, r *http.Request) {
@@ -115,17 +116,22 @@
 		return
 	}
 	s.SetFault(fault)
-	reply(w, fault, nil)
+	reply(w, 0, fault, nil)
 }
 
-func reply(w http.ResponseWriter, value any, err error) {
+// reply writes an answer of an era, which is that of the failure if err is not nil.
+func reply(w http.ResponseWriter, era carawaybeam.StoreEra, value any, err error) {
 	status := http.StatusOK
 	if failure := new(carawaybeam.StoreError); errors.As(err, &failure) {
+		era = failure.Era
 		status = Status(failure, http.StatusPreconditionFailed)
 		if failure.Failure == carawaybeam.StoreConflict {
 			value = failure.Current
 		}
 	}
+	if era > 0 {
+		w.Header().Set(storer.EraHeader, strconv.Itoa(int(era)))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
--- a/fakes/storer/storer.go
+++ b/fakes/storer/storer.go
@@ -38,6 +38,9 @@
 	// fault was set, as a replica that lags does. Watches fail as expired, so
 	// that their callers list again. Other requests are served.
 	FaultStaleList FaultMode = "staleList"
+	// FaultLateAnswer serves all requests but delays their answers, so that they
+	// may be of an earlier era than those of later requests.
+	FaultLateAnswer FaultMode = "lateAnswer"
 )
 
 // maxHistory is the number of changes kept for watches.
@@ -47,8 +50,8 @@
 	// Fault describes how requests fail.
 	Fault struct {
 		Mode FaultMode `json:"mode"`
-		// Delay is the delay of FaultSlow and FaultLateWrite, in nanoseconds in
-		// JSON.
+		// Delay is the delay of FaultSlow, FaultLateWrite and FaultLateAnswer, in
+		// nanoseconds in JSON.
 		Delay time.Duration `json:"delay,omitempty"`
 		// Calls is the number of requests that fail, or 0 if they fail until
 		// another fault is set.
@@ -68,9 +71,18 @@
 		name string
 	}
 
-	// Storer is the stand-in platform. Its methods are safe for concurrent use.
+	// Snapshot is a copy of the objects.
+	Snapshot struct {
+		objects map[key]carawaybeam.Object
+		version carawaybeam.StoreVersion
+	}
+
+	// Storer is the stand-in platform. Its methods are safe for concurrent use. The
+	// versions that it holds have no era, and those that it returns have the present
+	// one.
 	Storer struct {
 		mu      sync.Mutex
+		era     carawaybeam.StoreEra
 		objects map[key]carawaybeam.Object
 		history []carawaybeam.Object
 		// trimmedThrough is the version after which history begins. Watches
@@ -79,11 +91,9 @@
 		version        carawaybeam.StoreVersion
 		changed        chan struct{}
 		fault          Fault
-		// stale and staleVersion are the snapshot that lists return in
-		// FaultStaleList.
-		stale        map[key]carawaybeam.Object
-		staleVersion carawaybeam.StoreVersion
-		counts       Counts
+		// stale is the snapshot that lists return in FaultStaleList.
+		stale  Snapshot
+		counts Counts
 
 		vms     []carawaybeam.VM
 		listLag time.Duration
@@ -112,7 +122,71 @@
 	defer s.mu.Unlock()
 	s.fault = fault
 	if fault.Mode == FaultStaleList {
-		s.stale, s.staleVersion = maps.Clone(s.objects), s.version
+		s.stale = s.snapshot()
+	}
+}
+
+// SetEra sets the era of the store.
+func (s *Storer) SetEra(era carawaybeam.StoreEra) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Snapshot returns a copy of the objects.
+func (s *Storer) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot()
+}
+
+func (s *Storer) snapshot() Snapshot {
+	return Snapshot{objects: maps.Clone(s.objects), version: s.version}
+}
+
+// Restore brings the store back from a copy and begins the next era. Changes since the
+// copy are lost, and their versions are given out again.
+func (s *Storer) Restore(from Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.objects, s.version = maps.Clone(from.objects), from.version
+	s.history = slices.DeleteFunc(slices.Clone(s.history), func(o carawaybeam.Object) bool {
+		return o.Version > from.version
+	})
+	s.trimmedThrough = min(s.trimmedThrough, from.version)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// stamp adds the present era to a version. The caller holds mu.
+func (s *Storer) stamp(version carawaybeam.StoreVersion) carawaybeam.StoreVersion {
+	return carawaybeam.NewStoreVersion(s.era, version.Revision())
+}
+
+// stampAll adds the present era to the versions of objects. The caller holds mu.
+func (s *Storer) stampAll(objects []carawaybeam.Object) []carawaybeam.Object {
+	for i := range objects {
+		objects[i].Version = s.stamp(objects[i].Version)
+	}
+	return objects
+}
+
+// failure returns an error of the present era. The caller holds mu.
+func (s *Storer) failure(failure carawaybeam.StoreFailure, detail string) *carawaybeam.StoreError {
+	return &carawaybeam.StoreError{Failure: failure, Era: s.era, Detail: detail}
+}
+
+// delayAnswer delays an answer in FaultLateAnswer.
+func delayAnswer(ctx context.Context, fault Fault) {
+	if fault.Mode != FaultLateAnswer {
+		return
+	}
+	timer := time.NewTimer(fault.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -137,10 +211,13 @@
 	if fault.Mode == FaultDown {
 		s.counts.Failed++
 	}
+	era := s.era
 	s.mu.Unlock()
 	switch fault.Mode {
 	case FaultDown:
-		return fault, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "store is down"}
+		return fault, &carawaybeam.StoreError{
+			Failure: carawaybeam.StoreUnavailable, Era: era, Detail: "store is down",
+		}
 	case FaultSlow:
 		select {
 		case <-time.After(fault.Delay):
@@ -154,15 +231,18 @@
 // Get returns one object. The error is a *carawaybeam.StoreError, as for all
 // requests.
 func (s *Storer) Get(ctx context.Context, kind carawaybeam.StoreKind, name string) (carawaybeam.Object, error) {
-	if _, err := s.applyFault(ctx, &s.counts.Reads); err != nil {
+	fault, err := s.applyFault(ctx, &s.counts.Reads)
+	if err != nil {
 		return carawaybeam.Object{}, err
 	}
+	defer delayAnswer(ctx, fault)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[key{kind, name}]
 	if !ok {
-		return object, &carawaybeam.StoreError{Failure: carawaybeam.StoreNotFound, Detail: "no such object"}
+		return object, s.failure(carawaybeam.StoreNotFound, "no such object")
 	}
+	object.Version = s.stamp(object.Version)
 	return object, nil
 }
 
@@ -176,20 +256,21 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	defer delayAnswer(ctx, fault)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	source, version := s.objects, s.version
+	source := Snapshot{objects: s.objects, version: s.version}
 	if fault.Mode == FaultStaleList {
-		source, version = s.stale, s.staleVersion
+		source = s.stale
 	}
 	var objects []carawaybeam.Object
-	for k, object := range source {
+	for k, object := range source.objects {
 		if k.kind == kind {
 			objects = append(objects, object)
 		}
 	}
 	slices.SortFunc(objects, func(a, b carawaybeam.Object) int { return int(a.Version) - int(b.Version) })
-	return objects, version, nil
+	return s.stampAll(objects), s.stamp(source.version), nil
 }
 
 // Put writes an object if its current version is expect, where 0 means that it
@@ -226,6 +307,7 @@
 		time.AfterFunc(fault.Delay, func() { _, _ = s.writeNow(object, expect, true) })
 		return 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUncertain, Detail: "answer was lost"}
 	}
+	defer delayAnswer(ctx, fault)
 	return s.writeNow(object, expect, fault.Mode == FaultLostAnswer)
 }
 
@@ -237,11 +319,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{object.Kind, object.Name}
-	if current := s.objects[k]; current.Version != expect {
-		conflict := &carawaybeam.StoreError{
-			Failure: carawaybeam.StoreConflict,
-			Current: current,
-			Detail:  "object has changed",
+	current := s.objects[k]
+	if current.Version != carawaybeam.StoreVersion(expect.Revision()) {
+		conflict := s.failure(carawaybeam.StoreConflict, "object has changed")
+		conflict.Current = current
+		if current.Version != 0 {
+			conflict.Current.Version = s.stamp(current.Version)
 		}
 		if lost {
 			conflict.Failure = carawaybeam.StoreUncertain
@@ -252,7 +335,7 @@
 	if lost {
 		return 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUncertain, Detail: "answer was lost"}
 	}
-	return s.version, nil
+	return s.stamp(s.version), nil
 }
 
 // commit applies a change and wakes the watches. The caller holds mu.
@@ -297,11 +380,13 @@
 	for {
 		objects, version, changed, err := s.since(kinds, since)
 		if err != nil || len(objects) > 0 {
+			delayAnswer(ctx, fault)
 			return objects, version, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			delayAnswer(ctx, fault)
 			return nil, version, nil
 		case <-ctx.Done():
 			return nil, 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
@@ -323,7 +408,9 @@
 	}
 	select {
 	case <-expired:
-		return nil, since, nil
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return nil, s.stamp(since), nil
 	case <-ctx.Done():
 		return nil, 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: ctx.Err().Error()}
 	}
@@ -335,16 +422,17 @@
 ) ([]carawaybeam.Object, carawaybeam.StoreVersion, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since < s.trimmedThrough {
-		return nil, 0, nil, &carawaybeam.StoreError{Failure: carawaybeam.StoreExpired, Detail: "changes are forgotten"}
+	from := carawaybeam.StoreVersion(since.Revision())
+	if from < s.trimmedThrough || from > s.version {
+		return nil, 0, nil, s.failure(carawaybeam.StoreExpired, "changes are forgotten or not known")
 	}
 	var objects []carawaybeam.Object
 	for _, object := range s.history {
-		if object.Version > since && slices.Contains(kinds, object.Kind) {
+		if object.Version > from && slices.Contains(kinds, object.Kind) {
 			objects = append(objects, object)
 		}
 	}
-	return objects, s.version, s.changed, nil
+	return s.stampAll(objects), s.stamp(s.version), s.changed, nil
 }
 
 // SetVMs replaces the list of VMs. The change becomes visible after the list's
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -15,6 +15,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/rs/zerolog"
+
 	"github.com/carawaybeam/carawaybeam"
 )
 
@@ -268,12 +270,14 @@
 // OpenStore returns a client of the store for these settings. The error is a
 // *carawaybeam.UnknownPluginError if the protocol is unknown, and that of the
 // plug-in otherwise.
-func (s Service) OpenStore() (carawaybeam.Store, error) {
+func (s Service) OpenStore(log zerolog.Logger) (carawaybeam.Store, error) {
 	newStore, err := carawaybeam.Stores.Lookup(s.Protocol)
 	if err != nil {
 		return nil, err
 	}
-	return newStore(carawaybeam.StoreOptions{URL: s.URL, Token: s.Token, Timeout: time.Duration(s.Timeout)})
+	return newStore(
+		carawaybeam.StoreOptions{URL: s.URL, Token: s.Token, Timeout: time.Duration(s.Timeout), Log: log},
+	)
 }
 
 func (s Service) validate(key string) []problem {
--- a/store.go
+++ b/store.go
@@ -4,14 +4,27 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 type (
 	// StoreKind names a kind of object in the platform's store.
 	StoreKind string
 
+	// StoreEra counts how often the store has come back from an older copy of
+	// its objects. It is 0 if the store does not tell.
+	StoreEra uint16
+
+	// StoreRevision is the position of a change in the order of all changes of
+	// one era of the store. An older copy has lower revisions, which the store
+	// then gives to other changes.
+	StoreRevision uint64
+
 	// StoreVersion is the position of a change in the order of all changes of
-	// the store. Zero stands for an absent object.
+	// the store: its era and, in the lower 48 bits, its revision. Zero stands for
+	// an absent object. The version of an object that an older copy contained has
+	// the era in which the object was read.
 	StoreVersion uint64
 
 	// StoreFailure classifies a failed call to the store.
@@ -45,6 +58,14 @@
 	KindSettings StoreKind = "settings"
 )
 
+const (
+	// revisionBits is the number of bits of a StoreVersion that hold the revision.
+	revisionBits = 48
+
+	// MaxStoreRevision is the highest revision that a StoreVersion can hold.
+	MaxStoreRevision StoreRevision = 1<<revisionBits - 1
+)
+
 const (
 	// StoreConflict means that the object does not have the expected version.
 	StoreConflict StoreFailure = "conflict"
@@ -55,7 +76,7 @@
 	// StoreUncertain means that a write failed but may have taken effect.
 	StoreUncertain StoreFailure = "uncertain"
 	// StoreExpired means that the store no longer has all changes since the
-	// version given to Watch.
+	// version given to Watch, or that the version is of an earlier era.
 	StoreExpired StoreFailure = "expired"
 )
 
@@ -75,6 +96,11 @@
 
 	// Store is a client of the platform's object store. All errors are of type
 	// *StoreError.
+	//
+	// Every version that is returned has the era of the response. A response of
+	// an earlier era than the newest one seen counts as no response. A write is
+	// not sent if the expected version has an earlier era, and is reported as
+	// StoreUncertain if the response has a later one.
 	Store interface {
 		// Get returns one object.
 		Get(ctx context.Context, kind StoreKind, name string) (Object, error)
@@ -107,6 +133,7 @@
 		// Timeout is the timeout of one call. For Watch it is added to the
 		// wait.
 		Timeout time.Duration
+		Log     zerolog.Logger
 	}
 )
 
@@ -117,6 +144,8 @@
 	Failure StoreFailure
 	// Current is the stored object on StoreConflict, if the store sent it.
 	Current Object
+	// Era is the era of the response, or 0 if there was none.
+	Era StoreEra
 	// Detail is a human-readable sentence.
 	Detail string
 }
@@ -124,3 +153,15 @@
 func (e *StoreError) Error() string {
 	return fmt.Sprintf("store: %s: %s", e.Failure, e.Detail)
 }
+
+// NewStoreVersion returns the version of a change. The revision must not be above
+// MaxStoreRevision.
+func NewStoreVersion(era StoreEra, revision StoreRevision) StoreVersion {
+	return StoreVersion(era)<<revisionBits | StoreVersion(revision)
+}
+
+// Era returns the era of the store in which the version was read or written.
+func (v StoreVersion) Era() StoreEra { return StoreEra(v >> revisionBits) }
+
+// Revision returns the revision within the era.
+func (v StoreVersion) Revision() StoreRevision { return StoreRevision(v) & MaxStoreRevision }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/erakeeper"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// maxAnswerBytes is the maximum size of an answer of the store, such as a long
 	// list.
 	maxAnswerBytes = 64 << 20
+
+	// EraHeader is the header with the era of the store.
+	EraHeader = "Carawaybeam-Era"
 )
 
 type (
@@ -33,6 +37,14 @@
 	Storer struct {
 		options carawaybeam.StoreOptions
 		client  *http.Client
+		eras    *erakeeper.EraKeeper
+	}
+
+	// Answer is an answer of a store.
+	Answer struct {
+		Status int
+		Header http.Header
+		Body   []byte
 	}
 
 	// objectList is the answer to a list or watch request.
@@ -55,7 +67,9 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 16
-	return &Storer{options: options, client: &http.Client{Transport: transport}}
+	return &Storer{
+		options: options, client: &http.Client{Transport: transport}, eras: erakeeper.New(options.Log),
+	}
 }
 
 // Get returns one object.
@@ -90,8 +104,11 @@
 		}
 	}
 	var written carawaybeam.Object
-	err := s.call(ctx, http.MethodPut, objectPath(object.Kind, object.Name), condition(expect), object.Value, &written)
-	return written.Version, err
+	return s.eras.GuardWrite(expect, func() (carawaybeam.StoreVersion, error) {
+		target := objectPath(object.Kind, object.Name)
+		err := s.call(ctx, http.MethodPut, target, condition(expect), object.Value, &written)
+		return written.Version, err
+	})
 }
 
 // Delete removes an object if its stored version equals expect. It returns the
@@ -103,8 +120,10 @@
 	expect carawaybeam.StoreVersion,
 ) (carawaybeam.StoreVersion, error) {
 	var deleted carawaybeam.Object
-	err := s.call(ctx, http.MethodDelete, objectPath(kind, name), condition(expect), nil, &deleted)
-	return deleted.Version, err
+	return s.eras.GuardWrite(expect, func() (carawaybeam.StoreVersion, error) {
+		err := s.call(ctx, http.MethodDelete, objectPath(kind, name), condition(expect), nil, &deleted)
+		return deleted.Version, err
+	})
 }
 
 // Watch waits for changes of the kinds after the version since. It returns them
@@ -128,7 +147,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+s.options.Timeout)
 	defer cancel()
 	var changed objectList
-	err := s.send(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil, nil, &changed)
+	err := s.eras.GuardWatch(ctx, since, func(ctx context.Context) error {
+		return s.send(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil, nil, &changed)
+	})
 	return changed.Objects, changed.Version, err
 }
 
@@ -163,30 +184,36 @@
 	if s.options.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+s.options.Token)
 	}
-	status, data, err := Exchange(s.client, request, maxAnswerBytes)
+	answer, err := Exchange(s.client, request, maxAnswerBytes)
 	if err != nil {
 		return err
 	}
-	return decode(method, status, data, result)
+	era, err := strconv.ParseUint(answer.Header.Get(EraHeader), 10, 16)
+	if answer.Header.Get(EraHeader) != "" && err != nil {
+		s.options.Log.Error().Err(err).Msg("storer: era of the store is invalid")
+	}
+	if err := s.eras.Admit(carawaybeam.StoreEra(era)); err != nil {
+		return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
+	}
+	return decode(method, carawaybeam.StoreEra(era), answer, result)
 }
 
-// Exchange sends a request to a store and returns the status and the body of the
-// answer. It reads at most limit bytes of the body. Errors are of type
-// *carawaybeam.StoreError.
-func Exchange(client *http.Client, request *http.Request, limit int64) (int, []byte, error) {
-	failed := func(err error) (int, []byte, error) {
-		return 0, nil, &carawaybeam.StoreError{Failure: FailureOf(request.Method, err), Detail: err.Error()}
+// Exchange sends a request to a store and returns the answer. It reads at most limit
+// bytes of the body. Errors are of type *carawaybeam.StoreError.
+func Exchange(client *http.Client, request *http.Request, limit int64) (Answer, error) {
+	failed := func(err error) (Answer, error) {
+		return Answer{}, &carawaybeam.StoreError{Failure: FailureOf(request.Method, err), Detail: err.Error()}
 	}
 	response, err := client.Do(request)
 	if err != nil {
 		return failed(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
 		return failed(err)
 	}
-	return response.StatusCode, data, nil
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
 // FailureOf classifies the transport error of a request. A failed write is uncertain
@@ -199,30 +226,30 @@
 	return carawaybeam.StoreUncertain
 }
 
-// decode converts an answer to the result or to a *carawaybeam.StoreError.
-func decode(method string, status int, data []byte, result any) error {
-	switch status {
+// decode converts an answer of an era to the result or to a *carawaybeam.StoreError.
+func decode(method string, era carawaybeam.StoreEra, answer Answer, result any) error {
+	failed := &carawaybeam.StoreError{Era: era}
+	switch answer.Status {
 	case http.StatusOK, http.StatusCreated:
-		if err := json.Unmarshal(data, result); err != nil {
-			return &carawaybeam.StoreError{Failure: FailureOf(method, err), Detail: err.Error()}
+		err := json.Unmarshal(answer.Body, result)
+		if err == nil {
+			return nil
 		}
-		return nil
+		failed.Failure, failed.Detail = FailureOf(method, err), err.Error()
 	case http.StatusNotFound:
-		return &carawaybeam.StoreError{Failure: carawaybeam.StoreNotFound, Detail: "no such object"}
+		failed.Failure, failed.Detail = carawaybeam.StoreNotFound, "no such object"
 	case http.StatusPreconditionFailed:
-		conflict := &carawaybeam.StoreError{Failure: carawaybeam.StoreConflict, Detail: "object has changed"}
-		if err := json.Unmarshal(data, &conflict.Current); err != nil {
-			conflict.Detail = "object has changed, present one is unreadable"
+		failed.Failure, failed.Detail = carawaybeam.StoreConflict, "object has changed"
+		if err := json.Unmarshal(answer.Body, &failed.Current); err != nil {
+			failed.Detail = "object has changed, present one is unreadable"
 		}
-		return conflict
 	case http.StatusGone:
-		return &carawaybeam.StoreError{Failure: carawaybeam.StoreExpired, Detail: "watch is too old"}
+		failed.Failure, failed.Detail = carawaybeam.StoreExpired, "watch is too old"
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: http.StatusText(status)}
+		failed.Failure, failed.Detail = carawaybeam.StoreUnavailable, http.StatusText(answer.Status)
 	default:
-		return &carawaybeam.StoreError{
-			Failure: FailureOf(method, errors.New("status")),
-			Detail:  fmt.Sprintf("status %d", status),
-		}
+		failed.Failure = FailureOf(method, errors.New("status"))
+		failed.Detail = fmt.Sprintf("status %d", answer.Status)
 	}
+	return failed
 }
