Read all objects again when the store comes back from an older copy

A watch went on from the cursor of before, whose revision the store had given to another change: the copy kept what was lost and missed what came instead (TestNewEraOfTheStore with the check taken out: the lost value stayed).

The follower now takes an answer of another era than its cursor's as an expired history, also without a 410, and passes all objects to its sink anew. A list of an earlier era that arrives late is dropped and confirms nothing. A new era counts as the end of an outage. The reads are spread over at most a second, and a quarter of the wait, since all processes see the new era at once. The state dump and the metrics of an entry show the era and how often it changed.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -110,6 +110,7 @@
 	DataCentre  carawaybeam.DataCentre    `json:"dataCentre"`
 	Config      carawaybeam.ConfigVersion `json:"config"`
 	ConfigAgeMs int64                     `json:"configAgeMs"`
+	StoreEra    carawaybeam.StoreEra      `json:"storeEra,omitempty"`
 	Connections pooler.State              `json:"connections"`
 	Crashes     detector.State            `json:"crashes"`
 	Quarantine  quarantiner.State         `json:"quarantine"`
@@ -411,6 +412,7 @@
 	if age, known := e.configFollower.Age(); known {
 		state.ConfigAgeMs = age.Milliseconds()
 	}
+	state.StoreEra, _ = e.configFollower.Era()
 	if stateDumper, ok := e.router.(carawaybeam.StateDumper); ok {
 		state.Router = stateDumper.State()
 	}
--- a/cmd/cbentry/direct_metrics.go
+++ b/cmd/cbentry/direct_metrics.go
@@ -82,6 +82,9 @@
 	if age, known := e.configFollower.Age(); known {
 		scope.Gauge("config_age_seconds").Update(age.Seconds())
 	}
+	era, eraChanges := e.configFollower.Era()
+	scope.Gauge("store_era").Update(float64(era))
+	scope.Gauge("store_era_changes").Update(float64(eraChanges))
 	quarantine := e.quarantiner.State()
 	scope.Gauge("suspect_requests").Update(float64(quarantine.Suspects))
 	scope.Gauge("quarantined_requests").Update(float64(quarantine.Quarantined))
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -71,6 +71,7 @@
 	administrator.EntryTargets
 	// Complete is the store version up to which the entry has all changes.
 	Complete carawaybeam.ConfigVersion `json:"complete"`
+	StoreEra carawaybeam.StoreEra      `json:"storeEra,omitempty"`
 	// Invalid describes objects of the configuration that cannot be decoded.
 	Invalid []string                `json:"invalid,omitempty"`
 	Classes []configurer.ClassState `json:"classes"`
@@ -281,6 +282,7 @@
 		Links:         e.traffic.State().Plus(e.listener.Traffic().State()),
 		Policies:      e.dispatcher.PolicyState(),
 		Complete:      e.configurer.Complete(),
+		StoreEra:      carawaybeam.StoreVersion(e.configurer.Complete()).Era(),
 		Classes:       e.configurer.ClassStates(),
 		Peers:         e.replicator.Peers(),
 		Dispatcher:    e.dispatcher.State(),
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,6 +29,12 @@
 	// to the time until a change is in force after an outage.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+
+	// maxSpread and spreadsPerWait bound the random delay before all objects are
+	// read again in a new era of the store, which all processes do at once. It is
+	// at most a quarter of the wait, so that a copy that has to be recent is.
+	maxSpread      = time.Second
+	spreadsPerWait = 4
 )
 
 type (
@@ -78,9 +84,18 @@
 		restoredAt time.Duration
 		// hadOutage is set once a call has failed.
 		hadOutage bool
+		// era is the era of the store in which the objects were read last, and
+		// eraChanges the number of times that it has changed.
+		era        carawaybeam.StoreEra
+		eraChanges int
 	}
 )
 
+// errEarlierEra reports an answer that arrived after one of a later era.
+var errEarlierEra = &carawaybeam.StoreError{
+	Failure: carawaybeam.StoreUnavailable, Detail: "answer is of an earlier era of the store",
+}
+
 // New returns a Follower that watches the store until Close.
 func New(options Options) *Follower {
 	if options.Wait == 0 {
@@ -107,8 +122,17 @@
 	return f.options.Clock() - f.confirmedAt, f.loaded
 }
 
+// Era returns the era of the store in which the objects were read last, and how often
+// it has changed since the first read.
+func (f *Follower) Era() (carawaybeam.StoreEra, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era, f.eraChanges
+}
+
 // SinceOutage returns the time since calls to the store succeed again after an
-// outage, or 0 during the outage. It returns false if no call has failed yet.
+// outage, or 0 during the outage. A new era of the store is the end of an outage,
+// although no call may have failed. It returns false if there was no outage yet.
 func (f *Follower) SinceOutage() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -140,6 +164,9 @@
 		if errors.As(err, &failed) && failed.Failure == carawaybeam.StoreExpired {
 			f.options.Log.Info().Str("kind", string(f.options.Kind)).Uint64("version", uint64(at)).
 				Msg("follower: history has expired, reading all objects again")
+			if failed.Era != at.Era() {
+				f.sleep(rand.N(min(maxSpread, f.options.Wait/spreadsPerWait)))
+			}
 			at = 0
 			continue
 		}
@@ -170,6 +197,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if err := f.recordEra(version.Era()); err != nil {
+			return 0, err
+		}
 		f.recordSuccess(sent)
 		f.options.Sink.Replace(objects)
 		f.confirm(sent)
@@ -179,6 +209,12 @@
 	if err != nil {
 		return at, err
 	}
+	if version.Era() != at.Era() {
+		// The changes follow upon another change than the one at the cursor.
+		return at, &carawaybeam.StoreError{
+			Failure: carawaybeam.StoreExpired, Era: version.Era(), Detail: "era of the store has changed",
+		}
+	}
 	f.recordSuccess(sent)
 	if len(changes) > 0 {
 		f.options.Sink.Apply(changes)
@@ -187,6 +223,24 @@
 	return max(at, version), nil
 }
 
+// recordEra records the era in which all objects were read. It returns an error if an
+// answer of a later era has arrived before.
+func (f *Follower) recordEra(era carawaybeam.StoreEra) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era < f.era {
+		return errEarlierEra
+	}
+	if era > f.era && f.loaded {
+		f.options.Log.Warn().Str("kind", string(f.options.Kind)).Uint16("era", uint16(era)).
+			Uint16("before", uint16(f.era)).Msg("follower: objects are read from an older copy")
+		f.eraChanges++
+		f.hadOutage, f.restoredAt = true, f.options.Clock()
+	}
+	f.era = era
+	return nil
+}
+
 // recordSuccess records a successful call, which ends an outage.
 func (f *Follower) recordSuccess(sent time.Duration) {
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -177,3 +177,84 @@
 		}
 	})
 }
+
+// loseChanges makes a change, brings the store back from a copy that lacks it, and makes
+// another one of the same revision.
+func loseChanges(is *is.I, store *storer.Storer) {
+	version := put(is, store, "1", 0)
+	time.Sleep(2 * time.Second)
+	snapshot := store.Snapshot()
+	put(is, store, "lost", version)
+	time.Sleep(200 * time.Millisecond)
+	store.Restore(snapshot)
+	// The change gets the version of the lost one.
+	_, err := store.Put(context.Background(), carawaybeam.Object{Kind: kind, Name: "b", Value: []byte("2")}, 0)
+	is.NoErr(err)
+}
+
+// TestNewEraOfTheStore guards against going on from the cursor of an earlier era, whose
+// revision has been given out again.
+func TestNewEraOfTheStore(t *testing.T) {
+	for name, open := range map[string]func(*storer.Storer) carawaybeam.Store{
+		"store":  func(s *storer.Storer) carawaybeam.Store { return s },
+		"client": func(s *storer.Storer) carawaybeam.Store { return s.NewClient(zerolog.Nop()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, store, s, started := is.New(t), storer.New(), &sink{}, time.Now()
+				store.SetEra(1)
+				f := follower.New(follower.Options{
+					Store: open(store), Kind: kind, Sink: s, Log: zerolog.Nop(),
+					Clock: func() time.Duration { return time.Since(started) },
+				})
+				loseChanges(is, store)
+				time.Sleep(2 * time.Second)
+				is.Equal(s.get("a"), "1")
+				is.Equal(s.get("b"), "2")
+				is.Equal(s.replaced, 2)
+				age, known := f.Age()
+				is.True(known)
+				is.True(age < 3*time.Second)
+				since, had := f.SinceOutage()
+				is.True(had)
+				is.True(since <= 2*time.Second)
+				era, changes := f.Era()
+				is.Equal(era, carawaybeam.StoreEra(2))
+				is.Equal(changes, 1)
+				is.NoErr(f.Close())
+			})
+		})
+	}
+}
+
+// TestLateAnswerOfAnEarlierEra guards against passing on a list that was made before the
+// store came back from an older copy, and against counting it as a confirmation.
+func TestLateAnswerOfAnEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, store, s, started := is.New(t), storer.New(), &sink{}, time.Now()
+		store.SetEra(1)
+		client := store.NewClient(zerolog.Nop())
+		snapshot := store.Snapshot()
+		put(is, store, "lost", 0)
+		_, err := client.Get(t.Context(), kind, "a")
+		is.NoErr(err)
+		store.SetFault(storer.Fault{Mode: storer.FaultLateAnswer, Delay: 2 * time.Second, Calls: 1})
+		f := follower.New(follower.Options{
+			Store: client, Kind: kind, Sink: s, Log: zerolog.Nop(),
+			Clock: func() time.Duration { return time.Since(started) },
+		})
+		time.Sleep(time.Second)
+		store.Restore(snapshot)
+		_, err = client.Get(t.Context(), kind, "a")
+		is.True(err != nil)                 // The object is lost.
+		time.Sleep(1010 * time.Millisecond) // The late answer has just arrived.
+		_, known := f.Age()
+		is.True(!known)
+		is.Equal(s.get("a"), "")
+		time.Sleep(time.Second)
+		_, known = f.Age()
+		is.True(known)
+		is.Equal(s.get("a"), "")
+		is.NoErr(f.Close())
+	})
+}
