Keep operators' changes that an older copy of the store lacks

Versions order by era first, so that an object of an older copy, read in the new era, replaced the newer one that was in force: a withdrawn organisation came back and a created class went (TestOlderCopyOfTheStore fails without the change).

A Configurer that holds a change whose record lists that of the object read is ahead of the copy. It keeps the change in force and reports it; whatever an operator writes next replaces it. Objects without a record of their change follow the store. The watcher does not mix lists of two eras.

--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -151,3 +151,49 @@
 	_, err := configurer.Compose(carawaybeam.KindClass, "../a", []byte(service), &configurer.ChangeRecord{})
 	is.New(t).True(errors.As(err, &field))
 }
+
+// TestOlderCopyOfTheStore guards against undoing operators' changes when the store comes
+// back from a copy that lacks them, and against ignoring what they write then.
+func TestOlderCopyOfTheStore(t *testing.T) {
+	is := is.New(t)
+	object := func(name string, era carawaybeam.StoreEra, revision carawaybeam.StoreRevision, record string,
+	) carawaybeam.Object {
+		o := class(name, carawaybeam.NewStoreVersion(era, revision))
+		o.Value = []byte(strings.Replace(service, "{", `{"change":`+record+`,`, 1))
+		return o
+	}
+	complete := func(era carawaybeam.StoreEra, revision carawaybeam.StoreRevision) carawaybeam.ConfigVersion {
+		return carawaybeam.ConfigVersion(carawaybeam.NewStoreVersion(era, revision))
+	}
+	const (
+		first   = `{"id":"1"}`
+		removal = `{"id":"2","previous":["1"],"deleted":true}`
+		again   = `{"id":"3","previous":["1"]}`
+		created = `{"id":"4"}`
+	)
+	c, peer := configurer.New(), configurer.New()
+	c.Merge(
+		full(complete(1, 10), object("withdrawn", 1, 5, first), class("removed", carawaybeam.NewStoreVersion(1, 6))),
+	)
+	c.Merge(configurer.Delta{Since: complete(1, 10), Complete: complete(1, 12), Objects: []carawaybeam.Object{
+		object("withdrawn", 1, 11, removal), object("created", 1, 12, created),
+	}})
+	copied := full(complete(2, 10), object("withdrawn", 2, 5, first))
+	lost := c.Merge(copied)
+	is.Equal(len(lost), 2) // Each lost change is reported.
+	_, ok := c.Class("withdrawn")
+	is.True(!ok)
+	_, ok = c.Class("created")
+	is.True(ok)
+	_, ok = c.Class("removed")
+	is.True(!ok) // No operator's record says that it should be there.
+	peer.Merge(copied)
+	c.Merge(peer.Delta(c.Complete()))
+	_, ok = c.Class("withdrawn")
+	is.True(!ok)
+	c.Merge(configurer.Delta{Since: complete(2, 10), Complete: complete(2, 11), Objects: []carawaybeam.Object{
+		object("withdrawn", 2, 11, again),
+	}})
+	_, ok = c.Class("withdrawn")
+	is.True(ok)
+}
--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -29,7 +30,8 @@
 
 // Merge merges a delta. Each object comes into force unless a newer version of it
 // is held. An object that cannot be decoded is held, but the last valid version
-// remains in force. Merge returns an error for each such object in the delta.
+// remains in force. Merge returns an error for each such object in the delta, and for
+// each change that an older copy of the store lacks and that stays in force.
 func (c *Configurer) Merge(delta Delta) []*InvalidObjectError {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -41,7 +43,7 @@
 		}
 	}
 	if delta.Full && delta.Complete > c.complete {
-		c.dropAbsent(delta)
+		invalid = append(invalid, c.dropAbsent(delta)...)
 		c.tombstonesSince = delta.Complete
 	}
 	if delta.Full || delta.Since <= c.complete {
@@ -90,8 +92,12 @@
 
 // dropAbsent deletes the held objects that are absent from a full delta. The exact
 // version of such a deletion is unknown; the version of the delta, which is the
-// same or later, is used instead. The caller holds mu.
-func (c *Configurer) dropAbsent(delta Delta) {
+// same or later, is used instead. An object that an operator has changed is not
+// deleted if an older copy of the store lacks it, since operators leave a record of
+// the deletions as well. dropAbsent returns an error for each such object. The caller
+// holds mu.
+func (c *Configurer) dropAbsent(delta Delta) []*InvalidObjectError {
+	var lost []*InvalidObjectError
 	listed := make(map[objectKey]bool, len(delta.Objects))
 	for _, object := range delta.Objects {
 		listed[objectKey{kind: object.Kind, name: object.Name}] = true
@@ -101,6 +107,11 @@
 		if !absent || carawaybeam.ConfigVersion(held.Version) > delta.Complete {
 			continue
 		}
+		era := carawaybeam.StoreVersion(delta.Complete).Era()
+		if held.Version.Era() < era && Record(held.Object).ID != "" {
+			lost = append(lost, newLostChange(held.Object))
+			continue
+		}
 		deletion := carawaybeam.Object{
 			Kind:    key.kind,
 			Name:    key.name,
@@ -110,6 +121,28 @@
 		c.hold(key, deletion)
 		c.remove(key)
 	}
+	return lost
+}
+
+// isSupersededBy reports whether an object that was read in a later era is from an
+// older copy of the store, which lacks the change that made the held one.
+func isSupersededBy(object, held carawaybeam.Object) bool {
+	if object.Version.Era() <= held.Version.Era() {
+		return false
+	}
+	record, newer := Record(object), Record(held)
+	return record.ID != newer.ID && newer.ID != "" && (record.ID == "" || newer.Includes(record.ID))
+}
+
+// newLostChange returns the error for an object whose last change an older copy of the
+// store lacks.
+func newLostChange(held carawaybeam.Object) *InvalidObjectError {
+	record := Record(held)
+	return &InvalidObjectError{
+		Kind: held.Kind, Name: held.Name, Version: held.Version,
+		Cause: fmt.Errorf("store came back without change %s by %s, which stays in force here until the next one",
+			record.ID, record.By),
+	}
 }
 
 // Delta returns the changes that a peer needs which is complete up to since. The
@@ -232,9 +265,13 @@
 // mergeObject merges one object of a delta. The caller holds mu.
 func (c *Configurer) mergeObject(object carawaybeam.Object) *InvalidObjectError {
 	key := objectKey{kind: object.Kind, name: object.Name}
-	if held, ok := c.objects[key]; ok && held.Version >= object.Version {
+	held, ok := c.objects[key]
+	if ok && held.Version >= object.Version {
 		return nil
 	}
+	if ok && isSupersededBy(object, held.Object) {
+		return newLostChange(held.Object)
+	}
 	c.hold(key, object)
 	if isDeleted(object) {
 		c.remove(key)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -168,6 +168,9 @@
 	if err != nil {
 		return since, err
 	}
+	if version.Era() != since.Era() {
+		return w.readAll()
+	}
 	w.merge(configurer.Delta{
 		Since:    carawaybeam.ConfigVersion(since),
 		Complete: carawaybeam.ConfigVersion(version),
@@ -194,6 +197,11 @@
 		if i == 0 || version < lowest {
 			lowest = version
 		}
+		if version.Era() != lowest.Era() {
+			return 0, &carawaybeam.StoreError{
+				Failure: carawaybeam.StoreUnavailable, Detail: "era of the store has changed between two lists",
+			}
+		}
 		all = append(all, objects...)
 	}
 	w.merge(configurer.Delta{Complete: carawaybeam.ConfigVersion(lowest), Full: true, Objects: all}, started)
