Do not use backend servers that only an older copy of the store knows

A backend server whose announcement had been removed without "leaving" was used again when the store came back from a copy that still had it, and one whose announcement the copy lacked was dropped at once (TestOlderCopy fails without the change).

An incarnation whose announcement was removed and is in the copy is used once it renews its announcement, or after 5 s, when that of a dead one has lapsed. What the copy lacks stays in use for the 2 s in which it is announced again. Leaving stays final for an incarnation.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -22,7 +22,12 @@
 	// take to reappear: about 2 s according to the platform.
 	reannounceTime = 2 * time.Second
 
-	// maxEnded is the maximum number of ended incarnations that are remembered.
+	// lapseTime is longer than the announcement of a dead backend server stays in
+	// the store.
+	lapseTime = 5 * time.Second
+
+	// maxEnded is the maximum number of ended incarnations that are remembered, and
+	// of those whose announcements were removed.
 	maxEnded = 4096
 )
 
@@ -47,12 +52,17 @@
 		mu      sync.Mutex
 		members map[carawaybeam.BackendID]*member
 		// ended holds the incarnations that are leaving or were replaced.
-		ended  map[carawaybeam.BackendIncarnation]struct{}
-		loaded bool
-		pools  map[carawaybeam.PoolID][]carawaybeam.Instance
-		// nextDrop is the earliest dropAt of a member, or zero if there is
-		// none.
-		nextDrop time.Time
+		ended map[carawaybeam.BackendIncarnation]struct{}
+		// removed holds the incarnations whose announcements were removed. They
+		// may be announced again.
+		removed map[carawaybeam.BackendIncarnation]struct{}
+		loaded  bool
+		// era is the newest era of the store in which announcements were read.
+		era   carawaybeam.StoreEra
+		pools map[carawaybeam.PoolID][]carawaybeam.Instance
+		// nextUpdate is the earliest dropAt or usableAt of a member, or zero if
+		// there is none.
+		nextUpdate time.Time
 	}
 
 	member struct {
@@ -60,6 +70,10 @@
 		// dropAt is when a member whose announcement lapsed is removed. It is
 		// zero for announced members.
 		dropAt time.Time
+		// usableAt is when a member is used whose announcement was removed and is
+		// back from an older copy of the store. It is zero for other members.
+		usableAt time.Time
+		version  carawaybeam.StoreVersion
 	}
 )
 
@@ -69,6 +83,7 @@
 		options: options,
 		members: make(map[carawaybeam.BackendID]*member),
 		ended:   make(map[carawaybeam.BackendIncarnation]struct{}),
+		removed: make(map[carawaybeam.BackendIncarnation]struct{}),
 		pools:   make(map[carawaybeam.PoolID][]carawaybeam.Instance),
 	}
 }
@@ -85,7 +100,7 @@
 func (d *Discoverer) Instances(pool carawaybeam.PoolID) []carawaybeam.Instance {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.nextDrop.IsZero() && !time.Now().Before(d.nextDrop) {
+	if !d.nextUpdate.IsZero() && !time.Now().Before(d.nextUpdate) {
 		d.rebuild()
 	}
 	return d.pools[pool]
@@ -158,24 +173,35 @@
 func (d *Discoverer) replace(objects []carawaybeam.Object) []carawaybeam.Instance {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	newEra := d.advanceEra(objects)
 	d.loaded = true
 	var announced []carawaybeam.Instance
 	present := make(map[carawaybeam.BackendID]struct{}, len(objects))
 	for _, o := range objects {
 		present[carawaybeam.BackendID(o.Name)] = struct{}{}
-		if instance, ok := d.applyAnnouncement(o); ok {
+		if instance, ok := d.applyAnnouncement(o, newEra); ok {
 			announced = append(announced, instance)
 		}
 	}
 	for id := range d.members {
 		if _, ok := present[id]; !ok {
-			d.withdraw(id)
+			d.withdraw(id, newEra)
 		}
 	}
 	d.rebuild()
 	return announced
 }
 
+// advanceEra records the era of announcements that were read, and reports whether it is
+// a later one than before. The caller holds mu.
+func (d *Discoverer) advanceEra(objects []carawaybeam.Object) bool {
+	before := d.era
+	for _, o := range objects {
+		d.era = max(d.era, o.Version.Era())
+	}
+	return d.loaded && d.era > before
+}
+
 // Apply applies changed and deleted announcements.
 func (d *Discoverer) Apply(changes []carawaybeam.Object) {
 	d.notify(d.apply(changes))
@@ -188,10 +214,10 @@
 	var announced []carawaybeam.Instance
 	for _, o := range changes {
 		if o.Deleted {
-			d.withdraw(carawaybeam.BackendID(o.Name))
+			d.withdraw(carawaybeam.BackendID(o.Name), false)
 			continue
 		}
-		if instance, ok := d.applyAnnouncement(o); ok {
+		if instance, ok := d.applyAnnouncement(o, false); ok {
 			announced = append(announced, instance)
 		}
 	}
@@ -199,15 +225,16 @@
 	return announced
 }
 
-// applyAnnouncement applies one announcement. It returns false if the announcement is
-// invalid. The caller holds mu.
-func (d *Discoverer) applyAnnouncement(o carawaybeam.Object) (carawaybeam.Instance, bool) {
+// applyAnnouncement applies one announcement, which is from an older copy of the store
+// if newEra is set. It returns false if the announcement is invalid. The caller holds
+// mu.
+func (d *Discoverer) applyAnnouncement(o carawaybeam.Object, newEra bool) (carawaybeam.Instance, bool) {
 	instance, err := d.options.Decode(o)
 	if err != nil {
 		// An invalid announcement also ends the use of a backend server that
 		// was known before.
 		d.options.Log.Warn().Err(err).Str("backend", o.Name).Msg("discoverer: announcement is invalid and not used")
-		d.withdraw(carawaybeam.BackendID(o.Name))
+		d.withdraw(carawaybeam.BackendID(o.Name), false)
 		return instance, false
 	}
 	if _, ended := d.ended[instance.BackendIncarnation]; ended {
@@ -223,10 +250,32 @@
 	if instance.Leaving {
 		d.markEnded(instance.BackendIncarnation)
 	}
-	d.members[instance.ID] = &member{instance: instance}
+	next := &member{instance: instance, version: o.Version}
+	switch _, removed := d.removed[instance.BackendIncarnation]; {
+	case removed && newEra:
+		// It may have gone for good. If so, it does not renew the announcement.
+		next.usableAt = time.Now().Add(lapseTime)
+		d.options.Log.Info().Str("backend", string(instance.ID)).Dur("for", lapseTime).
+			Msg("discoverer: removed announcement is back from an older copy and not used yet")
+	case known && previous.version == o.Version:
+		next.usableAt = previous.usableAt
+	}
+	if next.usableAt.IsZero() {
+		delete(d.removed, instance.BackendIncarnation)
+	}
+	d.members[instance.ID] = next
 	return instance, true
 }
 
+// remove removes a member. The caller holds mu.
+func (d *Discoverer) remove(m *member) {
+	if len(d.removed) >= maxEnded {
+		clear(d.removed)
+	}
+	d.removed[m.instance.BackendIncarnation] = struct{}{}
+	delete(d.members, m.instance.ID)
+}
+
 // markEnded records that an incarnation receives no more requests. The caller
 // holds mu.
 func (d *Discoverer) markEnded(incarnation carawaybeam.BackendIncarnation) {
@@ -236,13 +285,17 @@
 	d.ended[incarnation] = struct{}{}
 }
 
-// withdraw handles a deleted or lapsed announcement. The caller holds mu.
-func (d *Discoverer) withdraw(id carawaybeam.BackendID) {
+// withdraw handles a deleted or lapsed announcement, which an older copy of the store
+// lacks if newEra is set. The caller holds mu.
+func (d *Discoverer) withdraw(id carawaybeam.BackendID, newEra bool) {
 	m, known := d.members[id]
 	if !known || !m.dropAt.IsZero() {
 		return
 	}
 	since, failed := d.options.SinceOutage()
+	if newEra {
+		since, failed = 0, true
+	}
 	if failed && since < reannounceTime && !m.instance.Leaving {
 		m.dropAt = time.Now().Add(reannounceTime - since)
 		d.options.Log.Info().Str("backend", string(id)).Dur("for", reannounceTime-since).
@@ -251,7 +304,7 @@
 	}
 	d.options.Log.Info().Str("backend", string(id)).Bool("leaving", m.instance.Leaving).
 		Msg("discoverer: backend server is gone")
-	delete(d.members, id)
+	d.remove(m)
 }
 
 // latestStarts returns the start time of the latest incarnation at each
@@ -267,18 +320,20 @@
 	return latest
 }
 
-// dropLapsed removes the members that were not announced again in time. The
-// caller holds mu.
+// dropLapsed removes the members that were not announced again in time, and sets
+// nextUpdate. The caller holds mu.
 func (d *Discoverer) dropLapsed(now time.Time) {
-	d.nextDrop = time.Time{}
+	d.nextUpdate = time.Time{}
 	for id, m := range d.members {
-		switch {
-		case m.dropAt.IsZero():
-		case !now.Before(m.dropAt):
+		if !m.dropAt.IsZero() && !now.Before(m.dropAt) {
 			d.options.Log.Info().Str("backend", string(id)).Msg("discoverer: backend server was not announced again")
-			delete(d.members, id)
-		case d.nextDrop.IsZero() || m.dropAt.Before(d.nextDrop):
-			d.nextDrop = m.dropAt
+			d.remove(m)
+			continue
+		}
+		for _, at := range []time.Time{m.dropAt, m.usableAt} {
+			if at.After(now) && (d.nextUpdate.IsZero() || at.Before(d.nextUpdate)) {
+				d.nextUpdate = at
+			}
 		}
 	}
 }
@@ -286,11 +341,17 @@
 // rebuild removes the members that were not announced again in time and groups
 // the available ones by pool. The caller holds mu.
 func (d *Discoverer) rebuild() {
-	d.dropLapsed(time.Now())
+	now := time.Now()
+	d.dropLapsed(now)
 	latest := d.latestStarts()
 	pools := make(map[carawaybeam.PoolID][]carawaybeam.Instance)
 	for _, m := range d.members {
-		if !m.instance.Leaving && m.instance.Started >= latest[m.instance.Address] {
+		if !m.usableAt.IsZero() && !now.Before(m.usableAt) {
+			m.usableAt = time.Time{}
+			delete(d.removed, m.instance.BackendIncarnation)
+		}
+		usable := !m.instance.Leaving && m.usableAt.IsZero()
+		if usable && m.instance.Started >= latest[m.instance.Address] {
 			pools[m.instance.Pool] = append(pools[m.instance.Pool], m.instance)
 		}
 	}
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -157,3 +157,42 @@
 	d.Apply([]carawaybeam.Object{object("a", "3")})
 	is.Equal(names(d), "ab")
 }
+
+// inEra gives an object the version of an era of the store.
+func inEra(era carawaybeam.StoreEra, o carawaybeam.Object) carawaybeam.Object {
+	o.Version = carawaybeam.NewStoreVersion(era, 1)
+	return o
+}
+
+// TestOlderCopy fails if a backend server that has left becomes available again through
+// an older copy of the store, if one that is alive does not, or if one whose
+// announcement the copy lacks is dropped before it can announce itself again.
+func TestOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDiscoverer(&outage{})
+		d.Replace([]carawaybeam.Object{
+			inEra(1, object("a", "1")), inEra(1, object("b", "1")), inEra(1, object("c", "1")),
+			inEra(1, object("d", "1")), inEra(1, object("new", "1")),
+		})
+		d.Apply([]carawaybeam.Object{inEra(1, object("a", "-1")), gone("a"), gone("b"), gone("c"), gone("d")})
+		is.Equal(names(d), "new")
+		copied := []carawaybeam.Object{
+			inEra(2, object("a", "1")), inEra(2, object("b", "1")), inEra(2, object("c", "1")),
+			inEra(2, object("d", "1")),
+		}
+		d.Replace(copied)
+		is.Equal(names(d), "new")
+		d.Replace(copied) // Read again in the same era.
+		is.Equal(names(d), "new")
+		time.Sleep(time.Second)
+		renewed := object("c", "1")
+		renewed.Version = carawaybeam.NewStoreVersion(2, 9)
+		d.Apply([]carawaybeam.Object{renewed, inEra(2, object("new", "1"))})
+		is.Equal(names(d), "cnew")
+		time.Sleep(2 * time.Second)
+		d.Apply([]carawaybeam.Object{gone("b")}) // It has not renewed its announcement.
+		time.Sleep(5 * time.Second)
+		is.Equal(names(d), "cdnew")
+	})
+}
