Keep fencing tokens unique over older copies of the store

The epoch of a lease was one more than that in the store.

A lease that is written in another era than it was read in is not held.

On the linked path the holder of an earlier era has the duration of the lease to acquire it again before others do. After 1,024 failures the tokens of an epoch began again; the lease is now given up instead.

--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
@@ -152,3 +153,81 @@
 		is.True(len(epochs) > 3)
 	})
 }
+
+// seize makes a new process seize the lease, and returns its epoch.
+func seize(is *is.I, store *storer.Storer, holder carawaybeam.Incarnation) carawaybeam.Epoch {
+	is.Helper()
+	l := newLeaser(store.NewClient(zerolog.Nop()), holder)
+	is.NoErr(l.Observe(context.Background()))
+	is.NoErr(l.Seize(context.Background()))
+	epoch, held := l.HeldUntilSuperseded()
+	is.True(held)
+	return epoch
+}
+
+// TestEpochsOverOlderCopies guards against giving an epoch again that an older copy of
+// the store lacks, also if the store comes back from the same copy twice.
+func TestEpochsOverOlderCopies(t *testing.T) {
+	is, store := is.New(t), storer.New()
+	store.SetEra(1)
+	last := seize(is, store, "a")
+	copied := store.Snapshot()
+	for _, holder := range []carawaybeam.Incarnation{"b", "c", "d"} {
+		epoch := seize(is, store, holder)
+		is.True(epoch > last)
+		last = epoch
+		store.Restore(copied)
+	}
+}
+
+// TestLateWriteOfEarlierEra guards against a write of an earlier era whose condition
+// holds by chance and that sets the epoch back.
+func TestLateWriteOfEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), t.Context(), storer.New()
+		store.SetEra(1)
+		copied := store.Snapshot()
+		seize(is, store, "lost")
+		late := newLeaser(store.NewClient(zerolog.Nop()), "late")
+		is.NoErr(late.Observe(ctx))
+		store.SetFault(storer.Fault{Mode: storer.FaultLateWrite, Delay: time.Second, Calls: 1})
+		is.True(late.Seize(ctx) != nil)
+		store.Restore(copied)
+		epoch := seize(is, store, "b") // At the revision that late expects.
+		time.Sleep(2 * time.Second)
+		_, held := late.HeldUntilSuperseded()
+		is.True(!held)
+		is.True(seize(is, store, "c") > epoch)
+	})
+}
+
+// TestHolderOverOlderCopy guards against taking the lease from a holder that is still at
+// work when an older copy of the store lacks it.
+func TestHolderOverOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx, store := is.New(t), t.Context(), storer.New()
+		store.SetEra(1)
+		copied := store.Snapshot()
+		a, b := newLeaser(store.NewClient(zerolog.Nop()), "a"), newLeaser(store.NewClient(zerolog.Nop()), "b")
+		is.NoErr(a.AcquireOrRenew(ctx))
+		before, _ := a.Held()
+		is.NoErr(b.AcquireOrRenew(ctx))
+		time.Sleep(duration / 3)
+		store.Restore(copied)
+		is.NoErr(b.AcquireOrRenew(ctx))
+		_, held := b.Held()
+		is.True(!held)
+		is.NoErr(a.AcquireOrRenew(ctx))
+		epoch, held := a.Held()
+		is.True(held)
+		is.True(epoch > before)
+		// A holder that does not return is replaced.
+		store.Restore(copied)
+		is.NoErr(b.AcquireOrRenew(ctx))
+		time.Sleep(duration + time.Second)
+		is.NoErr(b.AcquireOrRenew(ctx))
+		next, held := b.Held()
+		is.True(held)
+		is.True(next > epoch)
+	})
+}
--- a/proposer/coordinator/coordinator.go
+++ b/proposer/coordinator/coordinator.go
@@ -224,7 +224,8 @@
 		return
 	}
 	if c.fenceOffset++; c.fenceOffset >= fencesPerEpoch {
-		c.fenceOffset = 0
+		// The next fencing token would be one of the next epoch.
+		c.options.Lease.MarkLost()
 	}
 }
 
--- a/proposer/coordinator/coordinator_test.go
+++ b/proposer/coordinator/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,12 +44,13 @@
 // start starts the coordinator of a process that competes for control of the
 // group.
 func start(g *fakeGroup, store carawaybeam.Store, p *fakeProcess) *coordinator.Coordinator {
+	holder := carawaybeam.NewIncarnation()
 	return coordinator.New(coordinator.Options{
 		Group:     "g",
 		Statuses:  func() []collector.Status { p.awaitRunning(); return g.newest() },
 		WantPicks: p.setWantsPicks,
 		Engine: func(a carawaybeam.Address) carawaybeam.RankEngine {
-			return &fakeEngine{group: g, rank: int(a[len(a)-1] - '0'), process: p}
+			return &fakeEngine{group: g, rank: int(a[len(a)-1] - '0'), process: p, holder: holder}
 		},
 		Layout: func() (carawaybeam.ExpertLayout, bool) {
 			return carawaybeam.ExpertLayout{
@@ -57,7 +59,7 @@
 		},
 		NewPlanner: func(carawaybeam.PlannerOptions) carawaybeam.Planner { return &swapper{} },
 		Lease: leaser.New(leaser.Options{
-			Store: store, Name: "g", Holder: carawaybeam.NewIncarnation(),
+			Store: store, Name: "g", Holder: holder,
 		}),
 		Log: zerolog.Nop(),
 	})
@@ -80,10 +82,15 @@
 		}
 		g.processes = processes
 		for i := range processes {
-			coordinators[i] = start(g, store, processes[i])
+			coordinators[i] = start(g, store.NewClient(zerolog.Nop()), processes[i])
 		}
 		done := make(chan struct{})
 		go func() { defer close(done); g.run(ctx) }()
+		var copies sync.WaitGroup
+		if f.olderCopies {
+			store.SetEra(1)
+			copies.Go(func() { restoreOlderCopies(ctx, store, seed, length) })
+		}
 		for begun := time.Now(); time.Since(begun) < length; {
 			time.Sleep(time.Duration(random.Int64N(int64(900 * time.Millisecond))))
 			if !disruptions {
@@ -95,7 +102,7 @@
 				if err := coordinators[i].Close(); err != nil {
 					t.Error(err)
 				}
-				coordinators[i] = start(g, store, processes[i])
+				coordinators[i] = start(g, store.NewClient(zerolog.Nop()), processes[i])
 			case 1, 2:
 				// Only one process is paused at a time. While all are paused, no
 				// process can release a hold, and a successor that is paused as
@@ -111,6 +118,7 @@
 		}
 		// Without any process, no one releases a hold, so later holds are not
 		// counted.
+		copies.Wait()
 		longest := g.longestHold()
 		defer func() { g.longest = longest }()
 		for _, c := range coordinators {
@@ -126,6 +134,36 @@
 	return g
 }
 
+// restoreOlderCopies makes the store come back from copies that are up to some seconds
+// old, at times twice in a row. Before and after it loses or delays answers of writes, so
+// that writes of one era take effect in the next.
+func restoreOlderCopies(ctx context.Context, store *storer.Storer, seed uint64, length time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 13))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	var snapshots []storer.Snapshot
+	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; {
+		time.Sleep(upTo(800 * time.Millisecond))
+		snapshots = append(snapshots, store.Snapshot())
+		snapshots = snapshots[max(0, len(snapshots)-8):]
+		switch random.IntN(8) {
+		case 0:
+			store.SetFault(storer.Fault{Mode: storer.FaultLateWrite, Delay: upTo(3 * time.Second)})
+		case 1:
+			store.SetFault(storer.Fault{Mode: storer.FaultLateAnswer, Delay: upTo(700 * time.Millisecond)})
+		case 2:
+			store.SetFault(storer.Fault{Mode: storer.FaultLostAnswer})
+		case 3, 4:
+			store.SetFault(storer.Fault{Mode: storer.FaultDown})
+			time.Sleep(upTo(time.Second))
+			store.Restore(snapshots[random.IntN(len(snapshots))])
+			store.SetFault(storer.Fault{})
+		default:
+			store.SetFault(storer.Fault{})
+		}
+	}
+	store.SetFault(storer.Fault{})
+}
+
 func anyPaused(processes []*fakeProcess) bool {
 	return slices.ContainsFunc(processes, (*fakeProcess).paused)
 }
@@ -147,14 +185,16 @@
 
 // TestPromiseOneMapOrders checks that no two ranks begin a step with different
 // maps. Ranks lose orders, execute them without an answer or execute them late,
-// while processes are restarted and paused.
+// while processes are restarted and paused, and the store comes back from older copies.
 func TestPromiseOneMapOrders(t *testing.T) {
 	tests := map[string]faults{
-		"answered":   {},
-		"late":       {late: 0.5},
-		"lost":       {lost: 0.3},
-		"unanswered": {unanswered: 0.3},
-		"all faults": {lost: 0.1, unanswered: 0.15, late: 0.2},
+		"answered":                    {},
+		"late":                        {late: 0.5},
+		"lost":                        {lost: 0.3},
+		"unanswered":                  {unanswered: 0.3},
+		"all faults":                  {lost: 0.1, unanswered: 0.15, late: 0.2},
+		"older copies":                {olderCopies: true},
+		"older copies and all faults": {lost: 0.1, unanswered: 0.15, late: 0.2, olderCopies: true},
 	}
 	trials, violations := 0, 0
 	for name, f := range tests {
--- a/proposer/coordinator/group_test.go
+++ b/proposer/coordinator/group_test.go
@@ -34,6 +34,9 @@
 		// lost orders are never executed, unanswered ones at once but without an
 		// answer, and late ones 50 ms to 12 s later without an answer.
 		lost, unanswered, late float64
+		// olderCopies makes the store come back from older copies, and lose and
+		// delay answers.
+		olderCopies bool
 	}
 
 	// fakeGroup is a group of ranks that take orders as specified by the
@@ -53,6 +56,8 @@
 		stalled        time.Time
 		longest        time.Duration
 		violations     []string
+		// fences holds the process that has used each fencing token.
+		fences map[carawaybeam.Epoch]carawaybeam.Incarnation
 	}
 
 	// fakeEngine is the client of one process for one rank.
@@ -60,6 +65,8 @@
 		group   *fakeGroup
 		rank    int
 		process *fakeProcess
+		// holder is the incarnation of the process.
+		holder carawaybeam.Incarnation
 	}
 
 	// fakeProcess is a process that can be paused.
@@ -73,6 +80,7 @@
 
 func newGroup(size int, seed uint64, f faults) *fakeGroup {
 	g := &fakeGroup{random: rand.New(rand.NewPCG(seed, 7)), faults: f, epoch: 1}
+	g.fences = make(map[carawaybeam.Epoch]carawaybeam.Incarnation)
 	for range size {
 		g.ranks = append(g.ranks, switcher.New(nil, copyTime))
 	}
@@ -261,6 +269,10 @@
 	if !r.AcceptFencingToken(o.FencingToken) {
 		return &carawaybeam.RankOrderError{Fenced: true, Detail: "old fence"}
 	}
+	if other, used := g.fences[o.FencingToken]; used && other != e.holder {
+		g.violations = append(g.violations, fmt.Sprintf("two processes use the fencing token %d", o.FencingToken))
+	}
+	g.fences[o.FencingToken] = e.holder
 	if o.Epoch != g.epoch {
 		return refused("another epoch")
 	}
