Enrol entries again when an older copy of the store lacks them

An entry wrote its object once. When the store came back from a copy without it, agents sent it no more statuses and other entries counted one too few until it was restarted, so that each of them took a larger share of the bound on retries. One that had been removed came back for good, and Close could not remove the object, since its version was of an earlier era.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -249,9 +249,10 @@
 		Wait: entriesWait, MinInterval: entriesInterval, Log: e.log,
 	}))
 	e.closers.Add(enroller.New(enroller.Options{
-		Store: e.store,
-		Entry: e.enrolled(),
-		Log:   e.log,
+		Store:   e.store,
+		Entry:   e.enrolled(),
+		Entries: e.entries,
+		Log:     e.log,
 	}))
 	newEngine, err := carawaybeam.RankEngines.Lookup(e.settings.Direct.Dialect)
 	if err != nil {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -11,6 +11,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/enroller"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/follower"
 )
 
 // TestEnrolment checks that an entry is enrolled although the store is down at
@@ -59,3 +60,71 @@
 	set.Apply([]carawaybeam.Object{{Name: "a", Deleted: true}})
 	is.Equal(set.Len(), 1)
 }
+
+// follow makes a follower of the store keep a set of entries up to date.
+func follow(store carawaybeam.Store) (*enroller.EntrySet, *follower.Follower) {
+	set := enroller.NewEntrySet(zerolog.Nop())
+	started := time.Now()
+	return set, follower.New(follower.Options{
+		Store: store, Kind: carawaybeam.KindEntry, Sink: set, Wait: 4 * time.Second, Log: zerolog.Nop(),
+		Clock: func() time.Duration { return time.Since(started) },
+	})
+}
+
+// TestEnrolmentOverOlderCopy guards against entries that stay out of the store, or out of
+// use by others meanwhile, once it has come back from a copy that lacks them, and against
+// the return of entries that had been removed.
+func TestEnrolmentOverOlderCopy(t *testing.T) {
+	for name, others := range map[string]bool{"empty copy": false, "copy of others": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, store := is.New(t), storer.New()
+				store.SetEra(1)
+				var client carawaybeam.Store
+				enrol := func(name string) (*enroller.Enroller, *enroller.EntrySet, *follower.Follower) {
+					client = store.NewClient(zerolog.Nop())
+					set, f := follow(client)
+					return enroller.New(enroller.Options{
+						Store: client, Entry: enroller.Entry{Name: name}, Entries: set, Log: zerolog.Nop(),
+					}), set, f
+				}
+				var ended *enroller.Enroller
+				var endedFollower *follower.Follower
+				if others {
+					ended, _, endedFollower = enrol("ended")
+					time.Sleep(time.Second)
+				}
+				copied := store.Snapshot()
+				e, set, f := enrol("e")
+				time.Sleep(5 * time.Second)
+				if others {
+					is.NoErr(ended.Close())
+					is.NoErr(endedFollower.Close())
+					time.Sleep(time.Second)
+				}
+				is.Equal(set.Len(), 1)
+				store.Restore(copied)
+				z := carawaybeam.Object{Kind: carawaybeam.KindEntry, Name: "z", Value: []byte("{}")}
+				_, err := store.Put(t.Context(), z, 0)
+				is.NoErr(err)
+				// Another call of the process shows the new era.
+				_, err = client.Get(t.Context(), carawaybeam.KindEntry, "e")
+				is.True(err != nil)
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					is.True(set.Len() >= 1)
+				}
+				_, err = store.Get(t.Context(), carawaybeam.KindEntry, "e")
+				is.NoErr(err)
+				objects, _, err := store.List(t.Context(), carawaybeam.KindEntry)
+				is.NoErr(err)
+				is.Equal(len(objects), 2) // e and z
+				is.NoErr(e.Close())
+				objects, _, err = store.List(t.Context(), carawaybeam.KindEntry)
+				is.NoErr(err)
+				is.Equal(len(objects), 1)
+				is.NoErr(f.Close())
+			})
+		})
+	}
+}
