Write expert maps again when an older copy of the store lacks them

A controller whose stored plans went back did not find the map in force any more.

The controller remembers the plans that it read or wrote last, and writes them again if the stored ones lack the map in force. If no process knows it, as after a restart in the same seconds, the group is planned from the uniform map as before.

--- a/proposer/controller.go
+++ b/proposer/controller.go
@@ -27,6 +27,8 @@
 	ranks    carawaybeam.RankClient
 	planner  carawaybeam.Planner
 	lease    *leaser.Leaser
+	// known contains the plans that were last read or written.
+	known plans
 }
 
 func (c *controller) run(ctx context.Context) {
@@ -85,6 +87,9 @@
 		return err
 	}
 	inForce := carawaybeam.MapDigest(status.GetSchedule().GetCurrent().GetDigest())
+	if stored, version, err = c.restorePlans(ctx, stored, version, inForce); err != nil {
+		return err
+	}
 	current := c.currentMap(stored, inForce)
 	next := c.planner.Plan(time.Now(), carawaybeam.PlanRequest{Current: current, Loads: loads})
 	if next.Version == current.Version {
@@ -98,7 +103,7 @@
 	// The map is stored before it can take effect, so that the next controller
 	// always finds the map in force.
 	stored = plans{InForce: plan{Digest: inForce, Map: current}, Proposed: proposed}
-	if err := c.writePlans(ctx, stored, version); err != nil {
+	if _, err := c.writePlans(ctx, stored, version); err != nil {
 		return err
 	}
 	c.propose(ctx, epoch, proposed, carawaybeam.Step(status.GetStep())+c.settings.StepsAhead)
@@ -131,20 +136,49 @@
 	return stored, object.Version, json.Unmarshal(object.Value, &stored)
 }
 
-// writePlans stores the plans if their object still has the given version.
-func (c *controller) writePlans(ctx context.Context, next plans, version carawaybeam.StoreVersion) error {
+// restorePlans writes the plans that this process knows again if the store has come back
+// from an older copy, which lacks the map in force. It returns the stored plans and their
+// version.
+func (c *controller) restorePlans(
+	ctx context.Context,
+	stored plans,
+	version carawaybeam.StoreVersion,
+	inForce carawaybeam.MapDigest,
+) (plans, carawaybeam.StoreVersion, error) {
+	_, ok := stored.find(inForce)
+	_, known := c.known.find(inForce)
+	if ok || !known || inForce == 0 {
+		c.known = stored
+		return stored, version, nil
+	}
+	version, err := c.writePlans(ctx, c.known, version)
+	c.options.Log.Info().Err(err).Str("group", c.group).Uint64("version", uint64(version)).
+		Msg("proposer: store lacked the map in force, which is written again")
+	return c.known, version, err
+}
+
+// writePlans stores the plans if their object still has the given version. It returns the
+// new version.
+func (c *controller) writePlans(
+	ctx context.Context,
+	next plans,
+	version carawaybeam.StoreVersion,
+) (carawaybeam.StoreVersion, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = c.options.Store.Put(
+	written, err := c.options.Store.Put(
 		ctx,
 		carawaybeam.Object{Kind: carawaybeam.KindMap, Name: c.group, Value: value},
 		version,
 	)
-	return err
+	if err == nil {
+		c.known = next
+	}
+	return written, err
 }
 
 // propose sends the proposal to each agent, with the experts of its rank. Errors
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -216,3 +216,33 @@
 		second.close()
 	})
 }
+
+// TestOlderCopy guards against crashes that are forgotten when the store comes back from a
+// copy that lacks them, and against all entries writing them again at once.
+func TestOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore(t)
+		store.SetEra(1)
+		entries := make([]*entry, 60)
+		for i := range entries {
+			entries[i] = startEntry(store.NewClient(zerolog.Nop()), fmt.Sprint("entry-", i))
+		}
+		time.Sleep(shareTime)
+		copied := store.Snapshot()
+		entries[0].Add("g", "1")
+		entries[1].Add("g", "2")
+		time.Sleep(shareTime)
+		store.Restore(copied)
+		entries[0].close() // Others have its record.
+		before := store.Counts().Writes
+		time.Sleep(3 * time.Second)
+		is.True(store.Counts().Writes-before <= len(entries)/4)
+		restarted := startEntry(store.NewClient(zerolog.Nop()), "restarted")
+		time.Sleep(shareTime)
+		is.Equal(restarted.Status("g"), quarantiner.Quarantined)
+		for _, e := range append(entries[1:], restarted) {
+			e.close()
+		}
+	})
+}
