Settle a change over an older copy of the store without a false "not applied"

A late write of a change expects a revision that the object still has after the store came back from an older copy, or that is given out again. settle compared versions, found another one and told the operator that the change never would take effect; the write then took effect (TestSettleOverOlderCopy fails without the change in both cases).

It compares revisions now: if the object still has the expected one, it is rewritten as before; if it has a lower one, which only an older copy has, the change stays uncertain.

--- a/applier/settle.go
+++ b/applier/settle.go
@@ -13,9 +13,9 @@
 const StatusNotApplied Status = "notApplied"
 
 // Settle determines the outcome of an uncertain change, whose Expect must be set.
-// If the object still has the version that the change expects, Settle rewrites it
+// If the object still has the revision that the change expects, Settle rewrites it
 // with the same content. This gives it a new version, so that a delayed write of
-// the change can no longer take effect.
+// the change can no longer take effect, also not in a later era of the store.
 func (a *Applier) Settle(ctx context.Context, change Change) Result {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -47,7 +47,11 @@
 		return a.accept(ctx, change, current), true
 	case record.Includes(change.ID):
 		return change.result(StatusAccepted, current, "change took effect and was changed again since"), true
-	case current.Version == *change.Expect:
+	case change.Expect.Revision() > current.Version.Revision():
+		// Only an older copy of the store has a lower revision. The expected one is
+		// given out again.
+		return change.result(StatusUncertain, current, "store has come back from an older copy"), true
+	case change.Expect.Revision() == current.Version.Revision():
 		return Result{}, false
 	case record.IsTruncated():
 		return change.result(StatusUncertain, current, "too many changes have been made since to tell"), true
