--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -51,7 +51,7 @@
 		}
 		return err
 	}}))
-	store, err := settings.Reporting.Store.OpenStore()
+	store, err := settings.Reporting.Store.OpenStore(log)
 	if err != nil {
 		return err
 	}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -111,6 +111,7 @@
 	DataCentre  carawaybeam.DataCentre    `json:"dataCentre"`
 	Config      carawaybeam.ConfigVersion `json:"config"`
 	ConfigAgeMs int64                     `json:"configAgeMs"`
+	StoreEra    carawaybeam.StoreEra      `json:"storeEra,omitempty"`
 	Connections pooler.State              `json:"connections"`
 	Crashes     detector.State            `json:"crashes"`
 	Quarantine  quarantiner.State         `json:"quarantine"`
@@ -191,7 +192,7 @@
 	e.dialect = newDialect()
 	e.pooler = pooler.New(pooler.Options{DecodeReply: e.dialect.DecodeReply})
 	e.closers.Add(e.pooler)
-	if e.store, err = e.settings.Store.OpenStore(); err != nil {
+	if e.store, err = e.settings.Store.OpenStore(e.log); err != nil {
 		return err
 	}
 	e.startFollowers()
@@ -263,9 +264,10 @@
 		Wait: entriesWait, MinInterval: entriesInterval, Log: e.log,
 	}))
 	e.closers.Add(enroller.New(enroller.Options{
-		Store: e.store,
-		Entry: e.enrolled(),
-		Log:   e.log,
+		Store:   e.store,
+		Entry:   e.enrolled(),
+		Entries: e.entries,
+		Log:     e.log,
 	}))
 	newEngine, err := carawaybeam.RankEngines.Lookup(e.settings.Direct.Dialect)
 	if err != nil {
@@ -424,6 +426,7 @@
 	if age, known := e.configFollower.Age(); known {
 		state.ConfigAgeMs = age.Milliseconds()
 	}
+	state.StoreEra, _ = e.configFollower.Era()
 	if stateDumper, ok := e.router.(carawaybeam.StateDumper); ok {
 		state.Router = stateDumper.State()
 	}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -72,6 +72,7 @@
 	administrator.EntryTargets
 	// Complete is the store version up to which the entry has all changes.
 	Complete carawaybeam.ConfigVersion `json:"complete"`
+	StoreEra carawaybeam.StoreEra      `json:"storeEra,omitempty"`
 	// Invalid describes objects of the configuration that cannot be decoded.
 	Invalid []string                `json:"invalid,omitempty"`
 	Classes []configurer.ClassState `json:"classes"`
@@ -163,7 +164,7 @@
 // connect creates the clients of the platform's store and list of VMs.
 func (e *entry) connect() error {
 	var err error
-	if e.store, err = e.settings.Store.OpenStore(); err != nil {
+	if e.store, err = e.settings.Store.OpenStore(e.log); err != nil {
 		return err
 	}
 	newLister, err := carawaybeam.Listers.Lookup(e.settings.VMList.Protocol)
@@ -289,6 +290,7 @@
 		Links:         e.traffic.State().Plus(e.listener.Traffic().State()),
 		Policies:      e.dispatcher.PolicyState(),
 		Complete:      e.configurer.Complete(),
+		StoreEra:      carawaybeam.StoreVersion(e.configurer.Complete()).Era(),
 		Classes:       e.configurer.ClassStates(),
 		Peers:         e.replicator.Peers(),
 		Dispatcher:    e.dispatcher.State(),
