--- a/clock/pulse_test.go
+++ b/clock/watchdog_test.go
@@ -11,14 +11,14 @@
 	"github.com/carawaybeam/carawaybeam/clock"
 )
 
-// TestPulse checks that a process counts as suspended until a moment after it runs again.
-func TestPulse(t *testing.T) {
+// TestWatchdog checks that a process counts as suspended until a moment after it runs again.
+func TestWatchdog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		start := time.Now()
 		// The clock goes on while the process is suspended.
 		var suspended atomic.Int64
-		p := clock.NewPulse(func() time.Duration {
+		p := clock.NewWatchdog(func() time.Duration {
 			return time.Since(start) + time.Duration(suspended.Load())
 		})
 		defer func() { is.NoErr(p.Close()) }()
--- a/cmd/cbagent/main.go
+++ b/cmd/cbagent/main.go
@@ -105,14 +105,14 @@
 		return err
 	}
 	incarnation := carawaybeam.NewIncarnation()
-	pulse := clock.NewPulse(clock.SinceBoot)
-	d.closers.Add(pulse)
+	watchdog := clock.NewWatchdog(clock.SinceBoot)
+	d.closers.Add(watchdog)
 	d.executor = executor.New(executor.Options{
 		Backend:     backend,
 		BackendID:   d.settings.Backend.ID,
 		Incarnation: incarnation,
 		Concurrency: d.settings.Backend.Concurrency,
-		Suspended:   pulse.Suspended,
+		Suspended:   watchdog.Suspended,
 		Log:         d.log,
 	})
 	d.closers.Add(d.executor)
