Send what was written of an answer that breaks off, refuse a too large body at once

A stream that broke off behind its first event closed its connection with that event still buffered, so that its client got no byte and could not resume: the acceptor now flushes first. And since a chunked body over the limit was refused only once the client sent more, as the wrapped ResponseWriter hid that of the server from http.MaxBytesReader.

TestPartOfAnswerIsSent and TestTooLargeIsRefusedAtOnce failed before. The tests of crossing requests count as trials only those that were read; the one of a stop now has them arrive as the listener closes, 8 of 8 read, where before it had 0 to 4.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -117,6 +117,8 @@
 		a.keeper.Interrupted(r.Context(), request.ID, failure, false)
 		return
 	}
+	// What was written may still be buffered. The client needs it in order to resume.
+	_ = answer.Flush()
 	a.keeper.Interrupted(r.Context(), request.ID, failure, true)
 	// Abort the connection, so that the incomplete answer does not look complete.
 	panic(http.ErrAbortHandler)
@@ -135,7 +137,7 @@
 	if r.ContentLength > limit {
 		return request, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
-	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	request.Body, err = io.ReadAll(http.MaxBytesReader(unwrap(w), r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return request, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
@@ -146,6 +148,18 @@
 	return request, nil
 }
 
+// unwrap returns the ResponseWriter of the HTTP server, which http.MaxBytesReader needs in order
+// to end the connection without waiting for the rest of the body.
+func unwrap(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
 // writeFailure answers a request with an error. An error means that the client has not
 // received the answer.
 func (a *Acceptor) writeFailure(answer *answerWriter, failure *carawaybeam.RequestError) error {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -146,6 +146,38 @@
 	is.True(err != nil)
 }
 
+// TestPartOfAnswerIsSent guards against closing the connection of a request before the part of the
+// answer that was written has been sent.
+func TestPartOfAnswerIsSent(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, func(
+		_ context.Context, _ *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+	) *carawaybeam.RequestError {
+		_ = w.Head(http.StatusOK, http.Header{}, -1)
+		_, _ = w.Write([]byte("id: 1\n\n"))
+		return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown}
+	})
+	response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
+	part, err := io.ReadAll(response.body)
+	is.True(err != nil)
+	is.Equal(string(part), "id: 1\n\n")
+}
+
+// TestTooLargeIsRefusedAtOnce guards against waiting for the rest of a body that is too large.
+func TestTooLargeIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, address := newAcceptor(t, echoBody)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\n"+head+"Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n")
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(3 * time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusRequestEntityTooLarge)
+}
+
 // TestPanicIsAnswered guards against a panic that closes the connection of a request without
 // any answer.
 func TestPanicIsAnswered(t *testing.T) {
--- a/acceptor/idle_test.go
+++ b/acceptor/idle_test.go
@@ -35,6 +35,8 @@
 	observedListener struct {
 		net.Listener
 		beforeClose func()
+		// beforeStop is called before the listener is closed.
+		beforeStop func()
 		// arrived receives the client's address at each read that returned data.
 		arrived chan string
 	}
@@ -81,6 +83,11 @@
 	return &observedConn{Conn: conn, listener: l}, nil
 }
 
+func (l *observedListener) Close() error {
+	l.beforeStop()
+	return l.Listener.Close()
+}
+
 func (c *observedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
@@ -142,8 +149,9 @@
 	})
 }
 
-// cross lets the next request arrive on all connections just as the first of them is closed,
-// and checks that what was read or passed on is answered. closeIdle begins to close them.
+// cross lets the next request arrive on all connections just as the first of them, or the
+// listener, is closed, and checks that what was read or passed on is answered. closeIdle begins
+// to close them.
 func cross(t *testing.T, f *passedOn, closeIdle func(*acceptor.Acceptor)) {
 	t.Helper()
 	const (
@@ -159,6 +167,7 @@
 	var crossing sync.Once
 	ready := make(chan struct{})
 	var received sync.Map
+	listener.beforeStop = func() { listener.beforeClose() }
 	listener.beforeClose = func() {
 		<-ready
 		crossing.Do(func() {
@@ -197,15 +206,18 @@
 	}
 	// A request may still be on its way through the server when its client sees the close.
 	time.Sleep(patience)
-	violations := 0
+	trials, violations := 0, 0
 	for i := range conns {
 		_, read := received.Load(conns[i].LocalAddr().String())
+		if read {
+			trials++
+		}
 		if passed := f.has(fmt.Sprint("second-", i)); unanswered[i] && (read || passed) {
 			t.Logf("request second-%d got no answer: read %t, passed on %t", i, read, passed)
 			violations++
 		}
 	}
-	prover.Report(t, prover.ReadIsAnswered, connections, violations)
+	prover.Report(t, prover.ReadIsAnswered, trials, violations)
 }
 
 // TestPromiseRequestsAroundIdleLimit guards against passing requests on that are cut off as their
