Look before an idle connection is ended, keep idle limits and Drain exact

Found in review, each with a test in package keeper that failed before: - The last read had a deadline of 1 ms and returned without a look if that passed first, as in a process that is suspended (TestLastReadLooks). It now reads without waiting. - The server ended idle connections of the linked path after the time to read a request, 30 s in place of 2 min, since net/http takes one for the other (TestIdleLimitExceedsReadTimeout). - Over TLS, a Drain waited for connections that had sent no request, since the handshake counted as the beginning of one (TestDrainOverTLS). - A request whose header had arrived behind an earlier one had to send its body within the limit for the header (TestPipelinedBody). - A panic outside of the dispatcher or forwarder closed the connection (TestPanicIsAnswered). TestRequestBeforeLateTimeout did not reach the code it guards, as its fault hit a read of the HTTP server; TestSilentConnection guards the limit for the first request, which nothing did.

--- a/keeper/conn.go
+++ b/keeper/conn.go
@@ -6,11 +6,13 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
 const (
-	// lastReadTime is how long the last read of an idle connection waits.
+	// lastReadTime is how long the last read of an idle connection waits if the
+	// connection has no file descriptor.
 	lastReadTime = time.Millisecond
 
 	// firstRequestTime is how long a new connection may take to send its first request
@@ -55,17 +57,21 @@
 // readIdle reads the first bytes of the next request.
 func (c *conn) readIdle(p []byte) (int, error) {
 	for {
-		last := c.setIdleDeadline()
-		n, err := c.Conn.Read(p)
+		cause, ending := c.setIdleDeadline()
+		read := c.Conn.Read
+		if ending {
+			read = c.readAvailable
+		}
+		n, err := read(p)
 		switch {
 		case n > 0:
-			c.setActive()
+			c.received()
 			return n, err
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.fail(err, CauseReadTimeout)
 			return n, err
-		case last != "":
-			c.setEnd(End{By: PartyEntry, Cause: last})
+		case ending:
+			c.setEnd(End{By: PartyEntry, Cause: cause})
 			return 0, io.EOF
 		case c.readDeadlinePassed():
 			return n, err
@@ -73,36 +79,70 @@
 	}
 }
 
-// setIdleDeadline sets the deadline of the next read. If it is the last one before the
-// connection is ended, setIdleDeadline returns the cause.
-func (c *conn) setIdleDeadline() Cause {
+// readAvailable reads what has arrived. It returns os.ErrDeadlineExceeded if there is nothing.
+// A read with a deadline may return without having looked, if the deadline passes first.
+func (c *conn) readAvailable(p []byte) (int, error) {
+	descriptor, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+		return c.Conn.Read(p)
+	}
+	raw, err := descriptor.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var n int
+	for {
+		// A deadline that wake sets meanwhile ends the read before it has looked.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		var readErr error
+		err := raw.Read(func(fd uintptr) bool {
+			for n, readErr = syscall.Read(int(fd), p); errors.Is(readErr, syscall.EINTR); {
+				n, readErr = syscall.Read(int(fd), p)
+			}
+			return true
+		})
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			continue
+		case err != nil:
+			return 0, err
+		case errors.Is(readErr, syscall.EAGAIN):
+			return 0, os.ErrDeadlineExceeded
+		case readErr != nil:
+			return 0, readErr
+		case n == 0:
+			return 0, io.EOF
+		}
+		return n, nil
+	}
+}
+
+// setIdleDeadline sets the deadline of the next read. If the idle time is over, it reports so
+// and returns the cause for which the connection is to be ended.
+func (c *conn) setIdleDeadline() (cause Cause, ending bool) {
 	limit := c.keeper.idleLimit()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	var deadline time.Time
-	var last Cause
+	var end time.Time
 	switch {
 	case c.keeper.draining.Load():
-		last = CauseStopped
+		cause, end = CauseStopped, time.Now()
 		if c.fresh {
-			deadline = c.accepted.Add(firstRequestTime)
+			end = c.accepted.Add(firstRequestTime)
 		}
-	case c.fresh || c.idleLimit <= 0 || limit <= 0:
-	default:
-		last, deadline = CauseIdle, c.idleSince.Add(max(c.idleLimit, limit))
+	case !c.fresh && c.idleLimit > 0 && limit > 0:
+		cause, end = CauseIdle, c.idleSince.Add(max(c.idleLimit, limit))
 	}
-	if last != "" && deadline.After(now) {
-		last = ""
-	} else if last != "" {
-		deadline = now.Add(lastReadTime)
+	if !end.IsZero() && !end.After(time.Now()) {
+		return cause, true
 	}
-	if !c.readDeadline.IsZero() && (deadline.IsZero() || c.readDeadline.Before(deadline)) {
-		deadline = c.readDeadline
+	if !c.readDeadline.IsZero() && (end.IsZero() || c.readDeadline.Before(end)) {
+		end = c.readDeadline
 	}
 	// An error means that the connection is closed, which Read reports.
-	_ = c.Conn.SetReadDeadline(deadline)
-	return last
+	_ = c.Conn.SetReadDeadline(end)
+	return "", false
 }
 
 func (c *conn) readDeadlinePassed() bool {
@@ -123,11 +163,12 @@
 	}
 }
 
-// setActive ends the idle time of the connection.
-func (c *conn) setActive() {
+// received ends the idle time of the connection as the first bytes of a request are read. Over
+// TLS bytes need not belong to a request, so that endIdle does it then.
+func (c *conn) received() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle {
+	if c.keeper.options.TLS != nil {
 		return
 	}
 	c.idle, c.fresh = false, false
@@ -139,6 +180,16 @@
 	_ = c.Conn.SetReadDeadline(deadline)
 }
 
+// endIdle ends the idle time of the connection once the header of a request has been read.
+func (c *conn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.idle, c.fresh = false, false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
 // wake lets an idle connection look at the state of its Keeper.
 func (c *conn) wake() {
 	c.mu.Lock()
--- a/keeper/end.go
+++ b/keeper/end.go
@@ -74,8 +74,7 @@
 		if cause == nil {
 			return
 		}
-		k.options.Log.Error().Str("request", string(request)).Str("panic", fmt.Sprint(cause)).
-			Str("stack", string(debug.Stack())).Msg(k.options.Component + ": handler panicked")
+		k.logPanic(request, cause)
 		failure = &carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeUnknown, Reason: carawaybeam.ReasonInternal, Detail: "the entry failed",
 		}
@@ -83,6 +82,12 @@
 	return serve()
 }
 
+// logPanic logs a panic of a handler with its stack. request is empty if it is not known.
+func (k *Keeper) logPanic(request carawaybeam.RequestID, cause any) {
+	k.options.Log.Error().Str("request", string(request)).Str("panic", fmt.Sprint(cause)).
+		Str("stack", string(debug.Stack())).Msg(k.options.Component + ": handler panicked")
+}
+
 // Interrupted logs and counts a request that was read and failed, if the client gets no
 // complete answer. ctx is the context of the request. begun tells that the client has a part
 // of the answer, which will not be completed.
--- a/keeper/idle_test.go
+++ b/keeper/idle_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -70,10 +72,13 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-func newService(idle time.Duration) *service {
+func newService(idle time.Duration) *service { return newServiceWith(idle, func(*keeper.Options) {}) }
+
+// newServiceWith returns a service whose options change modifies.
+func newServiceWith(idle time.Duration, change func(*keeper.Options)) *service {
 	s := &service{listener: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}}
 	s.idle.Store(int64(idle))
-	s.Keeper = keeper.New(s.listener, keeper.Options{
+	options := keeper.Options{
 		Component: "test", Scope: tally.NoopScope, Log: zerolog.Nop(),
 		IdleLimit:     func() time.Duration { return time.Duration(s.idle.Load()) },
 		HeaderTimeout: headerTimeout,
@@ -86,7 +91,9 @@
 			}
 			w.WriteHeader(http.StatusOK)
 		}),
-	})
+	}
+	change(&options)
+	s.Keeper = keeper.New(s.listener, options)
 	return s
 }
 
@@ -176,7 +183,9 @@
 }
 
 func (c *lateConn) Read(p []byte) (int, error) {
-	if c.late.CompareAndSwap(true, false) {
+	// The server reads a single byte while it handles a request.
+	if len(p) > 1 && c.late.CompareAndSwap(true, false) {
+		time.Sleep(time.Second)
 		return 0, os.ErrDeadlineExceeded
 	}
 	return c.Conn.Read(p)
@@ -194,11 +203,162 @@
 			conn.Conn = inner
 			return conn
 		})
+		conn.late.Store(true)
 		is.True(c.do())
 		time.Sleep(999 * time.Millisecond)
-		conn.late.Store(true)
 		is.True(c.do())
 		is.Equal(s.served.Load(), int64(2))
+		is.True(!conn.late.Load())
+	})
+}
+
+// slowConn is a connection of a process that runs again only some time after it has set a
+// deadline, when the deadline may have passed.
+type slowConn struct {
+	*net.TCPConn
+	afterDeadline func()
+}
+
+func (c *slowConn) SetReadDeadline(deadline time.Time) error {
+	err := c.TCPConn.SetReadDeadline(deadline)
+	c.afterDeadline()
+	return err
+}
+
+// TestLastReadLooks guards against closing a connection as idle without having looked for a
+// request that has arrived, as a read does whose deadline has passed.
+func TestLastReadLooks(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var sent atomic.Bool
+	near, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = near.Close() }()
+	accepted, err := inner.Accept()
+	is.NoErr(err)
+	is.NoErr(inner.Close())
+	var answeredAt atomic.Int64
+	far := &slowConn{TCPConn: accepted.(*net.TCPConn), afterDeadline: func() {
+		at := answeredAt.Load()
+		if at == 0 || time.Since(time.Unix(0, at)) < idle || !sent.CompareAndSwap(false, true) {
+			return
+		}
+		// The idle time is over, and the request arrives before the last read.
+		_, _ = io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(10 * time.Millisecond)
+	}}
+	s := newService(idle)
+	defer s.close()
+	s.listener.accepted <- far
+	c := &client{Conn: near, reader: bufio.NewReader(near)}
+	is.True(c.do())
+	answeredAt.Store(time.Now().UnixNano())
+	response, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(sent.Load())
+}
+
+// TestSilentConnection guards against a new connection that never sends a request and is never
+// ended.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(time.Minute)
+		defer s.close()
+		is.Equal(s.connect(nil).closedAfter(), headerTimeout)
+	})
+}
+
+// TestIdleLimitExceedsReadTimeout guards against the limit for reading a request that ends idle
+// connections.
+func TestIdleLimitExceedsReadTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newServiceWith(time.Minute, func(o *keeper.Options) { o.ReadTimeout = headerTimeout })
+		defer s.close()
+		c := s.connect(nil)
+		is.True(c.do())
+		is.Equal(c.closedAfter(), time.Minute)
+	})
+}
+
+// TestDrainOverTLS guards against a Drain that waits for connections that have completed their
+// handshake and sent no request.
+func TestDrainOverTLS(t *testing.T) {
+	is := is.New(t)
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	k := keeper.New(listener, keeper.Options{
+		Component: "test", Scope: tally.NoopScope, Log: zerolog.Nop(), HeaderTimeout: time.Minute,
+		Handler: http.NotFoundHandler(), TLS: &tls.Config{Certificates: certified.TLS.Certificates},
+	})
+	defer func() { is.NoErr(k.Close()) }()
+	conns := make([]*tls.Conn, 2)
+	for i := range conns {
+		//nolint:gosec // The certificate is that of the test.
+		conns[i], err = tls.Dial("tcp", listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+		is.NoErr(err)
+		defer func() { _ = conns[i].Close() }()
+	}
+	c := &client{Conn: conns[1], reader: bufio.NewReader(conns[1])}
+	is.True(c.do())
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.NoErr(k.Drain(ctx))
+}
+
+// TestPanicIsAnswered guards against a panic that closes the connection of a request without any
+// answer, wherever it occurs in the handler.
+func TestPanicIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newServiceWith(time.Minute, func(o *keeper.Options) {
+			o.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("fault of the test") })
+		})
+		defer s.close()
+		c := s.connect(nil)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.StatusCode, http.StatusInternalServerError)
+	})
+}
+
+// TestPipelinedBody guards against a limit for the header that ends a request whose header had
+// arrived before the connection became idle.
+func TestPipelinedBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newServiceWith(time.Minute, func(o *keeper.Options) {
+			o.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err != nil {
+					w.WriteHeader(http.StatusBadRequest)
+				}
+			})
+		})
+		defer s.close()
+		c := s.connect(nil)
+		go func() {
+			_, _ = io.WriteString(
+				c,
+				"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\naPOST / HTTP/1.1\r\nHost: h\r\n"+
+					"Content-Length: 1\r\n\r\n",
+			)
+			time.Sleep(2 * headerTimeout)
+			_, _ = io.WriteString(c, "b")
+		}()
+		for range 2 {
+			response, err := http.ReadResponse(c.reader, nil)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(response.StatusCode, http.StatusOK)
+		}
 	})
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -101,9 +101,12 @@
 		Handler:           http.HandlerFunc(k.serveHTTP),
 		ReadHeaderTimeout: options.HeaderTimeout,
 		ReadTimeout:       options.ReadTimeout,
-		MaxHeaderBytes:    options.HeaderBytes,
-		ErrorLog:          starter.NewConnectionLog(options.Log, options.Component),
-		BaseContext:       func(net.Listener) context.Context { return ctx },
+		// Without a value of its own, the server would end idle connections after
+		// ReadTimeout.
+		IdleTimeout:    -1,
+		MaxHeaderBytes: options.HeaderBytes,
+		ErrorLog:       starter.NewConnectionLog(options.Log, options.Component),
+		BaseContext:    func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, unwrap(c))
 		},
@@ -128,9 +131,24 @@
 	k.checkDrained()
 }
 
-// serveHTTP passes a request to the handler.
+// serveHTTP passes a request to the handler. It answers a request whose handler panics.
 func (k *Keeper) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	k.options.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, keeper: k}, r)
+	answer := &responseWriter{ResponseWriter: w, keeper: k}
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			panic(http.ErrAbortHandler)
+		}
+		k.logPanic("", cause)
+		if answer.headWritten {
+			panic(http.ErrAbortHandler)
+		}
+		http.Error(answer, "the entry failed", http.StatusInternalServerError)
+	}()
+	k.options.Handler.ServeHTTP(answer, r)
 }
 
 // WriteHeader writes the head of the answer. The answers of a process that is leaving close
@@ -204,11 +222,11 @@
 	k.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	drained := k.endIdle(ctx)
+	inUse := errors.Is(k.endIdle(ctx), context.DeadlineExceeded)
 	err := k.http.Close()
 	<-k.stopped
-	if errors.Is(drained, context.DeadlineExceeded) {
-		k.options.Log.Warn().Msg(k.options.Component + ": connections were closed while they were in use")
+	if inUse {
+		k.options.Log.Warn().Msg(k.options.Component + ": connections were closed that had not ended by themselves")
 	}
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -269,7 +287,7 @@
 	case http.StateIdle:
 		c.setIdle()
 	case http.StateActive:
-		c.setActive()
+		c.endIdle()
 	}
 }
 
