Let a reader cancel an attempt only if it is the last one

What callers saw (linked path): two requests that share an attempt, as with one ticket sent twice; when the caller of the first one left, the other one got an error of unknown outcome. Cause: a cancel stopped the attempt without a look at its other readers, and an abandoned attempt was checked and stopped in two steps. Both now take place in one step under the attempt's lock. TestCancelLeavesOtherReaders failed before.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -243,6 +243,34 @@
 	}
 }
 
+// TestCancelLeavesOtherReaders guards against a reader that cancels an attempt which another one
+// still waits for.
+func TestCancelLeavesOtherReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, link := newLinkTo(t, executor.Options{
+			Backend: delayedBackend{after: time.Second}, Incarnation: "i", Concurrency: 64, Log: zerolog.Nop(),
+		})
+		first, err := link.Open(t.Context())
+		is.NoErr(err)
+		sent := dispatch("a.1", "k")
+		sent.GetDispatch().Idempotent = true
+		is.NoErr(first.Send(sent))
+		answer := make(chan *framer.Frame, 1)
+		go func() {
+			again := dispatch("a.2", "k")
+			again.GetDispatch().Idempotent = true
+			again.GetDispatch().Body = []byte("a.1")
+			answer <- exchange(t, link, again, "a.2")
+		}()
+		time.Sleep(500 * time.Millisecond)
+		cancel := &framer.Cancel{Attempt: "a.1"}
+		is.NoErr(first.Send(&framer.Frame{Body: &framer.Frame_Cancel{Cancel: cancel}}))
+		is.True((<-answer).GetTail() != nil)
+		is.NoErr(first.Close())
+	})
+}
+
 // TestLinkLostTwiceIsNoAbandonment checks that a request is not cancelled between two links
 // of its entry because an earlier link was lost some time before.
 func TestLinkLostTwiceIsNoAbandonment(t *testing.T) {
--- a/executor/serve.go
+++ b/executor/serve.go
@@ -73,7 +73,7 @@
 		if frame.GetCancel().GetAttempt() == id {
 			a.acknowledge(id)
 			if a.idempotent {
-				a.stop()
+				a.stopForLastReader()
 			}
 			return
 		}
@@ -100,16 +100,26 @@
 	case <-e.ctx.Done():
 		return
 	}
-	if a.isAbandoned() {
+	a.stopIfAbandoned()
+}
+
+// stopIfAbandoned stops the attempt if it has had no readers for abandonTimeout.
+func (a *attempt) stopIfAbandoned() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.readers == 0 && time.Since(a.lastDetached) >= abandonTimeout {
 		a.stop()
 	}
 }
 
-// isAbandoned reports whether the attempt has had no readers for abandonTimeout.
-func (a *attempt) isAbandoned() bool {
+// stopForLastReader stops the attempt on behalf of one of its readers, unless another one is
+// attached.
+func (a *attempt) stopForLastReader() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.readers == 0 && time.Since(a.lastDetached) >= abandonTimeout
+	if a.readers <= 1 {
+		a.stop()
+	}
 }
 
 // stop cancels the request to the backend server.
