--- a/keeper/conn.go
+++ b/keeper/conn.go
@@ -21,7 +21,7 @@
 )
 
 // conn is the connection of a client. It is idle until a byte of the next request has been
-// read.
+// read, or its header over TLS, where not all bytes belong to requests.
 type conn struct {
 	net.Conn
 	keeper   *Keeper
@@ -164,7 +164,7 @@
 }
 
 // received ends the idle time of the connection as the first bytes of a request are read. Over
-// TLS bytes need not belong to a request, so that endIdle does it then.
+// TLS endIdle does it.
 func (c *conn) received() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
