Log why a request that was running in crashes is sent

The logs named the requests of each crash and those that were refused, but not why one was let pass: whether its crashes were explained by another request, cleared by an answer, acquitted by an attempt of its own or not recorded at all.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -227,6 +227,9 @@
 	switch {
 	case s.crash == "" || ending == Abandoned:
 	case !r.afterCrash:
+		d.options.Log.Info().Str("crash", string(s.crash)).Str("request", string(r.request)).
+			Stringer("fingerprint", r.fingerprint).Bool("received", ending != NotReceived).
+			Msg("detector: crash does not count against request")
 		d.options.Quarantiner.Acquit(r.fingerprint, s.crash)
 	case ending == Answered:
 		d.options.Log.Warn().Str("crash", string(s.crash)).Str("request", string(r.request)).
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -255,6 +255,16 @@
 	return carawaybeam.Tokens(len(request.Body) / bytesPerToken)
 }
 
+// logCrashes logs why the request is sent although it was running in crashes.
+func (d *Dispatcher) logCrashes(request Request) {
+	assessment := d.options.Quarantiner.Assess(request.fingerprint())
+	if !assessment.HasCrashes() {
+		return
+	}
+	d.options.Log.Info().Str("request", string(request.ID)).Stringer("fingerprint", request.fingerprint()).
+		EmbedObject(assessment).Msg("dispatcher: request that was running in crashes is sent")
+}
+
 // serve runs the attempts of an admitted request and returns its error.
 func (d *Dispatcher) serve(ctx context.Context, request Request, w AnswerWriter) *carawaybeam.RequestError {
 	p := &progress{answer: &answerState{writer: w}}
@@ -269,6 +279,7 @@
 	}
 	for number := 1; ; number++ {
 		delivered := p.answer.written
+		d.logCrashes(request)
 		failure, backend := d.attempt(ctx, request, number, p)
 		if d.options.Recorder != nil {
 			d.options.Recorder.Attempted(request.ID, number, backend, failure)
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -150,6 +150,7 @@
 	defer func() { f.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
 	f.options.Retrier.CountFirstAttempt(now, admit.Class.ID)
 	for {
+		f.logCrashes(p)
 		r := f.attempt(ctx, p, decision)
 		if r.failure == nil && r.held == nil {
 			f.options.Quarantiner.Clear(p.fingerprint)
@@ -477,6 +478,17 @@
 	return p.writer.Flush()
 }
 
+// logCrashes logs why the request is sent although it was running in crashes.
+func (f *Forwarder) logCrashes(p *pendingRequest) {
+	assessment := f.options.Quarantiner.Assess(p.fingerprint)
+	if !assessment.HasCrashes() {
+		return
+	}
+	f.options.Log.Info().Str("request", string(p.request.ID)).Str("fingerprint", p.fingerprint.String()).
+		EmbedObject(assessment).Bool("shared", f.options.CrashesShared(p.fingerprint)).
+		Msg("forwarder: request that was running in crashes is sent")
+}
+
 // logAttempt logs an attempt that failed.
 func (f *Forwarder) logAttempt(p *pendingRequest, instance carawaybeam.Instance, began time.Time, r result) {
 	if r.failure == nil && r.held == nil {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/carawaybeam/carawaybeam/framer"
 )
 
@@ -79,9 +81,24 @@
 		changed     chan struct{}
 	}
 
+	// Assessment tells why a request is treated as it is.
+	Assessment struct {
+		Status Status
+		// Counted is the number of crashes that count against the request. Explained is
+		// how many of them a quarantined request was running in as well.
+		Counted, Explained int
+		// Cleared is the number of crashes that do not count, because the request was
+		// answered since or did not run in them.
+		Cleared int
+		// Dropped is how often a crash was not recorded for want of room.
+		Dropped int
+	}
+
 	// suspect is a request that was running in at least one crash.
 	suspect struct {
-		records   []Record
+		records []Record
+		// dropped is how often a crash found no room in records.
+		dropped   int
 		lastCrash time.Time
 		// recorded is when the last crash was added to records here.
 		recorded time.Time
@@ -159,7 +176,10 @@
 	}
 	i := slices.IndexFunc(known.records, func(other Record) bool { return other.Crash == r.Crash })
 	switch {
-	case i >= 0 && (known.records[i].Cleared || !r.Cleared), i < 0 && len(known.records) >= maxCrashes:
+	case i >= 0 && (known.records[i].Cleared || !r.Cleared):
+		return false
+	case i < 0 && len(known.records) >= maxCrashes:
+		known.dropped++
 		return false
 	case i >= 0:
 		known.records[i].Cleared = true
@@ -238,6 +258,56 @@
 	return Suspect
 }
 
+// Assess returns why a request is treated as it is.
+func (q *Quarantiner) Assess(fingerprint Fingerprint) Assessment {
+	a := Assessment{Status: q.Status(fingerprint)}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known, ok := q.suspects[fingerprint]
+	if !ok {
+		return a
+	}
+	crashes := known.counted()
+	a.Counted, a.Cleared, a.Dropped = len(crashes), len(known.records)-len(crashes), known.dropped
+	for _, crash := range crashes {
+		if q.isExplained(fingerprint, crash) {
+			a.Explained++
+		}
+	}
+	return a
+}
+
+// isExplained reports whether another request that is quarantined was running in a crash.
+// The caller holds mu.
+func (q *Quarantiner) isExplained(fingerprint Fingerprint, crash CrashID) bool {
+	for culprit := range q.quarantined {
+		if s, ok := q.suspects[culprit]; ok && culprit != fingerprint && slices.Contains(s.counted(), crash) {
+			return true
+		}
+	}
+	return false
+}
+
+// HasCrashes reports whether the request was running in a crash, whether or not it counts.
+func (a Assessment) HasCrashes() bool { return a.Counted+a.Cleared+a.Dropped > 0 }
+
+// MarshalZerologObject adds the assessment to a log line.
+func (a Assessment) MarshalZerologObject(e *zerolog.Event) {
+	e.Stringer("status", a.Status).Int("counted", a.Counted).Int("explained", a.Explained).
+		Int("cleared", a.Cleared).Int("dropped", a.Dropped)
+}
+
+// String returns the name of the status in logs.
+func (s Status) String() string {
+	switch s {
+	case Suspect:
+		return "suspect"
+	case Quarantined:
+		return "quarantined"
+	}
+	return "clear"
+}
+
 // Crashes returns the crashes that count against a request.
 func (q *Quarantiner) Crashes(fingerprint Fingerprint) []CrashID {
 	q.mu.Lock()
