--- a/dispatcher/promise_test.go
+++ b/dispatcher/promise_test.go
@@ -450,6 +450,38 @@
 	}.run(t)
 }
 
+// TestPromisePoisonRequestsTogether guards against a poison request being sent on because others
+// are sent at the same time, always or in turn, beside requests that are answered.
+func TestPromisePoisonRequestsTogether(t *testing.T) {
+	promiseTest{
+		promise: prover.PoisonRequest,
+		generate: func(s *script) {
+			const span = 60 * time.Second
+			poisons := 2 + s.random.IntN(5)
+			for i := range poisons {
+				s.add(0, assembler.Event{Do: assembler.ActionPoison, Body: fmt.Sprintf("poison%d", i)})
+			}
+			for at := time.Second; at < span; at += 200*time.Millisecond + s.within(2*time.Second) {
+				for i := range poisons {
+					if s.random.IntN(3) > 0 {
+						s.add(at+s.within(20*time.Millisecond), assembler.Event{
+							Do: assembler.ActionRequest, Entry: s.entry(),
+							Class: assembler.ClassLookups, Body: fmt.Sprintf("poison%d", i),
+						})
+					}
+				}
+				for i := range 4 {
+					s.add(at+s.within(time.Second), assembler.Event{
+						Do: assembler.ActionRequest, Entry: s.entry(),
+						Class: assembler.ClassLookups, Body: fmt.Sprint("popular", i),
+					})
+				}
+			}
+		},
+		violations: func(v assembler.Evaluation) int { return max(0, v.MostLateCrashes-3) },
+	}.run(t)
+}
+
 // TestPromisePoisonRequestPopular guards against the quarantine of a popular request that
 // backend servers answer all the time, after it was running in crashes that it did not
 // cause. Callers send the same request through all entries while backend servers crash.
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -39,13 +40,15 @@
 		// request, or 0 if it stays down until Recover.
 		restart time.Duration
 
-		mu         sync.Mutex
-		runs       map[string]int
-		attempts   map[carawaybeam.AttemptID]int
-		starts     []time.Time
-		down       bool
-		crashes    []time.Time
-		poison     string
+		mu       sync.Mutex
+		runs     map[string]int
+		attempts map[carawaybeam.AttemptID]int
+		starts   []time.Time
+		down     bool
+		crashes  []time.Time
+		// poison holds the bodies that crash the backend server, with the times at which
+		// they did.
+		poison     map[string][]time.Time
 		answersCut chan struct{}
 	}
 
@@ -75,6 +78,7 @@
 		restart:    restart,
 		runs:       make(map[string]int),
 		attempts:   make(map[carawaybeam.AttemptID]int),
+		poison:     make(map[string][]time.Time),
 		answersCut: make(chan struct{}),
 	}
 }
@@ -117,12 +121,18 @@
 	return slices.Clone(b.crashes)
 }
 
-// Poison makes requests with the body crash the backend server. It replaces an
-// earlier poison body.
+// Poison makes requests with the body crash the backend server.
 func (b *Backend) Poison(body string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.poison = body
+	b.poison[body] = nil
+}
+
+// CrashesBy returns the times at which each poison request crashed the backend server.
+func (b *Backend) CrashesBy() map[string][]time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.poison)
 }
 
 // Crash ends all answers in flight with an error and refuses requests until
@@ -171,7 +181,8 @@
 	b.runs[body]++
 	b.attempts[call.Attempt]++
 	b.starts = append(b.starts, time.Now())
-	if b.poison != "" && body == b.poison {
+	if crashes, ok := b.poison[body]; ok {
+		b.poison[body] = append(crashes, time.Now())
 		b.crash()
 		if b.restart > 0 {
 			time.AfterFunc(b.restart, b.Recover)
--- a/fakes/assembler/evaluation.go
+++ b/fakes/assembler/evaluation.go
@@ -7,9 +7,16 @@
 	"github.com/carawaybeam/carawaybeam"
 )
 
-// maxRefusalTime is the maximum time in which an entry may refuse a request
-// that is known to be a poison request.
-const maxRefusalTime = 100 * time.Millisecond
+const (
+	// maxRefusalTime is the maximum time in which an entry may refuse a request
+	// that is known to be a poison request.
+	maxRefusalTime = 100 * time.Millisecond
+
+	// provenCrashes is the number of crashes by which a poison request is known, and
+	// stableWindow the time in which all processes learn of them.
+	provenCrashes = 3
+	stableWindow  = 3 * time.Second
+)
 
 // Evaluation holds the results of a replay, checked against what the backend
 // servers ran.
@@ -45,6 +52,9 @@
 	SlowQuarantines int
 	// Crashes counts crashes of backend servers.
 	Crashes int
+	// MostLateCrashes is the maximum number of crashes by one poison request later than
+	// stableWindow after it had crashed provenCrashes backend servers.
+	MostLateCrashes int
 	// LateStarts counts requests that a backend server started more than 3 s
 	// after its agent began to stop.
 	LateStarts int
@@ -101,6 +111,22 @@
 	if len(crashes) > 1 {
 		e.secondCrash = crashes[1]
 	}
+	by := make(map[string][]time.Time)
+	for _, slot := range a.Slots {
+		for body, crashes := range slot.Backend.CrashesBy() {
+			by[body] = append(by[body], crashes...)
+		}
+	}
+	for _, crashes := range by {
+		slices.SortFunc(crashes, time.Time.Compare)
+		late := 0
+		for i, crash := range crashes {
+			if i >= provenCrashes && crash.Sub(crashes[provenCrashes-1]) > stableWindow {
+				late++
+			}
+		}
+		e.MostLateCrashes = max(e.MostLateCrashes, late)
+	}
 }
 
 func (e *Evaluation) count(a *Assembler, s *SentRequest) {
--- /dev/null
+++ b/quarantiner/history_test.go
@@ -0,0 +1,161 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam/quarantiner"
+)
+
+const (
+	// A request that has crashed provenCrashes backend servers may run at most maxLateRuns
+	// times later than stableWindow after that.
+	provenCrashes = 3
+	maxLateRuns   = 3
+	stableWindow  = 3 * time.Second
+
+	poolSize   = 3
+	returnTime = 4 * time.Second
+
+	// popular is the number of requests that are sent again and again and are answered.
+	popular = 8
+)
+
+type (
+	// history is a random history of a pool whose backend servers crash all at once and
+	// return under new identifiers. Several processes send requests to it.
+	history struct {
+		random    *rand.Rand
+		processes []*quarantiner.Quarantiner
+		// culprits crash each backend server that runs them.
+		culprits []quarantiner.Fingerprint
+		crashes  int
+		crashed  map[quarantiner.Fingerprint][]time.Time
+		late     map[quarantiner.Fingerprint]int
+	}
+)
+
+func newHistory(seed uint64, evidence quarantiner.Evidence) *history {
+	random := rand.New(rand.NewPCG(seed, 0))
+	h := &history{
+		random: random, crashed: make(map[quarantiner.Fingerprint][]time.Time),
+		late: make(map[quarantiner.Fingerprint]int),
+	}
+	for range 1 + random.IntN(5) {
+		h.processes = append(h.processes, quarantiner.New(evidence))
+	}
+	for i := range 1 + random.IntN(6) {
+		h.culprits = append(h.culprits, quarantiner.Fingerprint(fmt.Sprintf("%d culprit", random.IntN(3)*10+i)))
+	}
+	return h
+}
+
+// share merges the records of all processes, in a random order.
+func (h *history) share() {
+	for range 2 {
+		for _, i := range h.random.Perm(len(h.processes)) {
+			for _, j := range h.random.Perm(len(h.processes)) {
+				records, _ := h.processes[i].Records()
+				h.processes[j].Merge(records)
+			}
+		}
+	}
+}
+
+// run sends a request to a backend server through a process, unless that refuses it.
+func (h *history) run(process int, f quarantiner.Fingerprint, running map[quarantiner.Fingerprint]int) bool {
+	if h.processes[process].Status(f) == quarantiner.Quarantined {
+		return false
+	}
+	running[f] = process
+	return true
+}
+
+// wave lets each backend server of the pool run requests, and crash if one of them is a
+// culprit. A culprit that all send together comes to each of them.
+func (h *history) wave(n int, together bool) {
+	for range poolSize {
+		running := make(map[quarantiner.Fingerprint]int)
+		crash := false
+		for i, f := range h.culprits {
+			if !together && (i+n)%len(h.culprits) > 1 && h.random.IntN(3) > 0 {
+				continue
+			}
+			crash = h.run(h.random.IntN(len(h.processes)), f, running) || crash
+		}
+		for range h.random.IntN(4) {
+			f := quarantiner.Fingerprint(fmt.Sprint("popular", h.random.IntN(popular)))
+			if h.random.IntN(2) == 0 {
+				f = quarantiner.Fingerprint(fmt.Sprint("single", h.random.Uint64()))
+			}
+			h.run(h.random.IntN(len(h.processes)), f, running)
+		}
+		if crash {
+			h.crash(running)
+		}
+	}
+}
+
+// answerPopular answers some of the popular requests.
+func (h *history) answerPopular() {
+	for i := range popular {
+		if h.random.IntN(2) == 0 {
+			process := h.processes[h.random.IntN(len(h.processes))]
+			process.Clear(quarantiner.Fingerprint(fmt.Sprint("popular", i)))
+		}
+	}
+}
+
+// crash records that a backend server crashed.
+func (h *history) crash(running map[quarantiner.Fingerprint]int) {
+	h.crashes++
+	id := quarantiner.CrashID(fmt.Sprint(h.crashes))
+	for _, f := range slices.Sorted(maps.Keys(running)) {
+		h.processes[running[f]].Add(f, id)
+		if !slices.Contains(h.culprits, f) {
+			continue
+		}
+		times := h.crashed[f]
+		if len(times) >= provenCrashes && time.Since(times[provenCrashes-1]) > stableWindow {
+			h.late[f]++
+		}
+		h.crashed[f] = append(times, time.Now())
+	}
+}
+
+// TestRunsAreBounded guards against a request that crashes backend servers being let pass
+// without end, whatever else was running in its crashes and however long it goes on.
+func TestRunsAreBounded(t *testing.T) {
+	for name, evidence := range map[string]quarantiner.Evidence{
+		"complete": quarantiner.Complete, "partial": quarantiner.Partial,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(300) {
+				synctest.Test(t, func(t *testing.T) { checkHistory(t, seed, evidence) })
+			}
+		})
+	}
+}
+
+func checkHistory(t *testing.T, seed uint64, evidence quarantiner.Evidence) {
+	t.Helper()
+	h := newHistory(seed, evidence)
+	together := h.random.IntN(2) == 0
+	for n := range 40 {
+		h.wave(n, together)
+		time.Sleep(returnTime)
+		h.share()
+		h.answerPopular()
+	}
+	for _, f := range h.culprits {
+		if h.late[f] > maxLateRuns {
+			t.Errorf("seed %d, %d processes, %d culprits, together %t: %q ran %d times late and crashed %d in all",
+				seed, len(h.processes), len(h.culprits), together, string(f), h.late[f], len(h.crashed[f]))
+		}
+	}
+}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/platform/emulator"
@@ -35,6 +36,11 @@
 	crashingInterval = 250 * time.Millisecond
 	crashingMargin   = 6 * time.Second
 
+	// crowdSize is the number of crashing requests that are sent together, and crowdStream
+	// the stream of random numbers of their first sending.
+	crowdSize   = 6
+	crowdStream = 1 << 35
+
 	// idleStream is the stream of random numbers of the first idle caller.
 	idleStream = 1 << 34
 	// withinShare is the share of requests before which an idle caller stays within the
@@ -141,6 +147,32 @@
 	}
 }
 
+// runCrashingCrowd sends crowdSize requests that crash backend servers again and again, all at
+// the same time and beside one that is answered, each time through random entries.
+func (s *Soaker) runCrashingCrowd(ctx context.Context, path string) {
+	random := rand.New(rand.NewPCG(s.options.Seed, crowdStream))
+	end := s.history.finalPhaseStart().Add(-crashingMargin)
+	for n := 1; time.Now().Before(end); n++ {
+		var senders sync.WaitGroup
+		for i := range crowdSize + 1 {
+			id := fmt.Sprintf("%scrowd-%d-%d", emulator.CrashingID, s.options.Seed, i)
+			if i == crowdSize {
+				id = fmt.Sprintf("popular-%d", s.options.Seed)
+			}
+			e, own := s.pickEntry(random), rand.New(rand.NewPCG(s.options.Seed, crowdStream+uint64(n)))
+			senders.Go(func() {
+				if conn, err := emulator.Dial(ctx, e.callers); err == nil {
+					sent := sentRequest{id: emulator.RepetitionOf(id, n), path: path, connectedAt: time.Now()}
+					s.send(conn, own, e, sent)
+					_ = conn.Close()
+				}
+			})
+		}
+		senders.Wait()
+		time.Sleep(crashingInterval/2 + rand.N(crashingInterval))
+	}
+}
+
 // pickEntry returns a random ready entry, or any entry if none is ready.
 func (s *Soaker) pickEntry(random *rand.Rand) *daemon {
 	var ready []*daemon
--- a/soaker/crash_test.go
+++ b/soaker/crash_test.go
@@ -45,3 +45,35 @@
 	)
 	prover.Report(t, prover.PoisonRequest, len(paths), len(result.Violations))
 }
+
+// TestPromisePoisonTogether guards against a request that crashes backend servers being sent
+// on because others that do so are always sent at the same time.
+func TestPromisePoisonTogether(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+	defer cancel()
+	options, err := Prepare(ctx, "..", filepath.Join(t.TempDir(), "bin"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Directory, options.Entries, options.Callers = t.TempDir(), 5, 12
+	options.FaultWindow, options.CrashDowntime = 30*time.Second, 3*time.Second
+	result, err := run(ctx, options, []fault{
+		{kind: "crashingCrowd", target: 1},
+		{kind: "kill", target: 1, at: 9 * time.Second},
+		{kind: "kill", target: 3, at: 20 * time.Second},
+		{kind: "move", at: 14 * time.Second},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range result.Violations {
+		t.Log(v)
+	}
+	fmt.Printf(
+		"crashing together: %d requests, %d served, %d crashes\n",
+		result.Requests,
+		result.Served,
+		result.Crashes,
+	)
+	prover.Report(t, prover.PoisonRequest, 1, len(result.Violations))
+}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -175,6 +175,9 @@
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
 	}},
+	"crashingCrowd": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
+		s.runCrashingCrowd(ctx, paths[f.target])
+	}},
 	"move": {onConfig, func(ctx context.Context, s *Soaker, _ fault) {
 		s.reconfigure(ctx, func(c *emulator.Configuration) {
 			c.Routes = slices.Clone(c.Routes)
@@ -391,7 +394,7 @@
 			s.history.addProblem("request to the platform failed: " + err.Error())
 		}
 	})
-	time.Sleep(crashDowntime)
+	time.Sleep(max(crashDowntime, s.options.CrashDowntime))
 	if err := s.startServer(ctx, h, s.newName(pool), pool); err != nil {
 		s.history.addProblem("backend server failed to start: " + err.Error())
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -80,6 +80,9 @@
 		// IdleCallers is the number of callers that keep one connection each and leave
 		// it idle, up to the idle limit and beyond it.
 		IdleCallers int
+		// CrashDowntime is how long a backend server that was crashed by a request stays
+		// down, if that is longer than the default.
+		CrashDowntime time.Duration
 		// FaultWindow is the period in which faults begin.
 		FaultWindow time.Duration
 	}
