Let no crash that does not count keep out one that does

What callers saw: a request that crashes backend servers is sent to them again and again, long after it has crashed three.

Cause (H1 of the postmortem): the quarantine keeps eight crashes of a request. Those that were cleared took the room of later ones, so that the ninth was not recorded, and neither was any after it. The class of fault is a bounded memory whose oldest entries keep new ones out.

A new crash now replaces the least important one that is kept: a cleared one first, then the oldest. The order is the same in all processes, so that what they keep does not depend on the order in which they learn of crashes.

TestClearedCrashesLeaveRoom and TestRoomConverges failed before.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -27,7 +27,7 @@
 	retention = time.Hour
 
 	// maxSuspects is the maximum number of suspects that are kept, and maxCrashes
-	// the maximum number of crashes that are kept of one.
+	// the maximum number of crashes that are kept of one, the most important ones.
 	maxSuspects = 4096
 	maxCrashes  = 8
 
@@ -90,15 +90,11 @@
 		// Cleared is the number of crashes that do not count, because the request was
 		// answered since or did not run in them.
 		Cleared int
-		// Dropped is how often a crash was not recorded for want of room.
-		Dropped int
 	}
 
 	// suspect is a request that was running in at least one crash.
 	suspect struct {
-		records []Record
-		// dropped is how often a crash found no room in records.
-		dropped   int
+		records   []Record
 		lastCrash time.Time
 		// recorded is when the last crash was added to records here.
 		recorded time.Time
@@ -178,8 +174,7 @@
 	switch {
 	case i >= 0 && (known.records[i].Cleared || !r.Cleared):
 		return false
-	case i < 0 && len(known.records) >= maxCrashes:
-		known.dropped++
+	case i < 0 && !known.makeRoom(r):
 		return false
 	case i >= 0:
 		known.records[i].Cleared = true
@@ -195,6 +190,32 @@
 	return true
 }
 
+// makeRoom drops the least important record if there is no room for r, and reports whether
+// there is room now.
+func (s *suspect) makeRoom(r Record) bool {
+	if len(s.records) < maxCrashes {
+		return true
+	}
+	least := slices.MinFunc(s.records, compareImportance)
+	if compareImportance(r, least) < 0 {
+		return false
+	}
+	s.records = slices.DeleteFunc(s.records, func(other Record) bool { return other.Crash == least.Crash })
+	return true
+}
+
+// compareImportance orders records. Those that count are more important than cleared ones, and
+// newer ones than older ones. The order is the same in all processes.
+func compareImportance(a, b Record) int {
+	switch {
+	case a.Cleared && !b.Cleared:
+		return -1
+	case !a.Cleared && b.Cleared:
+		return 1
+	}
+	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Crash, b.Crash))
+}
+
 // Counts reports whether the record is recent enough to matter.
 func (r Record) Counts() bool { return time.Since(r.At) <= retention }
 
@@ -268,7 +289,7 @@
 		return a
 	}
 	crashes := known.counted()
-	a.Counted, a.Cleared, a.Dropped = len(crashes), len(known.records)-len(crashes), known.dropped
+	a.Counted, a.Cleared = len(crashes), len(known.records)-len(crashes)
 	for _, crash := range crashes {
 		if q.isExplained(fingerprint, crash) {
 			a.Explained++
@@ -289,12 +310,12 @@
 }
 
 // HasCrashes reports whether the request was running in a crash, whether or not it counts.
-func (a Assessment) HasCrashes() bool { return a.Counted+a.Cleared+a.Dropped > 0 }
+func (a Assessment) HasCrashes() bool { return a.Counted+a.Cleared > 0 }
 
 // MarshalZerologObject adds the assessment to a log line.
 func (a Assessment) MarshalZerologObject(e *zerolog.Event) {
 	e.Stringer("status", a.Status).Int("counted", a.Counted).Int("explained", a.Explained).
-		Int("cleared", a.Cleared).Int("dropped", a.Dropped)
+		Int("cleared", a.Cleared)
 }
 
 // String returns the name of the status in logs.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -134,6 +134,51 @@
 	})
 }
 
+// TestClearedCrashesLeaveRoom guards against a request being sent on without end after eight
+// crashes that do not count against it.
+func TestClearedCrashesLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	q := quarantiner.New(quarantiner.Partial)
+	for i := range 20 {
+		q.Add("g", quarantiner.CrashID(fmt.Sprint("cleared", i)))
+		q.Clear("g")
+	}
+	for i := range 4 {
+		q.Add("g", quarantiner.CrashID(fmt.Sprint(i)))
+		q.Add(quarantiner.Fingerprint(fmt.Sprint("a", i)), quarantiner.CrashID(fmt.Sprint(i)))
+	}
+	is.Equal(q.Status("g"), quarantiner.Quarantined)
+	is.Equal(q.Crashes("g"), []quarantiner.CrashID{"0", "1", "2", "3"})
+}
+
+// TestRoomConverges checks that processes which learn of many crashes in different orders keep
+// the same ones.
+func TestRoomConverges(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	records := make([]quarantiner.Record, 0, 30)
+	for i := range cap(records) {
+		records = append(records, quarantiner.Record{
+			Fingerprint: "g", Crash: quarantiner.CrashID(fmt.Sprint(i)), At: now.Add(-time.Duration(i) * time.Second),
+			Cleared: i%4 == 0,
+		})
+	}
+	var want []quarantiner.Record
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+		q := quarantiner.New(quarantiner.Partial)
+		for _, r := range records {
+			q.Merge([]quarantiner.Record{r})
+		}
+		kept, _ := q.Records()
+		if want == nil {
+			want = kept
+		}
+		is.Equal(kept, want)
+	}
+}
+
 // TestQuarantineSurvivesManySuspects guards against a flood of suspects that displaces a
 // request which is known to crash backend servers.
 func TestQuarantineSurvivesManySuspects(t *testing.T) {
