Bound the crashes of a request whatever else was running in them

What callers saw: of several requests that crash backend servers and come at the same time, some are sent on after the third crash, with others that are refused for the crashes that they have in common.

The class of fault is an exception without a bound.

A request with three crashes that is not quarantined is now on trial. One entry, which all choose by rendezvous hashing, sends it once at a time, after the others had time to share the last crash; the others refuse it for a second. On the linked path suspects run one at a time on one backend server already. With six crashes it is quarantined, whatever else was running. So it runs at most three times after the third crash has become known, and a request that only ran beside culprits is answered in its trial and cleared.

Refusing after four crashes, explained or not, was tried first.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -250,6 +250,11 @@
 	return e.publisher.Published(fingerprint) && (!hadOutage || sinceOutage > 0)
 }
 
+// conductsTrial reports whether this entry is the one that tries a suspect request.
+func (e *directEntry) conductsTrial(fingerprint quarantiner.Fingerprint) bool {
+	return e.entries.Elects(fingerprint.String(), e.settings.Process)
+}
+
 // startCoordinators starts to collect the statuses of ranks, enrols the entry to
 // receive them, and starts to coordinate the groups of the ranks.
 func (e *directEntry) startCoordinators() error {
@@ -359,6 +364,7 @@
 			Detector:      e.detector,
 			Quarantiner:   e.quarantiner,
 			CrashesShared: e.crashesShared,
+			ConductsTrial: e.conductsTrial,
 			Router:        e.router,
 			Limiter:       limiter,
 			Retrier:       e.retrier,
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -150,8 +150,7 @@
 	defer func() { f.options.Limiter.Release(time.Now(), admit, time.Since(now)) }()
 	f.options.Retrier.CountFirstAttempt(now, admit.Class.ID)
 	for {
-		f.logCrashes(p)
-		r := f.attempt(ctx, p, decision)
+		r := f.attemptOnTrial(ctx, p, decision)
 		if r.failure == nil && r.held == nil {
 			f.options.Quarantiner.Clear(p.fingerprint)
 			return nil
@@ -178,17 +177,23 @@
 	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
 		return false
 	}
+	f.awaitShared(ctx, p)
+	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
+		return false
+	}
+	return f.options.CrashesShared(p.fingerprint) ||
+		len(f.options.Quarantiner.Crashes(p.fingerprint)) >= quarantiner.CertainCrashes
+}
+
+// awaitShared waits until the other entries have had time to share what they know of the last
+// crash that was recorded against the request.
+func (f *Forwarder) awaitShared(ctx context.Context, p *pendingRequest) {
 	timer := time.NewTimer(crashShareTime - time.Since(f.options.Quarantiner.LastRecorded(p.fingerprint)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if f.options.Quarantiner.Status(p.fingerprint) != quarantiner.Quarantined {
-		return false
-	}
-	return f.options.CrashesShared(p.fingerprint) ||
-		len(f.options.Quarantiner.Crashes(p.fingerprint)) >= quarantiner.CertainCrashes
 }
 
 // quarantineError returns the error of a quarantined request that has not run.
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -113,6 +113,9 @@
 		// know of the crashes that count against a request, as far as this entry
 		// can tell.
 		CrashesShared func(fingerprint quarantiner.Fingerprint) bool
+		// ConductsTrial reports whether this entry is the only one that may send a
+		// request on trial.
+		ConductsTrial func(fingerprint quarantiner.Fingerprint) bool
 		Router        carawaybeam.Router
 		Limiter       carawaybeam.Limiter
 		Retrier       carawaybeam.Retrier
@@ -124,6 +127,7 @@
 		options Options
 		random  *rand.Rand
 		counter *counter.Counter
+		trials  trials
 	}
 )
 
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -65,6 +65,8 @@
 		quarantiner *quarantiner.Quarantiner
 		// notSharing is set while entries cannot share what they know of crashes.
 		notSharing bool
+		// triedElsewhere is set while another entry conducts trials.
+		triedElsewhere bool
 	}
 )
 
@@ -170,6 +172,7 @@
 		Detector:      detect,
 		Quarantiner:   env.quarantiner,
 		CrashesShared: func(quarantiner.Fingerprint) bool { return !env.notSharing },
+		ConductsTrial: func(quarantiner.Fingerprint) bool { return !env.triedElsewhere },
 		Sender:        env.sender,
 		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
 			if report, ok := env.reports[address]; ok {
@@ -489,6 +492,32 @@
 	}
 }
 
+// TestTrialsRunOneAtATime guards against a request that was running in three crashes reaching
+// several backend servers at once.
+func TestTrialsRunOneAtATime(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		is := is.New(t)
+		env := newEnvironment(whole("x"))
+		env.triedElsewhere = elsewhere
+		env.quarantiner = quarantiner.New(quarantiner.Partial)
+		for i := range 3 {
+			crash := quarantiner.CrashID(fmt.Sprint(i))
+			env.quarantiner.Add(fingerprintOf(t), crash)
+			env.quarantiner.Add("another suspect", crash)
+		}
+		is.Equal(env.quarantiner.Status(fingerprintOf(t)), quarantiner.OnTrial)
+		_, failure := env.serve(request(carawaybeam.RouteSafe))
+		if !elsewhere {
+			is.True(failure == nil)
+			is.Equal(env.quarantiner.Status(fingerprintOf(t)), quarantiner.Clear)
+			continue
+		}
+		is.Equal(failure.Outcome, carawaybeam.OutcomeNotRun)
+		is.Equal(failure.Reason, carawaybeam.ReasonBusy)
+		is.Equal(len(env.sender.sent), 0)
+	}
+}
+
 // fingerprintOf returns the fingerprint of the request for a safe route.
 func fingerprintOf(t *testing.T) quarantiner.Fingerprint {
 	t.Helper()
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -96,7 +96,7 @@
 	tried []carawaybeam.BackendID,
 ) (tracker.Member, *carawaybeam.RequestError) {
 	var backend carawaybeam.BackendID
-	if d.options.Quarantiner.Status(request.fingerprint()) == quarantiner.Suspect {
+	if d.isSuspect(request) {
 		backend = d.suspectBackend(request, tried)
 	} else {
 		choice, ok := d.route(time.Now(), request, tried)
@@ -116,6 +116,16 @@
 	return member, nil
 }
 
+// isSuspect reports whether the request may run only on the backend server that all entries
+// choose for it, where suspects run one at a time.
+func (d *Dispatcher) isSuspect(request Request) bool {
+	switch d.options.Quarantiner.Status(request.fingerprint()) {
+	case quarantiner.Suspect, quarantiner.OnTrial:
+		return true
+	}
+	return false
+}
+
 // suspectBackend returns the backend server for a suspect request by rendezvous
 // hashing, so that all entries choose the same one. It prefers backend servers
 // that are not in tried.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -266,6 +267,26 @@
 	return len(s.entries)
 }
 
+// Elects reports whether the entry with the name is the one that the set chooses for a key, by
+// rendezvous hashing. An empty set chooses any entry.
+func (s *EntrySet) Elects(key, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropLost()
+	own, ok := s.entries[name]
+	if !ok {
+		return len(s.entries) == 0
+	}
+	weight := xxhash.Sum64String(key + own.Name)
+	for _, m := range s.entries {
+		other := xxhash.Sum64String(key + m.Name)
+		if other > weight || other == weight && m.Name > own.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // dropLost drops the entries that were not enrolled again in time. The caller holds
 // mu.
 func (s *EntrySet) dropLost() {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -1,6 +1,7 @@
 package enroller_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,3 +129,24 @@
 		})
 	}
 }
+
+// TestElects checks that entries agree on the one that is chosen for a key, and that another one
+// is chosen once it has left.
+func TestElects(t *testing.T) {
+	is := is.New(t)
+	set := enroller.NewEntrySet(zerolog.Nop())
+	is.True(set.Elects("key", "a"))
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		set.Apply([]carawaybeam.Object{{Name: name, Value: []byte(`{}`)}})
+	}
+	elected := func() []string {
+		return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !set.Elects("key", name) })
+	}
+	first := elected()
+	is.Equal(len(first), 1)
+	set.Apply([]carawaybeam.Object{{Name: first[0], Deleted: true}})
+	second := elected()
+	is.Equal(len(second), 1)
+	is.True(first[0] != second[0])
+}
--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -40,9 +40,15 @@
 // findCulprits returns the requests that caused the crashes. Each time it chooses a
 // request, it takes the crashes of that request as explained and goes on with the rest,
 // so that a request which only ran beside culprits has no crash left. As long as it can
-// choose none, the next crash may tell the candidates apart.
+// choose none, the next crash may tell the candidates apart. A request with
+// maxCrashesOnTrial is a culprit even if all its crashes are explained.
 func findCulprits(suspects map[Fingerprint]*suspect, evidence Evidence) map[Fingerprint]struct{} {
 	culprits := make(map[Fingerprint]struct{})
+	for fingerprint, s := range suspects {
+		if len(s.counted()) >= maxCrashesOnTrial {
+			culprits[fingerprint] = struct{}{}
+		}
+	}
 	q := newInquiry(suspects, evidence)
 	for {
 		// The order is the same in all processes.
--- a/quarantiner/history_test.go
+++ b/quarantiner/history_test.go
@@ -67,36 +67,51 @@
 	}
 }
 
-// run sends a request to a backend server through a process, unless that refuses it.
-func (h *history) run(process int, f quarantiner.Fingerprint, running map[quarantiner.Fingerprint]int) bool {
-	if h.processes[process].Status(f) == quarantiner.Quarantined {
-		return false
+// process returns the number of the process that sends a request to a backend server, or false
+// if it is refused. The first process conducts all trials.
+func (h *history) process(f quarantiner.Fingerprint, trials map[quarantiner.Fingerprint]bool) (int, bool) {
+	process := h.random.IntN(len(h.processes))
+	switch h.processes[process].Status(f) {
+	case quarantiner.Quarantined:
+		return 0, false
+	case quarantiner.OnTrial:
+		if process != 0 || trials[f] {
+			return 0, false
+		}
+		trials[f] = true
 	}
-	running[f] = process
-	return true
+	return process, true
 }
 
-// wave lets each backend server of the pool run requests, and crash if one of them is a
-// culprit. A culprit that all send together comes to each of them.
+// wave lets all backend servers of the pool run requests at the same time. Those that run a
+// culprit crash. A culprit that is sent together with the others comes to each of them.
 func (h *history) wave(n int, together bool) {
-	for range poolSize {
-		running := make(map[quarantiner.Fingerprint]int)
-		crash := false
+	var running [poolSize]map[quarantiner.Fingerprint]int
+	trials := make(map[quarantiner.Fingerprint]bool)
+	for server := range running {
+		running[server] = make(map[quarantiner.Fingerprint]int)
+		var requests []quarantiner.Fingerprint
 		for i, f := range h.culprits {
-			if !together && (i+n)%len(h.culprits) > 1 && h.random.IntN(3) > 0 {
-				continue
+			if together || (i+n)%len(h.culprits) < 2 || h.random.IntN(3) == 0 {
+				requests = append(requests, f)
 			}
-			crash = h.run(h.random.IntN(len(h.processes)), f, running) || crash
 		}
 		for range h.random.IntN(4) {
 			f := quarantiner.Fingerprint(fmt.Sprint("popular", h.random.IntN(popular)))
 			if h.random.IntN(2) == 0 {
 				f = quarantiner.Fingerprint(fmt.Sprint("single", h.random.Uint64()))
 			}
-			h.run(h.random.IntN(len(h.processes)), f, running)
+			requests = append(requests, f)
+		}
+		for _, f := range requests {
+			if process, ok := h.process(f, trials); ok {
+				running[server][f] = process
+			}
 		}
-		if crash {
-			h.crash(running)
+	}
+	for _, requests := range running {
+		if slices.ContainsFunc(h.culprits, func(f quarantiner.Fingerprint) bool { _, ok := requests[f]; return ok }) {
+			h.crash(requests)
 		}
 	}
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -36,9 +36,14 @@
 	quarantineCrashes = 2
 
 	// CertainCrashes is the number of crashes after which a request is quarantined
-	// even if another one was, or may have been, running in all of them. One request
-	// runs beside another that often only if the two always run together.
+	// even if others, none of which is quarantined, may have been running in all of them.
 	CertainCrashes = 4
+
+	// trialCrashes is the number of crashes from which a request that is not
+	// quarantined is on trial, and maxCrashesOnTrial the number of crashes after which
+	// it is quarantined whatever else was running in them.
+	trialCrashes      = 3
+	maxCrashesOnTrial = 6
 )
 
 const (
@@ -47,6 +52,9 @@
 	// Suspect is the status of a request that may have caused a crash. On linked
 	// backend servers it runs on one at a time.
 	Suspect
+	// OnTrial is the status of a suspect that was running in many crashes, which others
+	// caused or may have caused. It must run once at a time in the whole installation.
+	OnTrial
 	// Quarantined is the status of a request that is refused because it caused
 	// several crashes.
 	Quarantined
@@ -273,8 +281,11 @@
 	if _, quarantined := q.quarantined[fingerprint]; quarantined {
 		return Quarantined
 	}
-	if len(known.counted()) == 0 {
+	switch n := len(known.counted()); {
+	case n == 0:
 		return Clear
+	case n >= trialCrashes:
+		return OnTrial
 	}
 	return Suspect
 }
@@ -323,6 +334,8 @@
 	switch s {
 	case Suspect:
 		return "suspect"
+	case OnTrial:
+		return "onTrial"
 	case Quarantined:
 		return "quarantined"
 	}
