Acquit an attempt, not all attempts with its content

A refusal after the crash, which the next incarnation at the address may send, took the crash back for everybody. The class of fault is evidence about one attempt that is applied to a whole request.

Attempts that are in progress when the crash of their backend server is found are recorded tentatively: they count here, and are shared once they break off or have not ended for 100 ms. One that is refused or not received retracts only a tentative record. Only an answer takes a crash back.

TestCopyDoesNotAcquit and TestRefusalDoesNotDisproveCrash failed before. Not seen in a run of processes: it takes copies within milliseconds of a crash.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -40,6 +40,10 @@
 	// connections.
 	repeatDelay = 100 * time.Millisecond
 
+	// settleTime is the time in which the attempts on a backend server that has crashed
+	// break off.
+	settleTime = 100 * time.Millisecond
+
 	// returnTime is how long after an attempt broke off a later incarnation proves a
 	// crash. A crashed backend server returns within some seconds.
 	returnTime = 15 * time.Second
@@ -52,8 +56,11 @@
 )
 
 const (
-	// Answered means that the backend server answered or refused the request.
+	// Answered means that the backend server answered the request.
 	Answered Ending = iota
+	// Refused means that the backend server, or the next one at its address, refused
+	// the request without running it.
+	Refused
 	// NotReceived means that the backend server did not receive the request.
 	NotReceived
 	// Abandoned means that the caller left.
@@ -213,7 +220,8 @@
 }
 
 // End records that the attempt ended in a way that no crash explains. A crash that was
-// recorded meanwhile then does not count against the request, unless the caller left.
+// recorded meanwhile then does not count against the request, unless the caller left or
+// another attempt with the same content was running.
 func (r *Run) End(ending Ending) {
 	d := r.detector
 	d.mu.Lock()
@@ -225,12 +233,9 @@
 		s.broken = slices.DeleteFunc(s.broken, func(b brokenRun) bool { return b.at.Before(r.began) })
 	}
 	switch {
-	case s.crash == "" || ending == Abandoned:
+	case s.crash == "":
 	case !r.afterCrash:
-		d.options.Log.Info().Str("crash", string(s.crash)).Str("request", string(r.request)).
-			Stringer("fingerprint", r.fingerprint).Bool("received", ending != NotReceived).
-			Msg("detector: crash does not count against request")
-		d.options.Quarantiner.Acquit(r.fingerprint, s.crash)
+		r.endInCrash(ending)
 	case ending == Answered:
 		d.options.Log.Warn().Str("crash", string(s.crash)).Str("request", string(r.request)).
 			Msg("detector: backend server answers, it has not crashed")
@@ -241,6 +246,31 @@
 	}
 }
 
+// endInCrash records that the attempt ended after its backend server had crashed. The caller
+// holds mu.
+func (r *Run) endInCrash(ending Ending) {
+	q, crash := r.detector.options.Quarantiner, r.state.crash
+	if ending == Abandoned {
+		r.confirm()
+		return
+	}
+	r.detector.options.Log.Info().Str("crash", string(crash)).Str("request", string(r.request)).
+		Stringer("fingerprint", r.fingerprint).Bool("answered", ending == Answered).
+		Msg("detector: attempt was not running in crash")
+	if ending == Answered {
+		q.Acquit(r.fingerprint, crash)
+		return
+	}
+	q.Retract(r.fingerprint, crash)
+}
+
+// confirm records that the attempt was running when its backend server crashed.
+func (r *Run) confirm() {
+	r.detector.options.Quarantiner.Merge([]quarantiner.Record{
+		{Fingerprint: r.fingerprint, Crash: r.state.crash, At: r.state.crashedAt},
+	})
+}
+
 // BreakOff records that the attempt ended without a whole answer although it may have
 // run. It returns the crash that caused it, or "" if none is known when the backend
 // server has been probed, when maxProbeWait has passed or when ctx ends.
@@ -254,6 +284,9 @@
 	delete(r.state.runs, r)
 	if !known || expected || r.state.crash != "" {
 		defer d.mu.Unlock()
+		if known && !r.afterCrash && r.state.crash != "" {
+			r.confirm()
+		}
 		return r.state.crash
 	}
 	r.state.broken = append(r.state.broken, brokenRun{Run: r, at: now})
@@ -409,10 +442,35 @@
 	s.broken = nil
 	records := make([]quarantiner.Record, 0, len(s.crashed))
 	for _, r := range s.crashed {
-		records = append(records, quarantiner.Record{Fingerprint: r.fingerprint, Crash: s.crash, At: now})
+		_, running := s.runs[r]
+		records = append(records, quarantiner.Record{
+			Fingerprint: r.fingerprint, Crash: s.crash, At: now, Tentative: running,
+		})
 	}
 	d.options.Quarantiner.Merge(records)
 	d.log(s, evidence)
+	if len(s.runs) > 0 {
+		d.wait.Go(func() { d.confirmRunning(s) })
+	}
+}
+
+// confirmRunning confirms the records of attempts that have not ended within settleTime after
+// the crash of their backend server.
+func (d *Detector) confirmRunning(s *instanceState) {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.ctx.Done():
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for r := range s.runs {
+		if s.crash != "" && !r.afterCrash {
+			r.confirm()
+		}
+	}
 }
 
 // log logs a crash with the requests that were running. The caller holds mu.
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -93,6 +93,52 @@
 	})
 }
 
+// TestCopyDoesNotAcquit guards against a crash that no longer counts against a request because
+// another attempt with the same content was refused or not received, at this entry or another.
+func TestCopyDoesNotAcquit(t *testing.T) {
+	for name, ending := range map[string]detector.Ending{"refused": detector.Refused, "unsent": detector.NotReceived} {
+		for _, after := range []time.Duration{0, time.Second} {
+			t.Run(name+after.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					n, other := newInstallation(refuse), newInstallation(refuse)
+					cause := n.Begin("1", "g", instance)
+					local, remote := n.Begin("2", "g", instance), other.Begin("3", "g", instance)
+					bystander := other.begin("cut")
+					cause.BreakOff(t.Context())
+					bystander.BreakOff(t.Context())
+					time.Sleep(after)
+					local.End(ending)
+					is.Equal(n.quarantiner.Status("g"), quarantiner.Suspect)
+					if after == 0 {
+						remote.End(ending)
+					} else {
+						remote.BreakOff(t.Context())
+					}
+					records, _ := other.quarantiner.Records()
+					n.quarantiner.Merge(records)
+					is.Equal(n.quarantiner.Status("g"), quarantiner.Suspect)
+					is.NoErr(n.Close())
+					is.NoErr(other.Close())
+				})
+			})
+		}
+	}
+}
+
+// TestRefusalDoesNotDisproveCrash guards against a crash that no longer counts because the next
+// incarnation at the address refuses a request.
+func TestRefusalDoesNotDisproveCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newInstallation(refuse)
+		n.begin("cut").BreakOff(t.Context())
+		n.begin("refused").End(detector.Refused)
+		is.Equal(n.quarantiner.Status("cut"), quarantiner.Suspect)
+		is.NoErr(n.Close())
+	})
+}
+
 // TestAnswerDisprovesCrash checks that a crash does not count if the backend server
 // answers later, as one does that refused connections for another reason.
 func TestAnswerDisprovesCrash(t *testing.T) {
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -88,6 +88,8 @@
 		// crash is the crash of the backend server that caused the failure, or
 		// empty.
 		crash quarantiner.CrashID
+		// refused is set when the backend server refused to run the request.
+		refused bool
 		// misdirected is set when another backend server answered at the address.
 		misdirected bool
 		// backendFault is set when the backend server is at fault.
@@ -344,6 +346,8 @@
 		f.options.Detector.Replaced(instance.BackendIncarnation)
 	case left:
 		run.End(detector.Abandoned)
+	case r.refused:
+		run.End(detector.Refused)
 	default:
 		run.End(detector.Answered)
 	}
@@ -427,6 +431,7 @@
 	return result{
 		failure:      carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, shortRetryAfter),
 		misdirected:  reply.Misdirected,
+		refused:      true,
 		backendFault: true,
 		culprit:      reply.FaultyBackend,
 	}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -75,6 +75,9 @@
 		At time.Time
 		// Cleared is set if the crash does not count against the request.
 		Cleared bool
+		// Tentative is set while it is not known yet whether the attempt was running.
+		// Tentative records count, but are not shared with other processes.
+		Tentative bool
 	}
 
 	// Quarantiner keeps the suspects. It is safe for concurrent use.
@@ -132,8 +135,28 @@
 	q.Merge([]Record{{Fingerprint: fingerprint, Crash: crash, At: time.Now()}})
 }
 
+// Retract removes a tentative record, because the attempt was not running in the crash. It
+// does nothing if another attempt or process has confirmed the record.
+func (q *Quarantiner) Retract(fingerprint Fingerprint, crash CrashID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known, ok := q.suspects[fingerprint]
+	if !ok {
+		return
+	}
+	n := len(known.records)
+	known.records = slices.DeleteFunc(known.records, func(r Record) bool { return r.Crash == crash && r.Tentative })
+	if len(known.records) == n {
+		return
+	}
+	if len(known.records) == 0 {
+		delete(q.suspects, fingerprint)
+	}
+	q.update()
+}
+
 // Acquit records that a crash does not count against a request, because the backend
-// server answered the request or did not run it.
+// server answered the request.
 func (q *Quarantiner) Acquit(fingerprint Fingerprint, crash CrashID) {
 	q.Merge([]Record{{Fingerprint: fingerprint, Crash: crash, At: time.Now(), Cleared: true}})
 }
@@ -147,7 +170,7 @@
 		return
 	}
 	for i := range known.records {
-		known.records[i].Cleared = true
+		known.records[i].Cleared, known.records[i].Tentative = true, false
 	}
 	q.sequence++
 	known.sequence = q.sequence
@@ -180,6 +203,8 @@
 	}
 	i := slices.IndexFunc(known.records, func(other Record) bool { return other.Crash == r.Crash })
 	switch {
+	case i >= 0 && known.records[i].Tentative && !r.Tentative:
+		known.records[i].Tentative, known.records[i].Cleared = false, r.Cleared
 	case i >= 0 && (known.records[i].Cleared || !r.Cleared):
 		return false
 	case i < 0 && !known.makeRoom(r):
@@ -379,15 +404,15 @@
 	return time.Time{}
 }
 
-// Records returns all records that are not older than retention, the newest first, and a
-// channel that is closed at the next change.
+// Records returns all records that are not tentative and not older than retention, the
+// newest first, and a channel that is closed at the next change.
 func (q *Quarantiner) Records() ([]Record, <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var records []Record
 	for _, s := range q.suspects {
 		for _, r := range s.records {
-			if r.Counts() {
+			if r.Counts() && !r.Tentative {
 				records = append(records, r)
 			}
 		}
@@ -419,9 +444,11 @@
 func encode(fingerprint Fingerprint, s *suspect) *framer.Suspect {
 	encoded := &framer.Suspect{Fingerprint: []byte(fingerprint)}
 	for _, r := range s.records {
-		if r.Cleared {
+		switch {
+		case r.Tentative:
+		case r.Cleared:
 			encoded.ClearedCrashIds = append(encoded.ClearedCrashIds, string(r.Crash))
-		} else {
+		default:
 			encoded.CrashIds = append(encoded.CrashIds, string(r.Crash))
 		}
 	}
