--- a/detector/detector.go
+++ b/detector/detector.go
@@ -103,8 +103,10 @@
 		detector    *Detector
 		request     carawaybeam.RequestID
 		fingerprint quarantiner.Fingerprint
-		state       *instanceState
-		began       time.Time
+		// parts are the parts of the prompt, until the answer begins.
+		parts []quarantiner.Fingerprint
+		state *instanceState
+		began time.Time
 		// afterCrash is set if the attempt began after the crash of its backend
 		// server was recorded.
 		afterCrash bool
@@ -177,11 +179,13 @@
 	return State{Crashes: d.crashes}
 }
 
-// Begin records that a request is about to be sent to a backend server.
+// Begin records that a request is about to be sent to a backend server. The parts are those of
+// its prompt that may crash the backend server when it begins to answer.
 func (d *Detector) Begin(
 	request carawaybeam.RequestID,
 	fingerprint quarantiner.Fingerprint,
 	instance carawaybeam.Instance,
+	parts ...quarantiner.Fingerprint,
 ) *Run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -192,7 +196,7 @@
 		d.instances[instance.BackendIncarnation] = s
 	}
 	r := &Run{
-		detector: d, request: request, fingerprint: fingerprint, state: s,
+		detector: d, request: request, fingerprint: fingerprint, parts: parts, state: s,
 		began: time.Now(), afterCrash: s.crash != "",
 	}
 	s.runs[r] = struct{}{}
@@ -219,6 +223,14 @@
 	s.broken = slices.DeleteFunc(s.broken, func(b brokenRun) bool { return now.Sub(b.at) >= returnTime })
 }
 
+// MarkStarted records that the answer has begun, so that no part of the prompt crashes the
+// backend server.
+func (r *Run) MarkStarted() {
+	r.detector.mu.Lock()
+	defer r.detector.mu.Unlock()
+	r.parts = nil
+}
+
 // End records that the attempt ended in a way that no crash explains. A crash that was
 // recorded meanwhile then does not count against the request, unless the caller left or
 // another attempt with the same content was running.
@@ -475,15 +487,18 @@
 
 // log logs a crash with the requests that were running. The caller holds mu.
 func (d *Detector) log(s *instanceState, evidence string) {
-	requests, fingerprints := zerolog.Arr(), zerolog.Arr()
+	requests, fingerprints, parts := zerolog.Arr(), zerolog.Arr(), zerolog.Arr()
 	for _, r := range s.crashed[:min(len(s.crashed), maxLogged)] {
 		requests.Str(string(r.request))
 		fingerprints.Str(r.fingerprint.String())
+		for _, part := range r.parts {
+			parts.Str(part.String())
+		}
 	}
 	d.options.Log.Warn().Str("crash", string(s.crash)).Str("backend", string(s.instance.ID)).
 		Str("address", string(s.instance.Address)).Str("pool", string(s.instance.Pool)).
 		Str("evidence", evidence).Int("running", len(s.crashed)).
-		Array("requests", requests).Array("fingerprints", fingerprints).
+		Array("requests", requests).Array("fingerprints", fingerprints).Array("parts", parts).
 		Msg("detector: backend server crashed")
 }
 
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -46,6 +46,8 @@
 		writer       AnswerWriter
 		// fingerprint identifies the request among others with other identifiers.
 		fingerprint quarantiner.Fingerprint
+		// parts identifies the parts of the prompt that other requests may have too.
+		parts []quarantiner.Fingerprint
 
 		// tried lists the backend servers that the request was sent to, and
 		// unsent those that could not be reached.
@@ -311,10 +313,10 @@
 	}
 	began := time.Now()
 	own := f.counter.Add(began, instance.ID, p.request.Prompt)
-	run := f.options.Detector.Begin(p.request.ID, p.fingerprint, instance)
+	run := f.options.Detector.Begin(p.request.ID, p.fingerprint, instance, p.parts...)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	o := &observation{forwarder: f, decision: decision, own: own, began: began}
+	o := &observation{forwarder: f, decision: decision, own: own, run: run, began: began}
 	if p.idempotent() {
 		f.watchReports(attemptCtx, cancel, instance, o)
 	}
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -209,9 +209,24 @@
 	}
 	p.deadline = arrived.Add(timeout(request, p.route))
 	p.fingerprint = fingerprint(request, p.organisation)
+	p.parts = partFingerprints(request, p.pool.ID)
 	return p, nil
 }
 
+// partFingerprints identifies the parts of the request's prompt that other requests for the pool
+// may have as well, which are all but the last one.
+func partFingerprints(request *carawaybeam.ClientRequest, pool carawaybeam.PoolID) []quarantiner.Fingerprint {
+	if len(request.Parts) == 0 {
+		return nil
+	}
+	shared := request.Parts[:len(request.Parts)-1]
+	fingerprints := make([]quarantiner.Fingerprint, 0, len(shared))
+	for _, part := range shared {
+		fingerprints = append(fingerprints, quarantiner.NewPartFingerprint(pool, part.ID))
+	}
+	return fingerprints
+}
+
 // fingerprint identifies a request in the quarantine of requests that crash backend
 // servers. A client that sends the request again gives it a new identifier, and
 // another route or pool may serve it then.
--- a/dispatcher/forwarder/observation.go
+++ b/dispatcher/forwarder/observation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/detector"
 	"github.com/carawaybeam/carawaybeam/router/counter"
 )
 
@@ -14,6 +15,7 @@
 	forwarder *Forwarder
 	decision  carawaybeam.RouteDecision
 	own       *counter.Request
+	run       *detector.Run
 	began     time.Time
 	answered  atomic.Bool
 }
@@ -24,6 +26,7 @@
 		return
 	}
 	o.own.MarkFirstToken()
+	o.run.MarkStarted()
 	o.observe(false)
 }
 
