Inject parts of prompts that crash backend servers into the soak

Requests of the emulated callers have prompts, whose first part all have and whose second part a quarter has. A soak has up to two parts that crash the backend server which begins to answer them, and judges their runs by the rule: not more than three later than 3 s after the fifth crash. Sound requests must not be refused for crashes, as before.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -41,6 +41,12 @@
 	crowdSize   = 6
 	crowdStream = 1 << 35
 
+	// partStream is the stream of random numbers of the first crashing part.
+	partStream = 1 << 36
+
+	// streamPath is the path of requests that are answered by streams.
+	streamPath = "/stream/summary"
+
 	// idleStream is the stream of random numbers of the first idle caller.
 	idleStream = 1 << 34
 	// withinShare is the share of requests before which an idle caller stays within the
@@ -49,7 +55,7 @@
 	maxExcess   = 1200 * time.Millisecond
 )
 
-var paths = []string{"/book/visits", "/look/orders", "/move/vans", "/stream/summary"}
+var paths = []string{"/book/visits", "/look/orders", "/move/vans", streamPath}
 
 // runCaller sends the requests of one caller, one after another, until the end time. It
 // sends a request that failed once more, with another identifier.
@@ -147,6 +153,22 @@
 	}
 }
 
+// runCrashingPart sends requests that have a part of the prompt in common which crashes backend
+// servers, each through a random entry.
+func (s *Soaker) runCrashingPart(ctx context.Context, part int) {
+	random := rand.New(rand.NewPCG(s.options.Seed, partStream+uint64(part)))
+	end := s.history.finalPhaseStart().Add(-crashingMargin)
+	for n := 1; time.Now().Before(end); n++ {
+		e := s.pickEntry(random)
+		if conn, err := emulator.Dial(ctx, e.callers); err == nil {
+			id := fmt.Sprintf("%s%d-%d-%d", emulator.CrashingPartID, part, s.options.Seed, n)
+			s.send(conn, random, e, sentRequest{id: id, path: streamPath, connectedAt: time.Now()})
+			_ = conn.Close()
+		}
+		time.Sleep(crashingInterval/2 + rand.N(crashingInterval))
+	}
+}
+
 // runCrashingCrowd sends crowdSize requests that crash backend servers again and again, all at
 // the same time and beside one that is answered, each time through random entries.
 func (s *Soaker) runCrashingCrowd(ctx context.Context, path string) {
@@ -223,4 +245,6 @@
 func (s *sentRequest) unsafe() bool { return strings.HasPrefix(s.path, "/book") }
 
 // crashes reports whether the request crashes the backend servers that run it.
-func (s *sentRequest) crashes() bool { return strings.HasPrefix(s.id, emulator.CrashingID) }
+func (s *sentRequest) crashes() bool {
+	return strings.HasPrefix(s.id, emulator.CrashingID) || strings.HasPrefix(s.id, emulator.CrashingPartID)
+}
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -16,13 +17,32 @@
 // maxViolations limits the number of violations that a result lists.
 const maxViolations = 20
 
-// crashRuns holds the runs that crashed their backend server, by the body of the request.
-type crashRuns map[string][]emulator.Run
+type (
+	// crashRuns holds the runs that crashed their backend server, by the cause.
+	crashRuns map[crashCause][]emulator.Run
+
+	// crashCause is what crashes backend servers: requests with a body, or with a part of
+	// the prompt.
+	crashCause struct{ body, part string }
+)
 
 func (c crashRuns) add(r emulator.Run) {
-	if body := emulator.BodyOf(r.Request); r.Crashes {
-		c[body] = append(c[body], r)
+	if !r.Crashes {
+		return
+	}
+	cause := crashCause{part: r.CrashingPart}
+	if cause.part == "" {
+		cause.body = emulator.BodyOf(r.Request)
+	}
+	c[cause] = append(c[cause], r)
+}
+
+// proven returns the number of crashes after which a cause is known.
+func (c crashCause) proven() int {
+	if c.part != "" {
+		return provenPartCrashes
 	}
+	return provenCrashes
 }
 
 // check checks the history of the run against the promises.
@@ -57,10 +77,10 @@
 			addViolation("request %s ran on %s: %s", r.Request, r.Server, found)
 		}
 	}
-	for body, crashed := range crashes {
+	for cause, crashed := range crashes {
 		result.Crashes += len(crashed)
-		if found := h.checkCrashes(crashed); found != "" {
-			addViolation("requests with %s: %s", body, found)
+		if found := h.checkCrashes(crashed, cause.proven()); found != "" {
+			addViolation("requests with %s: %s", cmp.Or(cause.part, cause.body), found)
 		}
 	}
 	for id, sent := range h.requests {
@@ -145,9 +165,9 @@
 	return ""
 }
 
-// checkCrashes returns a violation if a request was run by too many backend servers after
-// it had crashed provenCrashes of them, or "". The runs are in order.
-func (h *history) checkCrashes(runs []emulator.Run) string {
+// checkCrashes returns a violation if the cause of crashes was run by too many backend servers
+// after it had crashed as many as prove it, or "". The runs are in order.
+func (h *history) checkCrashes(runs []emulator.Run, provenCrashes int) string {
 	crashes, late := 0, 0
 	var proven time.Time
 	for _, r := range runs {
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -190,7 +190,7 @@
 			if test.change != nil {
 				test.change(h)
 			}
-			if got := h.checkCrashes(runs) != ""; got != test.violates {
+			if got := h.checkCrashes(runs, provenCrashes) != ""; got != test.violates {
 				t.Errorf("found a violation %t, want %t", got, test.violates)
 			}
 		})
--- a/soaker/crash_test.go
+++ b/soaker/crash_test.go
@@ -77,3 +77,31 @@
 	)
 	prover.Report(t, prover.PoisonRequest, 1, len(result.Violations))
 }
+
+// TestPromisePoisonParts guards against requests being sent on that have a part of the prompt in
+// common which crashes backend servers, and against the refusal of sound ones with the same
+// other parts. Two parts crash, one request does so as a whole, and an entry is killed.
+func TestPromisePoisonParts(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+	defer cancel()
+	options, err := Prepare(ctx, "..", filepath.Join(t.TempDir(), "bin"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Directory, options.Entries, options.Callers = t.TempDir(), 5, 24
+	options.FaultWindow = 20 * time.Second
+	result, err := run(ctx, options, []fault{
+		{kind: "crashingPart", target: 1},
+		{kind: "crashingPart", target: 2, at: 8 * time.Second},
+		{kind: "crashingRequest", target: 3, at: 5 * time.Second},
+		{kind: "kill", target: 1, at: 3 * time.Second},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range result.Violations {
+		t.Log(v)
+	}
+	fmt.Printf("crashing parts: %d requests, %d served, %d crashes\n", result.Requests, result.Served, result.Crashes)
+	prover.Report(t, prover.PoisonRequest, 1, len(result.Violations))
+}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -27,9 +27,11 @@
 	// maxPairGap limits the time from the first fault of a pair to the second.
 	maxPairGap = time.Second
 
-	// A run has up to maxCrashingRequests requests that crash backend servers. They
-	// are drawn from the random numbers of the stream crashingStream.
+	// A run has up to maxCrashingRequests requests and maxCrashingParts parts of prompts
+	// that crash backend servers. They are drawn from the random numbers of the stream
+	// crashingStream.
 	maxCrashingRequests = 2
+	maxCrashingParts    = 2
 	crashingStream      = 1 << 32
 
 	// linkDelay is the delay of a slow link, storeDelay that of a slow store, and
@@ -175,6 +177,9 @@
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
 	}},
+	"crashingPart": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
+		s.runCrashingPart(ctx, f.target)
+	}},
 	"crashingCrowd": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCrowd(ctx, paths[f.target])
 	}},
@@ -236,7 +241,7 @@
 }
 
 // newCrashingRequests returns up to maxCrashingRequests requests that crash backend
-// servers. They do not depend on the other faults of the seed.
+// servers, and up to maxCrashingParts parts of prompts that do so. They do not depend on the other faults of the seed.
 func newCrashingRequests(options Options) []fault {
 	random := rand.New(rand.NewPCG(options.Seed, crashingStream))
 	requests := make([]fault, random.IntN(maxCrashingRequests+1))
@@ -245,6 +250,11 @@
 			at: time.Duration(random.Int64N(int64(options.FaultWindow))), kind: "crashingRequest", target: target,
 		}
 	}
+	for part := range random.IntN(maxCrashingParts + 1) {
+		requests = append(requests, fault{
+			at: time.Duration(random.Int64N(int64(options.FaultWindow))), kind: "crashingPart", target: part,
+		})
+	}
 	return requests
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -60,8 +60,10 @@
 
 	// A request that has crashed provenCrashes backend servers may be run at most
 	// maxLateRuns times later than stableWindow after that.
-	provenCrashes = 3
-	maxLateRuns   = 3
+	// For a part of a prompt the number is provenPartCrashes.
+	provenCrashes     = 3
+	provenPartCrashes = 5
+	maxLateRuns       = 3
 )
 
 // startPools holds the pool of the first backend server of each host.
