Do not take a part that was answered once for the cause of few crashes

A part that was answered once is now judged by the number of its crashes only: it is tried one at a time, and refused after five. A crash need not have a part as its cause, so that no part has to be a culprit; of parts with equally many, but different crashes none is. That an answer excuses a part for 10 s no longer holds beyond the first crash after it and those within 2 s, so that a part that turns crashing is refused within the bound.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -284,17 +284,16 @@
 }
 
 // records returns the records of the crash of the attempt's backend server against the request and
-// the parts of its prompt, but for parts that were answered a moment ago.
+// the parts of its prompt.
 func (r *Run) records(tentative bool) []quarantiner.Record {
 	record := quarantiner.Record{
 		Fingerprint: r.fingerprint, Crash: r.state.crash, At: r.state.crashedAt, Tentative: tentative,
 	}
-	records := []quarantiner.Record{record}
+	records := make([]quarantiner.Record, 0, 1+len(r.parts))
+	records = append(records, record)
 	for i, part := range r.parts {
-		if !r.detector.options.Quarantiner.IsSound(part) {
-			record.Fingerprint, record.Position = part, i
-			records = append(records, record)
-		}
+		record.Fingerprint, record.Position = part, i
+		records = append(records, record)
 	}
 	return records
 }
--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -26,16 +26,15 @@
 	candidate struct {
 		fingerprint Fingerprint
 		crashes     []CrashID
-		// answered is set for a part of a prompt that this process knows to have been
-		// answered once, and position is its position in prompts. Of two with the same
-		// crashes the one that was not answered is more likely to be the cause, and then
-		// the later one, by which fewer requests are refused.
-		answered bool
+		// position is the position of a part in prompts. Of two with as many crashes the
+		// later one is chosen, by which fewer requests are refused.
 		position int
 	}
 
 	// inquiry is the search for culprits.
 	inquiry struct {
+		// ofParts is set if the candidates are parts of prompts.
+		ofParts  bool
 		evidence Evidence
 		// certain is the number of crashes after which a candidate is chosen although it
 		// cannot be told apart from others.
@@ -49,18 +48,21 @@
 
 // findCulprits returns the parts of prompts and the requests that caused the crashes. A crash
 // that a part caused is explained for requests. All reports of the crashes of parts are
-// assumed to be known, since a group of ranks that has crashed needs longer to return.
+// assumed to be known, since a group of ranks that has crashed needs longer to return. A part
+// that was answered once is likely to be sound, so that only the number of its crashes counts.
 func findCulprits(
 	suspects map[Fingerprint]*suspect,
 	evidence Evidence,
 	answered func(part Fingerprint) bool,
 ) map[Fingerprint]struct{} {
-	parts, requests := newInquiry(Complete, trialCrashes), newInquiry(evidence, CertainCrashes)
+	parts := &inquiry{ofParts: true, evidence: Complete, certain: trialCrashes}
+	requests := &inquiry{evidence: evidence, certain: CertainCrashes, others: make(map[CrashID]struct{})}
 	for fingerprint, s := range suspects {
-		if fingerprint.IsPart() {
-			parts.addSuspect(fingerprint, s, answered(fingerprint))
-		} else {
-			requests.addSuspect(fingerprint, s, false)
+		switch {
+		case !fingerprint.IsPart():
+			requests.addSuspect(fingerprint, s)
+		case !answered(fingerprint):
+			parts.addSuspect(fingerprint, s)
 		}
 	}
 	culprits := parts.findCulprits()
@@ -69,13 +71,22 @@
 	}
 	maps.Copy(culprits, requests.findCulprits())
 	for fingerprint, s := range suspects {
-		if len(s.counted()) >= maxCrashesOnTrial {
+		if len(s.counted()) >= fingerprint.maxCrashesOnTrial() {
 			culprits[fingerprint] = struct{}{}
 		}
 	}
 	return culprits
 }
 
+// maxCrashesOnTrial returns the number of crashes after which requests with the fingerprint are
+// quarantined whatever else was running in them.
+func (f Fingerprint) maxCrashesOnTrial() int {
+	if f.IsPart() {
+		return maxPartCrashesOnTrial
+	}
+	return maxCrashesOnTrial
+}
+
 // findCulprits returns the culprits among the candidates. Each time it chooses a
 // request, it takes the crashes of that request as explained and goes on with the rest,
 // so that a request which only ran beside culprits has no crash left. As long as it can
@@ -96,16 +107,12 @@
 	}
 }
 
-func newInquiry(evidence Evidence, certain int) *inquiry {
-	return &inquiry{evidence: evidence, certain: certain, others: make(map[CrashID]struct{})}
-}
-
 // addSuspect adds a suspect with the crashes that count against it.
-func (q *inquiry) addSuspect(fingerprint Fingerprint, s *suspect, answered bool) {
+func (q *inquiry) addSuspect(fingerprint Fingerprint, s *suspect) {
 	if q.evidence == Complete && len(s.records) < quarantineCrashes {
 		return
 	}
-	q.add(candidate{fingerprint: fingerprint, crashes: s.counted(), answered: answered, position: s.position})
+	q.add(candidate{fingerprint: fingerprint, crashes: s.counted(), position: s.position})
 }
 
 // add adds a request with its crashes that no culprit explains.
@@ -128,12 +135,16 @@
 //   - a request whose crashes are better explained by it than by others,
 //   - a request with as many crashes as are certain.
 //
-// With partial evidence that many crashes count for more than a comparison with others.
+// With partial evidence that many crashes count for more than a comparison with others. A
+// crash may have another cause than a part, so that no part has to be a culprit.
 func (q *inquiry) choose() int {
 	certain := -1
 	if len(q.candidates) > 0 && len(q.candidates[0].crashes) >= q.certain {
 		certain = 0
 	}
+	if q.ofParts {
+		return firstIndex(slices.IndexFunc(q.candidates, q.isDominant), certain)
+	}
 	if q.evidence == Complete {
 		return firstIndex(
 			slices.IndexFunc(q.candidates, q.isEssential),
@@ -160,21 +171,7 @@
 
 // compareWeight compares how likely candidates are to be a cause.
 func (c candidate) compareWeight(other candidate) int {
-	return cmp.Or(
-		cmp.Compare(len(c.crashes), len(other.crashes)),
-		compareBool(other.answered, c.answered),
-		cmp.Compare(c.position, other.position),
-	)
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(len(c.crashes), len(other.crashes)), cmp.Compare(c.position, other.position))
 }
 
 // countShared returns the number of crashes that c has in common with other.
@@ -202,10 +199,18 @@
 	})
 }
 
-// isDominant reports whether c is more likely than each candidate that shares a crash.
+// isDominant reports whether c has more crashes than each candidate that shares one. Of two parts
+// with the same crashes, which nothing tells apart, the later one in prompts is dominant.
 func (q *inquiry) isDominant(c candidate) bool {
 	return !slices.ContainsFunc(q.candidates, func(other candidate) bool {
-		return other.fingerprint != c.fingerprint && other.compareWeight(c) >= 0 && c.countShared(other) > 0
+		shared := c.countShared(other)
+		switch {
+		case other.fingerprint == c.fingerprint || shared == 0 || len(other.crashes) < len(c.crashes):
+			return false
+		case q.ofParts && shared == len(c.crashes) && shared == len(other.crashes):
+			return other.position > c.position
+		}
+		return true
 	})
 }
 
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -48,7 +48,17 @@
 		},
 		"another cause, different parts": {sound: "f", crashes: []string{"f a", "f b", "f c"}},
 		"another cause beside it":        {sound: "f", crashes: []string{"f a g", "f b", "f g c"}, culprits: "g"},
-		"hot part in many crashes":       {sound: "f", crashes: []string{"f", "f", "f", "f", "f", "f", "f"}},
+		"another cause in one crash": {
+			answered: "a", sound: "f", crashes: []string{"f g b", "f a", "f g a"}, culprits: "g",
+		},
+		"another cause, both new": {sound: "f", crashes: []string{"f g b", "f a", "f g a"}},
+		"answered part crashes": {
+			answered: "f g",
+			sound:    "f",
+			crashes:  []string{"f g", "f g", "f g", "f g", "f g"},
+			culprits: "g",
+		},
+		"hot part in many crashes": {sound: "f", crashes: []string{"f", "f", "f", "f", "f", "f", "f"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -48,18 +48,21 @@
 	// trialCrashes is the number of crashes from which a request that is not
 	// quarantined is on trial, and maxCrashesOnTrial the number of crashes after which
 	// it is quarantined whatever else was running in them.
-	trialCrashes      = 3
-	maxCrashesOnTrial = 6
+	// For a part of a prompt that number is maxPartCrashesOnTrial.
+	trialCrashes          = 3
+	maxCrashesOnTrial     = 6
+	maxPartCrashesOnTrial = 5
 
 	// partQuarantine is the time after the last crash from which a quarantined part of a
 	// prompt is on trial.
 	partQuarantine = 10 * time.Minute
 
-	// soundTime is how long after an answer a part of a prompt is not suspected, because
-	// many requests in each crash may have it. maxSound is the maximum number of parts
-	// whose last answers are kept.
-	soundTime = 10 * time.Second
-	maxSound  = 1 << 14
+	// A part of a prompt that was answered within soundTime is not suspected in its next
+	// crash and those in the waveTime after it, because many requests in each crash may
+	// have it. maxAnswers is the maximum number of parts whose last answers are kept.
+	soundTime  = 10 * time.Second
+	waveTime   = 2 * time.Second
+	maxAnswers = 1 << 14
 )
 
 const (
@@ -106,8 +109,8 @@
 		suspects map[Fingerprint]*suspect
 		// quarantined is derived from suspects after each change.
 		quarantined map[Fingerprint]struct{}
-		// sound holds when an answer to a part of a prompt last began.
-		sound    *lru.Cache[Fingerprint, time.Time]
+		// answers holds the last answer to each part of a prompt.
+		answers  *lru.Cache[Fingerprint, partAnswer]
 		sequence uint64
 		changed  chan struct{}
 	}
@@ -123,6 +126,11 @@
 		Cleared int
 	}
 
+	// partAnswer is the last answer to a part of a prompt, with the first crash since.
+	partAnswer struct {
+		began, crashed time.Time
+	}
+
 	// suspect is a request that was running in at least one crash.
 	suspect struct {
 		records   []Record
@@ -145,9 +153,9 @@
 // New returns a Quarantiner without suspects.
 func New(evidence Evidence) *Quarantiner {
 	// The only error is about a size below 1.
-	sound, _ := lru.New[Fingerprint, time.Time](maxSound)
+	answers, _ := lru.New[Fingerprint, partAnswer](maxAnswers)
 	return &Quarantiner{
-		sound:       sound,
+		answers:     answers,
 		evidence:    evidence,
 		suspects:    make(map[Fingerprint]*suspect),
 		quarantined: make(map[Fingerprint]struct{}),
@@ -205,17 +213,25 @@
 // ClearParts records that an answer to a request with the parts of a prompt has begun, so that
 // no crash so far counts against them.
 func (q *Quarantiner) ClearParts(parts []Fingerprint) {
-	now := time.Now()
+	answer := partAnswer{began: time.Now()}
 	for _, part := range parts {
-		q.sound.Add(part, now)
+		q.answers.Add(part, answer)
 		q.Clear(part)
 	}
 }
 
-// IsSound reports whether an answer to a request with the part of a prompt has begun recently.
-func (q *Quarantiner) IsSound(part Fingerprint) bool {
-	answered, ok := q.sound.Peek(part)
-	return ok && time.Since(answered) < soundTime
+// isSound reports whether a part of a prompt is not suspected in a crash, because it was answered
+// a moment before. The caller holds mu.
+func (q *Quarantiner) isSound(part Fingerprint) bool {
+	answer, ok := q.answers.Peek(part)
+	if !ok || time.Since(answer.began) > soundTime {
+		return false
+	}
+	if answer.crashed.IsZero() {
+		answer.crashed = time.Now()
+		q.answers.Add(part, answer)
+	}
+	return time.Since(answer.crashed) <= waveTime
 }
 
 // Merge adds records, which may come from other processes.
@@ -236,7 +252,7 @@
 	if r.Fingerprint == "" || r.Crash == "" || !r.Counts() {
 		return false
 	}
-	if r.Fingerprint.IsPart() && q.IsSound(r.Fingerprint) {
+	if r.Fingerprint.IsPart() && q.isSound(r.Fingerprint) {
 		r.Cleared, r.Tentative = true, false
 	}
 	known, ok := q.suspects[r.Fingerprint]
@@ -337,7 +353,7 @@
 // update derives what follows from a change and signals the change to all
 // subscriptions. The caller holds mu.
 func (q *Quarantiner) update() {
-	q.quarantined = findCulprits(q.suspects, q.evidence, q.sound.Contains)
+	q.quarantined = findCulprits(q.suspects, q.evidence, q.answers.Contains)
 	close(q.changed)
 	q.changed = make(chan struct{})
 }
