Refuse a part of a prompt after one crash if it is the only new one in it

Cause: a part was named by its second crash, which cost the group another outage of 3 to 5 s, in which clients repeat what was refused.

Such a part is refused for 30 s after one crash, unless another culprit explains the crash, and then tried once. The first part of a prompt is left out, since all requests of a route may have it. Retry-After names the end of the time.

--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -223,7 +223,9 @@
 		detail = fmt.Sprintf("requests with the part %s of the prompt were running in the crashes %v",
 			fingerprint, f.options.Quarantiner.Crashes(fingerprint))
 	}
-	return carawaybeam.NotRun(carawaybeam.ReasonQuarantined, detail, quarantiner.RetryAfter)
+	return carawaybeam.NotRun(
+		carawaybeam.ReasonQuarantined, detail, f.options.Quarantiner.RetryAfter(fingerprint),
+	)
 }
 
 // mayRetry reports whether another attempt is safe, in time and within the
--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -75,9 +75,35 @@
 			culprits[fingerprint] = struct{}{}
 		}
 	}
+	maps.Copy(culprits, findOnlyParts(suspects, culprits, answered))
 	return culprits
 }
 
+// findOnlyParts returns the parts that were the only ones in a crash which had never been
+// answered, unless a culprit explains the crash. The first part of a prompt is not among them,
+// because it may be in all requests.
+func findOnlyParts(
+	suspects map[Fingerprint]*suspect,
+	culprits map[Fingerprint]struct{},
+	answered func(part Fingerprint) bool,
+) map[Fingerprint]struct{} {
+	parts := make(map[CrashID][]Fingerprint)
+	for fingerprint, s := range suspects {
+		if _, isCulprit := culprits[fingerprint]; isCulprit || fingerprint.IsPart() && !answered(fingerprint) {
+			for _, crash := range s.counted() {
+				parts[crash] = append(parts[crash], fingerprint)
+			}
+		}
+	}
+	only := make(map[Fingerprint]struct{})
+	for _, candidates := range parts {
+		if part := candidates[0]; len(candidates) == 1 && part.IsPart() && suspects[part].position > 0 {
+			only[part] = struct{}{}
+		}
+	}
+	return only
+}
+
 // maxCrashesOnTrial returns the number of crashes after which requests with the fingerprint are
 // quarantined whatever else was running in them.
 func (f Fingerprint) maxCrashesOnTrial() int {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	// RetryAfter is how long the caller of a quarantined request should wait
-	// before it retries.
+	// RetryAfter is how long the caller of a request that is quarantined as a whole
+	// should wait before it retries.
 	RetryAfter = time.Hour
 
 	// retention is how long a suspect is kept after its last crash.
@@ -54,8 +54,9 @@
 	maxPartCrashesOnTrial = 5
 
 	// partQuarantine is the time after the last crash from which a quarantined part of a
-	// prompt is on trial.
-	partQuarantine = 10 * time.Minute
+	// prompt is on trial, and firstPartQuarantine that time after its only crash.
+	partQuarantine      = 10 * time.Minute
+	firstPartQuarantine = 30 * time.Second
 
 	// A part of a prompt that was answered within soundTime is not suspected in its next
 	// crash and those in the waveTime after it, because many requests in each crash may
@@ -372,7 +373,7 @@
 		return Clear
 	}
 	if _, quarantined := q.quarantined[fingerprint]; quarantined {
-		if fingerprint.IsPart() && time.Since(known.lastCrash) > partQuarantine {
+		if fingerprint.IsPart() && time.Since(known.lastCrash) > known.partQuarantine() {
 			return OnTrial
 		}
 		return Quarantined
@@ -438,6 +439,26 @@
 	return "clear"
 }
 
+// RetryAfter returns how long the caller of a quarantined request should wait before it
+// retries.
+func (q *Quarantiner) RetryAfter(fingerprint Fingerprint) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known, ok := q.suspects[fingerprint]
+	if !ok || !fingerprint.IsPart() {
+		return RetryAfter
+	}
+	return max(time.Second, known.partQuarantine()-time.Since(known.lastCrash))
+}
+
+// partQuarantine returns the time after the last crash for which a part is quarantined.
+func (s *suspect) partQuarantine() time.Duration {
+	if len(s.counted()) == 1 {
+		return firstPartQuarantine
+	}
+	return partQuarantine
+}
+
 // Crashes returns the crashes that count against a request.
 func (q *Quarantiner) Crashes(fingerprint Fingerprint) []CrashID {
 	q.mu.Lock()
