Do not take a stream that ends inside an event for complete

On the linked path an event stream without a length that ended inside an event, with its connection closed cleanly, was passed on as a whole answer: the agent knew no events. It now fails the attempt, so that the client's answer is broken off or gone on with.

--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -596,6 +596,21 @@
 	is.Equal(answer.String(), "id: 13\n\n")
 }
 
+// TestStreamEndsInsideEvent guards against a stream that ends inside an event, without an error,
+// being taken for complete. It is gone on with behind the last whole event.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	is := is.New(t)
+	env := newEnvironment(whole("id: 1\ndata: a\n\nid: 2\nda"), whole("id: 2\ndata: b\n\n"))
+	answer, failure := env.serve(request(carawaybeam.RouteStream))
+	is.True(failure == nil)
+	is.Equal(answer.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	env = newEnvironment(whole("id: 1\ndata: a\n\nid: 2\nda"))
+	env.routing.Routes[2].Resumable = false
+	answer, failure = env.serve(request(carawaybeam.RouteStream))
+	is.True(failure != nil)
+	is.Equal(answer.String(), "id: 1\ndata: a\n\n")
+}
+
 // TestUnresumableStreamIsCut checks that an interrupted stream that cannot be
 // resumed fails, instead of being continued by a second run of the request.
 func TestUnresumableStreamIsCut(t *testing.T) {
--- a/executor/limit.go
+++ b/executor/limit.go
@@ -12,7 +12,7 @@
 // observeStart passes the time to the first part of a streamed answer to the adaptive
 // limit.
 func (e *Executor) observeStart(contentType string, took time.Duration) {
-	if !strings.HasPrefix(contentType, streamType) {
+	if !isStream(contentType) {
 		return
 	}
 	e.mu.Lock()
@@ -20,3 +20,5 @@
 	e.mu.Unlock()
 	e.limit.Observe(running, took)
 }
+
+func isStream(contentType string) bool { return strings.HasPrefix(contentType, streamType) }
--- a/executor/run.go
+++ b/executor/run.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,8 +12,15 @@
 	"github.com/carawaybeam/carawaybeam/framer"
 )
 
-// buffers holds read buffers for answers.
-var buffers = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+// eventEnding is the longest ending of an event.
+const eventEnding = "\n\r\n"
+
+var (
+	// buffers holds read buffers for answers.
+	buffers = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
+	errPartialEvent = errors.New("stream ended inside an event")
+)
 
 // run sends one attempt to the backend server and records its answer.
 func (e *Executor) run(a *attempt, d *framer.Dispatch) {
@@ -70,14 +78,19 @@
 	pooled := buffers.Get().(*[chunkBytes]byte)
 	defer buffers.Put(pooled)
 	buffer := pooled[:]
+	var events eventEnd
 	for first := true; ; first = false {
 		n, err := answer.Body.Read(buffer)
+		events.write(buffer[:n])
 		if first {
 			e.observeStart(answer.ContentType, time.Since(sent))
 		}
 		if n > 0 && !a.append(buffer[:n], ctx.Done()) {
 			err = ctx.Err()
 		}
+		if errors.Is(err, io.EOF) && isStream(answer.ContentType) && !events.complete() {
+			err = errPartialEvent
+		}
 		if errors.Is(err, io.EOF) {
 			return carawaybeam.RequestError{}, false
 		}
@@ -104,3 +117,16 @@
 	}
 	return failure
 }
+
+// eventEnd keeps the end of a stream of events.
+type eventEnd struct{ last []byte }
+
+func (e *eventEnd) write(data []byte) {
+	e.last = append(e.last, data[max(0, len(data)-len(eventEnding)):]...)
+	e.last = e.last[max(0, len(e.last)-len(eventEnding)):]
+}
+
+// complete reports whether the stream ends with a complete event, or is empty.
+func (e *eventEnd) complete() bool {
+	return len(e.last) == 0 || bytes.HasSuffix(e.last, []byte("\n\n")) || bytes.HasSuffix(e.last, []byte("\n\r\n"))
+}
