Bound the head of an answer and the rest of a refusal

The direct path read status line and header of an answer without a limit on their size, any number of informational responses, and up to 8 MB of the body of a refusal, however slowly it came, before the next attempt. Now the head is bounded by 64 KB, and informational responses by eight; a refusal's body is left after 16 KB or 20 ms, and its connection closed. An answer with too long a head fails its attempt, is logged as such and counted (oversized_answers). Heads from the store, from ranks and from backend servers of agents are bounded by 64 KB too, in place of the library's 10 MB; their bodies had limits.

TestRefusalWithEndlessBody failed before, after 5 s.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -30,6 +30,9 @@
 	// maxLoadBytes is the maximum size of a load report.
 	maxLoadBytes   = 64 << 10
 	maxIdlePerHost = 256
+
+	// maxHeadBytes is the maximum size of the header of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 type (
@@ -77,6 +80,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{
 		Transport: transport,
--- a/cmd/cbentry/direct_metrics.go
+++ b/cmd/cbentry/direct_metrics.go
@@ -93,6 +93,7 @@
 	scope.Gauge("connections_idle").Update(float64(connections.Idle))
 	scope.Gauge("connections_opened").Update(float64(connections.Opened))
 	scope.Gauge("connections_reused").Update(float64(connections.Reused))
+	scope.Gauge("oversized_answers").Update(float64(connections.Oversized))
 	scope.Gauge("entries_enrolled").Update(float64(e.entries.Len()))
 	scope.Gauge("log_lines_dropped").Update(float64(starter.DroppedLines()))
 	for _, group := range e.collector.Groups() {
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -448,9 +448,7 @@
 // refusal returns the result of an attempt whose answer proves that the request
 // did not run.
 func refusal(reply *pooler.Reply) result {
-	// The body is read only so that the connection can be reused. Its content
-	// and completeness are irrelevant.
-	_, _ = reply.ReadAll(maxAnswerBytes)
+	reply.Drain()
 	detail := "backend server refused with status " + http.StatusText(reply.Status)
 	return result{
 		failure:      carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, shortRetryAfter),
--- a/pooler/body.go
+++ b/pooler/body.go
@@ -74,6 +74,17 @@
 	return data, nil
 }
 
+// Drain reads the rest of an answer whose content is irrelevant, so that its connection can be
+// used again. It gives up if the rest is long or does not come at once.
+func (r *Reply) Drain() {
+	if b, ok := r.Body.(*body); ok {
+		// If this fails, the connection is broken and the read fails too.
+		_ = b.connection.SetReadDeadline(time.Now().Add(drainTimeout))
+		defer func() { _ = b.connection.SetReadDeadline(time.Time{}) }()
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes))
+}
+
 // encodeHead returns the request line and header of a request.
 func encodeHead(request Request) []byte {
 	var head bytes.Buffer
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -52,11 +52,29 @@
 	// maxStrayBytes is the maximum size of the body of a skipped answer.
 	maxStrayBytes = 1 << 20
 
+	// maxHeadBytes is the maximum size of the status line and header of an answer, and
+	// maxInformational how many informational responses may come before it.
+	maxHeadBytes     = 64 << 10
+	maxInformational = 8
+
+	// drainTimeout and maxDrainBytes limit the reading of the rest of an answer whose
+	// content is irrelevant.
+	drainTimeout  = 20 * time.Millisecond
+	maxDrainBytes = 16 << 10
+
 	// maxInlineBody is the largest body that is written before the answer is
 	// read. It fits into the smallest socket buffers.
 	maxInlineBody = 16 << 10
 
 	bufferSize = 4 << 10
+
+	// unlimited is the value of headLeft outside the head of an answer.
+	unlimited = -1
+)
+
+var (
+	errHeadTooLong   = errors.New("status line and header of the answer are too long")
+	errInformational = errors.New("too many informational responses before the answer")
 )
 
 type (
@@ -80,6 +98,8 @@
 		idle map[carawaybeam.Address][]*connection
 		// opened and reused count the connections that were used for requests.
 		opened, reused uint64
+		// oversized counts the answers with too long a head.
+		oversized uint64
 	}
 
 	// Request is a request to a backend server.
@@ -109,6 +129,8 @@
 		// how many reused an idle one.
 		Opened uint64 `json:"opened"`
 		Reused uint64 `json:"reused"`
+		// Oversized is how many answers had a longer head than is accepted.
+		Oversized uint64 `json:"oversized"`
 	}
 
 	// StrayAnswerError reports that a connection carried only answers to other
@@ -122,7 +144,10 @@
 
 	connection struct {
 		net.Conn
-		address   carawaybeam.Address
+		address carawaybeam.Address
+		// headLeft is how many more bytes of the head of an answer may be read, or
+		// negative while the size of what is read is not limited.
+		headLeft  int
 		reader    *bufio.Reader
 		idleSince time.Time
 		idleFor   time.Duration
@@ -167,7 +192,7 @@
 func (p *Pooler) State() State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state := State{Opened: p.opened, Reused: p.reused}
+	state := State{Opened: p.opened, Reused: p.reused, Oversized: p.oversized}
 	for _, idle := range p.idle {
 		state.Idle += len(idle)
 	}
@@ -256,7 +281,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	c := &connection{Conn: conn, address: address, headLeft: unlimited}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
+}
+
+// Read reads from the connection. It fails if the head of an answer is too long.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	if c.headLeft > 0 {
+		p = p[:min(len(p), c.headLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err
 }
 
 // get returns an idle connection that is still usable, or opens a new one.
@@ -322,12 +364,16 @@
 // responses, and up to maxStrayAnswers complete answers to other requests.
 func (p *Pooler) readHead(c *connection, request Request) (*http.Response, *Reply, error) {
 	var stray carawaybeam.RequestID
+	informational := 0
 	for skipped := 0; skipped <= maxStrayAnswers; {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		response, err := p.readResponse(c, request) //nolint:bodyclose // The caller does so.
 		if err != nil {
 			return nil, nil, err
 		}
 		if response.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return nil, nil, errInformational
+			}
 			continue
 		}
 		head := p.options.DecodeReply(response.StatusCode, response.Header)
@@ -343,6 +389,19 @@
 	return nil, nil, &StrayAnswerError{Request: request.ID, Got: stray}
 }
 
+// readResponse reads the head of one response.
+func (p *Pooler) readResponse(c *connection, request Request) (*http.Response, error) {
+	c.headLeft = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	c.headLeft = unlimited
+	if errors.Is(err, errHeadTooLong) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.oversized++
+	}
+	return response, err
+}
+
 // put returns a connection to the pool. idleFor is the idle timeout of the
 // backend server, or 0 if unknown.
 func (p *Pooler) put(c *connection, idleFor time.Duration) {
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -256,6 +256,108 @@
 	}
 }
 
+// TestEndlessBytes guards against a backend server that sends bytes without end, fast or slowly,
+// in any place of an answer: the request must end, and its connection be closed.
+func TestEndlessBytes(t *testing.T) {
+	tests := map[string]struct{ start, repeated string }{
+		"garbage":       {"", "x"},
+		"status line":   {"HTTP/1.1 200 ", "O"},
+		"header line":   {"HTTP/1.1 200 OK\r\nA: ", "a"},
+		"header lines":  {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"stray answers": {"", "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nContent-Length: 0\r\n\r\n"},
+		"stray body":    {"HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n\r\n", "x"},
+		"body":          {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", "x"},
+		"chunk header":  {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"chunks":        {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"trailer": {
+			"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n",
+		},
+	}
+	for name, test := range tests {
+		for _, slow := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, slow %t", name, slow), func(t *testing.T) {
+				is := is.New(t)
+				closed := make(chan struct{})
+				b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+					defer close(closed)
+					_, err := io.WriteString(conn, test.start)
+					for err == nil {
+						if slow {
+							_, err = io.WriteString(conn, test.repeated)
+							time.Sleep(5 * time.Millisecond)
+						} else {
+							_, err = io.WriteString(conn, strings.Repeat(test.repeated, 1000))
+						}
+					}
+					return false
+				})
+				p := newPooler(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer cancel()
+				if slow {
+					ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+					defer cancel()
+				}
+				reply, err := p.Send(ctx, b.address(), request("1"))
+				if err == nil {
+					_, err = reply.ReadAll(1 << 20)
+					is.NoErr(reply.Body.Close())
+				}
+				is.True(err != nil)
+				select {
+				case <-closed:
+				case <-time.After(5 * time.Second):
+					t.Error("connection is still open")
+				}
+				is.Equal(p.State().Idle, 0)
+			})
+		}
+	}
+}
+
+// TestEndlessHeadIsCounted checks that memory for the head of an answer is bounded, and that
+// the counter tells of it.
+func TestEndlessHeadIsCounted(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		for {
+			if _, err := io.WriteString(conn, strings.Repeat("x", 1<<10)); err != nil {
+				return false
+			}
+		}
+	})
+	p, began := newPooler(t), time.Now()
+	_, err := send(t, p, b, request("1"))
+	is.True(err != nil)
+	is.True(time.Since(began) < 2*time.Second)
+	is.Equal(p.State().Oversized, uint64(1))
+}
+
+// TestRefusalWithEndlessBody guards against a refusal that is passed on late because its body
+// does not end.
+func TestRefusalWithEndlessBody(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRequest-Id: 1\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(conn, "x")
+			time.Sleep(time.Millisecond)
+		}
+		return false
+	})
+	p := newPooler(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reply, err := p.Send(ctx, b.address(), request("1"))
+	is.NoErr(err)
+	began := time.Now()
+	reply.Drain()
+	is.True(time.Since(began) < time.Second)
+	is.NoErr(reply.Body.Close())
+	is.Equal(p.State().Idle, 0)
+}
+
 // TestEarlyAnswer answers a long request before its body has been read. The rest
 // of the body must still be sent completely, and the next request must not be
 // sent in its place on the same connection.
