Forget the oldest ended incarnations only

One that had announced that it leaves was then used again if the store showed its older announcement.

discoverer.TestManyEnded failed before.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -27,7 +28,7 @@
 	lapseTime = 5 * time.Second
 
 	// maxEnded is the maximum number of ended incarnations that are remembered, and
-	// of those whose announcements were removed.
+	// of those whose announcements were removed. The oldest are forgotten first.
 	maxEnded = 4096
 )
 
@@ -52,10 +53,10 @@
 		mu      sync.Mutex
 		members map[carawaybeam.BackendID]*member
 		// ended holds the incarnations that are leaving or were replaced.
-		ended map[carawaybeam.BackendIncarnation]struct{}
+		ended *simplelru.LRU[carawaybeam.BackendIncarnation, struct{}]
 		// removed holds the incarnations whose announcements were removed. They
 		// may be announced again.
-		removed map[carawaybeam.BackendIncarnation]struct{}
+		removed *simplelru.LRU[carawaybeam.BackendIncarnation, struct{}]
 		loaded  bool
 		// era is the newest era of the store in which announcements were read.
 		era   carawaybeam.StoreEra
@@ -82,12 +83,18 @@
 	return &Discoverer{
 		options: options,
 		members: make(map[carawaybeam.BackendID]*member),
-		ended:   make(map[carawaybeam.BackendIncarnation]struct{}),
-		removed: make(map[carawaybeam.BackendIncarnation]struct{}),
+		ended:   newIncarnations(),
+		removed: newIncarnations(),
 		pools:   make(map[carawaybeam.PoolID][]carawaybeam.Instance),
 	}
 }
 
+func newIncarnations() *simplelru.LRU[carawaybeam.BackendIncarnation, struct{}] {
+	// The only error is about a size below 1.
+	incarnations, _ := simplelru.NewLRU[carawaybeam.BackendIncarnation, struct{}](maxEnded, nil)
+	return incarnations
+}
+
 // Loaded reports whether the announcements have been read.
 func (d *Discoverer) Loaded() bool {
 	d.mu.Lock()
@@ -237,7 +244,7 @@
 		d.withdraw(carawaybeam.BackendID(o.Name), false)
 		return instance, false
 	}
-	if _, ended := d.ended[instance.BackendIncarnation]; ended {
+	if d.ended.Contains(instance.BackendIncarnation) {
 		instance.Leaving = true
 	}
 	previous, known := d.members[instance.ID]
@@ -251,7 +258,7 @@
 		d.markEnded(instance.BackendIncarnation)
 	}
 	next := &member{instance: instance, version: o.Version}
-	switch _, removed := d.removed[instance.BackendIncarnation]; {
+	switch removed := d.removed.Contains(instance.BackendIncarnation); {
 	case removed && newEra:
 		// It may have gone for good. If so, it does not renew the announcement.
 		next.usableAt = time.Now().Add(lapseTime)
@@ -261,7 +268,7 @@
 		next.usableAt = previous.usableAt
 	}
 	if next.usableAt.IsZero() {
-		delete(d.removed, instance.BackendIncarnation)
+		d.removed.Remove(instance.BackendIncarnation)
 	}
 	d.members[instance.ID] = next
 	return instance, true
@@ -269,20 +276,14 @@
 
 // remove removes a member. The caller holds mu.
 func (d *Discoverer) remove(m *member) {
-	if len(d.removed) >= maxEnded {
-		clear(d.removed)
-	}
-	d.removed[m.instance.BackendIncarnation] = struct{}{}
+	d.removed.Add(m.instance.BackendIncarnation, struct{}{})
 	delete(d.members, m.instance.ID)
 }
 
 // markEnded records that an incarnation receives no more requests. The caller
 // holds mu.
 func (d *Discoverer) markEnded(incarnation carawaybeam.BackendIncarnation) {
-	if len(d.ended) >= maxEnded {
-		clear(d.ended)
-	}
-	d.ended[incarnation] = struct{}{}
+	d.ended.Add(incarnation, struct{}{})
 }
 
 // withdraw handles a deleted or lapsed announcement, which an older copy of the store
@@ -348,7 +349,7 @@
 	for _, m := range d.members {
 		if !m.usableAt.IsZero() && !now.Before(m.usableAt) {
 			m.usableAt = time.Time{}
-			delete(d.removed, m.instance.BackendIncarnation)
+			d.removed.Remove(m.instance.BackendIncarnation)
 		}
 		usable := !m.instance.Leaving && m.usableAt.IsZero()
 		if usable && m.instance.Started >= latest[m.instance.Address] {
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -77,6 +78,22 @@
 	is.Equal(names(d), "ab")
 }
 
+// TestManyEnded guards against a backend server that has announced that it leaves and is used again
+// because many others have left before it.
+func TestManyEnded(t *testing.T) {
+	is := is.New(t)
+	d := newDiscoverer(&outage{})
+	for i := range 4096 {
+		name := fmt.Sprint("old", i)
+		d.Apply([]carawaybeam.Object{object(name, "-1"), gone(name)})
+		if i == 4094 {
+			d.Apply([]carawaybeam.Object{object("a", "-1")})
+		}
+	}
+	d.Replace([]carawaybeam.Object{object("a", "1")})
+	is.Equal(names(d), "")
+}
+
 // TestUnreadableAnnouncement fails if a backend server with an invalid
 // announcement is used, or if it affects the others.
 func TestUnreadableAnnouncement(t *testing.T) {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -36,7 +37,7 @@
 	reenrolTime = 5 * time.Second
 
 	// maxEnded is the maximum number of ended incarnations that an EntrySet
-	// remembers.
+	// remembers. The oldest are forgotten first.
 	maxEnded = 1024
 )
 
@@ -90,7 +91,7 @@
 		era   carawaybeam.StoreEra
 		empty bool
 		// ended holds the incarnations that have removed their objects.
-		ended map[carawaybeam.Incarnation]struct{}
+		ended *simplelru.LRU[carawaybeam.Incarnation, struct{}]
 		// stale holds the objects of ended incarnations that are back from an
 		// older copy of the store.
 		stale map[string]carawaybeam.StoreVersion
@@ -237,11 +238,13 @@
 
 // NewEntrySet returns an empty EntrySet.
 func NewEntrySet(log zerolog.Logger) *EntrySet {
+	// The only error is about a size below 1.
+	ended, _ := simplelru.NewLRU[carawaybeam.Incarnation, struct{}](maxEnded, nil)
 	return &EntrySet{
 		log:      log,
 		replaced: make(chan struct{}, 1),
 		entries:  make(map[string]member),
-		ended:    make(map[carawaybeam.Incarnation]struct{}),
+		ended:    ended,
 		stale:    make(map[string]carawaybeam.StoreVersion),
 	}
 }
@@ -383,7 +386,7 @@
 			s.log.Warn().Err(err).Str("entry", o.Name).Msg("enroller: cannot decode the object of an entry")
 			continue
 		}
-		if _, ended := s.ended[entry.Incarnation]; ended {
+		if s.ended.Contains(entry.Incarnation) {
 			s.stale[o.Name] = o.Version
 			continue
 		}
@@ -401,8 +404,5 @@
 	if incarnation == "" {
 		return
 	}
-	if len(s.ended) >= maxEnded {
-		clear(s.ended)
-	}
-	s.ended[incarnation] = struct{}{}
+	s.ended.Add(incarnation, struct{}{})
 }
