Let old records not spend what an answer excuses a part of a prompt

Found by reading the diff: each time the records of the store were received again, an old crash counted as the first one after the last answer to a hot part, so that the next real crash was laid to it. Records of crashes before the answer, and those that are known, no longer count as that one. A part is also refused while the store is away, as the forwarder had it wait for nothing.

quarantiner.TestOldRecordsOfPart failed before.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -254,7 +254,7 @@
 		d.options.Log.Warn().Str("crash", string(s.crash)).Str("request", string(r.request)).
 			Msg("detector: backend server answers, it has not crashed")
 		for _, other := range s.crashed {
-			for _, fingerprint := range append(other.parts, other.fingerprint) {
+			for _, fingerprint := range other.fingerprints() {
 				d.options.Quarantiner.Acquit(fingerprint, s.crash)
 			}
 		}
@@ -278,11 +278,16 @@
 		q.ClearParts(r.parts)
 		return
 	}
-	for _, fingerprint := range append(r.parts, r.fingerprint) {
+	for _, fingerprint := range r.fingerprints() {
 		q.Retract(fingerprint, crash)
 	}
 }
 
+// fingerprints returns the fingerprints of the request and of the parts of its prompt.
+func (r *Run) fingerprints() []quarantiner.Fingerprint {
+	return slices.Concat([]quarantiner.Fingerprint{r.fingerprint}, r.parts)
+}
+
 // records returns the records of the crash of the attempt's backend server against the request and
 // the parts of its prompt.
 func (r *Run) records(tentative bool) []quarantiner.Record {
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -192,7 +192,8 @@
 // isQuarantined reports whether requests with the fingerprint crash the backend servers that
 // run them. If the last crash was recorded just now, isQuarantined first leaves the other
 // entries time to share what they know of it: the cause may be a request that one of them
-// sent. While entries cannot share, it takes more crashes.
+// sent. While entries cannot share, it takes more crashes, but not for parts of prompts, which
+// are told apart by what this entry knows to have been answered.
 func (f *Forwarder) isQuarantined(ctx context.Context, fingerprint quarantiner.Fingerprint) bool {
 	if f.options.Quarantiner.Status(fingerprint) != quarantiner.Quarantined {
 		return false
@@ -201,7 +202,7 @@
 	if f.options.Quarantiner.Status(fingerprint) != quarantiner.Quarantined {
 		return false
 	}
-	return f.options.CrashesShared(fingerprint) ||
+	return fingerprint.IsPart() || f.options.CrashesShared(fingerprint) ||
 		len(f.options.Quarantiner.Crashes(fingerprint)) >= quarantiner.CertainCrashes
 }
 
--- a/dispatcher/forwarder/trials.go
+++ b/dispatcher/forwarder/trials.go
@@ -69,7 +69,7 @@
 	switch f.options.Quarantiner.Status(fingerprint) {
 	case quarantiner.OnTrial:
 		return true
-	case quarantiner.Suspect, quarantiner.Quarantined:
+	case quarantiner.Suspect:
 		return fingerprint.IsPart()
 	}
 	return false
--- a/quarantiner/history_test.go
+++ b/quarantiner/history_test.go
@@ -62,8 +62,8 @@
 func (h *history) share() {
 	for range 2 {
 		for _, i := range h.random.Perm(len(h.processes)) {
+			records, _ := h.processes[i].Records()
 			for _, j := range h.random.Perm(len(h.processes)) {
-				records, _ := h.processes[i].Records()
 				h.processes[j].Merge(records)
 			}
 		}
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -98,6 +98,22 @@
 	}
 }
 
+// TestOldRecordsOfPart guards against a hot part that is suspected in its next crash because records
+// of earlier crashes were received again.
+func TestOldRecordsOfPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, hot := quarantiner.New(quarantiner.Partial), []quarantiner.Fingerprint{part("f")}
+		old := partRecord("f", 0, 1)
+		time.Sleep(time.Second)
+		q.ClearParts(hot)
+		q.Merge([]quarantiner.Record{old})
+		time.Sleep(5 * time.Second)
+		q.Merge([]quarantiner.Record{old, partRecord("f", 0, 2)})
+		is.Equal(q.Status(part("f")), quarantiner.Clear)
+	})
+}
+
 // TestSoundPartElsewhere guards against the refusal of a part that other entries answer all the
 // time, when an entry that has just started saw it in crashes only.
 func TestSoundPartElsewhere(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -221,16 +221,18 @@
 	}
 }
 
-// isSound reports whether a part of a prompt is not suspected in a crash, because it was answered
-// a moment before. The caller holds mu.
-func (q *Quarantiner) isSound(part Fingerprint) bool {
-	answer, ok := q.answers.Peek(part)
-	if !ok || time.Since(answer.began) > soundTime {
+// isSound reports whether a part of a prompt is not suspected in a new crash, because it was
+// answered a moment before or has been answered since. The caller holds mu.
+func (q *Quarantiner) isSound(r Record) bool {
+	answer, ok := q.answers.Peek(r.Fingerprint)
+	switch {
+	case !ok || time.Since(answer.began) > soundTime:
 		return false
-	}
-	if answer.crashed.IsZero() {
+	case r.At.Before(answer.began):
+		return true
+	case answer.crashed.IsZero():
 		answer.crashed = time.Now()
-		q.answers.Add(part, answer)
+		q.answers.Add(r.Fingerprint, answer)
 	}
 	return time.Since(answer.crashed) <= waveTime
 }
@@ -253,9 +255,6 @@
 	if r.Fingerprint == "" || r.Crash == "" || !r.Counts() {
 		return false
 	}
-	if r.Fingerprint.IsPart() && q.isSound(r.Fingerprint) {
-		r.Cleared, r.Tentative = true, false
-	}
 	known, ok := q.suspects[r.Fingerprint]
 	if !ok {
 		if !q.makeRoom(r) {
@@ -265,6 +264,9 @@
 		q.suspects[r.Fingerprint] = known
 	}
 	i := slices.IndexFunc(known.records, func(other Record) bool { return other.Crash == r.Crash })
+	if i < 0 && r.Fingerprint.IsPart() && q.isSound(r) {
+		r.Cleared, r.Tentative = true, false
+	}
 	switch {
 	case i >= 0 && known.records[i].Tentative && !r.Tentative:
 		known.records[i].Tentative, known.records[i].Cleared = false, r.Cleared
