--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -225,18 +225,10 @@
 	})
 }
 
-// isDominant reports whether c has more crashes than each candidate that shares one. Of two parts
-// with the same crashes, which nothing tells apart, the later one in prompts is dominant.
+// isDominant reports whether c has more crashes than each candidate that shares one.
 func (q *inquiry) isDominant(c candidate) bool {
 	return !slices.ContainsFunc(q.candidates, func(other candidate) bool {
-		shared := c.countShared(other)
-		switch {
-		case other.fingerprint == c.fingerprint || shared == 0 || len(other.crashes) < len(c.crashes):
-			return false
-		case q.ofParts && shared == len(c.crashes) && shared == len(other.crashes):
-			return other.position > c.position
-		}
-		return true
+		return other.fingerprint != c.fingerprint && len(other.crashes) >= len(c.crashes) && c.countShared(other) > 0
 	})
 }
 
