--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -75,7 +75,6 @@
 			culprits[fingerprint] = struct{}{}
 		}
 	}
-	maps.Copy(culprits, findOnlyParts(suspects, culprits, answered))
 	return culprits
 }
 
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -20,6 +20,13 @@
 	}
 }
 
+// answerOthers answers so many requests that a part which was not answered is known to be new.
+func answerOthers(q *quarantiner.Quarantiner) {
+	for range 20 {
+		q.ClearParts([]quarantiner.Fingerprint{part("another")})
+	}
+}
+
 // TestCrashingParts checks which parts of prompts are quarantined by the parts of the requests
 // that were running without an answer in each crash.
 func TestCrashingParts(t *testing.T) {
@@ -68,6 +75,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				q := quarantiner.New(quarantiner.Partial)
+				answerOthers(q)
 				for id := range strings.FieldsSeq(test.answered) {
 					q.ClearParts([]quarantiner.Fingerprint{part(id)})
 				}
@@ -155,12 +163,14 @@
 }
 
 // TestOnlyNewPart checks that a part which was the only new one in a crash is tried after half a
-// minute, unless a request explains the crash.
+// minute, unless a request explains the crash or the process has seen few answers yet.
 func TestOnlyNewPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		q := quarantiner.New(quarantiner.Complete)
 		q.Merge([]quarantiner.Record{partRecord("g", 1, 1), partRecord("h", 1, 2)})
+		is.Equal(q.Status(part("g")), quarantiner.Suspect)
+		answerOthers(q)
 		q.Add("crashing", "2")
 		q.Add("crashing", "3")
 		is.Equal(q.Status("crashing"), quarantiner.Quarantined)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -14,8 +14,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -64,6 +66,10 @@
 	soundTime  = 10 * time.Second
 	waveTime   = 2 * time.Second
 	maxAnswers = 1 << 14
+
+	// minAnswers is the number of answers from which it means something that a part was
+	// never answered.
+	minAnswers = 20
 )
 
 const (
@@ -111,9 +117,11 @@
 		// quarantined is derived from suspects after each change.
 		quarantined map[Fingerprint]struct{}
 		// answers holds the last answer to each part of a prompt.
-		answers  *lru.Cache[Fingerprint, partAnswer]
-		sequence uint64
-		changed  chan struct{}
+		answers *lru.Cache[Fingerprint, partAnswer]
+		// answerCount is the number of answers so far to prompts with parts.
+		answerCount atomic.Int64
+		sequence    uint64
+		changed     chan struct{}
 	}
 
 	// Assessment tells why a request is treated as it is.
@@ -214,6 +222,9 @@
 // ClearParts records that an answer to a request with the parts of a prompt has begun, so that
 // no crash so far counts against them.
 func (q *Quarantiner) ClearParts(parts []Fingerprint) {
+	if len(parts) > 0 {
+		q.answerCount.Add(1)
+	}
 	answer := partAnswer{began: time.Now()}
 	for _, part := range parts {
 		q.answers.Add(part, answer)
@@ -357,6 +368,9 @@
 // subscriptions. The caller holds mu.
 func (q *Quarantiner) update() {
 	q.quarantined = findCulprits(q.suspects, q.evidence, q.answers.Contains)
+	if q.answerCount.Load() >= minAnswers {
+		maps.Copy(q.quarantined, findOnlyParts(q.suspects, q.quarantined, q.answers.Contains))
+	}
 	close(q.changed)
 	q.changed = make(chan struct{})
 }
