--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -244,11 +244,12 @@
 // servers, and up to maxCrashingParts parts of prompts that do so. They do not depend on the other faults of the seed.
 func newCrashingRequests(options Options) []fault {
 	random := rand.New(rand.NewPCG(options.Seed, crashingStream))
-	requests := make([]fault, random.IntN(maxCrashingRequests+1))
-	for i, target := range random.Perm(len(paths))[:len(requests)] {
-		requests[i] = fault{
+	requests := make([]fault, 0, maxCrashingRequests+maxCrashingParts)
+	count := random.IntN(maxCrashingRequests + 1)
+	for _, target := range random.Perm(len(paths))[:count] {
+		requests = append(requests, fault{
 			at: time.Duration(random.Int64N(int64(options.FaultWindow))), kind: "crashingRequest", target: target,
-		}
+		})
 	}
 	for part := range random.IntN(maxCrashingParts + 1) {
 		requests = append(requests, fault{
