Send orders to ranks through the agents next to them

Cause: the holder of a group's lease sent each map as JSON to every rank, 63 times 10 KB over a link of 40 Mbit/s, which takes longer than the timeout of an order (30 ms). Ruled out: the copies themselves (14 ms an expert) and the ranks' statuses (60 ms).

Change: orders go to the agents in datagrams (package orderer), which give them to their rank over loopback and repeat them there (package relayer). Copies of an order are answered, not executed again. While an agent does not answer, orders go to the rank directly. Maps have a timeout of their own, as the group is not held meanwhile.

TestExpertShiftInLargeGroup failed before: 7,765 maps sent for 13 changes.

--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -15,6 +15,7 @@
 	"github.com/carawaybeam/carawaybeam/enroller"
 	"github.com/carawaybeam/carawaybeam/follower"
 	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/relayer"
 	"github.com/carawaybeam/carawaybeam/reloader"
 	"github.com/carawaybeam/carawaybeam/reporter"
 	"github.com/carawaybeam/carawaybeam/starter"
@@ -88,17 +89,20 @@
 ) error {
 	conn, err := net.ListenPacket("udp", string(settings.Links))
 	if err != nil {
-		return &starter.ListenError{Purpose: "requests for picks", Address: settings.Links, Cause: err}
+		return &starter.ListenError{Purpose: "requests of entries", Address: settings.Links, Cause: err}
 	}
 	admin, err := starter.Listen("operators", settings.Admin)
 	if err != nil {
 		return err
 	}
+	relay := relayer.New(relayer.Options{Address: settings.Reporting.Rank, Rank: rank, Log: log})
+	closers.Add(relay)
 	closers.Add(reporter.New(reporter.Options{
 		Sender:  settings.Process + "/" + string(carawaybeam.NewIncarnation()),
 		Address: settings.Reporting.Rank,
 		Rank:    rank,
 		Entries: entries.Entries,
+		Orders:  relay.Take,
 		Conn:    conn,
 		Log:     log,
 	}))
--- a/cmd/cbentry/coordinators.go
+++ b/cmd/cbentry/coordinators.go
@@ -93,12 +93,12 @@
 	defer c.mu.Unlock()
 	engine, ok := c.engines[address]
 	if !ok {
-		var err error
-		engine, err = c.newEngine(carawaybeam.RankEngineOptions{Address: address, Timeout: engineTimeout})
+		direct, err := c.newEngine(carawaybeam.RankEngineOptions{Address: address, Timeout: engineTimeout})
 		if err != nil {
 			c.entry.log.Error().Err(err).Str("rank", string(address)).Msg("entry: cannot create the client of a rank")
 			return nil
 		}
+		engine = c.entry.orderer.Engine(address, direct)
 		c.engines[address] = engine
 	}
 	return engine
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -21,8 +21,10 @@
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/enroller"
 	"github.com/carawaybeam/carawaybeam/follower"
+	"github.com/carawaybeam/carawaybeam/framer"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/logkeeper"
+	"github.com/carawaybeam/carawaybeam/orderer"
 	"github.com/carawaybeam/carawaybeam/pooler"
 	"github.com/carawaybeam/carawaybeam/publisher"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
@@ -99,6 +101,7 @@
 	acceptor         *acceptor.Acceptor
 	entries          *enroller.EntrySet
 	collector        *collector.Collector
+	orderer          *orderer.Orderer
 	logKeeper        *logkeeper.LogKeeper
 	// maxKeyAge is the time.Duration from the settings in force.
 	maxKeyAge atomic.Int64
@@ -262,7 +265,14 @@
 	if err != nil {
 		return &starter.ListenError{Purpose: "statuses", Address: e.settings.Links, Cause: err}
 	}
-	e.collector = collector.New(collector.Options{Conn: conn, Log: e.log})
+	e.orderer = orderer.New(orderer.Options{
+		Sender: e.settings.Process + "/" + string(carawaybeam.NewIncarnation()),
+		Send: func(address carawaybeam.Address, frame *framer.Frame) error {
+			return e.collector.Send(address, frame)
+		},
+		Log: e.log,
+	})
+	e.collector = collector.New(collector.Options{Conn: conn, Results: e.orderer.Deliver, Log: e.log})
 	e.closers.Add(e.collector)
 	e.closers.Add(follower.New(follower.Options{
 		Store: e.store, Kind: carawaybeam.KindEntry, Sink: e.entries, Clock: clock.SinceBoot,
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -1,5 +1,5 @@
 // Package collector receives the statuses of ranks that agents send and keeps the
-// newest one of each rank.
+// newest one of each rank. It also sends frames to those agents.
 package collector
 
 import (
@@ -31,6 +31,9 @@
 	minStall   = 700 * time.Millisecond
 	stallSteps = 4
 
+	// maxAgentAge is the age of a status above which its agent may have stopped.
+	maxAgentAge = time.Second
+
 	// stepTimeWindow is the period over which the step time is averaged.
 	stepTimeWindow = 600 * time.Millisecond
 )
@@ -38,9 +41,12 @@
 type (
 	// Options configures a Collector.
 	Options struct {
-		// Conn receives statuses and sends requests for picks.
+		// Conn receives statuses and the results of orders, and sends requests for
+		// picks and orders.
 		Conn net.PacketConn
-		Log  zerolog.Logger
+		// Results takes the results of orders.
+		Results func(result *framer.RankOrderResult)
+		Log     zerolog.Logger
 	}
 
 	// Collector receives statuses until Close. It is safe for concurrent use.
@@ -80,7 +86,9 @@
 		// sender and sequence are those of the newest status.
 		sender   string
 		sequence uint64
-		samples  []stepSample
+		// from is the address from which the agent sent it.
+		from    net.Addr
+		samples []stepSample
 	}
 
 	// stepSample is the step of a rank at a point in time.
@@ -90,6 +98,9 @@
 	}
 )
 
+// ErrNoAgent reports that no agent next to a rank is known to run.
+var ErrNoAgent = errors.New("no agent has reported the rank recently")
+
 // IsStalled reports whether a group with running requests has made no step for so
 // long that one of its ranks must have stopped. This detects a stopped rank within a
 // second, earlier than its missing answers do.
@@ -115,6 +126,27 @@
 	return err
 }
 
+// Send sends a frame to the agent next to the rank at an address. It returns ErrNoAgent if
+// the rank has no recent status.
+func (c *Collector) Send(address carawaybeam.Address, frame *framer.Frame) error {
+	c.mu.Lock()
+	r, ok := c.ranks[address]
+	var to net.Addr
+	if ok && time.Since(r.status.Received) <= maxAgentAge {
+		to = r.from
+	}
+	c.mu.Unlock()
+	if to == nil {
+		return ErrNoAgent
+	}
+	data, err := proto.Marshal(frame)
+	if err != nil {
+		return err
+	}
+	_, err = c.options.Conn.WriteTo(data, to)
+	return err
+}
+
 // SetPicksWanted sets whether the picks of the ranks of a group are requested.
 func (c *Collector) SetPicksWanted(group carawaybeam.GroupID, wanted bool) {
 	c.mu.Lock()
@@ -201,11 +233,19 @@
 			continue
 		}
 		var frame framer.Frame
-		if err := proto.Unmarshal(buffer[:n], &frame); err != nil || frame.GetRankStatus() == nil {
-			c.options.Log.Debug().Err(err).Msg("collector: datagram is not a rank status")
+		if err := proto.Unmarshal(buffer[:n], &frame); err != nil {
+			c.options.Log.Debug().Err(err).Msg("collector: cannot decode datagram")
+			continue
+		}
+		if result := frame.GetRankOrderResult(); result != nil && c.options.Results != nil {
+			c.options.Results(result)
+			continue
+		}
+		if frame.GetRankStatus() == nil {
+			c.options.Log.Debug().Msg("collector: datagram is not a rank status")
 			continue
 		}
-		if !c.record(time.Now(), frame.GetRankStatus()) {
+		if !c.record(time.Now(), from, frame.GetRankStatus()) {
 			continue
 		}
 		if _, err := c.options.Conn.WriteTo(request, from); err != nil {
@@ -216,7 +256,7 @@
 
 // record keeps a status if it is newer than the last one of its rank. It reports
 // whether to request picks from the rank.
-func (c *Collector) record(now time.Time, got *framer.RankStatus) bool {
+func (c *Collector) record(now time.Time, from net.Addr, got *framer.RankStatus) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	address := carawaybeam.Address(got.GetAddress())
@@ -232,7 +272,7 @@
 	if r.sender == got.GetSender() && got.GetSequence() <= r.sequence {
 		return false
 	}
-	r.sender, r.sequence = got.GetSender(), got.GetSequence()
+	r.sender, r.sequence, r.from = got.GetSender(), got.GetSequence(), from
 	r.update(now, got)
 	_, wanted := c.picksWanted[r.status.Group]
 	return wanted
--- a/proposer/coordinator/change.go
+++ b/proposer/coordinator/change.go
@@ -103,7 +103,7 @@
 ) error {
 	began := time.Now()
 	order := c.order(ranks)
-	err := c.sendToAll(ranks, func(ctx context.Context, engine carawaybeam.RankEngine) error {
+	err := c.sendToAll(ranks, prepareTimeout, func(ctx context.Context, engine carawaybeam.RankEngine) error {
 		return engine.Prepare(ctx, order, next)
 	})
 	if err != nil {
@@ -123,7 +123,7 @@
 		return err
 	}
 	armed := carawaybeam.ArmedMap{Version: next.Version, Step: step}
-	err = c.sendToAll(ranks, func(ctx context.Context, engine carawaybeam.RankEngine) error {
+	err = c.sendToAll(ranks, orderTimeout, func(ctx context.Context, engine carawaybeam.RankEngine) error {
 		return engine.Arm(ctx, order, armed)
 	})
 	if err != nil {
@@ -188,6 +188,7 @@
 		err := c.sendUntilAnswered(
 			ranks[0].Address,
 			ranks[0].Epoch,
+			orderTimeout,
 			func(ctx context.Context, engine carawaybeam.RankEngine) error {
 				return engine.Hold(ctx, order, step)
 			},
@@ -210,6 +211,7 @@
 	err := c.sendUntilAnswered(
 		ranks[0].Address,
 		ranks[0].Epoch,
+		orderTimeout,
 		func(ctx context.Context, engine carawaybeam.RankEngine) error {
 			return engine.Release(ctx, order, step)
 		},
--- a/proposer/coordinator/coordinator_test.go
+++ b/proposer/coordinator/coordinator_test.go
@@ -43,14 +43,19 @@
 
 // start starts the coordinator of a process that competes for control of the
 // group.
-func start(g *fakeGroup, store carawaybeam.Store, p *fakeProcess) *coordinator.Coordinator {
+func start(g *fakeGroup, store carawaybeam.Store, p *fakeProcess, agents *fakeAgents) *coordinator.Coordinator {
 	holder := carawaybeam.NewIncarnation()
+	orders := agents.orderer(p, holder)
 	return coordinator.New(coordinator.Options{
 		Group:     "g",
 		Statuses:  func() []collector.Status { p.awaitRunning(); return g.newest() },
 		WantPicks: p.setWantsPicks,
 		Engine: func(a carawaybeam.Address) carawaybeam.RankEngine {
-			return &fakeEngine{group: g, rank: int(a[len(a)-1] - '0'), process: p, holder: holder}
+			direct := &fakeEngine{group: g, rank: rankAt(a), process: p, holder: holder}
+			if orders == nil {
+				return direct
+			}
+			return orders.Engine(a, direct)
 		},
 		Layout: func() (carawaybeam.ExpertLayout, bool) {
 			return carawaybeam.ExpertLayout{
@@ -81,8 +86,9 @@
 			processes[i] = &fakeProcess{}
 		}
 		g.processes = processes
+		agents := newAgents(g, seed)
 		for i := range processes {
-			coordinators[i] = start(g, store.NewClient(zerolog.Nop()), processes[i])
+			coordinators[i] = start(g, store.NewClient(zerolog.Nop()), processes[i], agents)
 		}
 		done := make(chan struct{})
 		go func() { defer close(done); g.run(ctx) }()
@@ -102,7 +108,7 @@
 				if err := coordinators[i].Close(); err != nil {
 					t.Error(err)
 				}
-				coordinators[i] = start(g, store.NewClient(zerolog.Nop()), processes[i])
+				coordinators[i] = start(g, store.NewClient(zerolog.Nop()), processes[i], agents)
 			case 1, 2:
 				// Only one process is paused at a time. While all are paused, no
 				// process can release a hold, and a successor that is paused as
@@ -114,6 +120,8 @@
 				if random.IntN(4) == 0 {
 					g.crash()
 				}
+			case 4:
+				agents.pauseOne(time.Duration(random.Int64N(int64(2 * time.Second))))
 			}
 		}
 		// Without any process, no one releases a hold, so later holds are not
@@ -128,6 +136,7 @@
 		}
 		// Late orders are still executed.
 		time.Sleep(13 * time.Second)
+		agents.close(t)
 		cancel()
 		<-done
 	})
@@ -183,6 +192,37 @@
 	}
 }
 
+// TestExpertShiftInLargeGroup changes maps of a group of 64 ranks, which a process sends over a
+// link on which all of them together take 128 ms. Each map must be sent to each rank once:
+// maps that are sent again while others wait for the link delay the change after a shift.
+func TestExpertShiftInLargeGroup(t *testing.T) {
+	const size = 64
+	g := newGroup(size, 1, faults{})
+	g.mapTime = 2 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := storer.New()
+		g.processes = []*fakeProcess{{}}
+		c := start(g, store.NewClient(zerolog.Nop()), g.processes[0], nil)
+		var running sync.WaitGroup
+		running.Go(func() { g.run(ctx) })
+		time.Sleep(20 * time.Second)
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		running.Wait()
+	})
+	maps := g.changes / size
+	if maps < 20 {
+		t.Errorf("only %d map changes in 20 s", maps)
+	}
+	// The last map may not be in force yet.
+	if most := (maps + 1) * size; g.prepares > most {
+		t.Errorf("%d maps were sent to ranks for %d changes, want %d at most", g.prepares, maps, most)
+	}
+}
+
 // TestPromiseOneMapOrders checks that no two ranks begin a step with different
 // maps. Ranks lose orders, execute them without an answer or execute them late,
 // while processes are restarted and paused, and the store comes back from older copies.
@@ -195,6 +235,8 @@
 		"all faults":                  {lost: 0.1, unanswered: 0.15, late: 0.2},
 		"older copies":                {olderCopies: true},
 		"older copies and all faults": {lost: 0.1, unanswered: 0.15, late: 0.2, olderCopies: true},
+		"relayed":                     {relayed: true},
+		"relayed and all faults":      {relayed: true, lost: 0.1, unanswered: 0.15, late: 0.2, olderCopies: true},
 	}
 	trials, violations := 0, 0
 	for name, f := range tests {
@@ -223,7 +265,7 @@
 // hold of its predecessor, and against processes that keep each other from doing
 // so.
 func TestHeldGroupIsFreed(t *testing.T) {
-	tests := map[string]faults{"answered": {}, "late": {late: 0.5}}
+	tests := map[string]faults{"answered": {}, "late": {late: 0.5}, "relayed": {relayed: true}}
 	for name, f := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(60) {
--- a/proposer/coordinator/group_test.go
+++ b/proposer/coordinator/group_test.go
@@ -34,6 +34,9 @@
 		// lost orders are never executed, unanswered ones at once but without an
 		// answer, and late ones 50 ms to 12 s later without an answer.
 		lost, unanswered, late float64
+		// relayed sends orders through agents, over a network that loses, delays and
+		// duplicates datagrams. Agents stop for a while now and then.
+		relayed bool
 		// olderCopies makes the store come back from older copies, and lose and
 		// delay answers.
 		olderCopies bool
@@ -56,6 +59,11 @@
 		stalled        time.Time
 		longest        time.Duration
 		violations     []string
+		// mapTime is how long the link of a process takes to send a map to one rank,
+		// linkFree when it has sent all maps so far, and prepares their number.
+		mapTime  time.Duration
+		linkFree time.Time
+		prepares int
 		// fences holds the process that has used each fencing token.
 		fences map[carawaybeam.Epoch]carawaybeam.Incarnation
 	}
@@ -65,7 +73,8 @@
 		group   *fakeGroup
 		rank    int
 		process *fakeProcess
-		// holder is the incarnation of the process.
+		// holder is the incarnation of the process, or empty for an agent, which
+		// executes the orders of all processes.
 		holder carawaybeam.Incarnation
 	}
 
@@ -269,16 +278,38 @@
 	if !r.AcceptFencingToken(o.FencingToken) {
 		return &carawaybeam.RankOrderError{Fenced: true, Detail: "old fence"}
 	}
-	if other, used := g.fences[o.FencingToken]; used && other != e.holder {
-		g.violations = append(g.violations, fmt.Sprintf("two processes use the fencing token %d", o.FencingToken))
+	if e.holder != "" {
+		g.useFence(o.FencingToken, e.holder)
 	}
-	g.fences[o.FencingToken] = e.holder
 	if o.Epoch != g.epoch {
 		return refused("another epoch")
 	}
 	return act(r)
 }
 
+// sendMap waits until the link has sent a map. It reports false if the context ends first.
+func (g *fakeGroup) sendMap(ctx context.Context) bool {
+	g.mu.Lock()
+	now := time.Now()
+	if g.linkFree.Before(now) {
+		g.linkFree = now
+	}
+	g.linkFree = g.linkFree.Add(g.mapTime)
+	g.prepares++
+	wait := g.linkFree.Sub(now)
+	g.mu.Unlock()
+	time.Sleep(wait)
+	return ctx.Err() == nil
+}
+
+// useFence records that a process uses a fencing token. The caller holds mu.
+func (g *fakeGroup) useFence(token carawaybeam.Epoch, holder carawaybeam.Incarnation) {
+	if other, used := g.fences[token]; used && other != holder {
+		g.violations = append(g.violations, fmt.Sprintf("two processes use the fencing token %d", token))
+	}
+	g.fences[token] = holder
+}
+
 // accepted returns an error unless the rank has accepted the order.
 func accepted(ok bool, order string) error {
 	if ok {
@@ -290,6 +321,9 @@
 func refused(detail string) error { return &carawaybeam.RankOrderError{Detail: detail} }
 
 func (e *fakeEngine) Prepare(ctx context.Context, o carawaybeam.RankOrder, m carawaybeam.ExpertMap) error {
+	if !e.group.sendMap(ctx) {
+		return errNoAnswer
+	}
 	return e.order(
 		ctx,
 		o,
--- a/proposer/coordinator/orders.go
+++ b/proposer/coordinator/orders.go
@@ -14,6 +14,11 @@
 	// within milliseconds.
 	orderTimeout = 30 * time.Millisecond
 
+	// prepareTimeout is the timeout of one attempt to send an expert map. All ranks
+	// get the map at the same time over the link of this VM, and the group is not
+	// held meanwhile.
+	prepareTimeout = 250 * time.Millisecond
+
 	// slowOrderTimeout replaces orderTimeout after quickAttempts attempts, since a
 	// process that runs slowly needs longer to send an order and read its answer.
 	slowOrderTimeout = 200 * time.Millisecond
@@ -31,15 +36,19 @@
 // rankCall sends one order to a rank.
 type rankCall func(ctx context.Context, engine carawaybeam.RankEngine) error
 
-// sendUntilAnswered sends an order to one rank until the rank answers. It returns
-// nil, errFenced, errReformed, the *carawaybeam.RankOrderError of the rank, or the
-// error of the context after Close.
-func (c *Coordinator) sendUntilAnswered(address carawaybeam.Address, epoch uint64, call rankCall) error {
+// sendUntilAnswered sends an order to one rank until the rank answers. Each attempt has
+// the timeout. It returns nil, errFenced, errReformed, the *carawaybeam.RankOrderError of
+// the rank, or the error of the context after Close.
+func (c *Coordinator) sendUntilAnswered(
+	address carawaybeam.Address,
+	epoch uint64,
+	timeout time.Duration,
+	call rankCall,
+) error {
 	engine := c.options.Engine(address)
 	for attempt := 0; ; attempt++ {
-		timeout := orderTimeout
-		if attempt >= quickAttempts {
-			timeout = slowOrderTimeout
+		if attempt == quickAttempts {
+			timeout = max(timeout, slowOrderTimeout)
 		}
 		if err := c.checkEpoch(epoch); err != nil {
 			return err
@@ -64,11 +73,11 @@
 
 // sendToAll sends an order to all ranks in parallel until each has answered. It
 // returns the joined errors of sendUntilAnswered.
-func (c *Coordinator) sendToAll(ranks rankStatuses, call rankCall) error {
+func (c *Coordinator) sendToAll(ranks rankStatuses, timeout time.Duration, call rankCall) error {
 	errs := make([]error, len(ranks))
 	var wait sync.WaitGroup
 	for i := range ranks {
-		wait.Go(func() { errs[i] = c.sendUntilAnswered(ranks[i].Address, ranks[i].Epoch, call) })
+		wait.Go(func() { errs[i] = c.sendUntilAnswered(ranks[i].Address, ranks[i].Epoch, timeout, call) })
 	}
 	wait.Wait()
 	return errors.Join(errs...)
--- a/proposer/coordinator/takeover.go
+++ b/proposer/coordinator/takeover.go
@@ -28,7 +28,7 @@
 // the pending change, if there is one.
 func (c *Coordinator) takeOver(ranks rankStatuses) error {
 	order := c.order(ranks)
-	err := c.sendToAll(ranks, func(ctx context.Context, engine carawaybeam.RankEngine) error {
+	err := c.sendToAll(ranks, orderTimeout, func(ctx context.Context, engine carawaybeam.RankEngine) error {
 		return engine.Disarm(ctx, order, unusedVersion)
 	})
 	if err != nil {
@@ -95,6 +95,7 @@
 		err := c.sendUntilAnswered(
 			ranks[0].Address,
 			ranks[0].Epoch,
+			orderTimeout,
 			func(ctx context.Context, engine carawaybeam.RankEngine) error {
 				return engine.Hold(ctx, order, armed.Step)
 			},
@@ -108,7 +109,7 @@
 		return c.rollBack(ranks, armed, held)
 	}
 	order := c.order(ranks)
-	err := c.sendToAll(ranks, func(ctx context.Context, engine carawaybeam.RankEngine) error {
+	err := c.sendToAll(ranks, orderTimeout, func(ctx context.Context, engine carawaybeam.RankEngine) error {
 		return engine.Arm(ctx, order, armed)
 	})
 	var refused *carawaybeam.RankOrderError
@@ -127,7 +128,7 @@
 // rollBack disarms all ranks while the group is held, and then releases the hold.
 func (c *Coordinator) rollBack(ranks rankStatuses, armed carawaybeam.ArmedMap, held carawaybeam.Step) error {
 	order := c.order(ranks)
-	err := c.sendToAll(ranks, func(ctx context.Context, engine carawaybeam.RankEngine) error {
+	err := c.sendToAll(ranks, orderTimeout, func(ctx context.Context, engine carawaybeam.RankEngine) error {
 		return engine.Disarm(ctx, order, armed.Version)
 	})
 	if err != nil {
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -1,4 +1,5 @@
-// Package reporter sends the state of the rank beside an agent to entries.
+// Package reporter sends the state of the rank beside an agent to entries, and receives
+// the requests and orders that entries send to the agent.
 //
 // Statuses are sent in UDP datagrams. Each status replaces the earlier ones, so that
 // a lost one need not be sent again.
@@ -41,8 +42,9 @@
 	// callTimeout is the timeout of reading the rank, which is on the same VM.
 	callTimeout = 500 * time.Millisecond
 
-	// maxDatagram is the largest datagram from an entry, in bytes.
-	maxDatagram = 2048
+	// maxDatagram is the largest datagram from an entry, in bytes. Orders contain
+	// expert maps.
+	maxDatagram = 64 << 10
 
 	// maxPicksRequests is the maximum number of addresses whose requests for picks
 	// are kept.
@@ -59,7 +61,9 @@
 		Rank    carawaybeam.RankEngine
 		// Entries returns the entries to which statuses are sent.
 		Entries func() []enroller.Entry
-		// Conn sends statuses and receives requests for picks.
+		// Orders takes an order to the rank, and sends the result with reply.
+		Orders func(order *framer.RankOrder, reply func(*framer.Frame))
+		// Conn sends statuses, and receives requests for picks and orders.
 		Conn net.PacketConn
 		Log  zerolog.Logger
 	}
@@ -202,7 +206,7 @@
 	}
 }
 
-// listen receives requests for picks.
+// listen receives requests for picks and orders.
 func (r *Reporter) listen() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -215,17 +219,40 @@
 			continue
 		}
 		var frame framer.Frame
-		if err := proto.Unmarshal(buffer[:n], &frame); err != nil || frame.GetPicksRequest() == nil {
-			r.options.Log.Debug().Err(err).Msg("reporter: datagram is not a request for picks")
+		if err := proto.Unmarshal(buffer[:n], &frame); err != nil {
+			r.options.Log.Debug().Err(err).Msg("reporter: cannot decode datagram")
 			continue
 		}
-		r.mu.Lock()
-		if len(r.picksUntil) >= maxPicksRequests {
-			clear(r.picksUntil)
+		switch {
+		case frame.GetPicksRequest() != nil:
+			r.recordPicksRequest(from)
+		case frame.GetRankOrder() != nil && r.options.Orders != nil:
+			r.options.Orders(frame.GetRankOrder(), func(result *framer.Frame) { r.reply(from, result) })
+		default:
+			r.options.Log.Debug().Msg("reporter: datagram is neither a request for picks nor an order")
 		}
-		r.picksRequested = time.Now()
-		r.picksUntil[from.String()] = r.picksRequested.Add(picksRequestTime)
-		r.mu.Unlock()
+	}
+}
+
+func (r *Reporter) recordPicksRequest(from net.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.picksUntil) >= maxPicksRequests {
+		clear(r.picksUntil)
+	}
+	r.picksRequested = time.Now()
+	r.picksUntil[from.String()] = r.picksRequested.Add(picksRequestTime)
+}
+
+// reply sends the result of an order. It need not be sent again if it is lost, since the
+// sender then sends the order again.
+func (r *Reporter) reply(to net.Addr, result *framer.Frame) {
+	data, err := proto.Marshal(result)
+	if err == nil {
+		_, err = r.options.Conn.WriteTo(data, to)
+	}
+	if err != nil && r.ctx.Err() == nil {
+		r.options.Log.Debug().Err(err).Stringer("entry", to).Msg("reporter: cannot send the result of an order")
 	}
 }
 
