Let agents report to the entries that ask for it, without the store

Cause: each agent followed the enrolled entries in the store. Statuses went to all 17 entries alike, also across data centres.

Change: entries ask the agents next to announced backend servers for statuses once a second, and at once after a start (package subscriber). Agents need no store. Where there are more entries than one rate allows, those in other data centres get a third of the statuses. An agent with a store in its settings still reports to all that are enrolled there.

--- a/cmd/cbagent/reporting.go
+++ b/cmd/cbagent/reporting.go
@@ -31,11 +31,14 @@
 
 // reportingState is the state dump of an agent that only reports the state of a rank.
 type reportingState struct {
+	// Entries holds the enrolled entries, if the agent follows them.
 	Entries []enroller.Entry `json:"entries"`
+	// Recipients is the number of entries to which statuses are sent.
+	Recipients int `json:"recipients"`
 }
 
-// runReporting reports the state of a rank to all enrolled entries until it receives
-// the signal to stop.
+// runReporting reports the state of a rank to entries, and sends their orders to it, until
+// it receives the signal to stop.
 func runReporting(
 	stop context.Context,
 	reload chan os.Signal,
@@ -52,10 +55,6 @@
 		}
 		return err
 	}}))
-	store, err := settings.Reporting.Store.OpenStore(log)
-	if err != nil {
-		return err
-	}
 	newEngine, err := carawaybeam.RankEngines.Lookup(settings.Reporting.Protocol)
 	if err != nil {
 		return err
@@ -65,10 +64,16 @@
 		return err
 	}
 	entries := enroller.NewEntrySet(log)
-	closers.Add(follower.New(follower.Options{
-		Store: store, Kind: carawaybeam.KindEntry, Sink: entries, Clock: clock.SinceBoot,
-		Wait: entriesWait, MinInterval: entriesInterval, Log: log,
-	}))
+	if settings.Reporting.Store.URL != "" {
+		store, err := settings.Reporting.Store.OpenStore(log)
+		if err != nil {
+			return err
+		}
+		closers.Add(follower.New(follower.Options{
+			Store: store, Kind: carawaybeam.KindEntry, Sink: entries, Clock: clock.SinceBoot,
+			Wait: entriesWait, MinInterval: entriesInterval, Log: log,
+		}))
+	}
 	if err := startReporting(settings, rank, entries, &closers, log); err != nil {
 		return errors.Join(err, closers.Close())
 	}
@@ -97,7 +102,7 @@
 	}
 	relay := relayer.New(relayer.Options{Address: settings.Reporting.Rank, Rank: rank, Log: log})
 	closers.Add(relay)
-	closers.Add(reporter.New(reporter.Options{
+	reports := reporter.New(reporter.Options{
 		Sender:  settings.Process + "/" + string(carawaybeam.NewIncarnation()),
 		Address: settings.Reporting.Rank,
 		Rank:    rank,
@@ -105,12 +110,15 @@
 		Orders:  relay.Take,
 		Conn:    conn,
 		Log:     log,
-	}))
+	})
+	closers.Add(reports)
 	closers.Add(dumper.New(admin, dumper.Options{
 		Process: settings.Process,
-		Ready:   func() bool { return entries.Len() > 0 },
-		State:   func() any { return reportingState{Entries: entries.Entries()} },
-		Log:     log,
+		Ready:   func() bool { return reports.Recipients() > 0 },
+		State: func() any {
+			return reportingState{Entries: entries.Entries(), Recipients: reports.Recipients()}
+		},
+		Log: log,
 	}))
 	return nil
 }
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	"github.com/carawaybeam/carawaybeam/reloader"
 	"github.com/carawaybeam/carawaybeam/retrier/quota"
 	"github.com/carawaybeam/carawaybeam/starter"
+	"github.com/carawaybeam/carawaybeam/subscriber"
 )
 
 const (
@@ -284,6 +286,19 @@
 		Entries: e.entries,
 		Log:     e.log,
 	}))
+	if port := e.settings.Direct.AgentPort; port > 0 {
+		e.closers.Add(subscriber.New(subscriber.Options{
+			DataCentre: e.settings.DataCentre,
+			Instances:  e.reportingInstances,
+			Reported: func(address carawaybeam.Address) time.Time {
+				status, _ := e.collector.Status(address)
+				return status.Received
+			},
+			Send:      e.collector.SendTo,
+			AgentPort: port,
+			Log:       e.log,
+		}))
+	}
 	newEngine, err := carawaybeam.RankEngines.Lookup(e.settings.Direct.Dialect)
 	if err != nil {
 		return err
@@ -296,6 +311,19 @@
 	return nil
 }
 
+// reportingInstances returns the backend servers next to which agents run, which are those
+// with an engine.
+func (e *directEntry) reportingInstances() []carawaybeam.Instance {
+	config := e.adopter.Current()
+	if config == nil {
+		return nil
+	}
+	return slices.DeleteFunc(e.discoverer.Known(), func(instance carawaybeam.Instance) bool {
+		pool := config.Pool(instance.Pool)
+		return pool == nil || pool.Engine == nil
+	})
+}
+
 // enrolled returns the description with which the entry is enrolled.
 func (e *directEntry) enrolled() enroller.Entry {
 	return enroller.Entry{
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -41,8 +41,8 @@
 type (
 	// Options configures a Collector.
 	Options struct {
-		// Conn receives statuses and the results of orders, and sends requests for
-		// picks and orders.
+		// Conn receives statuses and the results of orders, and sends requests and
+		// orders.
 		Conn net.PacketConn
 		// Results takes the results of orders.
 		Results func(result *framer.RankOrderResult)
@@ -139,6 +139,19 @@
 	if to == nil {
 		return ErrNoAgent
 	}
+	return c.write(to, frame)
+}
+
+// SendTo sends a frame to an agent at the address on which it receives frames.
+func (c *Collector) SendTo(agent carawaybeam.Address, frame *framer.Frame) error {
+	to, err := net.ResolveUDPAddr("udp", string(agent))
+	if err != nil {
+		return err
+	}
+	return c.write(to, frame)
+}
+
+func (c *Collector) write(to net.Addr, frame *framer.Frame) error {
 	data, err := proto.Marshal(frame)
 	if err != nil {
 		return err
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -10,10 +10,12 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/collector"
 	"github.com/carawaybeam/carawaybeam/enroller"
+	"github.com/carawaybeam/carawaybeam/framer"
 	"github.com/carawaybeam/carawaybeam/reporter"
 )
 
@@ -140,3 +142,82 @@
 		is.True(math.Abs(got-float64(step.now-step.before)) <= 16)
 	}
 }
+
+// An agent without a list of entries sends statuses to an entry that has requested them, and
+// gives an order of that entry to its rank.
+func TestStatusesOnRequest(t *testing.T) {
+	is := is.New(t)
+	conn, agent := listen(t), listen(t)
+	address := carawaybeam.Address("10.0.0.1:80")
+	results := make(chan *framer.RankOrderResult, 1)
+	c := collector.New(collector.Options{
+		Conn: conn, Results: func(result *framer.RankOrderResult) { results <- result }, Log: zerolog.Nop(),
+	})
+	defer func() { is.NoErr(c.Close()) }()
+	order := &framer.Frame{Body: &framer.Frame_RankOrder{RankOrder: &framer.RankOrder{Id: 7}}}
+	is.Equal(c.Send(address, order), collector.ErrNoAgent)
+	r := reporter.New(reporter.Options{
+		Sender: "agent", Address: address, Rank: &steppingRank{}, Conn: agent, Log: zerolog.Nop(),
+		Orders: func(got *framer.RankOrder, reply func(*framer.Frame)) {
+			result := &framer.RankOrderResult{Id: got.GetId()}
+			reply(&framer.Frame{Body: &framer.Frame_RankOrderResult{RankOrderResult: result}})
+		},
+	})
+	defer func() { is.NoErr(r.Close()) }()
+	request := &framer.Frame{Body: &framer.Frame_StatusRequest{StatusRequest: &framer.StatusRequest{Near: true}}}
+	is.NoErr(c.SendTo(carawaybeam.Address(agent.LocalAddr().String()), request))
+	waitFor(t, "no status arrived", func() bool { return len(c.Statuses("g")) == 1 })
+	is.Equal(r.Recipients(), 1)
+	is.NoErr(c.Send(address, order))
+	is.Equal((<-results).GetId(), uint64(7))
+}
+
+// Statuses of a rank to many entries stay within a rate, and entries in the data centre of the
+// rank get most of them.
+func TestStatusesToManyEntries(t *testing.T) {
+	const entries, nearEntries = 17, 4
+	is := is.New(t)
+	agent := listen(t)
+	r := reporter.New(reporter.Options{
+		Sender: "agent", Address: "10.0.0.1:80", Rank: &steppingRank{}, Conn: agent, Log: zerolog.Nop(),
+	})
+	defer func() { is.NoErr(r.Close()) }()
+	var counts [entries]atomic.Int64
+	for i := range entries {
+		conn := listen(t)
+		defer func() { is.NoErr(conn.Close()) }()
+		request := &framer.Frame{Body: &framer.Frame_StatusRequest{
+			StatusRequest: &framer.StatusRequest{Near: i < nearEntries},
+		}}
+		data, err := proto.Marshal(request)
+		is.NoErr(err)
+		_, err = conn.WriteTo(data, agent.LocalAddr())
+		is.NoErr(err)
+		go func() {
+			buffer := make([]byte, 2048)
+			for {
+				if _, _, err := conn.ReadFrom(buffer); err != nil {
+					return
+				}
+				counts[i].Add(1)
+			}
+		}()
+	}
+	time.Sleep(2 * time.Second)
+	var near, far, total int64
+	for i := range entries {
+		n := counts[i].Load()
+		total += n
+		if i < nearEntries {
+			near += n
+		} else {
+			far += n
+		}
+	}
+	if total > 220 {
+		t.Errorf("%d statuses in 2 s, want 100 a second at most", total)
+	}
+	if far == 0 || near*(entries-nearEntries) < 2*far*nearEntries {
+		t.Errorf("%d statuses to %d near entries and %d to %d others", near, nearEntries, far, entries-nearEntries)
+	}
+}
--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -113,6 +113,18 @@
 	return d.pools[pool]
 }
 
+// Known returns all backend servers that are announced, also those that receive no more
+// requests.
+func (d *Discoverer) Known() []carawaybeam.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := make([]carawaybeam.Instance, 0, len(d.members))
+	for _, m := range d.members {
+		known = append(known, m.instance)
+	}
+	return known
+}
+
 // Pools returns the number of backend servers that may receive requests, by
 // pool.
 func (d *Discoverer) Pools() map[carawaybeam.PoolID]int {
--- a/loader/direct.go
+++ b/loader/direct.go
@@ -4,6 +4,9 @@
 	"github.com/carawaybeam/carawaybeam"
 )
 
+// maxPort is the highest port number.
+const maxPort = 1<<16 - 1
+
 type (
 	// Direct holds the settings of an entry that calls backend servers directly,
 	// without agents, on a platform whose backend servers prove that a request
@@ -14,11 +17,13 @@
 		MaxKeyAge  Duration            `toml:"maxKeyAge"  doc:"Age of the configuration up to which keys count."`
 		StopWithin Duration            `toml:"stopWithin" doc:"Time from the signal to stop until the kill."`
 		MemoryMB   int                 `toml:"memoryMB"   doc:"Memory in MB at which the process is killed."`
+		AgentPort  int                 `toml:"agentPort"  doc:"Port of agents, asked for statuses. 0: enrolled only."`
 		Retries    Retries             `toml:"retries"`
 	}
 
 	// Reporting holds the settings of an agent that only reports the state of
-	// its rank to the entries.
+	// its rank to the entries: to those that ask for it, and, if Store has a URL, to
+	// all that are enrolled there.
 	Reporting struct {
 		Protocol string              `toml:"protocol" doc:"Plug-in for the rank. Empty: the agent takes requests."`
 		Rank     carawaybeam.Address `toml:"rank"     doc:"Address of the rank."`
@@ -51,6 +56,9 @@
 	if s.MemoryMB <= 0 {
 		problems = append(problems, problem{key: "direct.memoryMB", detail: "want a positive number of MB"})
 	}
+	if s.AgentPort < 0 || s.AgentPort > maxPort {
+		problems = append(problems, problem{key: "direct.agentPort", detail: "want a port, or 0"})
+	}
 	if s.Retries.Ratio < 0 || s.Retries.Reserve < 0 {
 		problems = append(problems, problem{key: "direct.retries", detail: "want no negative numbers"})
 	}
@@ -67,8 +75,10 @@
 	var problems []problem
 	problems = append(problems, registered("reporting.protocol", &carawaybeam.RankEngines, s.Protocol)...)
 	problems = append(problems, address("reporting.rank", s.Rank)...)
-	problems = append(problems, s.Store.validate("reporting.store")...)
-	problems = append(problems, registered("reporting.store.protocol", &carawaybeam.Stores, s.Store.Protocol)...)
+	if s.Store.URL != "" {
+		problems = append(problems, s.Store.validate("reporting.store")...)
+		problems = append(problems, registered("reporting.store.protocol", &carawaybeam.Stores, s.Store.Protocol)...)
+	}
 	if s.MemoryMB <= 0 {
 		problems = append(problems, problem{key: "reporting.memoryMB", detail: "want a positive number of MB"})
 	}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -29,8 +29,10 @@
 
 	// maxRate is the maximum number of statuses that are sent per second. If there
 	// are too many entries for it, those that request no picks receive statuses in
-	// turn.
-	maxRate = 100
+	// turn, and those in other data centres one for every farTurns that those in
+	// the same one receive.
+	maxRate  = 100
+	farTurns = 3
 
 	// maxPicksRate is the maximum number of bytes of statuses with picks that are
 	// sent to one entry per second. Larger groups send picks less often.
@@ -46,6 +48,14 @@
 	// expert maps.
 	maxDatagram = 64 << 10
 
+	// statusRequestTime is how long a request for statuses remains valid. Entries
+	// repeat their requests several times within it.
+	statusRequestTime = 3 * time.Second
+
+	// maxRecipients is the maximum number of entries to which statuses are sent on
+	// request.
+	maxRecipients = 1024
+
 	// maxPicksRequests is the maximum number of addresses whose requests for picks
 	// are kept.
 	maxPicksRequests = 64
@@ -59,11 +69,12 @@
 		// Address is where the backend server accepts requests.
 		Address carawaybeam.Address
 		Rank    carawaybeam.RankEngine
-		// Entries returns the entries to which statuses are sent.
+		// Entries returns the entries to which statuses are sent without a request,
+		// if it is not nil.
 		Entries func() []enroller.Entry
 		// Orders takes an order to the rank, and sends the result with reply.
 		Orders func(order *framer.RankOrder, reply func(*framer.Frame))
-		// Conn sends statuses, and receives requests for picks and orders.
+		// Conn sends statuses, and receives requests for them, for picks and orders.
 		Conn net.PacketConn
 		Log  zerolog.Logger
 	}
@@ -76,6 +87,10 @@
 		wait    sync.WaitGroup
 
 		mu sync.Mutex
+		// recipients holds the entries that have requested statuses, by address.
+		recipients map[string]*recipient
+		// nextTurn is the turn of the next new recipient.
+		nextTurn uint64
 		// picksUntil holds until when picks are sent to each address.
 		picksUntil map[string]time.Time
 		// picksRequested is when picks were last requested.
@@ -86,12 +101,29 @@
 		// nextPicks is the earliest time to send picks again.
 		nextPicks time.Time
 	}
+
+	// recipient is an entry to which statuses are sent.
+	recipient struct {
+		address net.Addr
+		// near is set for an entry in the data centre of the agent.
+		near bool
+		// turn determines which statuses it receives if it does not receive all.
+		turn uint64
+		// until is when its request expires.
+		until time.Time
+	}
 )
 
 // New returns a Reporter and starts it. Close closes options.Conn.
 func New(options Options) *Reporter {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reporter{options: options, ctx: ctx, cancel: cancel, picksUntil: make(map[string]time.Time)}
+	r := &Reporter{
+		options:    options,
+		ctx:        ctx,
+		cancel:     cancel,
+		recipients: make(map[string]*recipient),
+		picksUntil: make(map[string]time.Time),
+	}
 	r.wait.Go(r.report)
 	r.wait.Go(r.listen)
 	return r
@@ -120,8 +152,8 @@
 
 // reportOnce reads the state of the rank and sends it to the entries.
 func (r *Reporter) reportOnce() {
-	entries := r.options.Entries()
-	if len(entries) == 0 {
+	recipients := r.currentRecipients()
+	if len(recipients) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
@@ -140,22 +172,71 @@
 		return
 	}
 	withPicks := r.withPicks(ctx, status, plain)
-	turns := turnCount(len(entries))
-	for i, entry := range entries {
+	near, far := turnCounts(recipients)
+	for _, to := range recipients {
+		turns := far
+		if to.near {
+			turns = near
+		}
 		switch {
-		case r.wantsPicks(string(entry.StatusAddress)):
-			r.send(entry.StatusAddress, withPicks)
-		case r.sequence%turns == uint64(i)%turns:
-			r.send(entry.StatusAddress, plain)
+		case r.wantsPicks(to.address.String()):
+			r.send(to.address, withPicks)
+		case r.sequence%turns == to.turn%turns:
+			r.send(to.address, plain)
+		}
+	}
+}
+
+// currentRecipients returns the enrolled entries and those that have requested statuses.
+func (r *Reporter) currentRecipients() []recipient {
+	var recipients []recipient
+	known := make(map[string]struct{})
+	if r.options.Entries != nil {
+		for i, entry := range r.options.Entries() {
+			address, err := net.ResolveUDPAddr("udp", string(entry.StatusAddress))
+			if err != nil {
+				r.options.Log.Debug().Err(err).Str("entry", entry.Name).Msg("reporter: invalid address of an entry")
+				continue
+			}
+			known[address.String()] = struct{}{}
+			recipients = append(recipients, recipient{address: address, near: true, turn: uint64(i)})
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for key, to := range r.recipients {
+		if now.After(to.until) {
+			delete(r.recipients, key)
+			continue
+		}
+		if _, enrolled := known[key]; !enrolled {
+			recipients = append(recipients, *to)
 		}
 	}
+	return recipients
 }
 
-// turnCount returns n such that sending each entry every n-th status keeps within
-// maxRate.
-func turnCount(entries int) uint64 {
-	rate := float64(entries) / interval.Seconds()
-	return uint64(max(1, math.Ceil(rate/maxRate)))
+// Recipients returns the number of entries to which statuses are sent.
+func (r *Reporter) Recipients() int { return len(r.currentRecipients()) }
+
+// turnCounts returns n and m such that sending each n-th status to entries in the same
+// data centre, and each m-th one to the others, keeps within maxRate.
+func turnCounts(recipients []recipient) (near, far uint64) {
+	var nears, fars float64
+	for _, to := range recipients {
+		if to.near {
+			nears++
+		} else {
+			fars++
+		}
+	}
+	rate := 1 / interval.Seconds()
+	if (nears+fars)*rate <= maxRate {
+		return 1, 1
+	}
+	near = uint64(max(1, math.Ceil((nears+fars/farTurns)*rate/maxRate)))
+	return near, farTurns * near
 }
 
 // logChange logs when reading the rank begins to fail and when it succeeds again.
@@ -196,17 +277,13 @@
 	return data
 }
 
-func (r *Reporter) send(to carawaybeam.Address, data []byte) {
-	address, err := net.ResolveUDPAddr("udp", string(to))
-	if err == nil {
-		_, err = r.options.Conn.WriteTo(data, address)
-	}
-	if err != nil && r.ctx.Err() == nil {
-		r.options.Log.Debug().Err(err).Str("entry", string(to)).Msg("reporter: cannot send status")
+func (r *Reporter) send(to net.Addr, data []byte) {
+	if _, err := r.options.Conn.WriteTo(data, to); err != nil && r.ctx.Err() == nil {
+		r.options.Log.Debug().Err(err).Stringer("entry", to).Msg("reporter: cannot send status")
 	}
 }
 
-// listen receives requests for picks and orders.
+// listen receives requests for statuses and picks, and orders.
 func (r *Reporter) listen() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -224,14 +301,34 @@
 			continue
 		}
 		switch {
+		case frame.GetStatusRequest() != nil:
+			r.addRecipient(from, frame.GetStatusRequest().GetNear())
 		case frame.GetPicksRequest() != nil:
 			r.recordPicksRequest(from)
 		case frame.GetRankOrder() != nil && r.options.Orders != nil:
 			r.options.Orders(frame.GetRankOrder(), func(result *framer.Frame) { r.reply(from, result) })
 		default:
-			r.options.Log.Debug().Msg("reporter: datagram is neither a request for picks nor an order")
+			r.options.Log.Debug().Msg("reporter: datagram is neither a request nor an order")
+		}
+	}
+}
+
+// addRecipient sends statuses to an entry until its request expires.
+func (r *Reporter) addRecipient(from net.Addr, near bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := from.String()
+	to, known := r.recipients[key]
+	if !known {
+		if len(r.recipients) >= maxRecipients {
+			r.options.Log.Warn().Str("entry", key).Msg("reporter: too many entries request statuses")
+			return
 		}
+		to = &recipient{address: from, turn: r.nextTurn}
+		r.nextTurn++
+		r.recipients[key] = to
 	}
+	to.near, to.until = near, time.Now().Add(statusRequestTime)
 }
 
 func (r *Reporter) recordPicksRequest(from net.Addr) {
