Confirm the copy of a follower at once after a failed call

Cause: a copy counts as recent when a watch ends, and the first watch after a failed call waited for a change for 1.35 s. A single watch without an answer (2.35 s) then made the configuration 5.08 s old, and requests with keys were refused: 1.35 before it, 2.35, and 1.35 after it.

Change: after a failed call the watch does not wait.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -25,6 +25,10 @@
 	// is considered stale.
 	defaultWait = 1350 * time.Millisecond
 
+	// probeWait replaces the wait after a failed call, so that the answer confirms the
+	// copy at once.
+	probeWait = time.Millisecond
+
 	// minBackoff and maxBackoff bound the backoff after a failed call. maxBackoff adds
 	// to the time until a change is in force after an outage.
 	minBackoff = 50 * time.Millisecond
@@ -205,7 +209,11 @@
 		f.confirm(sent)
 		return version, nil
 	}
-	changes, version, err := f.options.Store.Watch(f.ctx, []carawaybeam.StoreKind{f.options.Kind}, at, f.options.Wait)
+	wait := f.options.Wait
+	if f.isFailing() {
+		wait = probeWait
+	}
+	changes, version, err := f.options.Store.Watch(f.ctx, []carawaybeam.StoreKind{f.options.Kind}, at, wait)
 	if err != nil {
 		return at, err
 	}
@@ -263,6 +271,13 @@
 	f.loaded = true
 }
 
+// isFailing reports whether the last call has failed.
+func (f *Follower) isFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
 // recordFailure records a failed call, which begins or continues an outage.
 func (f *Follower) recordFailure(err error) {
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,3 +259,67 @@
 		is.NoErr(f.Close())
 	})
 }
+
+// TestCopyIsConfirmedAfterOutage checks that a copy counts as recent as soon as the store answers
+// again, not when the first watch after the outage ends. Requests with keys are refused until
+// then.
+func TestCopyIsConfirmedAfterOutage(t *testing.T) {
+	run(t, func(is *is.I, store *storer.Storer, _ *sink, f *follower.Follower, _ *time.Duration) {
+		put(is, store, "1", 0)
+		time.Sleep(time.Second)
+		store.SetFault(storer.Fault{Mode: storer.FaultDown})
+		time.Sleep(6 * time.Second)
+		age, _ := f.Age()
+		is.True(age > 5*time.Second)
+		store.SetFault(storer.Fault{})
+		time.Sleep(500 * time.Millisecond)
+		age, _ = f.Age()
+		is.True(age <= 500*time.Millisecond)
+	})
+}
+
+// silentStore leaves one watch without an answer.
+type silentStore struct {
+	carawaybeam.Store
+	silent atomic.Bool
+}
+
+func (s *silentStore) Watch(
+	ctx context.Context, kinds []carawaybeam.StoreKind, since carawaybeam.StoreVersion, wait time.Duration,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	const timeout = time.Second
+	if s.silent.Swap(false) {
+		time.Sleep(wait + timeout)
+		return nil, 0, &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "no answer"}
+	}
+	return s.Store.Watch(ctx, kinds, since, wait)
+}
+
+// TestUnansweredWatch leaves one watch without an answer. The copy must not become 5 s old, the
+// age at which entries refuse keys: the watch before it, the one without an answer and the one after
+// it together last longer.
+func TestUnansweredWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		fake := storer.New()
+		put(is, fake, "1", 0)
+		store := &silentStore{Store: fake}
+		f := follower.New(follower.Options{
+			Store: store, Kind: kind, Sink: &sink{}, Log: zerolog.Nop(),
+			Clock: func() time.Duration { return time.Since(started) },
+		})
+		time.Sleep(2 * time.Second)
+		store.silent.Store(true)
+		oldest := time.Duration(0)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			age, _ := f.Age()
+			oldest = max(oldest, age)
+		}
+		if oldest >= 5*time.Second {
+			t.Errorf("copy was %v old behind one watch without an answer", oldest)
+		}
+		is.NoErr(f.Close())
+	})
+}
