Admit fewer streams while the gaps between events are too long

Cause: with all slots in use the steps of a group are a little longer than the target for gaps between events, so each stream is late although the group keeps up.

Change: the router predicts the gap with another request from the recent gap and the engine's profile. If it exceeds the target, and two thirds of the slots would keep it, the limiter refuses the request at once.

Tried and rejected: the mean gap over 2.5 s, and the smaller of both, in place of the recent one.

--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -146,6 +146,7 @@
 		ClosedFor:      decision.ClosedFor,
 		EventGap:       decision.EventGap,
 		EventGapTarget: p.route.EventGap,
+		Crowded:        decision.Crowded,
 	}
 	if admitted := f.options.Limiter.Admit(now, admit); !admitted.Admitted {
 		detail := fmt.Sprintf("first event is expected in %v, closed for %v", decision.Expected, decision.ClosedFor)
@@ -312,6 +313,7 @@
 		DataCentre:   f.options.DataCentre,
 		Prompt:       p.request.Prompt,
 		Target:       p.route.Target,
+		EventGap:     p.route.EventGap,
 		Tried:        append(p.tried, p.unsent...),
 		Engine:       p.pool.Engine,
 	}, candidates, f.random)
--- a/limiter/deadline/limiter.go
+++ b/limiter/deadline/limiter.go
@@ -1,5 +1,6 @@
 // Package deadline is the limiter "deadline". It refuses requests that are not
-// expected to begin within their target, so that the admitted ones do.
+// expected to begin within their target, or that would make the streams of others late, so
+// that the admitted ones are in time.
 //
 // The throughput of a backend server is the same with a long queue as with a short
 // one, but with a long queue every request is late.
@@ -43,6 +44,9 @@
 	switch {
 	case request.ClosedFor > 0:
 		return carawaybeam.AdmitDecision{RetryAfter: request.ClosedFor + jitter()}
+	case request.Crowded && !request.Idle:
+		// With one more request on each engine, the streams of all are late.
+		return carawaybeam.AdmitDecision{RetryAfter: minRetryAfter + jitter()}
 	case request.Idle || request.Expected-request.Unloaded <= maxWait(request):
 		return carawaybeam.AdmitDecision{Admitted: true}
 	}
--- a/policies.go
+++ b/policies.go
@@ -21,6 +21,9 @@
 		// Target is the longest time to the first token, or 0 if there is no
 		// such target.
 		Target time.Duration
+		// EventGap is the longest time between two events of the answer, or 0 if
+		// there is no such target.
+		EventGap time.Duration
 		// Tried lists the backend servers of earlier attempts of the request.
 		Tried []BackendID
 		// Engine describes the model engines of the pool. It is nil if it is
@@ -101,6 +104,9 @@
 		// EventGap is the expected time between two events of the answer, or 0
 		// if unknown.
 		EventGap time.Duration
+		// Crowded is set if another request would bring the event gap above its
+		// target, or keep it there, and fewer running requests would not.
+		Crowded bool
 		// Work is the work from which Expected was estimated.
 		Work PendingWork
 	}
@@ -150,6 +156,8 @@
 		// unknown.
 		EventGap       time.Duration
 		EventGapTarget time.Duration
+		// Crowded is that of the RouteDecision.
+		Crowded bool
 	}
 
 	// AdmitDecision is the decision of a Limiter.
--- a/router/occupancy/router.go
+++ b/router/occupancy/router.go
@@ -7,6 +7,7 @@
 package occupancy
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -28,6 +29,11 @@
 	// idle.
 	maxIdleOccupancy = 0.5
 
+	// minUsefulOccupancy is the occupancy below which engines are not kept to meet
+	// the target of event gaps. If it takes fewer requests than that, they are slow for
+	// another reason.
+	minUsefulOccupancy = 2.0 / 3
+
 	// minBackoff and maxBackoff bound how long a backend server gets no
 	// requests after a failure. The backoff doubles with each consecutive
 	// failure.
@@ -111,6 +117,7 @@
 		Idle:      occupancy(best) < maxIdleOccupancy,
 		ClosedFor: best.ClosedFor,
 		EventGap:  best.StepTime,
+		Crowded:   isCrowded(request, best),
 		Unloaded:  unloaded,
 		Expected:  unloaded + waitTime(request, best),
 	}, true
@@ -135,6 +142,25 @@
 	return time.Duration(float64(ahead) / float64(c.Slots) * steps * float64(c.StepTime))
 }
 
+// isCrowded reports whether the event gap exceeds its target with another request on the candidate,
+// which has the smallest occupancy, but not with fewer.
+func isCrowded(request carawaybeam.RouteRequest, c carawaybeam.Candidate) bool {
+	if request.Engine == nil || request.EventGap <= 0 || c.StepTime <= 0 || c.Slots <= 0 {
+		return false
+	}
+	running := min(expectedRunning(c), c.Slots)
+	allowed := float64(request.EventGap) / float64(c.StepTime) * stepTime(request.Engine, running)
+	fewest := int(math.Ceil(minUsefulOccupancy * float64(c.Slots)))
+	return running >= fewest && stepTime(request.Engine, min(running+1, c.Slots)) > allowed &&
+		stepTime(request.Engine, fewest) <= allowed
+}
+
+// stepTime returns the duration of a step of an engine with running requests, in seconds and
+// without the time for prompts.
+func stepTime(engine *carawaybeam.EngineProfile, running int) float64 {
+	return engine.StepTime.Seconds() + float64(running)*engine.SequenceTime.Seconds()
+}
+
 // penalty returns a rank that is compared before the occupancy. It is 0 for a
 // candidate that accepts requests, is not in backoff and was not tried.
 func (r *Router) penalty(now time.Time, request carawaybeam.RouteRequest, c carawaybeam.Candidate) int {
