Prefer backend servers of the own data centre by more than one request

Statuses from other data centres are also older.

Change: one there is chosen with two requests fewer than all at home, or if those have no free slot.

TestDataCentresWithEqualTraffic failed before. TestSmallestOccupancyIsChosen asked for the far server with one request fewer, the rule that is replaced; it now checks both sides of the new one and a full server at home.

--- a/router/occupancy/router.go
+++ b/router/occupancy/router.go
@@ -21,9 +21,13 @@
 	// number of slots.
 	defaultSlots = 8
 
-	// remoteCost is added to the occupancy of a backend server in another data
-	// centre. It is less than one request on most backend servers.
-	remoteCost = 0.04
+	// remoteRequests is added to the requests of a backend server in another data
+	// centre, if it has a free slot. One there is chosen only if it has two requests
+	// fewer than all in the own data centre, or if those have no free slot.
+	remoteRequests = 1.5
+
+	// fullCost is added to the occupancy of a backend server without a free slot.
+	fullCost = 1
 
 	// maxIdleOccupancy is the occupancy below which a backend server counts as
 	// idle.
@@ -94,10 +98,7 @@
 	)
 	for _, c := range candidates {
 		penalty := r.penalty(now, request, c)
-		cost := occupancy(c)
-		if c.DataCentre != request.DataCentre {
-			cost += remoteCost
-		}
+		cost := cost(request, c)
 		switch {
 		case equal == 0 || penalty < bestPenalty || penalty == bestPenalty && cost < bestCost:
 			best, bestCost, bestPenalty, equal = c, cost, penalty, 1
@@ -177,12 +178,29 @@
 	return penalty
 }
 
-func occupancy(c carawaybeam.Candidate) float64 {
-	slots := c.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+// cost returns what is compared between candidates with the same penalty: the occupancy,
+// and costs for the distance and for a missing slot.
+func cost(request carawaybeam.RouteRequest, c carawaybeam.Candidate) float64 {
+	cost := occupancy(c)
+	if c.DataCentre != request.DataCentre {
+		cost += remoteRequests / float64(slotsOf(c))
+	}
+	if expectedRunning(c) >= slotsOf(c) {
+		cost += fullCost
+	}
+	return cost
+}
+
+// slotsOf returns how many requests a candidate runs at once.
+func slotsOf(c carawaybeam.Candidate) int {
+	if c.Slots <= 0 {
+		return defaultSlots
 	}
-	return float64(expectedRunning(c)) / float64(slots)
+	return c.Slots
+}
+
+func occupancy(c carawaybeam.Candidate) float64 {
+	return float64(expectedRunning(c)) / float64(slotsOf(c))
 }
 
 // expectedRunning returns how many requests a backend server is estimated to
