Let the followers of a process share the end of an outage

Cause: in an outage of the store each of the four followers of an entry tried again on its own each 0.2 to 0.4 s.

Change: only the follower of the configuration keeps the short backoff. The others wait for up to 1, 2 and 4 s, and try again at once when a call of any of them succeeds.

TestOutageOfManyFollowers failed before: 107 calls in 8 s, and without the shared end two copies were 11.5 s old.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -64,6 +64,12 @@
 	entriesWait     = 30 * time.Second
 	entriesInterval = 2 * time.Second
 
+	// The backoffs after a failed call. The configuration, on which the use of keys
+	// depends, is tried again most often, and its first success ends the others.
+	instanceBackoff = time.Second
+	crashesBackoff  = 2 * time.Second
+	entriesBackoff  = 4 * time.Second
+
 	// maxReportAge is the age above which a reported load is ignored.
 	maxReportAge = time.Second
 
@@ -96,6 +102,7 @@
 	quarantiner      *quarantiner.Quarantiner
 	publisher        *publisher.Publisher
 	crashFollower    *follower.Follower
+	outage           *follower.Outage
 	instanceFollower *follower.Follower
 	pooler           *pooler.Pooler
 	router           carawaybeam.Router
@@ -211,10 +218,12 @@
 // startFollowers starts to follow the configuration and the announcements of backend
 // servers in the store.
 func (e *directEntry) startFollowers() {
+	e.outage = follower.NewOutage()
 	kind, name := e.dialect.RoutingObject()
 	e.adopter = adopter.New(adopter.Options{Name: name, Decode: e.dialect.DecodeRouting, Log: e.log})
 	e.configFollower = follower.New(follower.Options{
-		Store: e.store, Kind: kind, Sink: e.adopter, Clock: clock.SinceBoot, MinInterval: configInterval, Log: e.log,
+		Store: e.store, Kind: kind, Sink: e.adopter, Clock: clock.SinceBoot, MinInterval: configInterval,
+		Outage: e.outage, Log: e.log,
 	})
 	e.closers.Add(e.configFollower)
 	e.discoverer = discoverer.New(discoverer.Options{
@@ -229,7 +238,7 @@
 	e.closers.Add(e.detector)
 	e.instanceFollower = follower.New(follower.Options{
 		Store: e.store, Kind: e.dialect.InstanceKind(), Sink: e.discoverer, Clock: clock.SinceBoot,
-		Wait: instanceWait, MinInterval: instanceInterval, Log: e.log,
+		Wait: instanceWait, MinInterval: instanceInterval, MaxBackoff: instanceBackoff, Outage: e.outage, Log: e.log,
 	})
 	e.closers.Add(e.instanceFollower)
 }
@@ -243,7 +252,7 @@
 	e.closers.Add(e.publisher)
 	e.crashFollower = follower.New(follower.Options{
 		Store: e.store, Kind: carawaybeam.KindCrashes, Sink: e.publisher, Clock: clock.SinceBoot,
-		Wait: crashesWait, MinInterval: crashesInterval, Log: e.log,
+		Wait: crashesWait, MinInterval: crashesInterval, MaxBackoff: crashesBackoff, Outage: e.outage, Log: e.log,
 	})
 	e.closers.Add(e.crashFollower)
 }
@@ -278,7 +287,7 @@
 	e.closers.Add(e.collector)
 	e.closers.Add(follower.New(follower.Options{
 		Store: e.store, Kind: carawaybeam.KindEntry, Sink: e.entries, Clock: clock.SinceBoot,
-		Wait: entriesWait, MinInterval: entriesInterval, Log: e.log,
+		Wait: entriesWait, MinInterval: entriesInterval, MaxBackoff: entriesBackoff, Outage: e.outage, Log: e.log,
 	}))
 	e.closers.Add(enroller.New(enroller.Options{
 		Store:   e.store,
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,10 +29,10 @@
 	// copy at once.
 	probeWait = time.Millisecond
 
-	// minBackoff and maxBackoff bound the backoff after a failed call. maxBackoff adds
-	// to the time until a change is in force after an outage.
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	// minBackoff and defaultMaxBackoff bound the backoff after a failed call. The
+	// latter adds to the time until a change is in force after an outage.
+	minBackoff        = 50 * time.Millisecond
+	defaultMaxBackoff = 400 * time.Millisecond
 
 	// maxSpread and spreadsPerWait bound the random delay before all objects are
 	// read again in a new era of the store, which all processes do at once. It is
@@ -67,7 +67,15 @@
 		// MinInterval is the minimum time from the start of one watch call to
 		// the next. Changes made in between are passed to Sink in one call.
 		MinInterval time.Duration
-		Log         zerolog.Logger
+		// MaxBackoff is the maximum backoff after a failed call, or 0 for the
+		// default of 400 ms. It is at least 50 ms.
+		MaxBackoff time.Duration
+		// Outage, if it is not nil, is shared by the followers of a process. A
+		// follower that waits after a failed call tries again once a call of
+		// another one has ended an outage. Of several followers only one then
+		// needs a short backoff.
+		Outage *Outage
+		Log    zerolog.Logger
 	}
 
 	// Follower watches one kind of objects until Close.
@@ -105,6 +113,12 @@
 	if options.Wait == 0 {
 		options.Wait = defaultWait
 	}
+	if options.MaxBackoff == 0 {
+		options.MaxBackoff = defaultMaxBackoff
+	}
+	if options.Outage == nil {
+		options.Outage = NewOutage()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{options: options, ctx: ctx, cancel: cancel}
 	f.wait.Go(f.follow)
@@ -175,8 +189,8 @@
 			continue
 		}
 		f.recordFailure(err)
-		f.sleep(delay/2 + rand.N(delay/2))
-		delay = min(2*delay, maxBackoff)
+		f.backOff(delay/2 + rand.N(delay/2))
+		delay = min(2*delay, f.options.MaxBackoff)
 	}
 }
 
@@ -192,6 +206,17 @@
 	}
 }
 
+// backOff waits for the given time, or until the call of another follower has ended an outage.
+func (f *Follower) backOff(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.options.Outage.ended():
+	case <-f.ctx.Done():
+	}
+}
+
 // advance reads all objects if at is 0, and otherwise the changes since that
 // version. It returns the version up to which the copy is then complete.
 func (f *Follower) advance(at carawaybeam.StoreVersion) (carawaybeam.StoreVersion, error) {
@@ -257,6 +282,7 @@
 		return
 	}
 	f.failing = false
+	f.options.Outage.end()
 	f.restoredAt = f.options.Clock()
 	f.options.Log.Info().Str("kind", string(f.options.Kind)).
 		Dur("age", f.options.Clock()-f.confirmedAt).Dur("took", f.options.Clock()-sent).
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -323,3 +323,63 @@
 		is.NoErr(f.Close())
 	})
 }
+
+// countingStore counts the calls of followers.
+type countingStore struct {
+	carawaybeam.Store
+	calls atomic.Int64
+}
+
+func (s *countingStore) List(
+	ctx context.Context, kind carawaybeam.StoreKind,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	s.calls.Add(1)
+	return s.Store.List(ctx, kind)
+}
+
+func (s *countingStore) Watch(
+	ctx context.Context, kinds []carawaybeam.StoreKind, since carawaybeam.StoreVersion, wait time.Duration,
+) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
+	s.calls.Add(1)
+	return s.Store.Watch(ctx, kinds, since, wait)
+}
+
+// TestOutageOfManyFollowers lets the store refuse all calls for a while, as it does to each of
+// hundreds of processes at once. The four followers of a process must together make few more
+// calls than one of them, and all must notice the end of the outage as soon as that one.
+func TestOutageOfManyFollowers(t *testing.T) {
+	const length = 8 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		fake := storer.New()
+		put(is, fake, "1", 0)
+		store := &countingStore{Store: fake}
+		outage := follower.NewOutage()
+		followers := make([]*follower.Follower, 0, 4)
+		for _, backoff := range []time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second} {
+			followers = append(followers, follower.New(follower.Options{
+				Store: store, Kind: kind, Sink: &sink{}, Outage: outage, MaxBackoff: backoff,
+				Clock: func() time.Duration { return time.Since(started) }, Log: zerolog.Nop(),
+			}))
+		}
+		time.Sleep(time.Second)
+		fake.SetFault(storer.Fault{Mode: storer.FaultDown})
+		// Watches that wait are cut off by the time-out of the store.
+		time.Sleep(2 * time.Second)
+		store.calls.Store(0)
+		time.Sleep(length)
+		// One follower alone makes a call each 200 to 400 ms.
+		if calls := store.calls.Load(); calls > 80 {
+			t.Errorf("%d calls in an outage of %v", calls, length)
+		}
+		fake.SetFault(storer.Fault{})
+		time.Sleep(500 * time.Millisecond)
+		for i, f := range followers {
+			if age, known := f.Age(); !known || age > 500*time.Millisecond {
+				t.Errorf("copy of follower %d is %v old behind the outage", i, age)
+			}
+			is.NoErr(f.Close())
+		}
+	})
+}
