--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -213,3 +213,13 @@
 		is.Equal(names(d), "cdnew")
 	})
 }
+
+// TestKnownIncludesLeaving checks that a backend server that receives no more requests is known
+// as long as it is announced: its rank still takes part in the steps of its group.
+func TestKnownIncludesLeaving(t *testing.T) {
+	is := is.New(t)
+	d := newDiscoverer(&outage{})
+	d.Replace([]carawaybeam.Object{object("a", "1"), object("b", "-1")})
+	is.Equal(names(d), "a")
+	is.Equal(len(d.Known()), 2)
+}
