--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,7 +24,9 @@
 	// dropped, and their senders send them again.
 	maxWaiting = 32
 
-	// maxResults is the number of results that are kept for copies of an order.
+	// maxResults is the number of results that are kept for copies of an order. A copy
+	// that arrives after its result was displaced is executed again, like any late
+	// order, and the rank refuses or ignores it.
 	maxResults = 64
 
 	// callTimeout is the timeout of one call to the rank, which is on the same VM
--- a/router/occupancy/router.go
+++ b/router/occupancy/router.go
@@ -22,8 +22,8 @@
 	defaultSlots = 8
 
 	// remoteRequests is added to the requests of a backend server in another data
-	// centre, if it has a free slot. One there is chosen only if it has two requests
-	// fewer than all in the own data centre, or if those have no free slot.
+	// centre. Among those with free slots and equally many of them, one there is
+	// chosen only if it has two requests fewer than all in the own data centre.
 	remoteRequests = 1.5
 
 	// fullCost is added to the occupancy of a backend server without a free slot.
@@ -33,9 +33,9 @@
 	// idle.
 	maxIdleOccupancy = 0.5
 
-	// minUsefulOccupancy is the occupancy below which engines are not kept to meet
-	// the target of event gaps. If it takes fewer requests than that, they are slow for
-	// another reason.
+	// minUsefulOccupancy is the lowest occupancy to which requests are limited to meet
+	// the target of event gaps. If that is not enough, the engines are slow for another
+	// reason than the number of requests.
 	minUsefulOccupancy = 2.0 / 3
 
 	// minBackoff and maxBackoff bound how long a backend server gets no
@@ -98,7 +98,7 @@
 	)
 	for _, c := range candidates {
 		penalty := r.penalty(now, request, c)
-		cost := cost(request, c)
+		cost := costOf(request, c)
 		switch {
 		case equal == 0 || penalty < bestPenalty || penalty == bestPenalty && cost < bestCost:
 			best, bestCost, bestPenalty, equal = c, cost, penalty, 1
@@ -178,9 +178,9 @@
 	return penalty
 }
 
-// cost returns what is compared between candidates with the same penalty: the occupancy,
+// costOf returns what is compared between candidates with the same penalty: the occupancy,
 // and costs for the distance and for a missing slot.
-func cost(request carawaybeam.RouteRequest, c carawaybeam.Candidate) float64 {
+func costOf(request carawaybeam.RouteRequest, c carawaybeam.Candidate) float64 {
 	cost := occupancy(c)
 	if c.DataCentre != request.DataCentre {
 		cost += remoteRequests / float64(slotsOf(c))
