Decide in the test of copied orders whether a copy finds the order in execution

TestCopiesAreExecutedOnce sent a copy right behind its order and expected one answer to both. A failed check no longer leaves the relayer open.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -23,10 +23,12 @@
 var errSilent = errors.New("rank does not answer")
 
 // fakeRank records the steps before which it is held. It does not answer the first
-// silent orders.
+// silent orders, and answers the others after delay.
 type fakeRank struct {
 	carawaybeam.RankEngine
 
+	delay time.Duration
+
 	mu     sync.Mutex
 	silent int
 	err    error
@@ -45,6 +47,7 @@
 		<-ctx.Done()
 		return errSilent
 	}
+	time.Sleep(r.delay)
 	return r.err
 }
 
@@ -60,10 +63,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		r := relayer.New(relayer.Options{Address: address, Rank: rank, Log: zerolog.Nop()})
+		defer func() {
+			if err := r.Close(); err != nil {
+				t.Error(err)
+			}
+		}()
 		f(t, r)
-		if err := r.Close(); err != nil {
-			t.Error(err)
-		}
 	})
 }
 
@@ -79,18 +84,29 @@
 	r.all = append(r.all, frame.GetRankOrderResult())
 }
 
-// TestCopiesAreExecutedOnce sends an order again, also behind a later order, as happens if
-// its answer is lost or a datagram is late.
+// count returns the number of answers so far.
+func (r *results) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.all)
+}
+
+// TestCopiesAreExecutedOnce sends an order again while it is executed, which is answered
+// once, and behind a later order, which is answered again, as happens if an answer is
+// lost or a datagram is late.
 func TestCopiesAreExecutedOnce(t *testing.T) {
-	rank := &fakeRank{}
+	rank := &fakeRank{delay: time.Millisecond}
 	run(t, rank, func(t *testing.T, r *relayer.Relayer) {
 		is := is.New(t)
 		var got results
 		r.Take(hold(1, 10), got.add)
 		r.Take(hold(1, 10), got.add)
 		synctest.Wait()
+		r.Take(hold(1, 10), got.add)
+		time.Sleep(2 * rank.delay)
+		is.Equal(got.count(), 1)
 		r.Take(hold(2, 11), got.add)
-		synctest.Wait()
+		time.Sleep(2 * rank.delay)
 		r.Take(hold(1, 10), got.add)
 		synctest.Wait()
 		is.Equal(rank.held, []carawaybeam.Step{10, 11})
