Send the orders to hold a group and to release it to the rank directly

Cause: since the agent next to rank 0 passed on the order to hold the group.

The holder sends both orders itself. If it stops, another entry takes over, as before. Orders to prepare, arm and disarm still go through the agents.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -4,6 +4,9 @@
 // order without repeating it. If the agent itself does not answer, orders go to the
 // rank directly for a while. An order that got no answer may be executed later on
 // either way, as with any carawaybeam.RankEngine.
+//
+// Orders to hold a group and to release it always go to the rank directly. A group that
+// is held waits for every process that is needed to release it.
 package orderer
 
 import (
@@ -61,8 +64,8 @@
 		pending map[uint64]chan *framer.RankOrderResult
 	}
 
-	// Engine is the client of one rank. Only its orders go through the agent. It is
-	// safe for concurrent use.
+	// Engine is the client of one rank. Only its Prepare, Arm and Disarm go through the
+	// agent. It is safe for concurrent use.
 	Engine struct {
 		carawaybeam.RankEngine
 
@@ -95,7 +98,7 @@
 }
 
 // Engine returns a client of the rank at an address, which uses direct for all calls
-// except orders, and for orders while the agent does not answer.
+// except Prepare, Arm and Disarm, and for these while the agent does not answer.
 func (o *Orderer) Engine(address carawaybeam.Address, direct carawaybeam.RankEngine) *Engine {
 	return &Engine{RankEngine: direct, orderer: o, address: address}
 }
@@ -207,15 +210,3 @@
 	order := &framer.RankOrder{Body: &framer.RankOrder_DisarmVersion{DisarmVersion: uint64(version)}}
 	return e.order(ctx, o, order, func() error { return e.RankEngine.Disarm(ctx, o, version) })
 }
-
-// Hold prevents the group from beginning the step until Release.
-func (e *Engine) Hold(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
-	order := &framer.RankOrder{Body: &framer.RankOrder_HoldStep{HoldStep: uint64(step)}}
-	return e.order(ctx, o, order, func() error { return e.RankEngine.Hold(ctx, o, step) })
-}
-
-// Release ends a Hold of the step.
-func (e *Engine) Release(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
-	order := &framer.RankOrder{Body: &framer.RankOrder_ReleaseStep{ReleaseStep: uint64(step)}}
-	return e.order(ctx, o, order, func() error { return e.RankEngine.Release(ctx, o, step) })
-}
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -22,17 +22,27 @@
 	direct atomic.Int64
 }
 
+func (r *fakeRank) Arm(context.Context, carawaybeam.RankOrder, carawaybeam.ArmedMap) error {
+	r.direct.Add(1)
+	return nil
+}
+
 func (r *fakeRank) Hold(context.Context, carawaybeam.RankOrder, carawaybeam.Step) error {
 	r.direct.Add(1)
 	return nil
 }
 
-// hold sends an order with a timeout.
-func hold(t *testing.T, engine carawaybeam.RankEngine) error {
+func (r *fakeRank) Release(context.Context, carawaybeam.RankOrder, carawaybeam.Step) error {
+	r.direct.Add(1)
+	return nil
+}
+
+// arm sends an order with a timeout.
+func arm(t *testing.T, engine carawaybeam.RankEngine) error {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	return engine.Hold(ctx, carawaybeam.RankOrder{FencingToken: 7, Epoch: 3}, 10)
+	return engine.Arm(ctx, carawaybeam.RankOrder{FencingToken: 7, Epoch: 3}, carawaybeam.ArmedMap{Version: 5, Step: 10})
 }
 
 // TestLostDatagrams loses the first datagrams of an order, which is sent again with the
@@ -52,7 +62,7 @@
 			return nil
 		}})
 		rank := &fakeRank{}
-		err := hold(t, o.Engine("10.0.0.1:80", rank))
+		err := arm(t, o.Engine("10.0.0.1:80", rank))
 		var refused *carawaybeam.RankOrderError
 		is.True(errors.As(err, &refused) && refused.Fenced)
 		is.Equal(len(sent), 3)
@@ -83,13 +93,13 @@
 		rank := &fakeRank{}
 		engine := o.Engine("10.0.0.1:80", rank)
 		for range 2 {
-			is.True(errors.Is(hold(t, engine), orderer.ErrNoAnswer))
+			is.True(errors.Is(arm(t, engine), orderer.ErrNoAnswer))
 		}
-		is.NoErr(hold(t, engine))
+		is.NoErr(arm(t, engine))
 		is.Equal(rank.direct.Load(), int64(1))
 		silent = false
 		time.Sleep(time.Second)
-		is.NoErr(hold(t, engine))
+		is.NoErr(arm(t, engine))
 		is.Equal(rank.direct.Load(), int64(1))
 	})
 }
@@ -103,6 +113,24 @@
 		return errors.New("no agent")
 	}})
 	rank := &fakeRank{}
-	is.NoErr(hold(t, o.Engine("10.0.0.1:80", rank)))
+	is.NoErr(arm(t, o.Engine("10.0.0.1:80", rank)))
 	is.Equal(rank.direct.Load(), int64(1))
 }
+
+// TestHoldNeedsNoAgent checks that the orders to hold a group and to release it do not go
+// through the agent.
+func TestHoldNeedsNoAgent(t *testing.T) {
+	is := is.New(t)
+	o := orderer.New(orderer.Options{Sender: "entry", Log: zerolog.Nop(), Send: func(
+		carawaybeam.Address, *framer.Frame,
+	) error {
+		t.Error("an order was sent to the agent")
+		return nil
+	}})
+	rank := &fakeRank{}
+	engine := o.Engine("10.0.0.1:80", rank)
+	order := carawaybeam.RankOrder{FencingToken: 7, Epoch: 3}
+	is.NoErr(engine.Hold(t.Context(), order, 10))
+	is.NoErr(engine.Release(t.Context(), order, 10))
+	is.Equal(rank.direct.Load(), int64(2))
+}
--- a/proposer/coordinator/coordinator_test.go
+++ b/proposer/coordinator/coordinator_test.go
@@ -259,6 +259,30 @@
 	prover.Report(t, prover.OneMap, trials, violations)
 }
 
+// TestProcessStopsAfterHold stops the process that has given the order to hold the group, right
+// after the rank has executed it, for longer than clients wait. Another process must
+// release the hold before clients time out. No one can do so while the VM of the rank
+// does not answer, so the order must not depend on a process there.
+func TestProcessStopsAfterHold(t *testing.T) {
+	for name, f := range map[string]faults{"direct": {}, "relayed": {relayed: true}} {
+		t.Run(name, func(t *testing.T) {
+			f.stopTime = 4 * time.Second
+			for seed := range uint64(20) {
+				g := simulate(t, seed+2000, f, false, 30*time.Second)
+				if g.changes == 0 {
+					t.Errorf("seed %d: no map was changed", seed+2000)
+				}
+				if g.longest > clientTimeout {
+					t.Errorf("seed %d: group was held for %v", seed+2000, g.longest)
+				}
+				if len(g.violations) > 0 {
+					t.Errorf("seed %d: ranks used different maps: %v", seed+2000, g.violations[0])
+				}
+			}
+		})
+	}
+}
+
 // TestHeldGroupIsFreed checks that a hold ends before clients time out, although
 // the holder of the lease may be paused or restarted at any time and ranks may
 // leave orders unanswered. It guards against a process that does not release the
--- a/proposer/coordinator/group_test.go
+++ b/proposer/coordinator/group_test.go
@@ -21,9 +21,13 @@
 	formTime   = 600 * time.Millisecond
 	copyTime   = 100 * time.Millisecond
 	answerTime = 2 * time.Millisecond
-	layers     = 1
-	experts    = 8
-	slots      = 4
+
+	// stopInterval is longer than the processes stop for.
+	stopInterval = 7 * time.Second
+
+	layers  = 1
+	experts = 8
+	slots   = 4
 )
 
 var errNoAnswer = errors.New("rank does not answer")
@@ -37,6 +41,10 @@
 		// relayed sends orders through agents, over a network that loses, delays and
 		// duplicates datagrams. Agents stop for a while now and then.
 		relayed bool
+		// stopTime is how long the process that holds the group stops right after the
+		// rank has executed the order, once in stopInterval. If it is an agent, its VM
+		// stops: neither the agent nor the network of the rank answers.
+		stopTime time.Duration
 		// olderCopies makes the store come back from older copies, and lose and
 		// delay answers.
 		olderCopies bool
@@ -64,6 +72,10 @@
 		mapTime  time.Duration
 		linkFree time.Time
 		prepares int
+		// vms holds the VM of each rank, and nextStop the earliest time of the next stop
+		// of the process that holds the group.
+		vms      []*fakeProcess
+		nextStop time.Time
 		// fences holds the process that has used each fencing token.
 		fences map[carawaybeam.Epoch]carawaybeam.Incarnation
 	}
@@ -92,6 +104,7 @@
 	g.fences = make(map[carawaybeam.Epoch]carawaybeam.Incarnation)
 	for range size {
 		g.ranks = append(g.ranks, switcher.New(nil, copyTime))
+		g.vms = append(g.vms, &fakeProcess{})
 	}
 	return g
 }
@@ -248,6 +261,10 @@
 func (e *fakeEngine) order(ctx context.Context, o carawaybeam.RankOrder, act func(r *switcher.Switcher) error) error {
 	e.process.awaitRunning()
 	g := e.group
+	if e.holder != "" && g.vms[e.rank].paused() {
+		<-ctx.Done()
+		return errNoAnswer
+	}
 	g.mu.Lock()
 	drawn := g.random.Float64()
 	// Half of the late orders arrive while their change may still be pending.
@@ -310,6 +327,20 @@
 	g.fences[token] = holder
 }
 
+// stop stops the process that has executed or sent an order, if it is time to. The caller
+// holds mu.
+func (e *fakeEngine) stop() {
+	g := e.group
+	if g.faults.stopTime == 0 || time.Now().Before(g.nextStop) {
+		return
+	}
+	g.nextStop = time.Now().Add(stopInterval)
+	e.process.pause(g.faults.stopTime)
+	if e.holder == "" {
+		g.vms[e.rank].pause(g.faults.stopTime)
+	}
+}
+
 // accepted returns an error unless the rank has accepted the order.
 func accepted(ok bool, order string) error {
 	if ok {
@@ -340,7 +371,13 @@
 }
 
 func (e *fakeEngine) Hold(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
-	return e.order(ctx, o, func(r *switcher.Switcher) error { return accepted(r.Hold(step, e.group.step), "hold") })
+	return e.order(ctx, o, func(r *switcher.Switcher) error {
+		if !r.Hold(step, e.group.step) {
+			return refused("hold")
+		}
+		e.stop()
+		return nil
+	})
 }
 
 func (e *fakeEngine) Release(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -203,10 +203,6 @@
 		return rank.Arm(ctx, o, armed)
 	case *framer.RankOrder_DisarmVersion:
 		return rank.Disarm(ctx, o, carawaybeam.MapVersion(body.DisarmVersion))
-	case *framer.RankOrder_HoldStep:
-		return rank.Hold(ctx, o, carawaybeam.Step(body.HoldStep))
-	case *framer.RankOrder_ReleaseStep:
-		return rank.Release(ctx, o, carawaybeam.Step(body.ReleaseStep))
 	}
 	return &carawaybeam.RankOrderError{Detail: "order is of an unknown kind"}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -22,7 +22,7 @@
 
 var errSilent = errors.New("rank does not answer")
 
-// fakeRank records the steps before which it is held. It does not answer the first
+// fakeRank records the steps for which it is armed. It does not answer the first
 // silent orders, and answers the others after delay.
 type fakeRank struct {
 	carawaybeam.RankEngine
@@ -32,13 +32,13 @@
 	mu     sync.Mutex
 	silent int
 	err    error
-	held   []carawaybeam.Step
+	armed  []carawaybeam.Step
 	last   carawaybeam.RankOrder
 }
 
-func (r *fakeRank) Hold(ctx context.Context, o carawaybeam.RankOrder, step carawaybeam.Step) error {
+func (r *fakeRank) Arm(ctx context.Context, o carawaybeam.RankOrder, armed carawaybeam.ArmedMap) error {
 	r.mu.Lock()
-	r.held = append(r.held, step)
+	r.armed = append(r.armed, armed.Step)
 	r.last = o
 	silent := r.silent > 0
 	r.silent--
@@ -51,10 +51,10 @@
 	return r.err
 }
 
-func hold(id uint64, step carawaybeam.Step) *framer.RankOrder {
+func arm(id uint64, step carawaybeam.Step) *framer.RankOrder {
 	return &framer.RankOrder{
 		Sender: "entry", Id: id, Address: string(address), FencingToken: 7, Epoch: 3, TimeoutMs: 100,
-		Body: &framer.RankOrder_HoldStep{HoldStep: uint64(step)},
+		Body: &framer.RankOrder_Arm{Arm: &framer.ArmOrder{Version: 5, Step: uint64(step)}},
 	}
 }
 
@@ -99,17 +99,17 @@
 	run(t, rank, func(t *testing.T, r *relayer.Relayer) {
 		is := is.New(t)
 		var got results
-		r.Take(hold(1, 10), got.add)
-		r.Take(hold(1, 10), got.add)
+		r.Take(arm(1, 10), got.add)
+		r.Take(arm(1, 10), got.add)
 		synctest.Wait()
-		r.Take(hold(1, 10), got.add)
+		r.Take(arm(1, 10), got.add)
 		time.Sleep(2 * rank.delay)
 		is.Equal(got.count(), 1)
-		r.Take(hold(2, 11), got.add)
+		r.Take(arm(2, 11), got.add)
 		time.Sleep(2 * rank.delay)
-		r.Take(hold(1, 10), got.add)
+		r.Take(arm(1, 10), got.add)
 		synctest.Wait()
-		is.Equal(rank.held, []carawaybeam.Step{10, 11})
+		is.Equal(rank.armed, []carawaybeam.Step{10, 11})
 		is.Equal(rank.last, carawaybeam.RankOrder{FencingToken: 7, Epoch: 3})
 		is.Equal(len(got.all), 3)
 		is.Equal(got.all[2].GetId(), uint64(1))
@@ -131,15 +131,15 @@
 			run(t, rank, func(t *testing.T, r *relayer.Relayer) {
 				is := is.New(t)
 				var got results
-				r.Take(hold(1, 10), got.add)
+				r.Take(arm(1, 10), got.add)
 				// The second order waits until its sender has stopped waiting too.
 				if test.answers == 0 {
-					r.Take(hold(2, 11), got.add)
+					r.Take(arm(2, 11), got.add)
 				}
 				time.Sleep(time.Second)
 				synctest.Wait()
 				is.Equal(len(got.all), test.answers)
-				is.True(!slices.Contains(rank.held, 11))
+				is.True(!slices.Contains(rank.armed, 11))
 			})
 		})
 	}
@@ -151,7 +151,7 @@
 	run(t, rank, func(t *testing.T, r *relayer.Relayer) {
 		is := is.New(t)
 		var got results
-		r.Take(hold(1, 10), got.add)
+		r.Take(arm(1, 10), got.add)
 		synctest.Wait()
 		is.Equal(len(got.all), 1)
 		is.True(got.all[0].GetRefused())
@@ -166,11 +166,11 @@
 	rank := &fakeRank{}
 	run(t, rank, func(t *testing.T, r *relayer.Relayer) {
 		var got results
-		order := hold(1, 10)
+		order := arm(1, 10)
 		order.Address = "10.0.0.2:80"
 		r.Take(order, got.add)
 		synctest.Wait()
-		if len(rank.held) > 0 || len(got.all) > 0 {
+		if len(rank.armed) > 0 || len(got.all) > 0 {
 			t.Error("order for another rank was executed or answered")
 		}
 	})
