--- a/prover/leaving_test.go
+++ b/prover/leaving_test.go
@@ -134,7 +134,7 @@
 	}
 	for _, signal := range signals {
 		if err := agent.Signal(signal); err != nil {
-			t.Error(err)
+			t.Errorf("%v: %v", signal, err)
 		}
 	}
 	if !paused {
@@ -142,6 +142,6 @@
 	}
 	time.Sleep(leavingPause)
 	if err := agent.Signal(syscall.SIGCONT); err != nil {
-		t.Error(err)
+		t.Errorf("%v: %v", syscall.SIGCONT, err)
 	}
 }
