Copy experts only if that pays for the link time that it takes

Cause: within the limit on new experts the planner chaser made any copy that shortened a layer's slowest rank a little, though most of the gain came from the first copies.

The search now keeps, of the moves in a layer, those up to the largest net gain: the time saved minus the link time of the copies as a fraction of that of all ranks over the horizon. It ends for a layer after 16 moves that do not increase it.

--- a/planner/reactive/layer.go
+++ b/planner/reactive/layer.go
@@ -26,6 +26,20 @@
 		slowest float64
 		// newExperts is the number of new experts of each rank in this layer.
 		newExperts []int
+		// initialTime is the time of the slowest rank before the plan, best the
+		// placement with the largest net gain so far, and failedMoves the number of
+		// moves since.
+		initialTime float64
+		best        placement
+		failedMoves int
+	}
+
+	// placement is the outcome of a search in one layer.
+	placement struct {
+		held       [][]carawaybeam.Expert
+		newExperts []int
+		time       float64
+		netGain    float64
 	}
 
 	// move is one step of a search. An expert of the rank from gets a replica on
@@ -76,9 +90,47 @@
 		l.initial[e] = slices.Clone(ranks)
 	}
 	l.updateLoads()
+	l.initialTime = l.slowest
+	l.best = l.placement(0)
 	return l
 }
 
+// placement returns a copy of the current placement.
+func (l *layer) placement(netGain float64) placement {
+	p := placement{
+		held:       make([][]carawaybeam.Expert, len(l.held)),
+		newExperts: slices.Clone(l.newExperts),
+		time:       l.slowest,
+		netGain:    netGain,
+	}
+	for rank, experts := range l.held {
+		p.held[rank] = slices.Clone(experts)
+	}
+	return p
+}
+
+// recordGain records the current placement if its net gain is the largest so far. It
+// reports false once too many consecutive moves have not increased the net gain.
+func (l *layer) recordGain(layerCopyCost float64) bool {
+	copies := 0
+	for _, n := range l.newExperts {
+		copies += n
+	}
+	gain := l.initialTime - l.slowest - layerCopyCost*float64(copies)
+	if gain > l.best.netGain {
+		l.best, l.failedMoves = l.placement(gain), 0
+		return true
+	}
+	l.failedMoves++
+	return l.failedMoves < maxFailedMoves
+}
+
+// restoreBest returns to the placement with the largest net gain. The layer must not be
+// searched any further.
+func (l *layer) restoreBest() {
+	l.held, l.newExperts, l.slowest = l.best.held, l.best.newExperts, l.best.time
+}
+
 // updateLoads computes the load of each rank and the time of the slowest one.
 func (l *layer) updateLoads() {
 	clear(l.work)
--- a/planner/reactive/planner.go
+++ b/planner/reactive/planner.go
@@ -7,9 +7,11 @@
 // rank, which is limited. Within the limit, a greedy search reduces the load of
 // the slowest rank of the layer with the longest time: it adds a replica of one of
 // the rank's experts on another rank, if necessary in place of another replica
-// there, or removes the expert from the slowest rank. The planner computes plans
-// for several limits and applies the one with the largest net gain over the
-// horizon after deducting the time lost to copying, if that is positive.
+// there, or removes the expert from the slowest rank. Of the changes of a layer the
+// planner keeps those up to the largest net gain: the time saved minus the cost of
+// the copies, which occupy the links of the ranks. It computes plans for several
+// limits and applies the one with the largest net gain over the horizon after
+// deducting the time lost to copying, if that is positive.
 package reactive
 
 import (
@@ -39,6 +41,10 @@
 	// minGain is the minimum gain of a move, as a fraction of the mean load of a
 	// rank. Smaller gains are noise.
 	minGain = 0.002
+
+	// maxFailedMoves is how many consecutive moves of a layer may fail to increase
+	// its net gain before the search ends for that layer.
+	maxFailedMoves = 16
 )
 
 // Planner reacts quickly to changes in popularity. It keeps no state between
@@ -102,13 +108,15 @@
 	if before == 0 {
 		return nil, 0
 	}
+	search(layers, limit, p.layerCopyCost(len(layers)))
 	newExperts := make([]int, p.options.Ranks)
-	if search(layers, newExperts, limit) == 0 {
-		return nil, 0
-	}
 	after := 0.0
 	for _, l := range layers {
+		l.restoreBest()
 		after += l.time()
+		for rank, n := range l.newExperts {
+			newExperts[rank] += n
+		}
 	}
 	// A fraction share of a step is spent in experts. The remainder takes as long
 	// as on the slowest rank.
@@ -119,12 +127,20 @@
 	return layers, saved*(1-copying) - p.options.CopySlowdown*copying - switchCost
 }
 
-// search repeatedly applies the best move of the layer with the longest time and
-// returns the number of moves.
-func search(layers []*layer, newExperts []int, limit int) int {
+// layerCopyCost returns the cost of one copy as a fraction of the mean load of a rank in
+// one layer: the link time that the copy takes, as a fraction of the link time of all
+// ranks over the horizon, is weighed like the same fraction of the step time.
+func (p *Planner) layerCopyCost(layers int) float64 {
+	linkShare := p.options.InstallDelay.Seconds() / (horizon.Seconds() * float64(p.options.Ranks))
+	return linkShare * float64(layers) / p.options.ExpertShare
+}
+
+// search repeatedly applies the best move of the layer with the longest time, with at
+// most limit new experts of each rank in all layers together.
+func search(layers []*layer, limit int, layerCopyCost float64) {
 	done := make([]bool, len(layers))
-	moves := 0
-	for moves < maxMoves {
+	newExperts := make([]int, len(layers[0].held))
+	for range maxMoves {
 		slowest := -1
 		for i, l := range layers {
 			if !done[i] && (slowest < 0 || l.time() > layers[slowest].time()) {
@@ -132,13 +148,9 @@
 			}
 		}
 		if slowest < 0 {
-			break
-		}
-		if layers[slowest].improve(newExperts, limit) {
-			moves++
-		} else {
-			done[slowest] = true
+			return
 		}
+		l := layers[slowest]
+		done[slowest] = !l.improve(newExperts, limit) || !l.recordGain(layerCopyCost)
 	}
-	return moves
 }
--- a/planner/reactive/planner_test.go
+++ b/planner/reactive/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,9 +30,30 @@
 // skewed returns the load of a layer that follows a power law over the experts in
 // random order.
 func skewed(random *rand.Rand, experts int) carawaybeam.LayerLoad {
+	return powerLaw(random, experts, 1.2)
+}
+
+// powerLaw returns the load of a layer that follows a power law with an exponent.
+func powerLaw(random *rand.Rand, experts int, exponent float64) carawaybeam.LayerLoad {
 	load := make(carawaybeam.LayerLoad, experts)
 	for i, e := range random.Perm(experts) {
-		load[e] = 1e5 / math.Pow(float64(i+1), 1.2)
+		load[e] = 1e5 / math.Pow(float64(i+1), exponent)
+	}
+	return load
+}
+
+// sampled returns a load of the given number of picks from a popularity.
+func sampled(random *rand.Rand, popularity carawaybeam.LayerLoad, picks int) carawaybeam.LayerLoad {
+	cumulative := make([]float64, len(popularity))
+	total := 0.0
+	for e, n := range popularity {
+		total += n
+		cumulative[e] = total
+	}
+	load := make(carawaybeam.LayerLoad, len(popularity))
+	for range picks {
+		e, _ := slices.BinarySearch(cumulative, random.Float64()*total)
+		load[e]++
 	}
 	return load
 }
@@ -135,6 +157,50 @@
 	is.Equal(next.Version, current.Version)
 }
 
+// TestCopiesPay plans under a popularity that shifts every few plans and is known from few
+// picks, where most of a plan's gain comes from its first copies. The copies of each plan
+// in a layer must save at least the time of one rank for as long as each occupies the link
+// of its rank, over the horizon of the planner: others load the links for nothing.
+func TestCopiesPay(t *testing.T) {
+	const (
+		ranks, experts, layers = 24, 96, 4
+		slots, picksPerExpert  = 5, 25
+		plansPerShift          = 5
+		exponent               = 0.64
+		horizon                = 2500 * time.Millisecond
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		o := options(ranks)
+		o.Slots = slots
+		p := reactive.New(o)
+		popularity := make([]carawaybeam.LayerLoad, layers)
+		current := planner.UniformMap(ranks, experts/ranks, experts, layers)
+		for plan := range 20 {
+			loads := make([]carawaybeam.LayerLoad, layers)
+			for i := range loads {
+				if plan%plansPerShift == 0 {
+					popularity[i] = powerLaw(random, experts, exponent)
+				}
+				loads[i] = sampled(random, popularity[i], picksPerExpert*experts)
+			}
+			next := p.Plan(time.Time{}, carawaybeam.PlanRequest{Current: current, Loads: loads})
+			for i, load := range loads {
+				before := planner.LayerTime(current.Layers[i], load, planner.UsableSpeeds(nil, ranks))
+				after := planner.LayerTime(next.Layers[i], load, planner.UsableSpeeds(nil, ranks))
+				balanced := planner.BalancedTime(load, planner.UsableSpeeds(nil, ranks))
+				saved := o.ExpertShare * (before - after) / balanced / layers * ranks
+				copies := planner.LayerMoves(current.Layers[i], next.Layers[i])
+				if cost := o.InstallDelay.Seconds() / horizon.Seconds() * float64(copies); saved < cost {
+					t.Errorf("seed %d, plan %d, layer %d: %d copies save %.2f of the time of a rank, want %.2f",
+						seed, plan, i, copies, saved, cost)
+				}
+			}
+			current = next
+		}
+	}
+}
+
 // TestSlowRank slows down one rank of a group with full load. After two plans the
 // event gap must be below its target, even while experts are copied.
 func TestSlowRank(t *testing.T) {
