Refuse answers of other attempts on the connections of agents

Cause: the caller, through which agents reach their backend server, kept connections and took the next answer on one for the answer to its request. A backend server that sends an earlier answer a second time while the connection is in use again gives the next caller an answer that is not its own. The direct path drops such answers by their identifier.

A backend server that returns the identifier of the attempt (X-Attempt-Id) has its connections kept, and an answer with another identifier, or none, fails the attempt with an unknown outcome. Others get a connection for each request. The load is asked for over connections of its own. The stand-ins return the identifier.

TestAttemptIsSentOnce now makes two requests first, since the connection of the first is not kept any more; what it checks is as before.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,13 +13,15 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
 )
 
 const (
-	// HeaderAttempt is the header field with the identifier of the attempt.
+	// HeaderAttempt is the header field with the identifier of the attempt. A backend
+	// server that returns it with each answer has its connections kept.
 	HeaderAttempt = "X-Attempt-Id"
 	// HeaderPriority is the header field with the priority for a model engine.
 	HeaderPriority = "X-Priority"
@@ -38,10 +40,15 @@
 type (
 	// Caller is a client of one backend server.
 	Caller struct {
-		url    string
-		client *http.Client
+		url string
+		// client sends requests, and loadClient asks for the load, so that neither
+		// reads answers to the other.
+		client, loadClient *http.Client
 		// engine is set for a model engine.
 		engine bool
+		// identifies is set while the backend server returns the identifier of the
+		// attempt with its answers.
+		identifies atomic.Bool
 	}
 
 	// loadReport is the JSON document in which a backend server reports its load.
@@ -55,6 +62,14 @@
 	StatusError struct {
 		Status int
 	}
+
+	// StrayAnswerError reports an answer on a kept connection that does not belong to
+	// the attempt that was sent, such as a late copy of an earlier answer.
+	StrayAnswerError struct {
+		Attempt carawaybeam.AttemptID
+		// Got is the attempt that the answer names, or empty.
+		Got carawaybeam.AttemptID
+	}
 )
 
 var _ carawaybeam.Backend = (*Caller)(nil)
@@ -63,6 +78,10 @@
 	return fmt.Sprintf("backend server answered status %d", e.Status)
 }
 
+func (e *StrayAnswerError) Error() string {
+	return fmt.Sprintf("answer to attempt %q is for attempt %q", e.Attempt, e.Got)
+}
+
 func init() {
 	carawaybeam.Backends.Register("engine", func(options carawaybeam.BackendOptions) (carawaybeam.Backend, error) {
 		return New(options, true), nil
@@ -75,6 +94,12 @@
 // New returns a Caller of the backend server at options.URL. A model engine is sent
 // priorities and the position at which to resume an answer, a plain service is not.
 func New(options carawaybeam.BackendOptions, engine bool) *Caller {
+	return &Caller{
+		url: options.URL, client: newClient(options), loadClient: newClient(options), engine: engine,
+	}
+}
+
+func newClient(options carawaybeam.BackendOptions) *http.Client {
 	dialer := &net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: 15 * time.Second}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -83,17 +108,16 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	client := &http.Client{
+	return &http.Client{
 		Transport: transport,
 		// An answer that redirects is the caller's to follow.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Caller{url: options.URL, client: client, engine: engine}
 }
 
 // Start sends a request and returns once the response begins. An error that wraps
 // *carawaybeam.NotSentError proves that the backend server did not receive the
-// request.
+// request. An answer to another attempt is a *StrayAnswerError.
 func (c *Caller) Start(ctx context.Context, call carawaybeam.BackendRequest) (*carawaybeam.BackendResponse, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -112,10 +136,20 @@
 		request.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
 		request.Header.Set(HeaderResume, strconv.FormatInt(int64(call.Resume), 10))
 	}
+	// On a kept connection, an answer that does not name its attempt may be a late copy of
+	// an earlier one.
+	keep := c.identifies.Load()
+	request.Close = !keep
 	response, err := c.client.Do(request) //nolint:bodyclose // The reader of the response closes it.
 	if err != nil {
 		return nil, startError(err)
 	}
+	got := carawaybeam.AttemptID(response.Header.Get(HeaderAttempt))
+	c.identifies.Store(got == call.Attempt)
+	if got != call.Attempt && (keep || got != "") {
+		_ = response.Body.Close()
+		return nil, &StrayAnswerError{Attempt: call.Attempt, Got: got}
+	}
 	return &carawaybeam.BackendResponse{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
@@ -149,7 +183,7 @@
 	if err != nil {
 		return carawaybeam.Load{}, err
 	}
-	response, err := c.client.Do(request)
+	response, err := c.loadClient.Do(request)
 	if err != nil {
 		return carawaybeam.Load{}, err
 	}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -43,7 +43,8 @@
 						counted.Add(1)
 					}
 					if n == 0 {
-						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+
+							caller.HeaderAttempt+": "+request.Header.Get(caller.HeaderAttempt)+"\r\n\r\nok")
 					}
 				}
 			}()
@@ -63,15 +64,19 @@
 				is := is.New(t)
 				var counted atomic.Int32
 				c := caller.New(carawaybeam.BackendOptions{URL: closingBackend(t, &counted)}, false)
-				first, err := c.Start(
-					t.Context(),
-					carawaybeam.BackendRequest{Attempt: "1", Method: http.MethodGet, Path: "/"},
-				)
-				is.NoErr(err)
-				_, err = io.ReadAll(first.Body)
-				is.NoErr(err)
-				is.NoErr(first.Body.Close())
-				_, err = c.Start(t.Context(), carawaybeam.BackendRequest{
+				// Only the connection of the second attempt is kept, since the first answer
+				// shows that the backend server names attempts.
+				for _, attempt := range []carawaybeam.AttemptID{"0", "1"} {
+					answer, err := c.Start(
+						t.Context(),
+						carawaybeam.BackendRequest{Attempt: attempt, Method: http.MethodGet, Path: "/"},
+					)
+					is.NoErr(err)
+					_, err = io.ReadAll(answer.Body)
+					is.NoErr(err)
+					is.NoErr(answer.Body.Close())
+				}
+				_, err := c.Start(t.Context(), carawaybeam.BackendRequest{
 					Attempt: "2", Method: method, Path: "/", Body: []byte(body),
 				})
 				is.True(err != nil)
--- a/fakes/booker/booker.go
+++ b/fakes/booker/booker.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/carawaybeam/carawaybeam/caller"
 )
 
 type (
@@ -72,6 +74,7 @@
 }
 
 func (b *Booker) serveBooking(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(caller.HeaderAttempt, r.Header.Get(caller.HeaderAttempt))
 	var request booking
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.Number == "" {
 		http.Error(w, "want a booking with a number", http.StatusBadRequest)
@@ -87,6 +90,7 @@
 }
 
 func (b *Booker) serveOrder(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(caller.HeaderAttempt, r.Header.Get(caller.HeaderAttempt))
 	b.mu.Lock()
 	b.lookups++
 	b.lastStart = time.Now()
--- a/fakes/generator/generator.go
+++ b/fakes/generator/generator.go
@@ -213,6 +213,7 @@
 }
 
 func (g *Generator) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(caller.HeaderAttempt, r.Header.Get(caller.HeaderAttempt))
 	var p prompt
 	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
