End idempotent attempts of agents at the deadline of their requests

Cause: an entry sends the deadline of a request to the agent, which ignored it. A stream that stalls and gets a byte now and then ended only when its entry cancelled it or lost its link; if the entry had stopped with the link open, the attempt kept its place.

An idempotent attempt is now stopped at the latest deadline of the requests that wait for it. Others run to their end, because their effects matter more than their answers.

Tests: executor.TestSlowStreams, which did not end before (20 s and 60 s of a bubble), and TestLaterRequestKeepsAttempt.

--- a/executor/admit.go
+++ b/executor/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/framer"
@@ -26,7 +27,9 @@
 		a.finish(phaseFailed, wrongIncarnation())
 		return a
 	}
+	timeout := time.Duration(d.GetDeadlineMs()) * time.Millisecond
 	if known, ok := e.ledger.find(a); ok {
+		known.extend(timeout)
 		return known
 	}
 	if refusal, refused := e.refusal(a, d, routedWith); refused {
@@ -39,6 +42,7 @@
 	e.running++
 	e.counts.started.Add(1)
 	a.ctx, a.cancel = context.WithCancel(e.ctx)
+	a.limit(timeout)
 	e.wait.Go(func() { e.run(a, d) })
 	return a
 }
--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -65,6 +65,11 @@
 		unacknowledged map[string]struct{}
 		// lastDetached is when a reader last detached.
 		lastDetached time.Time
+		// deadline is the latest deadline of the requests that wait for an
+		// idempotent attempt, and deadlineTimer stops the attempt at that time.
+		// The timer is nil if there is no deadline.
+		deadline      time.Time
+		deadlineTimer *time.Timer
 	}
 
 	// progress is the state of an attempt and the part of its answer that a
@@ -195,6 +200,47 @@
 	a.notify()
 }
 
+// limit stops an idempotent attempt after the timeout, unless a later call of extend sets a
+// later deadline. A timeout of 0 is none.
+func (a *attempt) limit(timeout time.Duration) {
+	if !a.idempotent || timeout <= 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deadline = time.Now().Add(timeout)
+	a.deadlineTimer = time.AfterFunc(timeout, a.stopAtDeadline)
+}
+
+// extend keeps an attempt that has a deadline from being stopped within the timeout.
+func (a *attempt) extend(timeout time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if deadline := time.Now().Add(timeout); deadline.After(a.deadline) {
+		a.deadline = deadline
+	}
+}
+
+// stopAtDeadline stops the attempt if its deadline has passed.
+func (a *attempt) stopAtDeadline() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if rest := time.Until(a.deadline); rest > 0 {
+		a.deadlineTimer.Reset(rest)
+		return
+	}
+	a.stop()
+}
+
+// removeLimit ends the effect of limit.
+func (a *attempt) removeLimit() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.deadlineTimer != nil {
+		a.deadlineTimer.Stop()
+	}
+}
+
 // attach adds a reader, which is named by the identifier of its attempt.
 func (a *attempt) attach(reader string) {
 	a.mu.Lock()
--- a/executor/run.go
+++ b/executor/run.go
@@ -25,6 +25,7 @@
 // run sends one attempt to the backend server and records its answer.
 func (e *Executor) run(a *attempt, d *framer.Dispatch) {
 	defer a.cancel()
+	defer a.removeLimit()
 	failure, failed := e.runIsolated(a, d)
 	if failed {
 		e.counts.failed.Add(1)
