Use kept connections of an agent only for answers that name their attempt

If a backend server stopped naming attempts, the next request asked for its connection to be closed but could still be sent over a kept one, where an earlier answer may be waiting. Requests over a connection of their own now have their own client.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -41,9 +41,9 @@
 	// Caller is a client of one backend server.
 	Caller struct {
 		url string
-		// client sends requests, and loadClient asks for the load, so that neither
-		// reads answers to the other.
-		client, loadClient *http.Client
+		// kept sends requests over kept connections, single over a connection for each,
+		// and load asks for the load, so that no other answer is read there.
+		kept, single, load *http.Client
 		// engine is set for a model engine.
 		engine bool
 		// identifies is set while the backend server returns the identifier of the
@@ -95,16 +95,22 @@
 // priorities and the position at which to resume an answer, a plain service is not.
 func New(options carawaybeam.BackendOptions, engine bool) *Caller {
 	return &Caller{
-		url: options.URL, client: newClient(options), loadClient: newClient(options), engine: engine,
+		url:    options.URL,
+		kept:   newClient(options, true),
+		single: newClient(options, false),
+		load:   newClient(options, true),
+		engine: engine,
 	}
 }
 
-func newClient(options carawaybeam.BackendOptions) *http.Client {
+// newClient returns a client with connections of its own, which keeps them if keep is set.
+func newClient(options carawaybeam.BackendOptions, keep bool) *http.Client {
 	dialer := &net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: 15 * time.Second}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
+		DisableKeepAlives:   !keep,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
@@ -139,8 +145,11 @@
 	// On a kept connection, an answer that does not name its attempt may be a late copy of
 	// an earlier one.
 	keep := c.identifies.Load()
-	request.Close = !keep
-	response, err := c.client.Do(request) //nolint:bodyclose // The reader of the response closes it.
+	client := c.single
+	if keep {
+		client = c.kept
+	}
+	response, err := client.Do(request) //nolint:bodyclose // The reader of the response closes it.
 	if err != nil {
 		return nil, startError(err)
 	}
@@ -183,7 +192,7 @@
 	if err != nil {
 		return carawaybeam.Load{}, err
 	}
-	response, err := c.loadClient.Do(request)
+	response, err := c.load.Do(request)
 	if err != nil {
 		return carawaybeam.Load{}, err
 	}
--- a/caller/stray_test.go
+++ b/caller/stray_test.go
@@ -113,6 +113,72 @@
 	}
 }
 
+// TestServerStopsIdentifying checks that kept connections are not used for answers without
+// identifiers. A backend server that has named one attempt and names no others sends a
+// copy of its last answer before each answer on a kept connection.
+func TestServerStopsIdentifying(t *testing.T) {
+	is := is.New(t)
+	var connections atomic.Int32
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			first := connections.Add(1) <= 2
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				previous := ""
+				for n := 0; ; n++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					attempt := request.Header.Get(caller.HeaderAttempt)
+					header := ""
+					if first && n == 0 {
+						header = caller.HeaderAttempt + ": " + attempt + "\r\n"
+					}
+					answer := fmt.Sprintf(
+						"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s",
+						len(attempt),
+						header,
+						attempt,
+					)
+					if n > 0 {
+						_, _ = io.WriteString(conn, previous)
+					}
+					_, _ = io.WriteString(conn, answer)
+					previous = answer
+				}
+			}()
+		}
+	}()
+	backend := caller.New(carawaybeam.BackendOptions{URL: "http://" + listener.Addr().String()}, false)
+	strays := 0
+	for i := range 8 {
+		attempt := carawaybeam.AttemptID(fmt.Sprintf("attempt-%d", i))
+		answer, err := backend.Start(t.Context(), carawaybeam.BackendRequest{
+			Method: http.MethodGet, Path: "/", Attempt: attempt,
+		})
+		var stray *caller.StrayAnswerError
+		if errors.As(err, &stray) {
+			strays++
+			continue
+		}
+		is.NoErr(err)
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		is.Equal(string(body), string(attempt))
+	}
+	is.Equal(strays, 1)
+}
+
 // TestIdentifiedAnswersShareConnection checks that connections are kept if answers name
 // their attempts, and only then.
 func TestIdentifiedAnswersShareConnection(t *testing.T) {
--- a/planner/reactive/layer.go
+++ b/planner/reactive/layer.go
@@ -91,12 +91,12 @@
 	}
 	l.updateLoads()
 	l.initialTime = l.slowest
-	l.best = l.placement(0)
+	l.best = l.snapshot(0)
 	return l
 }
 
-// placement returns a copy of the current placement.
-func (l *layer) placement(netGain float64) placement {
+// snapshot returns a copy of the current placement.
+func (l *layer) snapshot(netGain float64) placement {
 	p := placement{
 		held:       make([][]carawaybeam.Expert, len(l.held)),
 		newExperts: slices.Clone(l.newExperts),
@@ -118,7 +118,7 @@
 	}
 	gain := l.initialTime - l.slowest - layerCopyCost*float64(copies)
 	if gain > l.best.netGain {
-		l.best, l.failedMoves = l.placement(gain), 0
+		l.best, l.failedMoves = l.snapshot(gain), 0
 		return true
 	}
 	l.failedMoves++
