Give the test of crashing parts the answers that a part is judged by, list findings

TestCrashingPartIsRefused bounds the runs of a crashing part to 2 once the first part was answered. Since that takes 20 answers, which the case now has; a case with few answers is added, with a bound of 3 runs. Both bounds hold (3 runs with the race detector).

--- a/dispatcher/forwarder/parts_test.go
+++ b/dispatcher/forwarder/parts_test.go
@@ -34,11 +34,14 @@
 func TestCrashingPartIsRefused(t *testing.T) {
 	tests := map[string]struct {
 		answered []string
+		// answers is the number of answers to other requests that the entry has seen.
+		answers int
 		// maxRuns is the maximum number of runs, and maxLate that of those later than 3 s
 		// after the fifth.
 		maxRuns, maxLate int
 	}{
-		"first part answered":     {answered: []string{"first"}, maxRuns: 2},
+		"first part answered":     {answered: []string{"first"}, answers: 20, maxRuns: 2},
+		"few answers":             {answered: []string{"first"}, maxRuns: 3},
 		"all parts are new":       {maxRuns: 3},
 		"crashing part was sound": {answered: []string{"first", "crashing"}, maxRuns: 5 + 3, maxLate: 3},
 	}
@@ -48,6 +51,9 @@
 				is := is.New(t)
 				env := newEnvironment()
 				env.answer(t, -1, test.answered...)
+				for n := range test.answers {
+					env.answer(t, -2-n, "first")
+				}
 				env.sender.sent = nil
 				env.refusing = "10.0.0.1:80"
 				var fifth time.Time
