Let the tests of late copies share one stand-in and one loop

Both tests had a backend server and a loop of their own. TestLateCopyOfAnswer now also requires that copies are met if answers name their attempts.

--- a/caller/stray_test.go
+++ b/caller/stray_test.go
@@ -18,9 +18,9 @@
 )
 
 // repeatingBackend answers with the identifier of the attempt as the body, and in the
-// header if identifies is set. Before the second answer on a connection it sends a copy
-// of the first one. It counts connections.
-func repeatingBackend(t *testing.T, identifies bool, connections *atomic.Int32) string {
+// header if identifies reports so for the request of a connection, both counted from 0.
+// Before each further answer on a connection it sends a copy of the one before.
+func repeatingBackend(t *testing.T, identifies func(connection, request int) bool) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,24 +28,23 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
-		for {
+		for connection := 0; ; connection++ {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			connections.Add(1)
 			go func() {
 				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
 				previous := ""
-				for {
+				for n := 0; ; n++ {
 					request, err := http.ReadRequest(reader)
 					if err != nil {
 						return
 					}
 					attempt := request.Header.Get(caller.HeaderAttempt)
 					header := ""
-					if identifies {
+					if identifies(connection, n) {
 						header = caller.HeaderAttempt + ": " + attempt + "\r\n"
 					}
 					answer := fmt.Sprintf(
@@ -63,6 +62,33 @@
 	return "http://" + listener.Addr().String()
 }
 
+// countStrays makes attempts at a backend server that answers with their identifiers, and
+// returns how many failed as they got the answer to another one. No other may get one.
+func countStrays(t *testing.T, url string, attempts int) int {
+	t.Helper()
+	is := is.New(t)
+	backend := caller.New(carawaybeam.BackendOptions{URL: url}, false)
+	strays := 0
+	for i := range attempts {
+		attempt := carawaybeam.AttemptID(fmt.Sprintf("attempt-%d", i))
+		answer, err := backend.Start(t.Context(), carawaybeam.BackendRequest{
+			Method: http.MethodGet, Path: "/", Attempt: attempt,
+		})
+		var stray *caller.StrayAnswerError
+		if errors.As(err, &stray) {
+			is.Equal(stray.Attempt, attempt)
+			strays++
+			continue
+		}
+		is.NoErr(err)
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		is.Equal(string(body), string(attempt))
+	}
+	return strays
+}
+
 // identifyingBackend answers each request once, and names its attempt in the header if
 // identifies is set. It counts connections.
 func identifyingBackend(t *testing.T, identifies bool, connections *atomic.Int32) string {
@@ -86,97 +112,24 @@
 // TestLateCopyOfAnswer checks that no attempt gets the answer to an earlier one, which its
 // backend server sends once more on a connection that is in use again.
 func TestLateCopyOfAnswer(t *testing.T) {
+	const attempts = 6
 	for name, identifies := range map[string]bool{"with identifiers": true, "without": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var connections atomic.Int32
-			url := repeatingBackend(t, identifies, &connections)
-			backend := caller.New(carawaybeam.BackendOptions{URL: url}, false)
-			for i := range 6 {
-				attempt := carawaybeam.AttemptID(fmt.Sprintf("attempt-%d", i))
-				answer, err := backend.Start(t.Context(), carawaybeam.BackendRequest{
-					Method: http.MethodGet, Path: "/", Attempt: attempt,
-				})
-				var stray *caller.StrayAnswerError
-				if errors.As(err, &stray) {
-					is.True(identifies)
-					is.Equal(stray.Attempt, attempt)
-					continue
-				}
-				is.NoErr(err)
-				body, err := io.ReadAll(answer.Body)
-				is.NoErr(err)
-				is.NoErr(answer.Body.Close())
-				is.Equal(string(body), string(attempt))
-			}
+			url := repeatingBackend(t, func(_, _ int) bool { return identifies })
+			strays := countStrays(t, url, attempts)
+			is.Equal(strays > 0, identifies)
 		})
 	}
 }
 
 // TestServerStopsIdentifying checks that kept connections are not used for answers without
-// identifiers. A backend server that has named one attempt and names no others sends a
-// copy of its last answer before each answer on a kept connection.
+// identifiers, by a backend server that names only the first attempts of two connections.
 func TestServerStopsIdentifying(t *testing.T) {
+	const attempts = 8
 	is := is.New(t)
-	var connections atomic.Int32
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			first := connections.Add(1) <= 2
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				previous := ""
-				for n := 0; ; n++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					attempt := request.Header.Get(caller.HeaderAttempt)
-					header := ""
-					if first && n == 0 {
-						header = caller.HeaderAttempt + ": " + attempt + "\r\n"
-					}
-					answer := fmt.Sprintf(
-						"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s",
-						len(attempt),
-						header,
-						attempt,
-					)
-					if n > 0 {
-						_, _ = io.WriteString(conn, previous)
-					}
-					_, _ = io.WriteString(conn, answer)
-					previous = answer
-				}
-			}()
-		}
-	}()
-	backend := caller.New(carawaybeam.BackendOptions{URL: "http://" + listener.Addr().String()}, false)
-	strays := 0
-	for i := range 8 {
-		attempt := carawaybeam.AttemptID(fmt.Sprintf("attempt-%d", i))
-		answer, err := backend.Start(t.Context(), carawaybeam.BackendRequest{
-			Method: http.MethodGet, Path: "/", Attempt: attempt,
-		})
-		var stray *caller.StrayAnswerError
-		if errors.As(err, &stray) {
-			strays++
-			continue
-		}
-		is.NoErr(err)
-		body, err := io.ReadAll(answer.Body)
-		is.NoErr(err)
-		is.NoErr(answer.Body.Close())
-		is.Equal(string(body), string(attempt))
-	}
-	is.Equal(strays, 1)
+	url := repeatingBackend(t, func(connection, request int) bool { return connection < 2 && request == 0 })
+	is.Equal(countStrays(t, url, attempts), 1)
 }
 
 // TestIdentifiedAnswersShareConnection checks that connections are kept if answers name
