Add a test of limits that backend servers name, which fails

Real entries and agents over the emulator, which names limits on backend servers with and without agents. fakes/arbiter judges the arrivals by the words of the rule.

--- a/prover/prover.go
+++ b/prover/prover.go
@@ -37,6 +37,9 @@
 	// PoisonRequest promises a bound on the backend servers that one request
 	// can crash.
 	PoisonRequest Promise = "poisonRequest"
+	// ServerLimit promises that all processes together send a backend server no more
+	// requests than it says that it takes.
+	ServerLimit Promise = "serverLimit"
 	// Soak covers all promises that the soak test checks.
 	Soak Promise = "soak"
 )
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -83,6 +83,9 @@
 			addViolation("requests with %s: %s", cmp.Or(cause.part, cause.body), found)
 		}
 	}
+	for _, found := range s.checkServerLimits() {
+		addViolation("%s", found)
+	}
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -162,6 +162,7 @@
 	"truncate":           {onServer, behaviourFault(emulator.Truncating)},
 	"babble":             {onServer, behaviourFault(emulator.SendingGarbage)},
 	"repeat":             {onServer, behaviourFault(emulator.Repeating)},
+	"nameLimit":          {onServer, nameLimit},
 	"linkCut":            {onServer, linkFault(hostLink, forwarder.Fault{Refuse: true}, true)},
 	"linkReset":          {onServer, linkFault(hostLink, forwarder.Fault{}, true)},
 	"linkSlow":           {onServer, linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false)},
@@ -219,7 +220,7 @@
 // servers, and faults that concern limits. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
-		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name)
+		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) || name == "nameLimit"
 	})
 	n := minFaults + random.IntN(extraFaults)
 	faults := make([]fault, 0, n+len(pairs[0]))
