Divide the limits that backend servers name among the entries

platform decodes the signals of an answer, throttler keeps what each backend server says with the times of the request and its answer, and the forwarder asks it before each attempt. allocator divides a limit into shares that are leases in the store, so that the bound does not depend on what entries know of each other.

--- /dev/null
+++ b/allocator/stored.go
@@ -0,0 +1,256 @@
+package allocator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/carawaybeam/carawaybeam"
+)
+
+type (
+	// storedShare is the object of a share as it was read.
+	storedShare struct {
+		value
+
+		version carawaybeam.StoreVersion
+		// seenAt is when this version was first read, and sweepAt when this entry
+		// deletes it.
+		seenAt, sweepAt time.Duration
+	}
+
+	// value is the value of the object of a share.
+	value struct {
+		Backend carawaybeam.BackendID `json:"backend"`
+		Started int64                 `json:"started"`
+		Index   int                   `json:"index"`
+		// Limit is the limit that the backend server named last, in requests per
+		// second.
+		Limit carawaybeam.RequestRate `json:"limit"`
+		// Holder is the name of the entry that holds the share, and Incarnation that
+		// of its process.
+		Holder      string                  `json:"holder"`
+		Incarnation carawaybeam.Incarnation `json:"incarnation"`
+		// Renewal makes the content of each write unique.
+		Renewal uint64 `json:"renewal"`
+		// Confirmed is set if the holder was told the limit since it holds the share.
+		Confirmed bool `json:"confirmed,omitempty"`
+		// Ended is set if the limit has ended.
+		Ended bool `json:"ended,omitempty"`
+	}
+)
+
+func (id shareID) name() string {
+	return fmt.Sprintf("%s.%d.%d", id.backend.ID, id.backend.Started, id.index)
+}
+
+// acquire takes a share. A share that is given back or lapses later begins with an empty bucket.
+func (a *Allocator) acquire(ctx context.Context, id shareID, s *share) {
+	if !a.write(ctx, id, s, false) {
+		a.drop(id, s)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.held, s.takenAt = true, a.options.Clock()
+	s.bucket.reset(s.takenAt)
+	a.options.Log.Info().Str("backend", string(id.backend.ID)).Int64("started", id.backend.Started).
+		Int("share", id.index).Float64("limit", float64(s.limit)).Msg("allocator: share of a limit taken")
+}
+
+// renew renews a share. If another entry has it, the share is dropped.
+func (a *Allocator) renew(ctx context.Context, id shareID, s *share) { a.write(ctx, id, s, false) }
+
+// end tells the other entries that a limit has ended.
+func (a *Allocator) end(ctx context.Context, id shareID, s *share) {
+	a.write(ctx, id, s, true)
+	a.drop(id, s)
+}
+
+// release gives a share back.
+func (a *Allocator) release(ctx context.Context, id shareID, s *share) {
+	a.drop(id, s)
+	a.delete(ctx, id, s.version)
+	a.options.Log.Info().Str("backend", string(id.backend.ID)).Int("share", id.index).
+		Msg("allocator: share of a limit given back")
+}
+
+// drop forgets a share.
+func (a *Allocator) drop(id shareID, s *share) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.own[id] == s {
+		delete(a.own, id)
+	}
+}
+
+// delete deletes the object of a share. If that fails, any entry deletes it later.
+func (a *Allocator) delete(ctx context.Context, id shareID, version carawaybeam.StoreVersion) {
+	if _, err := a.options.Store.Delete(ctx, carawaybeam.KindLimit, id.name(), version); err != nil {
+		a.options.Log.Info().Err(err).Str("backend", string(id.backend.ID)).Int("share", id.index).
+			Msg("allocator: object of a share cannot be deleted")
+	}
+}
+
+// write writes the object of a share and reports whether this entry holds the share for the
+// lease time. A write whose answer is lost counts once the object was read.
+func (a *Allocator) write(ctx context.Context, id shareID, s *share, ended bool) bool {
+	began := a.options.Clock()
+	a.mu.Lock()
+	s.renewal++
+	written := value{
+		Backend: id.backend.ID, Started: id.backend.Started, Index: id.index, Limit: s.limit,
+		Holder: a.options.Name, Incarnation: a.incarnation, Renewal: s.renewal, Ended: ended,
+		Confirmed: s.confirmed,
+	}
+	expect := s.version
+	a.mu.Unlock()
+	data, err := json.Marshal(written)
+	if err != nil {
+		a.options.Log.Error().Err(err).Msg("allocator: share cannot be encoded")
+		return false
+	}
+	version, err := a.options.Store.Put(
+		ctx, carawaybeam.Object{Kind: carawaybeam.KindLimit, Name: id.name(), Value: data}, expect,
+	)
+	if err != nil {
+		a.writeFailed(id, s, err)
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.version, s.validUntil = version, began+leaseTime
+	s.writtenAt, s.written = a.options.Clock(), written
+	return true
+}
+
+// writeFailed handles a failed write of a share. A share that another entry holds is dropped.
+// Others remain until they lapse.
+func (a *Allocator) writeFailed(id shareID, s *share, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.options.Clock()
+	s.writtenAt = now
+	if failed := new(carawaybeam.StoreError); errors.As(err, &failed) && failed.Failure == carawaybeam.StoreConflict {
+		current := failed.Current
+		if current.Version == 0 {
+			current = carawaybeam.Object{Kind: carawaybeam.KindLimit, Name: id.name(), Deleted: true}
+		}
+		a.apply(now, current)
+		if o, ok := a.stored[id]; ok && o.Incarnation == a.incarnation && !o.Ended {
+			s.version = o.version
+			return
+		}
+		a.lose(id, s)
+		return
+	}
+	if now >= s.validUntil && s.held {
+		a.lose(id, s)
+	}
+	a.options.Log.Warn().Err(err).Str("backend", string(id.backend.ID)).Int("share", id.index).
+		Msg("allocator: share of a limit cannot be written")
+}
+
+// lose records that this entry does not hold a share any more. The caller holds mu.
+func (a *Allocator) lose(id shareID, s *share) {
+	if a.own[id] != s {
+		return
+	}
+	delete(a.own, id)
+	if s.held {
+		a.options.Log.Info().Str("backend", string(id.backend.ID)).Int("share", id.index).
+			Msg("allocator: share of a limit lost")
+	}
+}
+
+// Replace replaces the objects of all shares.
+func (a *Allocator) Replace(objects []carawaybeam.Object) {
+	era := a.options.Era()
+	now := a.options.Clock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.loaded || era != a.era {
+		// Shares that are absent from the copy with which an era begins may be held.
+		a.absentFrom = now + takeoverTime
+	}
+	a.loaded, a.era = true, era
+	present := make(map[string]struct{}, len(objects))
+	for _, o := range objects {
+		present[o.Name] = struct{}{}
+	}
+	for id := range a.stored {
+		if _, ok := present[id.name()]; !ok {
+			a.forget(id)
+		}
+	}
+	a.applyAll(now, objects)
+}
+
+// Apply updates the objects of shares that have changed.
+func (a *Allocator) Apply(changes []carawaybeam.Object) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.applyAll(a.options.Clock(), changes)
+}
+
+// applyAll applies objects. The caller holds mu.
+func (a *Allocator) applyAll(now time.Duration, objects []carawaybeam.Object) {
+	for _, o := range objects {
+		a.apply(now, o)
+	}
+}
+
+// apply records the object of a share. The caller holds mu.
+func (a *Allocator) apply(now time.Duration, o carawaybeam.Object) {
+	if o.Deleted {
+		for id := range a.stored {
+			if id.name() == o.Name {
+				a.forget(id)
+			}
+		}
+		return
+	}
+	var v value
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		a.options.Log.Warn().Err(err).Str("object", o.Name).Msg("allocator: cannot decode a share")
+		return
+	}
+	id := shareID{backend: carawaybeam.BackendIncarnation{ID: v.Backend, Started: v.Started}, index: v.Index}
+	if known, ok := a.stored[id]; id.name() != o.Name || ok && known.version >= o.Version {
+		return
+	}
+	a.stored[id] = storedShare{
+		value: v, version: o.Version, seenAt: now, sweepAt: now + sweepTime + rand.N(maxSweepDelay),
+	}
+	if a.backends[id.backend] == nil {
+		a.backends[id.backend] = make(map[int]struct{})
+	}
+	a.backends[id.backend][id.index] = struct{}{}
+}
+
+// forget forgets the object of a share. The caller holds mu.
+func (a *Allocator) forget(id shareID) {
+	delete(a.stored, id)
+	delete(a.backends[id.backend], id.index)
+	if len(a.backends[id.backend]) == 0 {
+		delete(a.backends, id.backend)
+	}
+}
+
+// sweep deletes objects that no entry has written for long. The caller holds mu.
+func (a *Allocator) sweep(now time.Duration) {
+	for id, o := range a.stored {
+		if a.closed || now < o.sweepAt {
+			continue
+		}
+		a.forget(id)
+		a.wait.Go(func() {
+			ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+			defer cancel()
+			a.delete(ctx, id, o.version)
+		})
+	}
+}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -13,6 +13,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/acceptor"
 	"github.com/carawaybeam/carawaybeam/administrator"
+	"github.com/carawaybeam/carawaybeam/allocator"
 	"github.com/carawaybeam/carawaybeam/clock"
 	"github.com/carawaybeam/carawaybeam/collector"
 	"github.com/carawaybeam/carawaybeam/configurer/adopter"
@@ -34,6 +35,7 @@
 	"github.com/carawaybeam/carawaybeam/retrier/quota"
 	"github.com/carawaybeam/carawaybeam/starter"
 	"github.com/carawaybeam/carawaybeam/subscriber"
+	"github.com/carawaybeam/carawaybeam/throttler"
 )
 
 const (
@@ -64,10 +66,17 @@
 	entriesWait     = 30 * time.Second
 	entriesInterval = 2 * time.Second
 
+	// limitsWait is the time that one watch of the shares of limits waits for a change,
+	// limitsInterval the minimum time between two watches. An entry without a share
+	// sends nothing meanwhile.
+	limitsWait     = 30 * time.Second
+	limitsInterval = time.Second
+
 	// The backoffs after a failed call. The configuration, on which the use of keys
 	// depends, is tried again most often, and its first success ends the others.
 	instanceBackoff = time.Second
 	crashesBackoff  = 2 * time.Second
+	limitsBackoff   = 2 * time.Second
 	entriesBackoff  = 4 * time.Second
 
 	// maxReportAge is the age above which a reported load is ignored.
@@ -102,6 +111,9 @@
 	quarantiner      *quarantiner.Quarantiner
 	publisher        *publisher.Publisher
 	crashFollower    *follower.Follower
+	allocator        *allocator.Allocator
+	throttler        *throttler.Throttler
+	limitFollower    atomic.Pointer[follower.Follower]
 	outage           *follower.Outage
 	instanceFollower *follower.Follower
 	pooler           *pooler.Pooler
@@ -127,8 +139,10 @@
 	Connections pooler.State              `json:"connections"`
 	Crashes     detector.State            `json:"crashes"`
 	Quarantine  quarantiner.State         `json:"quarantine"`
-	Retries     any                       `json:"retries"`
-	Entries     []enroller.Entry          `json:"entries"`
+	// Restrictions is what backend servers say of the requests that they take.
+	Restrictions throttler.State  `json:"restrictions"`
+	Retries      any              `json:"retries"`
+	Entries      []enroller.Entry `json:"entries"`
 	// Pools holds the number of backend servers that accept requests.
 	Pools  map[carawaybeam.PoolID]int `json:"pools"`
 	Groups map[string][]rankState     `json:"groups"`
@@ -209,6 +223,7 @@
 	}
 	e.startFollowers()
 	e.startPublisher()
+	e.startThrottler()
 	if err := e.startCoordinators(); err != nil {
 		return err
 	}
@@ -257,6 +272,41 @@
 	e.closers.Add(e.crashFollower)
 }
 
+// startThrottler starts to share the limits that backend servers name with the other entries.
+func (e *directEntry) startThrottler() {
+	e.allocator = allocator.New(allocator.Options{
+		Store: e.store, Name: e.settings.Process, Clock: clock.SinceBoot, Entries: e.entries.Len,
+		Era: e.limitsEra, Age: e.limitsAge, Log: e.log,
+	})
+	limits := follower.New(follower.Options{
+		Store: e.store, Kind: carawaybeam.KindLimit, Sink: e.allocator, Clock: clock.SinceBoot,
+		Wait: limitsWait, MinInterval: limitsInterval, MaxBackoff: limitsBackoff, Outage: e.outage, Log: e.log,
+	})
+	e.limitFollower.Store(limits)
+	e.closers.Add(limits)
+	e.closers.Add(e.allocator)
+	e.throttler = throttler.New(throttler.Options{Shares: e.allocator, InUse: e.discoverer.Uses, Log: e.log})
+}
+
+// limitsEra returns the era of the store in which the shares of limits were read last.
+func (e *directEntry) limitsEra() carawaybeam.StoreEra {
+	limits := e.limitFollower.Load()
+	if limits == nil {
+		return 0
+	}
+	era, _ := limits.Era()
+	return era
+}
+
+// limitsAge returns how long ago the shares of limits were known to be the newest.
+func (e *directEntry) limitsAge() (time.Duration, bool) {
+	limits := e.limitFollower.Load()
+	if limits == nil {
+		return 0, false
+	}
+	return limits.Age()
+}
+
 // crashesShared reports whether the entry has shared the crashes that count against a
 // request, and is following those of other entries.
 func (e *directEntry) crashesShared(fingerprint quarantiner.Fingerprint) bool {
@@ -412,6 +462,7 @@
 			Quarantiner:   e.quarantiner,
 			CrashesShared: e.crashesShared,
 			ConductsTrial: e.conductsTrial,
+			Throttler:     e.throttler,
 			Router:        e.router,
 			Limiter:       limiter,
 			Retrier:       e.retrier,
@@ -459,10 +510,12 @@
 		Connections: e.pooler.State(),
 		Crashes:     e.detector.State(),
 		Quarantine:  e.quarantiner.State(),
-		Retries:     e.retrier.State(),
-		Entries:     e.entries.Entries(),
-		Pools:       e.discoverer.Pools(),
-		Groups:      make(map[string][]rankState),
+
+		Restrictions: e.throttler.State(),
+		Retries:      e.retrier.State(),
+		Entries:      e.entries.Entries(),
+		Pools:        e.discoverer.Pools(),
+		Groups:       make(map[string][]rankState),
 
 		DroppedLogLines: starter.DroppedLines(),
 	}
--- a/dialect.go
+++ b/dialect.go
@@ -75,6 +75,25 @@
 		// IdleTimeout is how long the backend server keeps an idle connection
 		// open, or 0 if it does not say.
 		IdleTimeout time.Duration
+		Signals     BackendSignals
+	}
+
+	// BackendSignals is what a backend server says of itself in an answer.
+	BackendSignals struct {
+		// Limit is how many requests per second the backend server takes from
+		// all processes together, or nil if it names no limit.
+		Limit *RequestRate
+		// Leaving is set once the backend server is about to stop.
+		Leaving bool
+		// RetryAfter is how long the backend server, which refused the request,
+		// wants no other one from this process, or 0.
+		RetryAfter time.Duration
+		// Invalid holds the header fields whose values cannot be decoded, as
+		// "name: value". They count as absent.
+		Invalid []string
+		// Unknown holds the names of header fields that look like signals but
+		// are not known.
+		Unknown []string
 	}
 
 	// Dialect decodes and encodes the messages and store objects of one
--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -166,6 +166,14 @@
 	d.rebuild()
 }
 
+// Uses reports whether an incarnation of a backend server may receive requests.
+func (d *Discoverer) Uses(incarnation carawaybeam.BackendIncarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.members[incarnation.ID]
+	return ok && m.instance.BackendIncarnation == incarnation && !m.instance.Leaving
+}
+
 // InUse reports whether a backend server may receive requests.
 func (d *Discoverer) InUse(instance carawaybeam.Instance) bool {
 	return slices.ContainsFunc(d.Instances(instance.Pool), func(other carawaybeam.Instance) bool {
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
+	"github.com/carawaybeam/carawaybeam/throttler"
 )
 
 const (
@@ -131,9 +132,9 @@
 		return f.quarantineError(cause)
 	}
 	now := time.Now()
-	decision, ok := f.choose(now, p)
-	if !ok {
-		return carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "pool has no backend server", shortRetryAfter)
+	decision, failure := f.choose(now, p)
+	if failure != nil {
+		return failure
 	}
 	admit := carawaybeam.AdmitRequest{
 		Request:        p.request.ID,
@@ -168,7 +169,7 @@
 		}
 		// All groups may have closed since the first decision. They would refuse
 		// another attempt.
-		if decision, ok = f.choose(time.Now(), p); !ok || decision.ClosedFor > 0 {
+		if decision, failure = f.choose(time.Now(), p); failure != nil || decision.ClosedFor > 0 {
 			return f.finish(p, r)
 		}
 	}
@@ -276,9 +277,41 @@
 	return r.failure
 }
 
-// choose asks the router for a backend server.
-func (f *Forwarder) choose(now time.Time, p *pendingRequest) (carawaybeam.RouteDecision, bool) {
-	instances := f.options.Members.Instances(p.pool.ID)
+// choose asks the router for a backend server among those that take requests now. If there is
+// none, it returns the error of the request.
+func (f *Forwarder) choose(
+	now time.Time,
+	p *pendingRequest,
+) (carawaybeam.RouteDecision, *carawaybeam.RequestError) {
+	instances, restricted := f.openInstances(now, p.pool.ID)
+	candidates := f.candidates(now, instances)
+	decision, ok := f.options.Router.Route(now, carawaybeam.RouteRequest{
+		Request:      p.request.ID,
+		Class:        carawaybeam.ClassID(p.pool.ID),
+		Pool:         p.pool.ID,
+		Organisation: p.organisation,
+		DataCentre:   f.options.DataCentre,
+		Prompt:       p.request.Prompt,
+		Target:       p.route.Target,
+		EventGap:     p.route.EventGap,
+		Tried:        append(p.tried, p.unsent...),
+		Engine:       p.pool.Engine,
+	}, candidates, f.random)
+	switch {
+	case !ok && restricted != nil:
+		f.options.Throttler.CountRefused()
+		return decision, restrictedError(*restricted)
+	case !ok:
+		failure := carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "pool has no backend server", shortRetryAfter)
+		return decision, failure
+	case restricted != nil:
+		f.options.Throttler.CountDiverted()
+	}
+	return decision, nil
+}
+
+// candidates describes backend servers to the router.
+func (f *Forwarder) candidates(now time.Time, instances []carawaybeam.Instance) []carawaybeam.Candidate {
 	candidates := make([]carawaybeam.Candidate, 0, len(instances))
 	reporting := false
 	for _, instance := range instances {
@@ -305,18 +338,7 @@
 			candidates[i].ClosedFor = 0
 		}
 	}
-	return f.options.Router.Route(now, carawaybeam.RouteRequest{
-		Request:      p.request.ID,
-		Class:        carawaybeam.ClassID(p.pool.ID),
-		Pool:         p.pool.ID,
-		Organisation: p.organisation,
-		DataCentre:   f.options.DataCentre,
-		Prompt:       p.request.Prompt,
-		Target:       p.route.Target,
-		EventGap:     p.route.EventGap,
-		Tried:        append(p.tried, p.unsent...),
-		Engine:       p.pool.Engine,
-	}, candidates, f.random)
+	return candidates
 }
 
 // attempt sends the request to the chosen backend server and forwards the
@@ -337,6 +359,11 @@
 		}
 	}
 	began := time.Now()
+	if !f.options.Throttler.Take(began, instance.BackendIncarnation) {
+		p.unsent = append(p.unsent, instance.ID)
+		status := f.options.Throttler.Status(began, instance.BackendIncarnation)
+		return result{failure: restrictedError(status), unsent: true}
+	}
 	own := f.counter.Add(began, instance.ID, p.request.Prompt)
 	run := f.options.Detector.Begin(p.request.ID, p.fingerprint, instance, p.parts...)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -405,6 +432,7 @@
 		Priority:     p.priority,
 		After:        p.lastEvent,
 	})
+	sent := time.Now()
 	reply, err := f.options.Sender.Send(ctx, instance.Address, pooler.Request{
 		ID:     p.request.ID,
 		Method: p.request.Method,
@@ -421,6 +449,10 @@
 	defer func() { _ = reply.Body.Close() }()
 	if reply.Misdirected {
 		f.options.Members.ReportMisdirected(instance.BackendIncarnation)
+	} else {
+		f.options.Throttler.Observe(
+			instance.BackendIncarnation, throttler.Exchange{Sent: sent, Answered: time.Now()}, reply.Signals,
+		)
 	}
 	switch {
 	case reply.NotRun:
@@ -454,10 +486,11 @@
 	reply.Drain()
 	detail := "backend server refused with status " + http.StatusText(reply.Status)
 	return result{
-		failure:      carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, shortRetryAfter),
-		misdirected:  reply.Misdirected,
-		refused:      true,
-		backendFault: true,
+		failure:     carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, shortRetryAfter),
+		misdirected: reply.Misdirected,
+		refused:     true,
+		// A backend server that says for how long it is closed is not at fault.
+		backendFault: reply.Signals.RetryAfter == 0,
 		culprit:      reply.FaultyBackend,
 	}
 }
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/randomizer"
 	"github.com/carawaybeam/carawaybeam/router/counter"
+	"github.com/carawaybeam/carawaybeam/throttler"
 )
 
 const (
@@ -116,10 +117,12 @@
 		// ConductsTrial reports whether this entry is the only one that may send a
 		// request on trial.
 		ConductsTrial func(fingerprint quarantiner.Fingerprint) bool
-		Router        carawaybeam.Router
-		Limiter       carawaybeam.Limiter
-		Retrier       carawaybeam.Retrier
-		Log           zerolog.Logger
+		// Throttler knows the restrictions that backend servers have named.
+		Throttler *throttler.Throttler
+		Router    carawaybeam.Router
+		Limiter   carawaybeam.Limiter
+		Retrier   carawaybeam.Retrier
+		Log       zerolog.Logger
 	}
 
 	// Forwarder serves requests. Its methods are safe for concurrent use.
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -26,6 +26,7 @@
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/retrier/quota"
 	"github.com/carawaybeam/carawaybeam/router/occupancy"
+	"github.com/carawaybeam/carawaybeam/throttler"
 )
 
 type (
@@ -67,9 +68,52 @@
 		notSharing bool
 		// triedElsewhere is set while another entry conducts trials.
 		triedElsewhere bool
+		throttler      *throttler.Throttler
+		// shares is the number of requests that this entry may send to each backend
+		// server with a limit.
+		shares map[carawaybeam.BackendID]int
 	}
 )
 
+var _ throttler.Shares = (*environment)(nil)
+
+func (env *environment) Take(backend carawaybeam.BackendIncarnation, _ carawaybeam.RequestRate) bool {
+	env.shares[backend.ID]--
+	return env.shares[backend.ID] >= 0
+}
+
+func (env *environment) NextIn(
+	backend carawaybeam.BackendIncarnation,
+	_ carawaybeam.RequestRate,
+) (time.Duration, bool) {
+	return 0, env.shares[backend.ID] > 0
+}
+
+func (env *environment) Limit(carawaybeam.BackendIncarnation) (carawaybeam.RequestRate, bool) {
+	return 0, false
+}
+
+func (env *environment) Told(carawaybeam.BackendIncarnation, carawaybeam.RequestRate, time.Duration) {
+}
+
+func (env *environment) End(carawaybeam.BackendIncarnation) {}
+
+func (env *environment) Ended(carawaybeam.BackendIncarnation) (time.Duration, bool) { return 0, false }
+
+func (env *environment) Quiet() bool { return true }
+
+func (env *environment) Shares(carawaybeam.BackendIncarnation) (own, all int) { return 0, 0 }
+
+// throttle returns the Throttler of the environment.
+func (env *environment) throttle() *throttler.Throttler {
+	if env.throttler == nil {
+		env.throttler = throttler.New(throttler.Options{
+			Shares: env, InUse: func(carawaybeam.BackendIncarnation) bool { return true }, Log: env.log,
+		})
+	}
+	return env.throttler
+}
+
 func (s *scriptedSender) Send(
 	ctx context.Context,
 	address carawaybeam.Address,
@@ -173,6 +217,7 @@
 		Quarantiner:   env.quarantiner,
 		CrashesShared: func(quarantiner.Fingerprint) bool { return !env.notSharing },
 		ConductsTrial: func(quarantiner.Fingerprint) bool { return !env.triedElsewhere },
+		Throttler:     env.throttle(),
 		Sender:        env.sender,
 		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
 			if report, ok := env.reports[address]; ok {
--- a/ids.go
+++ b/ids.go
@@ -73,6 +73,9 @@
 
 	// Bytes is a size or an offset in bytes.
 	Bytes int64
+
+	// RequestRate is a number of requests per second.
+	RequestRate float64
 )
 
 // keyedAttemptBytes is the length to which KeyedAttempt truncates the hash.
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -83,9 +83,7 @@
 			addViolation("requests with %s: %s", cmp.Or(cause.part, cause.body), found)
 		}
 	}
-	for _, found := range s.checkServerLimits() {
-		addViolation("%s", found)
-	}
+	result.Limited = s.checkServerLimits(addViolation)
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
--- a/soaker/serverlimits.go
+++ b/soaker/serverlimits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"strconv"
 	"time"
@@ -23,9 +22,9 @@
 	server.SetLimit("")
 }
 
-// checkServerLimits returns the violations of limits that backend servers have named. The
-// caller holds the mutex of the history.
-func (s *Soaker) checkServerLimits() []string {
+// checkServerLimits reports the violations of limits that backend servers have named. It returns the
+// number of requests that they got while they named one. The caller holds the mutex of the history.
+func (s *Soaker) checkServerLimits(addViolation func(format string, args ...any)) int {
 	records := make(map[string]*arbiter.Record)
 	for _, c := range s.journal.LimitChanges() {
 		if records[c.Server] == nil {
@@ -46,13 +45,14 @@
 			r.Arrivals = append(r.Arrivals, arbiter.Arrival{Sender: s.history.sender(a.Request), At: a.At})
 		}
 	}
-	var found []string
+	limited := 0
 	for server, r := range records {
+		limited += r.LimitedArrivals()
 		for _, violation := range r.Violations() {
-			found = append(found, fmt.Sprintf("limit of %s: %s", server, violation))
+			addViolation("limit of %s: %s", server, violation)
 		}
 	}
-	return found
+	return limited
 }
 
 // limitOf returns the limit in requests per second, or infinity if there is none.
@@ -65,7 +65,9 @@
 }
 
 // sender returns the entry to which a request was sent.
-func (h *history) sender(request string) arbiter.Sender { return arbiter.Sender(h.requests[request].entry) }
+func (h *history) sender(request string) arbiter.Sender {
+	return arbiter.Sender(h.requests[request].entry)
+}
 
 // disturbsSender reports whether a fault affected an entry in a span. A fault of the store
 // is no excuse.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -94,6 +94,9 @@
 		Requests, Served, Faults int
 		// Crashes is the number of runs that crashed a backend server.
 		Crashes int
+		// Limited is the number of requests that backend servers got while they named a
+		// limit.
+		Limited int
 		// MapChanges is the number of changes of the expert map, added up over all
 		// ranks.
 		MapChanges int
--- a/store.go
+++ b/store.go
@@ -53,6 +53,9 @@
 	// KindCrashes is the kind of objects in which entries record the requests that
 	// were running when backend servers crashed.
 	KindCrashes StoreKind = "crashes"
+	// KindLimit is the kind of objects that hold the shares of the limits that
+	// backend servers name.
+	KindLimit StoreKind = "limit"
 	// KindSettings is the kind of objects that hold the settings of the whole
 	// installation.
 	KindSettings StoreKind = "settings"
