Apply the lower of two limits until all entries must have been told

After a limit was lowered, an entry that had been told more than 2 s before took shares of the earlier one, since objects of other entries still named it.

--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -17,8 +17,10 @@
 
 const (
 	// ownLimitTime is how long a limit that this process was told takes precedence over
-	// what other processes know of it.
-	ownLimitTime = 2 * time.Second
+	// what other processes know of it. After that, the lower one applies until they must
+	// have been told too, which takes up to lowerLimitTime.
+	ownLimitTime   = 2 * time.Second
+	lowerLimitTime = 7 * time.Second
 
 	// crossTime is the time within which the news of other processes that a limit has
 	// ended may have crossed an answer which names it.
@@ -233,6 +235,9 @@
 		return 0, false
 	}
 	if limit, ok := t.options.Shares.Limit(backend); ok {
+		if told && now.Sub(s.limitedBy) < lowerLimitTime {
+			limit = min(limit, *s.limit)
+		}
 		return limit, true
 	}
 	if !told {
