Keep the limits and other signals of backend servers on the linked path

An agent is the only sender to its backend server, so it paces requests by itself (throttler.Sole), and refuses what the backend server does not take with a proof.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -239,9 +239,13 @@
 func (a *Agent) readLoad() {
 	ctx, cancel := context.WithTimeout(a.ctx, loadTimeout)
 	defer cancel()
-	load, err := a.options.Backend.Load(ctx)
+	sent := time.Now()
+	load, signals, err := a.options.Backend.Load(ctx)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if err == nil {
+		a.options.Executor.ObserveLoad(sent, signals, !a.reachable)
+	}
 	if err != nil && a.reachable && a.ctx.Err() == nil {
 		a.options.Log.Warn().Err(err).Msg("agent: cannot read the load of the backend server")
 	}
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -3,7 +3,7 @@
 // A limit consists of shares, each of which is an object in the platform's store that one
 // entry holds at a time as a lease. Only holders send requests to the backend server. The
 // bound on all requests therefore holds whatever the entries know of each other: with each
-// change of its holder a share begins with an empty token bucket.
+// change of its holder a share begins without a request that is allowed.
 //
 // The time of leases is taken from a clock that includes the time for which the VM was
 // suspended. A holder counts from before its last write, and another entry from when it
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/pacer"
 )
 
 const (
@@ -68,14 +69,6 @@
 	maxShareRate = 2
 	maxShares    = 64
 
-	// minRate is the lowest rate of a limit. At lower ones nothing would ever show that
-	// the limit has ended.
-	minRate = 0.1
-
-	// burst is the number of requests that a share which was not used for some time
-	// passes at once.
-	burst = 3
-
 	// sweepTime is how long the object of a share must not have changed until any entry
 	// deletes it, and maxSweepDelay bounds a random delay that each entry adds.
 	sweepTime     = 30 * time.Second
@@ -157,7 +150,8 @@
 		calling bool
 		// ended is set once the limit has ended, and surplus if it has fewer shares now.
 		ended, surplus bool
-		bucket         bucket
+		// pacer paces the requests. It is nil until the share is held.
+		pacer *pacer.Pacer
 	}
 
 	// demand is the demand for shares of a limit.
@@ -215,12 +209,15 @@
 }
 
 // sharesOf returns the number of shares of a limit and the rate of each.
-func sharesOf(limit carawaybeam.RequestRate) (shares int, rate float64) {
-	total := max(float64(limit), minRate)
-	shares = int(min(math.Ceil(total/maxShareRate), maxShares))
-	return shares, total / float64(shares)
+func sharesOf(limit carawaybeam.RequestRate) (shares int, rate carawaybeam.RequestRate) {
+	total := max(limit, pacer.MinRate)
+	shares = int(min(math.Ceil(float64(total/maxShareRate)), maxShares))
+	return shares, total / carawaybeam.RequestRate(shares)
 }
 
+// instant returns a reading of the clock in the form that package pacer uses.
+func instant(clock time.Duration) time.Time { return time.Unix(0, int64(clock)) }
+
 // Take takes one request from the shares that this entry holds of a limit. It returns false
 // if there is none, and then the Allocator tries to get a share.
 func (a *Allocator) Take(backend carawaybeam.BackendIncarnation, limit carawaybeam.RequestRate) bool {
@@ -228,7 +225,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.setLimit(now, backend, limit)
-	if s, _ := a.nextShare(now, backend, limit); s != nil && s.bucket.take(now) {
+	if s, _ := a.nextShare(now, backend, limit); s != nil && s.pacer.Take(instant(now)) {
 		return true
 	}
 	a.demand[backend].unmetAt = now
@@ -276,7 +273,9 @@
 		if id.backend != backend {
 			continue
 		}
-		s.bucket.setRate(now, rate)
+		if s.held {
+			s.pacer.SetRate(instant(now), rate)
+		}
 		s.limit, s.surplus = limit, id.index >= shares
 	}
 	a.wakeUp()
@@ -299,7 +298,7 @@
 		if s == nil || !s.usable(now) {
 			continue
 		}
-		if wait := s.bucket.nextIn(now); best == nil || wait < bestWait {
+		if wait := s.pacer.NextIn(instant(now)); best == nil || wait < bestWait {
 			best, bestWait = s, wait
 		}
 	}
@@ -481,7 +480,7 @@
 		a.lose(id, s)
 	case s.ended:
 		a.call(id, s, a.end)
-	case s.surplus || s.bucket.unusedFor(now) >= idleTime:
+	case s.surplus || s.pacer.UnusedFor(instant(now)) >= idleTime:
 		a.call(id, s, a.release)
 	case due:
 		a.call(id, s, a.renew)
@@ -506,7 +505,7 @@
 
 // grow takes another share of a limit if requests found none lately. The caller holds mu.
 func (a *Allocator) grow(now time.Duration, backend carawaybeam.BackendIncarnation, d *demand) {
-	shares, rate := sharesOf(d.limit)
+	shares, _ := sharesOf(d.limit)
 	if !a.isFresh(now, backend) {
 		// The limit may have been lowered. One share is enough to find out.
 		shares = 1
@@ -535,7 +534,6 @@
 		limit:   d.limit,
 		version: a.stored[id].version,
 		renewal: a.stored[id].Renewal,
-		bucket:  bucket{rate: rate},
 	}
 	a.own[id] = s
 	a.call(id, s, a.acquire)
--- a/allocator/stored.go
+++ b/allocator/stored.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/pacer"
 )
 
 type (
@@ -47,7 +48,7 @@
 	return fmt.Sprintf("%s.%d.%d", id.backend.ID, id.backend.Started, id.index)
 }
 
-// acquire takes a share. A share that is given back or lapses later begins with an empty bucket.
+// acquire takes a share. A share that is given back or lapses later is paced from the beginning.
 func (a *Allocator) acquire(ctx context.Context, id shareID, s *share) {
 	if !a.write(ctx, id, s, false) {
 		a.drop(id, s)
@@ -56,7 +57,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.held, s.takenAt = true, a.options.Clock()
-	s.bucket.reset(s.takenAt)
+	_, rate := sharesOf(s.limit)
+	s.pacer = pacer.New(instant(s.takenAt), rate)
 	a.options.Log.Info().Str("backend", string(id.backend.ID)).Int64("started", id.backend.Started).
 		Int("share", id.index).Float64("limit", float64(s.limit)).Msg("allocator: share of a limit taken")
 }
--- a/backend.go
+++ b/backend.go
@@ -31,6 +31,7 @@
 		Status      int
 		ContentType string
 		Body        io.ReadCloser
+		Signals     BackendSignals
 	}
 
 	// Load is the load that a backend server reports.
@@ -50,8 +51,9 @@
 		// *NotSentError proves that the backend server did not receive the
 		// request.
 		Start(ctx context.Context, call BackendRequest) (*BackendResponse, error)
-		// Load returns the current load of the backend server.
-		Load(ctx context.Context) (Load, error)
+		// Load returns the current load of the backend server, and what it says of
+		// itself in this answer.
+		Load(ctx context.Context) (Load, BackendSignals, error)
 	}
 
 	// BackendOptions configures a Backend plug-in.
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -28,6 +28,14 @@
 	// HeaderResume is the header field with the number of answer bytes that are
 	// already delivered, after which a model engine continues the answer.
 	HeaderResume = "X-Resume-Offset"
+	// HeaderLimit is the header field of an answer with the number of requests per second
+	// that the backend server takes, and HeaderLeaving that with "1" once it is about to
+	// stop.
+	HeaderLimit   = "X-Request-Limit"
+	HeaderLeaving = "X-Leaving"
+	// HeaderRetryAfter is the header field of a 503 with the number of seconds for which the
+	// backend server wants no requests.
+	HeaderRetryAfter = "Retry-After"
 
 	// maxLoadBytes is the maximum size of a load report.
 	maxLoadBytes   = 64 << 10
@@ -35,6 +43,9 @@
 
 	// maxHeadBytes is the maximum size of the header of an answer.
 	maxHeadBytes = 64 << 10
+
+	// maxRetryAfter is the longest time for which a backend server can refuse all requests.
+	maxRetryAfter = 10 * time.Minute
 )
 
 type (
@@ -163,9 +174,37 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        response.Body,
+		Signals:     decodeSignals(response),
 	}, nil
 }
 
+// decodeSignals decodes what a backend server says of itself in an answer.
+func decodeSignals(response *http.Response) carawaybeam.BackendSignals {
+	var signals carawaybeam.BackendSignals
+	decode := func(name string) (float64, bool) {
+		values := response.Header.Values(name)
+		if len(values) == 0 {
+			return 0, false
+		}
+		number, err := carawaybeam.ParseDecimal(values)
+		if err != nil {
+			signals.Invalid = append(signals.Invalid, name)
+		}
+		return number, err == nil
+	}
+	if limit, ok := decode(HeaderLimit); ok {
+		rate := carawaybeam.RequestRate(limit)
+		signals.Limit = &rate
+	}
+	signals.Leaving = response.Header.Get(HeaderLeaving) == "1"
+	if response.StatusCode == http.StatusServiceUnavailable {
+		if seconds, ok := decode(HeaderRetryAfter); ok {
+			signals.RetryAfter = time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+		}
+	}
+	return signals
+}
+
 // transportRepeats reports whether net/http repeats requests of the method that have no body.
 func transportRepeats(method string) bool {
 	switch method {
@@ -187,25 +226,26 @@
 
 // Load returns the current load. For a plain service without a load report it returns
 // zero.
-func (c *Caller) Load(ctx context.Context) (carawaybeam.Load, error) {
+func (c *Caller) Load(ctx context.Context) (carawaybeam.Load, carawaybeam.BackendSignals, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+"/load", http.NoBody)
 	if err != nil {
-		return carawaybeam.Load{}, err
+		return carawaybeam.Load{}, carawaybeam.BackendSignals{}, err
 	}
 	response, err := c.load.Do(request)
 	if err != nil {
-		return carawaybeam.Load{}, err
+		return carawaybeam.Load{}, carawaybeam.BackendSignals{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	signals := decodeSignals(response)
 	if response.StatusCode == http.StatusNotFound && !c.engine {
-		return carawaybeam.Load{}, nil
+		return carawaybeam.Load{}, signals, nil
 	}
 	if response.StatusCode != http.StatusOK {
-		return carawaybeam.Load{}, &StatusError{Status: response.StatusCode}
+		return carawaybeam.Load{}, signals, &StatusError{Status: response.StatusCode}
 	}
 	var report loadReport
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report); err != nil {
-		return carawaybeam.Load{}, err
+		return carawaybeam.Load{}, signals, err
 	}
-	return carawaybeam.Load(report), nil
+	return carawaybeam.Load(report), signals, nil
 }
--- a/executor/admit.go
+++ b/executor/admit.go
@@ -100,7 +100,7 @@
 	case !e.limit.Allows(e.running) || e.ledger.full():
 		refusal.Reason = carawaybeam.ReasonBusy
 	default:
-		return refusal, false
+		return e.restriction()
 	}
 	return refusal, true
 }
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -208,7 +208,7 @@
 func (e *Executor) probe() bool {
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
 	defer cancel()
-	_, err := e.options.Backend.Load(ctx)
+	_, _, err := e.options.Backend.Load(ctx)
 	return err == nil || errors.Is(err, context.Canceled)
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/limiter/adaptive"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
+	"github.com/carawaybeam/carawaybeam/throttler"
 )
 
 const (
@@ -63,6 +64,10 @@
 	// drainPollInterval is how often Drain checks whether it is finished.
 	drainPollInterval = 50 * time.Millisecond
 
+	// maxLeavingTime is how long a backend server counts as leaving after it has said
+	// so. Another one may take its place unnoticed.
+	maxLeavingTime = time.Minute
+
 	// busyRetryAfter is the RetryAfter of refused attempts.
 	busyRetryAfter = time.Second
 )
@@ -82,6 +87,9 @@
 		// Quarantiner keeps the requests that crash backend servers. If it is
 		// nil, the Executor creates its own.
 		Quarantiner *quarantiner.Quarantiner
+		// Throttler keeps what the backend server says of the requests that it takes. If
+		// it is nil, the Executor creates its own.
+		Throttler *throttler.Throttler
 		// Suspended reports whether the process was suspended a moment ago. What
 		// arrived meanwhile is refused, since its senders have turned elsewhere and
 		// the process may have been told to stop. If nil, it never was.
@@ -141,6 +149,8 @@
 		Resumed       uint64                    `json:"resumed"`
 		Crashes       uint64                    `json:"crashes"`
 		Quarantine    quarantiner.State         `json:"quarantine"`
+		// Restrictions is what the backend server says of the requests that it takes.
+		Restrictions throttler.State `json:"restrictions"`
 	}
 )
 
@@ -149,6 +159,14 @@
 	if options.Quarantiner == nil {
 		options.Quarantiner = quarantiner.New(quarantiner.Complete)
 	}
+	if options.Throttler == nil {
+		options.Throttler = throttler.New(throttler.Options{
+			Shares:      &throttler.Sole{},
+			InUse:       func(carawaybeam.BackendIncarnation) bool { return true },
+			LeavingTime: maxLeavingTime,
+			Log:         options.Log,
+		})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Executor{
 		options:        options,
@@ -269,5 +287,6 @@
 		Resumed:       e.counts.resumed.Load(),
 		Crashes:       e.counts.crashes.Load(),
 		Quarantine:    e.options.Quarantiner.State(),
+		Restrictions:  e.options.Throttler.State(),
 	}
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -41,7 +41,9 @@
 	return &carawaybeam.BackendResponse{Status: 200, ContentType: "text/plain", Body: io.NopCloser(body)}, nil
 }
 
-func (textBackend) Load(context.Context) (carawaybeam.Load, error) { return carawaybeam.Load{}, nil }
+func (textBackend) Load(context.Context) (carawaybeam.Load, carawaybeam.BackendSignals, error) {
+	return carawaybeam.Load{}, carawaybeam.BackendSignals{}, nil
+}
 
 // handler serves dispatch and resolve streams by an executor.
 type handler struct{ executor *executor.Executor }
--- a/executor/limit_test.go
+++ b/executor/limit_test.go
@@ -42,7 +42,9 @@
 	}, nil
 }
 
-func (b *slowBackend) Load(context.Context) (carawaybeam.Load, error) { return carawaybeam.Load{}, nil }
+func (b *slowBackend) Load(context.Context) (carawaybeam.Load, carawaybeam.BackendSignals, error) {
+	return carawaybeam.Load{}, carawaybeam.BackendSignals{}, nil
+}
 
 func (s *recordedStream) Send(frame *framer.Frame) error {
 	s.sent = append(s.sent, frame)
--- a/executor/run.go
+++ b/executor/run.go
@@ -75,6 +75,7 @@
 		return startFailure(err), true
 	}
 	defer func() { _ = answer.Body.Close() }()
+	e.observeSignals(sent, answer.Signals)
 	a.begin(answer.Status, answer.ContentType)
 	pooled := buffers.Get().(*[chunkBytes]byte)
 	defer buffers.Put(pooled)
--- a/executor/run_test.go
+++ b/executor/run_test.go
@@ -25,8 +25,8 @@
 	}, nil
 }
 
-func (b *answeringBackend) Load(context.Context) (carawaybeam.Load, error) {
-	return carawaybeam.Load{}, nil
+func (b *answeringBackend) Load(context.Context) (carawaybeam.Load, carawaybeam.BackendSignals, error) {
+	return carawaybeam.Load{}, carawaybeam.BackendSignals{}, nil
 }
 
 // TestStreamEndsInsideEvent guards against a stream that ends inside an event, without an error,
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -219,13 +219,13 @@
 }
 
 // Load returns a zero load, or an error while the backend server is down.
-func (b *Backend) Load(context.Context) (carawaybeam.Load, error) {
+func (b *Backend) Load(context.Context) (carawaybeam.Load, carawaybeam.BackendSignals, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.down {
-		return carawaybeam.Load{}, errDown
+		return carawaybeam.Load{}, carawaybeam.BackendSignals{}, errDown
 	}
-	return carawaybeam.Load{}, nil
+	return carawaybeam.Load{}, carawaybeam.BackendSignals{}, nil
 }
 
 // Read waits for the time of one part and returns bytes of the next part.
--- a/throttler/state.go
+++ b/throttler/state.go
@@ -41,7 +41,7 @@
 	state := State{Counts: t.counts, Backends: []BackendState{}}
 	for backend, s := range t.states {
 		b := BackendState{
-			Backend: backend.ID, Leaving: s.leaving, ClosedForMs: s.closedFor(now).Milliseconds(), AgeMs: -1,
+			Backend: backend.ID, Leaving: t.isLeaving(now, s), ClosedForMs: s.closedFor(now).Milliseconds(), AgeMs: -1,
 		}
 		if limit, ok := t.limit(now, backend); ok {
 			b.Limit = &limit
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -71,7 +71,10 @@
 		Shares Shares
 		// InUse reports whether a backend server may still get requests.
 		InUse func(carawaybeam.BackendIncarnation) bool
-		Log   zerolog.Logger
+		// LeavingTime is how long a backend server counts as leaving, or 0 if it does so
+		// for ever.
+		LeavingTime time.Duration
+		Log         zerolog.Logger
 	}
 
 	// Throttler holds what backend servers have said. It is safe for concurrent use.
@@ -117,7 +120,8 @@
 
 	// state is what one backend server has said.
 	state struct {
-		leaving bool
+		// leavingSince is when it first said that it is leaving, or zero.
+		leavingSince time.Time
 		// limit is the limit that this process was told last, or nil. limitedBy is when
 		// the request of that answer was sent, and limitedAt when the answer arrived.
 		limit                *carawaybeam.RequestRate
@@ -160,8 +164,8 @@
 		s = &state{}
 		t.states[backend] = s
 	}
-	if signals.Leaving && !s.leaving {
-		s.leaving = true
+	if signals.Leaving && !t.isLeaving(exchange.Answered, s) {
+		s.leavingSince = exchange.Answered
 		t.options.Log.Info().Str("backend", string(backend.ID)).Int64("started", backend.Started).
 			Msg("throttler: backend server says that it is leaving")
 	}
@@ -265,7 +269,7 @@
 	defer t.mu.Unlock()
 	var status Status
 	if s := t.states[backend]; s != nil {
-		status.Leaving = s.leaving
+		status.Leaving = t.isLeaving(now, s)
 		status.ClosedFor = s.closedFor(now)
 	}
 	limit, limited := t.limit(now, backend)
@@ -275,6 +279,18 @@
 	return status
 }
 
+// isLeaving reports whether a backend server is about to stop.
+func (t *Throttler) isLeaving(now time.Time, s *state) bool {
+	return !s.leavingSince.IsZero() && (t.options.LeavingTime == 0 || now.Sub(s.leavingSince) < t.options.LeavingTime)
+}
+
+// Forget forgets what a backend server has said.
+func (t *Throttler) Forget(backend carawaybeam.BackendIncarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.states, backend)
+}
+
 // Open reports whether a request may be sent now.
 func (s Status) Open() bool {
 	return !s.Leaving && s.ClosedFor == 0 && (!s.Limited || s.HasShare && s.Wait == 0)
@@ -294,7 +310,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.states[backend]
-	if s != nil && (s.leaving || s.closedFor(now) > 0) {
+	if s != nil && (t.isLeaving(now, s) || s.closedFor(now) > 0) {
 		return false
 	}
 	if limit, ok := t.limit(now, backend); ok && !t.options.Shares.Take(backend, limit) {
