--- a/caller/signals_test.go
+++ b/caller/signals_test.go
@@ -28,7 +28,10 @@
 	defer server.Close()
 	c := caller.New(carawaybeam.BackendOptions{URL: server.URL}, true)
 	start := func() carawaybeam.BackendSignals {
-		answer, err := c.Start(t.Context(), carawaybeam.BackendRequest{Attempt: "1", Method: http.MethodPost, Path: "/"})
+		answer, err := c.Start(
+			t.Context(),
+			carawaybeam.BackendRequest{Attempt: "1", Method: http.MethodPost, Path: "/"},
+		)
 		is.NoErr(err)
 		is.NoErr(answer.Body.Close())
 		return answer.Signals
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -40,6 +40,9 @@
 	// ServerLimit promises that all processes together send a backend server no more
 	// requests than it says that it takes.
 	ServerLimit Promise = "serverLimit"
+	// ServerSignals promises that a backend server which says that it is leaving, or wants
+	// no requests for a time, gets none.
+	ServerSignals Promise = "serverSignals"
 	// Soak covers all promises that the soak test checks.
 	Soak Promise = "soak"
 )
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -84,6 +84,7 @@
 		}
 	}
 	result.Limited = s.checkServerLimits(addViolation)
+	s.checkSignals(addViolation)
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -163,6 +163,8 @@
 	"babble":             {onServer, behaviourFault(emulator.SendingGarbage)},
 	"repeat":             {onServer, behaviourFault(emulator.Repeating)},
 	"nameLimit":          {onServer, nameLimit},
+	"nameLeaving":        {onServer, nameLeaving},
+	"refuseFor":          {onServer, refuseFor},
 	"linkCut":            {onServer, linkFault(hostLink, forwarder.Fault{Refuse: true}, true)},
 	"linkReset":          {onServer, linkFault(hostLink, forwarder.Fault{}, true)},
 	"linkSlow":           {onServer, linkFault(hostLink, forwarder.Fault{Delay: linkDelay}, false)},
@@ -216,11 +218,11 @@
 }
 
 // newSchedule returns the faults of a run: random ones, with equal probability for each
-// kind except those of callers and of limits, one pair, requests that crash backend
-// servers, and faults that concern limits. Consecutive seeds use the pairs in turn.
+// kind except those of callers, limits and signals, one pair, requests that crash backend
+// servers, faults that concern limits, and signals of backend servers. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
-		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) || name == "nameLimit"
+		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) || slices.Contains(signalKinds, name)
 	})
 	n := minFaults + random.IntN(extraFaults)
 	faults := make([]fault, 0, n+len(pairs[0]))
@@ -229,7 +231,8 @@
 	}
 	faults = append(faults, newPair(random, options, pairs)...)
 	faults = append(faults, newCrashingRequests(options)...)
-	return append(faults, newLimitFaults(options)...)
+	faults = append(faults, newLimitFaults(options)...)
+	return append(faults, newSignalFaults(options)...)
 }
 
 // newFault returns a random fault of one of the kinds.
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -29,7 +29,9 @@
 	return 0, false
 }
 
-func (s *otherShares) Take(carawaybeam.BackendIncarnation, carawaybeam.RequestRate) bool { return false }
+func (s *otherShares) Take(carawaybeam.BackendIncarnation, carawaybeam.RequestRate) bool {
+	return false
+}
 
 func (s *otherShares) Told(carawaybeam.BackendIncarnation, carawaybeam.RequestRate, time.Duration) {
 	s.told++
