--- a/caller/caller.go
+++ b/caller/caller.go
@@ -29,9 +29,10 @@
 	// already delivered, after which a model engine continues the answer.
 	HeaderResume = "X-Resume-Offset"
 	// HeaderLimit is the header field of an answer with the number of requests per second
-	// that the backend server takes, and HeaderLeaving that with "1" once it is about to
-	// stop.
-	HeaderLimit   = "X-Request-Limit"
+	// that the backend server takes.
+	HeaderLimit = "X-Request-Limit"
+	// HeaderLeaving is the header field of an answer that is "1" once the backend server is
+	// about to stop.
 	HeaderLeaving = "X-Leaving"
 	// HeaderRetryAfter is the header field of a 503 with the number of seconds for which the
 	// backend server wants no requests.
