Do not rely on shares of limits that were read from an older copy of the store

After the store had come back from an older copy, entries took shares of a limit that had been lowered since, or that others still held.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -79,8 +79,7 @@
 	// Options configures an Allocator.
 	Options struct {
 		Store carawaybeam.Store
-		// Name is the name of this entry. A restarted entry takes over the shares of
-		// its previous incarnation.
+		// Name is the name of this entry.
 		Name string
 		// Clock returns the time since some fixed moment, including the time for which
 		// the VM was suspended.
@@ -345,7 +344,7 @@
 		if !o.Ended && now-o.seenAt <= takeoverTime {
 			return 0, false
 		}
-		ended = ended || o.Ended
+		ended = ended || o.Ended && !o.mayBeOld
 	}
 	return age, known && ended
 }
@@ -547,7 +546,7 @@
 	}
 	for index := range a.backends[backend] {
 		o := a.stored[shareID{backend: backend, index: index}]
-		if !o.Ended && o.Confirmed && now-o.seenAt <= confirmedTime {
+		if !o.Ended && o.Confirmed && !o.mayBeOld && now-o.seenAt <= confirmedTime {
 			return true
 		}
 	}
@@ -563,5 +562,6 @@
 	case !ok:
 		return now >= a.absentFrom
 	}
-	return o.Ended || o.Holder == a.options.Name || now-o.seenAt > takeoverTime
+	lapsed := now-o.seenAt > takeoverTime
+	return lapsed || !o.mayBeOld && (o.Ended || o.Holder == a.options.Name)
 }
--- a/allocator/stored.go
+++ b/allocator/stored.go
@@ -21,6 +21,9 @@
 		// seenAt is when this version was first read, and sweepAt when this entry
 		// deletes it.
 		seenAt, sweepAt time.Duration
+		// mayBeOld is set if it was read when an era of the store began, or after the
+		// start. What it says may no longer be true.
+		mayBeOld bool
 	}
 
 	// value is the value of the object of a share.
@@ -141,7 +144,7 @@
 		if current.Version == 0 {
 			current = carawaybeam.Object{Kind: carawaybeam.KindLimit, Name: id.name(), Deleted: true}
 		}
-		a.apply(now, current)
+		a.apply(now, current, false)
 		if o, ok := a.stored[id]; ok && o.Incarnation == a.incarnation && !o.Ended {
 			s.version = o.version
 			return
@@ -174,7 +177,8 @@
 	now := a.options.Clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.loaded || era != a.era {
+	begins := !a.loaded || era != a.era
+	if begins {
 		// Shares that are absent from the copy with which an era begins may be held.
 		a.absentFrom = now + takeoverTime
 	}
@@ -188,25 +192,25 @@
 			a.forget(id)
 		}
 	}
-	a.applyAll(now, objects)
+	a.applyAll(now, objects, begins)
 }
 
 // Apply updates the objects of shares that have changed.
 func (a *Allocator) Apply(changes []carawaybeam.Object) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.applyAll(a.options.Clock(), changes)
+	a.applyAll(a.options.Clock(), changes, false)
 }
 
-// applyAll applies objects. The caller holds mu.
-func (a *Allocator) applyAll(now time.Duration, objects []carawaybeam.Object) {
+// applyAll applies objects, which may be old. The caller holds mu.
+func (a *Allocator) applyAll(now time.Duration, objects []carawaybeam.Object, mayBeOld bool) {
 	for _, o := range objects {
-		a.apply(now, o)
+		a.apply(now, o, mayBeOld)
 	}
 }
 
 // apply records the object of a share. The caller holds mu.
-func (a *Allocator) apply(now time.Duration, o carawaybeam.Object) {
+func (a *Allocator) apply(now time.Duration, o carawaybeam.Object, mayBeOld bool) {
 	if o.Deleted {
 		for id := range a.stored {
 			if id.name() == o.Name {
@@ -226,6 +230,7 @@
 	}
 	a.stored[id] = storedShare{
 		value: v, version: o.Version, seenAt: now, sweepAt: now + sweepTime + rand.N(maxSweepDelay),
+		mayBeOld: mayBeOld,
 	}
 	if a.backends[id.backend] == nil {
 		a.backends[id.backend] = make(map[int]struct{})
