Draw the limits of the soak in whole milliseconds

The configuration of the emulator holds whole milliseconds, so that entries closed connections up to 1 ms earlier than the judge allowed.

--- a/soaker/limits.go
+++ b/soaker/limits.go
@@ -91,12 +91,12 @@
 	if c.Limits.IdleTimeout > firstIdleLimit/2 {
 		longest = firstIdleLimit / 4
 	}
-	c.Limits.IdleTimeout = pickDuration(random, minIdleLimit, longest)
+	c.Limits.IdleTimeout = pickDuration(random, minIdleLimit, longest).Truncate(time.Millisecond)
 }
 
 // changeRouteTimeout sets a random timeout of all routes.
 func changeRouteTimeout(c *emulator.Configuration, random *rand.Rand) {
-	c.RouteTimeout = pickDuration(random, minRouteTimeout, maxRouteTimeout)
+	c.RouteTimeout = pickDuration(random, minRouteTimeout, maxRouteTimeout).Truncate(time.Millisecond)
 }
 
 // changeSizeLimits changes limits within which all callers stay.
