Share the connections that a backend server accepts among the entries

Each entry kept up to 32 idle connections to a backend server, whatever it accepts from all of them together: five entries 160, where 110 are allowed. Half of the connections may be idle now, divided by the entries. TestIdleConnectionsAreShared and TestIdleConnectionsAreLimited are new.

--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -462,6 +462,7 @@
 			Quarantiner:   e.quarantiner,
 			CrashesShared: e.crashesShared,
 			ConductsTrial: e.conductsTrial,
+			Entries:       e.entries.Len,
 			Throttler:     e.throttler,
 			Router:        e.router,
 			Limiter:       limiter,
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -440,6 +440,8 @@
 		Target: p.request.Target,
 		Header: header,
 		Body:   p.request.Body,
+
+		MaxIdle: f.maxIdle(p.pool),
 	})
 	if err != nil {
 		return f.sendFailure(ctx, instance, err)
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -117,6 +117,9 @@
 		// ConductsTrial reports whether this entry is the only one that may send a
 		// request on trial.
 		ConductsTrial func(fingerprint quarantiner.Fingerprint) bool
+		// Entries returns the number of entries, or 0 if it is not known. They share the
+		// connections that a backend server accepts.
+		Entries func() int
 		// Throttler knows the restrictions that backend servers have named.
 		Throttler *throttler.Throttler
 		Router    carawaybeam.Router
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -217,6 +217,7 @@
 		Quarantiner:   env.quarantiner,
 		CrashesShared: func(quarantiner.Fingerprint) bool { return !env.notSharing },
 		ConductsTrial: func(quarantiner.Fingerprint) bool { return !env.triedElsewhere },
+		Entries:       func() int { return 5 },
 		Throttler:     env.throttle(),
 		Sender:        env.sender,
 		Report: func(address carawaybeam.Address) (forwarder.Report, bool) {
--- a/dispatcher/forwarder/restrictions.go
+++ b/dispatcher/forwarder/restrictions.go
@@ -16,6 +16,10 @@
 	// maxRetrySpread bounds the random time by which refused callers return later than
 	// the first backend server takes requests again.
 	maxRetrySpread = 500 * time.Millisecond
+
+	// idleShare is the reciprocal of the share of the connections which a backend server
+	// accepts that may be idle.
+	idleShare = 2
 )
 
 // openInstances returns the backend servers of a pool that take requests now. If it leaves out
@@ -65,3 +69,12 @@
 	}
 	return carawaybeam.NotRun(carawaybeam.ReasonBusy, detail, retryAfter(status)+rand.N(maxRetrySpread))
 }
+
+// maxIdle returns how many idle connections this entry may leave to one backend server of a pool, or
+// 0 if the pool does not limit its connections. The entries share what the pool allows.
+func (f *Forwarder) maxIdle(pool *carawaybeam.Pool) int {
+	if pool.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, pool.MaxConnections/(idleShare*max(1, f.options.Entries())))
+}
--- a/dispatcher/forwarder/restrictions_test.go
+++ b/dispatcher/forwarder/restrictions_test.go
@@ -90,3 +90,14 @@
 		is.True(failure == nil)
 	})
 }
+
+// TestIdleConnectionsAreShared guards against idle connections of all entries together that take up
+// those which a backend server accepts.
+func TestIdleConnectionsAreShared(t *testing.T) {
+	is := is.New(t)
+	env := newEnvironment(whole("x"))
+	env.routing.Pools = []carawaybeam.Pool{{ID: "pool", MaxConnections: 110}}
+	_, failure := env.serve(request(carawaybeam.RouteSafe))
+	is.True(failure == nil)
+	is.Equal(env.sender.sent[0].MaxIdle, 11) // Of five entries.
+}
--- a/pooler/body.go
+++ b/pooler/body.go
@@ -22,6 +22,7 @@
 	written  chan error
 	reusable bool
 	idleFor  time.Duration
+	maxIdle  int
 	complete bool
 	closed   bool
 }
@@ -44,7 +45,7 @@
 	b.closed = true
 	alive := b.stop()
 	if alive && b.complete && b.reusable && b.sent() && b.connection.reader.Buffered() == 0 {
-		b.pooler.put(b.connection, b.idleFor)
+		b.pooler.put(b.connection, b.idleFor, b.maxIdle)
 		return nil
 	}
 	b.connection.discard()
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -34,7 +34,8 @@
 	// closes it.
 	idleMargin = 500 * time.Millisecond
 
-	// maxIdle is the maximum number of idle connections to one backend server.
+	// maxIdle is the maximum number of idle connections to one backend server, unless a
+	// request states a lower one.
 	maxIdle = 32
 
 	// sweepInterval is how often expired idle connections are closed.
@@ -111,6 +112,9 @@
 		Target string
 		Header http.Header
 		Body   []byte
+		// MaxIdle is the maximum number of idle connections to the backend server that
+		// may be left behind, or 0 if that is not known.
+		MaxIdle int
 	}
 
 	// Reply is the beginning of an answer. The caller must close Body.
@@ -271,7 +275,7 @@
 	if err != nil {
 		return err
 	}
-	p.put(c, 0)
+	p.put(c, 0, maxIdle)
 	return nil
 }
 
@@ -348,6 +352,10 @@
 	if err != nil {
 		return nil, err
 	}
+	most := maxIdle
+	if request.MaxIdle > 0 {
+		most = min(most, request.MaxIdle)
+	}
 	reply.Body = &body{
 		ReadCloser: response.Body,
 		pooler:     p,
@@ -356,6 +364,7 @@
 		written:    written,
 		reusable:   !response.Close && !reply.Encoded,
 		idleFor:    reply.IdleTimeout,
+		maxIdle:    most,
 	}
 	return reply, nil
 }
@@ -402,9 +411,9 @@
 	return response, err
 }
 
-// put returns a connection to the pool. idleFor is the idle timeout of the
-// backend server, or 0 if unknown.
-func (p *Pooler) put(c *connection, idleFor time.Duration) {
+// put returns a connection to the pool, unless that has most idle ones to its backend
+// server already. idleFor is the idle timeout of the backend server, or 0 if unknown.
+func (p *Pooler) put(c *connection, idleFor time.Duration, most int) {
 	c.idleFor = defaultIdleTimeout
 	if idleFor > 0 {
 		c.idleFor = idleFor - idleMargin
@@ -412,7 +421,7 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ctx.Err() != nil || len(p.idle[c.address]) >= maxIdle {
+	if p.ctx.Err() != nil || len(p.idle[c.address]) >= most {
 		c.discard()
 		return
 	}
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -143,6 +143,34 @@
 	is.Equal(b.requests[0], "GET /a%2Fb?c=d") // The target must be sent unmodified.
 }
 
+// TestIdleConnectionsAreLimited checks that no more idle connections stay behind than the last
+// request allows.
+func TestIdleConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	var arrived sync.WaitGroup
+	arrived.Add(4)
+	b := newBackend(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		arrived.Done()
+		arrived.Wait()
+		answer(conn, r.Header.Get("Request-Id"), "x")
+		return true
+	})
+	p := newPooler(t)
+	var requests sync.WaitGroup
+	for i := range 4 {
+		requests.Go(func() {
+			limited := request(fmt.Sprint(i))
+			limited.MaxIdle = 2
+			if reply, err := p.Send(t.Context(), b.address(), limited); err == nil {
+				_, _ = io.ReadAll(reply.Body)
+				_ = reply.Body.Close()
+			}
+		})
+	}
+	requests.Wait()
+	is.Equal(p.State().Idle, 2)
+}
+
 // TestDuplicateAnswerIsNotUsed checks that an answer which a backend server sends
 // twice is never used for the next request on the connection, whether the
 // duplicate arrives before or after that request is sent.
