--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -119,6 +119,41 @@
 	is.True(!throttle.Status(at(9), backend).Limited)
 }
 
+// statedLimit plays other processes that know of a limit, and records the one that applies.
+type statedLimit struct {
+	throttler.Sole
+
+	limit, applied carawaybeam.RequestRate
+}
+
+func (s *statedLimit) Limit(carawaybeam.BackendIncarnation) (carawaybeam.RequestRate, bool) {
+	return s.limit, true
+}
+
+func (s *statedLimit) NextIn(
+	_ carawaybeam.BackendIncarnation,
+	limit carawaybeam.RequestRate,
+) (time.Duration, bool) {
+	s.applied = limit
+	return 0, true
+}
+
+// TestLowerLimitApplies guards against a limit that other processes still name after it was lowered.
+func TestLowerLimitApplies(t *testing.T) {
+	is := is.New(t)
+	shares := &statedLimit{limit: 40}
+	throttle := newThrottler(shares)
+	throttle.Status(at(0), backend)
+	is.Equal(shares.applied, carawaybeam.RequestRate(40)) // This process was not told.
+	throttle.Observe(backend, exchange(0, 0.2), limited(1))
+	for _, seconds := range []float64{0.3, 3, 6.5} {
+		throttle.Status(at(seconds), backend)
+		is.Equal(shares.applied, carawaybeam.RequestRate(1))
+	}
+	throttle.Status(at(8), backend)
+	is.Equal(shares.applied, carawaybeam.RequestRate(40))
+}
+
 func TestLimitEndIsShared(t *testing.T) {
 	is := is.New(t)
 	shares := &otherShares{}
