Let requests that are certain culprits explain their crashes first

It was running beside the same crashing request five times; that one was in six crashes, with which it is refused whatever else was running, but this was decided only after the comparison. There, others explained as many crashes of the one as of the other, and the popular one came first by its fingerprint. Now such culprits explain their crashes before the rest is compared. TestCertainCulpritExplainsFirst has the crashes of the logs and failed before.

--- a/quarantiner/culprit.go
+++ b/quarantiner/culprit.go
@@ -69,15 +69,17 @@
 		}
 	}
 	culprits := parts.findCulprits()
-	for part := range culprits {
-		requests.removeExplained(candidate{fingerprint: part, crashes: suspects[part].counted()})
-	}
-	maps.Copy(culprits, requests.findCulprits())
 	for fingerprint, s := range suspects {
 		if len(s.counted()) >= fingerprint.maxCrashesOnTrial() {
 			culprits[fingerprint] = struct{}{}
 		}
 	}
+	// The culprits so far are refused whatever else was running in their crashes, which they
+	// explain before others are compared.
+	for culprit := range culprits {
+		requests.removeExplained(candidate{fingerprint: culprit, crashes: suspects[culprit].counted()})
+	}
+	maps.Copy(culprits, requests.findCulprits())
 	return culprits
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -230,3 +231,26 @@
 		is.Equal(r.Cleared, i >= 2002)
 	}
 }
+
+// TestCertainCulpritExplainsFirst guards against the refusal of a popular request that was running
+// beside one with so many crashes that it is refused whatever else was running in them, because others
+// explain as many crashes of the one as of the other.
+func TestCertainCulpritExplainsFirst(t *testing.T) {
+	is := is.New(t)
+	q := quarantiner.New(quarantiner.Partial)
+	for fingerprint, crashes := range map[quarantiner.Fingerprint][]int{
+		"a popular": {2, 9, 10, 15, 16},
+		"culprit 0": {2, 10, 11},
+		"culprit 1": {1, 10, 12},
+		"culprit 2": {1, 9, 10},
+		"culprit 3": {3, 10, 11, 13, 14},
+		"culprit 4": {3, 10, 11},
+		"culprit 5": {1, 3, 9, 10, 15, 16},
+	} {
+		for _, crash := range crashes {
+			q.Add(fingerprint, quarantiner.CrashID(strconv.Itoa(crash)))
+		}
+	}
+	is.Equal(q.Status("culprit 5"), quarantiner.Quarantined)
+	is.True(q.Status("a popular") != quarantiner.Quarantined)
+}
