--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
