--- a/allocator/fleet_test.go
+++ b/allocator/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -275,7 +276,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	slices.SortFunc(f.arrived, func(a, b arbiter.Arrival) int { return a.At.Compare(b.At) })
-	return arbiter.Record{Changes: f.changes, Arrivals: f.arrived, Told: f.told, SettleTime: settleTime}
+	return arbiter.Record{
+		Changes: slices.Clone(f.changes), Arrivals: slices.Clone(f.arrived), Told: maps.Clone(f.told),
+		SettleTime: settleTime,
+	}
 }
 
 // arrivedSince returns the number of requests since a time.
