Keep the limit of a backend server whose load could not be read

On the linked path an agent forgot all that its backend server had said when a read of the load succeeded after one that failed, as happens to a server in need. It could then send requests beyond the limit, or within the time for which none were wanted, until the next answer. Found by reading, not seen in a run of processes; TestUnreachableLoadKeepsRestrictions failed before (2 requests arrived where 1 is allowed). Only the leaving, which another server at the address does not share, is forgotten now.

--- a/executor/signals.go
+++ b/executor/signals.go
@@ -18,7 +18,7 @@
 // before, another one may have taken its place.
 func (e *Executor) ObserveLoad(sent time.Time, signals carawaybeam.BackendSignals, returned bool) {
 	if returned {
-		e.options.Throttler.Forget(e.backend())
+		e.options.Throttler.ObserveReturn(e.backend())
 	}
 	if signals.Limit != nil || signals.Leaving {
 		e.observeSignals(sent, signals)
--- a/executor/signals_test.go
+++ b/executor/signals_test.go
@@ -115,3 +115,21 @@
 		is.True(runOnce(e, "next").GetTail() != nil)
 	})
 }
+
+// TestUnreachableLoadKeepsRestrictions guards against an agent that forgets the limit of a backend
+// server, or for how long it wants no requests, since its load could not be read for a moment.
+func TestUnreachableLoadKeepsRestrictions(t *testing.T) {
+	limit := carawaybeam.RequestRate(0)
+	for _, signals := range []carawaybeam.BackendSignals{{Limit: &limit}, {RetryAfter: 30 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			backend := &signallingBackend{signals: signals}
+			e := executor.New(executor.Options{Backend: backend, Concurrency: 64, Log: zerolog.Nop()})
+			defer func() { is.NoErr(e.Close()) }()
+			sendFor(e, time.Millisecond)
+			e.ObserveLoad(time.Now(), carawaybeam.BackendSignals{}, true)
+			sendFor(e, time.Second)
+			is.Equal(len(backend.arrived), 1)
+		})
+	}
+}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -284,11 +284,14 @@
 	return !s.leavingSince.IsZero() && (t.options.LeavingTime == 0 || now.Sub(s.leavingSince) < t.options.LeavingTime)
 }
 
-// Forget forgets what a backend server has said.
-func (t *Throttler) Forget(backend carawaybeam.BackendIncarnation) {
+// ObserveReturn records that another backend server may have taken the place of one that is leaving.
+// What was said of requests holds until an answer says otherwise.
+func (t *Throttler) ObserveReturn(backend carawaybeam.BackendIncarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.states, backend)
+	if s := t.states[backend]; s != nil {
+		s.leavingSince = time.Time{}
+	}
 }
 
 // Open reports whether a request may be sent now.
