Decode signals of backend servers in one place for both paths

platform and caller each had a copy of the decoding, and the one of the linked path did not report fields that are not known. caller.TestSignals covers those now.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -30,23 +30,23 @@
 	HeaderResume = "X-Resume-Offset"
 	// HeaderLimit is the header field of an answer with the number of requests per second
 	// that the backend server takes.
-	HeaderLimit = "X-Request-Limit"
+	HeaderLimit = "X-Backend-Limit"
 	// HeaderLeaving is the header field of an answer that is "1" once the backend server is
 	// about to stop.
-	HeaderLeaving = "X-Leaving"
+	HeaderLeaving = "X-Backend-Leaving"
 	// HeaderRetryAfter is the header field of a 503 with the number of seconds for which the
 	// backend server wants no requests.
 	HeaderRetryAfter = "Retry-After"
 
+	// signalPrefix begins the names of header fields with signals, also of unknown ones.
+	signalPrefix = "X-Backend-"
+
 	// maxLoadBytes is the maximum size of a load report.
 	maxLoadBytes   = 64 << 10
 	maxIdlePerHost = 256
 
 	// maxHeadBytes is the maximum size of the header of an answer.
 	maxHeadBytes = 64 << 10
-
-	// maxRetryAfter is the longest time for which a backend server can refuse all requests.
-	maxRetryAfter = 10 * time.Minute
 )
 
 type (
@@ -84,7 +84,13 @@
 	}
 )
 
-var _ carawaybeam.Backend = (*Caller)(nil)
+var (
+	_ carawaybeam.Backend = (*Caller)(nil)
+
+	signalFields = carawaybeam.SignalFields{
+		Limit: HeaderLimit, Leaving: HeaderLeaving, RetryAfter: HeaderRetryAfter, Prefix: signalPrefix,
+	}
+)
 
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("backend server answered status %d", e.Status)
@@ -175,37 +181,10 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        response.Body,
-		Signals:     decodeSignals(response),
+		Signals:     signalFields.Decode(response.StatusCode, response.Header),
 	}, nil
 }
 
-// decodeSignals decodes what a backend server says of itself in an answer.
-func decodeSignals(response *http.Response) carawaybeam.BackendSignals {
-	var signals carawaybeam.BackendSignals
-	decode := func(name string) (float64, bool) {
-		values := response.Header.Values(name)
-		if len(values) == 0 {
-			return 0, false
-		}
-		number, err := carawaybeam.ParseDecimal(values)
-		if err != nil {
-			signals.Invalid = append(signals.Invalid, name)
-		}
-		return number, err == nil
-	}
-	if limit, ok := decode(HeaderLimit); ok {
-		rate := carawaybeam.RequestRate(limit)
-		signals.Limit = &rate
-	}
-	signals.Leaving = response.Header.Get(HeaderLeaving) == "1"
-	if response.StatusCode == http.StatusServiceUnavailable {
-		if seconds, ok := decode(HeaderRetryAfter); ok {
-			signals.RetryAfter = time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-		}
-	}
-	return signals
-}
-
 // transportRepeats reports whether net/http repeats requests of the method that have no body.
 func transportRepeats(method string) bool {
 	switch method {
@@ -237,7 +216,7 @@
 		return carawaybeam.Load{}, carawaybeam.BackendSignals{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	signals := decodeSignals(response)
+	signals := signalFields.Decode(response.StatusCode, response.Header)
 	if response.StatusCode == http.StatusNotFound && !c.engine {
 		return carawaybeam.Load{}, signals, nil
 	}
--- a/caller/signals_test.go
+++ b/caller/signals_test.go
@@ -41,9 +41,12 @@
 	is.True(signals.Leaving)
 	is.Equal(signals.RetryAfter, 500*time.Millisecond)
 
-	header = http.Header{caller.HeaderLimit: {"1", "2"}, caller.HeaderRetryAfter: {"-3"}}
+	header = http.Header{
+		caller.HeaderLimit: {"1", "2"}, caller.HeaderRetryAfter: {"-3"}, "X-Backend-Pause": {"1"},
+	}
 	signals = start()
 	is.True(signals.Limit == nil)
 	is.Equal(signals.RetryAfter, time.Duration(0))
 	is.Equal(len(signals.Invalid), 2)
+	is.Equal(signals.Unknown, []string{"X-Backend-Pause"})
 }
