Log when requests arrived that are read while an entry stops

Logs did not tell when such a request had arrived, nor what the entry knew when it passed it on. Now the acceptor logs, for a request that it reads while it stops, the time since its connection was accepted, since its first byte and since its header; the forwarder logs, for an attempt that begins then, the time left, the deadline and the limits of client and route. finisher holds the end of the process.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -105,6 +105,7 @@
 		_ = a.writeFailure(answer, failure)
 		return
 	}
+	a.logArrival(r.Context(), arrived, &request)
 	failure = a.keeper.Guard(request.ID, func() *carawaybeam.RequestError {
 		return a.options.Forwarder.Serve(r.Context(), arrived, &request, answer)
 	})
@@ -124,6 +125,18 @@
 	panic(http.ErrAbortHandler)
 }
 
+// logArrival logs when a request arrived that was read while the process stops. arrived is when
+// its header had been read.
+func (a *Acceptor) logArrival(ctx context.Context, arrived time.Time, request *carawaybeam.ClientRequest) {
+	if !a.keeper.Leaving() {
+		return
+	}
+	arrival := keeper.ArrivalOf(ctx)
+	a.options.Log.Info().Str("request", string(request.ID)).Dur("sinceAccepted", time.Since(arrival.Accepted)).
+		Dur("sinceFirstByte", time.Since(arrival.Began)).Dur("sinceHeader", time.Since(arrived)).
+		Dur("timeout", request.Timeout).Msg("acceptor: request was read while the process stops")
+}
+
 // read decodes a request and reads its body.
 func (a *Acceptor) read(w http.ResponseWriter, r *http.Request) (carawaybeam.ClientRequest, *carawaybeam.RequestError) {
 	request, err := a.options.Dialect.DecodeRequest(r)
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -22,6 +22,7 @@
 	"github.com/carawaybeam/carawaybeam/dispatcher/forwarder"
 	"github.com/carawaybeam/carawaybeam/dumper"
 	"github.com/carawaybeam/carawaybeam/enroller"
+	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/follower"
 	"github.com/carawaybeam/carawaybeam/framer"
 	"github.com/carawaybeam/carawaybeam/loader"
@@ -119,6 +120,7 @@
 	pooler           *pooler.Pooler
 	router           carawaybeam.Router
 	retrier          *quota.Retrier
+	finisher         *finisher.Finisher
 	acceptor         *acceptor.Acceptor
 	entries          *enroller.EntrySet
 	collector        *collector.Collector
@@ -179,6 +181,7 @@
 		settings:    settings,
 		logKeeper:   logkeeper.New(logBytes),
 		quarantiner: quarantiner.New(quarantiner.Partial),
+		finisher:    finisher.New(),
 	}
 	e.log = starter.NewLog(settings.Process, e.logKeeper)
 	e.entries = enroller.NewEntrySet(e.log)
@@ -463,6 +466,7 @@
 			CrashesShared: e.crashesShared,
 			ConductsTrial: e.conductsTrial,
 			Entries:       e.entries.Len,
+			Finisher:      e.finisher,
 			Throttler:     e.throttler,
 			Router:        e.router,
 			Limiter:       limiter,
@@ -492,9 +496,9 @@
 func (e *directEntry) stop() {
 	e.log.Info().Msg("entry: draining")
 	e.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(
-		context.Background(), time.Duration(e.settings.Direct.StopWithin)-stopMargin,
-	)
+	end := time.Now().Add(time.Duration(e.settings.Direct.StopWithin) - stopMargin)
+	e.finisher.Stop(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := e.acceptor.Drain(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("entry: requests were still running at the end of the time to stop and were aborted")
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -346,6 +346,7 @@
 func (f *Forwarder) attempt(ctx context.Context, p *pendingRequest, decision carawaybeam.RouteDecision) result {
 	p.backend = decision.Backend
 	p.attempts++
+	f.logTimeLeft(p)
 	instance, ok := f.instance(p.pool.ID, decision.Backend)
 	if !ok {
 		p.unsent = append(p.unsent, decision.Backend)
@@ -548,6 +549,19 @@
 	return p.writer.Flush()
 }
 
+// logTimeLeft logs an attempt that begins while the process stops.
+func (f *Forwarder) logTimeLeft(p *pendingRequest) {
+	now := time.Now()
+	left, stopping := f.options.Finisher.TimeLeft(now)
+	if !stopping {
+		return
+	}
+	f.options.Log.Info().Str("request", string(p.request.ID)).Int("try", p.attempts).
+		Str("route", string(p.route.ID)).Dur("timeLeft", left).Dur("toDeadline", p.deadline.Sub(now)).
+		Dur("timeout", p.request.Timeout).Dur("routeTimeout", p.route.Timeout).
+		Msg("forwarder: attempt begins while the process stops")
+}
+
 // logCrashes logs why the request is sent although it, or a part of its prompt, was running in
 // crashes.
 func (f *Forwarder) logCrashes(p *pendingRequest) {
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/detector"
+	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/matcher"
 	"github.com/carawaybeam/carawaybeam/pooler"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
@@ -120,6 +121,8 @@
 		// Entries returns the number of entries, or 0 if it is not known. They share the
 		// connections that a backend server accepts.
 		Entries func() int
+		// Finisher knows when the process ends. If nil, it never does.
+		Finisher *finisher.Finisher
 		// Throttler knows the restrictions that backend servers have named.
 		Throttler *throttler.Throttler
 		Router    carawaybeam.Router
@@ -139,6 +142,9 @@
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
+	if options.Finisher == nil {
+		options.Finisher = finisher.New()
+	}
 	return &Forwarder{options: options, random: randomizer.New(), counter: counter.New()}
 }
 
--- a/keeper/conn.go
+++ b/keeper/conn.go
@@ -32,6 +32,8 @@
 	// idle is set while the connection is idle, and fresh until it has had a request.
 	idle, fresh bool
 	idleSince   time.Time
+	// began is when the first byte of the last request was read, or its header over TLS.
+	began time.Time
 	// idleLimit is the limit at idleSince.
 	idleLimit time.Duration
 	// readDeadline is the deadline that the HTTP server has set.
@@ -171,7 +173,7 @@
 	if c.keeper.options.TLS != nil {
 		return
 	}
-	c.idle, c.fresh = false, false
+	c.idle, c.fresh, c.began = false, false, time.Now()
 	deadline := c.readDeadline
 	if deadline.IsZero() {
 		// The server sets the limit for the header once it has read several bytes.
@@ -185,7 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		c.idle, c.fresh = false, false
+		c.idle, c.fresh, c.began = false, false, time.Now()
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -72,6 +72,13 @@
 		conns map[*conn]struct{}
 	}
 
+	// Arrival tells when a request arrived.
+	Arrival struct {
+		// Accepted is when its connection was accepted, and Began when the first byte of
+		// the request was read.
+		Accepted, Began time.Time
+	}
+
 	// responseWriter writes the answer to one request.
 	responseWriter struct {
 		http.ResponseWriter
@@ -180,6 +187,21 @@
 // Unwrap returns the ResponseWriter of the HTTP server, for http.ResponseController.
 func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// ArrivalOf returns when the request with the context arrived, or the zero value if it did not
+// come over a connection of a Keeper.
+func ArrivalOf(ctx context.Context) Arrival {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c == nil {
+		return Arrival{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Arrival{Accepted: c.accepted, Began: c.began}
+}
+
+// Leaving reports whether the Keeper has been told to stop.
+func (k *Keeper) Leaving() bool { return k.leaving.Load() }
+
 // Drain stops the Keeper gracefully. For the time DrainDelay it serves on, and each answer
 // closes its connection. Drain then closes the listener, ends each connection as it becomes
 // idle, and waits until the last one has ended or ctx is done, in which case it returns the
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -176,3 +177,30 @@
 		})
 	}
 }
+
+// TestArrivalOf checks the times at which the parts of a request arrived.
+func TestArrivalOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var arrival keeper.Arrival
+		s := newServiceWith(time.Minute, func(o *keeper.Options) {
+			o.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				arrival = keeper.ArrivalOf(r.Context())
+			})
+		})
+		defer s.close()
+		accepted := time.Now()
+		c := s.connect(nil)
+		for range 2 {
+			time.Sleep(time.Second)
+			began := time.Now()
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\n")
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, "Host: h\r\n\r\n")
+			response, err := http.ReadResponse(c.reader, nil)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(arrival, keeper.Arrival{Accepted: accepted, Began: began})
+		}
+	})
+}
