Refuse what a stopping entry cannot finish

Cause: nothing compared the time that a request may take with the time that the process has left. Evidence:; all cut requests were passed on within 1 ms of their first byte, 2.0 s after the signal or later, with 5.5 s of answer to come and up to 5.5 s left.

Change: finisher keeps how long the requests of a route took lately, or have taken so far. Once the process stops, a request is sent only if it is forecast to end before the process does; others are refused at once (503, not run). The forecast comes before each attempt, so that waits, second attempts and continued streams are compared too.

fakes/piper holds the listener that tests on the clock of a test share.

--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -91,6 +91,8 @@
 		// crash is the crash of the backend server that caused the failure, or
 		// empty.
 		crash quarantiner.CrashID
+		// final is set when another attempt would fail for the same cause.
+		final bool
 		// refused is set when the backend server refused to run the request.
 		refused bool
 		// misdirected is set when another backend server answered at the address.
@@ -131,6 +133,9 @@
 	if cause := f.quarantinedBy(ctx, p); cause != "" {
 		return f.quarantineError(cause)
 	}
+	if forecast := f.forecast(p); !forecast.InTime() {
+		return f.stoppingError(p, forecast)
+	}
 	now := time.Now()
 	decision, failure := f.choose(now, p)
 	if failure != nil {
@@ -234,7 +239,7 @@
 // mayRetry reports whether another attempt is safe, in time and within the
 // limits of the route and the retrier.
 func (f *Forwarder) mayRetry(ctx context.Context, p *pendingRequest, r result) bool {
-	if ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft {
+	if r.final || ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft || !f.forecast(p).InTime() {
 		return false
 	}
 	if r.unsent {
@@ -346,7 +351,6 @@
 func (f *Forwarder) attempt(ctx context.Context, p *pendingRequest, decision carawaybeam.RouteDecision) result {
 	p.backend = decision.Backend
 	p.attempts++
-	f.logTimeLeft(p)
 	instance, ok := f.instance(p.pool.ID, decision.Backend)
 	if !ok {
 		p.unsent = append(p.unsent, decision.Backend)
@@ -367,14 +371,16 @@
 	}
 	own := f.counter.Add(began, instance.ID, p.request.Prompt)
 	run := f.options.Detector.Begin(p.request.ID, p.fingerprint, instance, p.parts...)
+	timed := f.options.Finisher.Begin(p.kind(), p.request.MaxAnswer)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	o := &observation{forwarder: f, decision: decision, own: own, run: run, began: began}
+	o := &observation{forwarder: f, decision: decision, own: own, run: run, timed: timed, began: began}
 	if p.idempotent() {
 		f.watchReports(attemptCtx, cancel, instance, o)
 	}
 	r := f.exchange(attemptCtx, p, instance, o)
 	own.Done(time.Now())
+	timed.End(!r.unsent && !r.refused)
 	o.end(attemptCtx, r)
 	f.endRun(ctx, run, instance, &r)
 	if r.unsent {
@@ -549,19 +555,6 @@
 	return p.writer.Flush()
 }
 
-// logTimeLeft logs an attempt that begins while the process stops.
-func (f *Forwarder) logTimeLeft(p *pendingRequest) {
-	now := time.Now()
-	left, stopping := f.options.Finisher.TimeLeft(now)
-	if !stopping {
-		return
-	}
-	f.options.Log.Info().Str("request", string(p.request.ID)).Int("try", p.attempts).
-		Str("route", string(p.route.ID)).Dur("timeLeft", left).Dur("toDeadline", p.deadline.Sub(now)).
-		Dur("timeout", p.request.Timeout).Dur("routeTimeout", p.route.Timeout).
-		Msg("forwarder: attempt begins while the process stops")
-}
-
 // logCrashes logs why the request is sent although it, or a part of its prompt, was running in
 // crashes.
 func (f *Forwarder) logCrashes(p *pendingRequest) {
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -121,7 +121,8 @@
 		// Entries returns the number of entries, or 0 if it is not known. They share the
 		// connections that a backend server accepts.
 		Entries func() int
-		// Finisher knows when the process ends. If nil, it never does.
+		// Finisher knows which requests can be finished before the process ends. If nil,
+		// the process never ends.
 		Finisher *finisher.Finisher
 		// Throttler knows the restrictions that backend servers have named.
 		Throttler *throttler.Throttler
--- a/dispatcher/forwarder/observation.go
+++ b/dispatcher/forwarder/observation.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/detector"
+	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/router/counter"
 )
 
@@ -16,6 +17,7 @@
 	decision  carawaybeam.RouteDecision
 	own       *counter.Request
 	run       *detector.Run
+	timed     *finisher.Run
 	began     time.Time
 	answered  atomic.Bool
 }
@@ -27,6 +29,7 @@
 	}
 	o.own.MarkFirstToken()
 	o.run.MarkStarted()
+	o.timed.MarkFirstPart()
 	o.observe(false)
 }
 
--- a/dispatcher/forwarder/trials.go
+++ b/dispatcher/forwarder/trials.go
@@ -40,7 +40,8 @@
 
 // attemptOnTrial makes an attempt. If the request or a part of its prompt is on trial, it makes the
 // attempt only if this entry conducts the trial and no other attempt with the same fingerprint is
-// running, and after the other entries had time to share the last crash.
+// running, and after the other entries had time to share the last crash. The process may have been
+// told to stop meanwhile.
 func (f *Forwarder) attemptOnTrial(
 	ctx context.Context,
 	p *pendingRequest,
@@ -59,6 +60,11 @@
 			return result{failure: onTrialError()}
 		}
 	}
+	forecast := f.forecast(p)
+	if !forecast.InTime() {
+		return result{failure: f.stoppingError(p, forecast), final: true}
+	}
+	f.logForecast(p, forecast)
 	f.logCrashes(p)
 	return f.attempt(ctx, p, decision)
 }
--- a/keeper/idle_test.go
+++ b/keeper/idle_test.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/carawaybeam/carawaybeam/fakes/piper"
 	"github.com/carawaybeam/carawaybeam/keeper"
 )
 
@@ -28,16 +29,10 @@
 )
 
 type (
-	// pipeListener accepts the server's ends of pipes.
-	pipeListener struct {
-		accepted chan net.Conn
-		closed   chan struct{}
-	}
-
 	// service is a Keeper for the clock of a test.
 	service struct {
 		*keeper.Keeper
-		listener *pipeListener
+		listener *piper.Listener
 		idle     atomic.Int64
 		// served counts the requests that reached the handler.
 		served atomic.Int64
@@ -52,31 +47,11 @@
 	}
 )
 
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.accepted:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 func newService(idle time.Duration) *service { return newServiceWith(idle, func(*keeper.Options) {}) }
 
 // newServiceWith returns a service whose options change modifies.
 func newServiceWith(idle time.Duration, change func(*keeper.Options)) *service {
-	s := &service{listener: &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}}
+	s := &service{listener: piper.New()}
 	s.idle.Store(int64(idle))
 	options := keeper.Options{
 		Component: "test", Scope: tally.NoopScope, Log: zerolog.Nop(),
@@ -101,11 +76,7 @@
 
 // connect connects to the service. wrap wraps the server's end of the connection.
 func (s *service) connect(wrap func(net.Conn) net.Conn) *client {
-	near, far := net.Pipe()
-	if wrap != nil {
-		far = wrap(far)
-	}
-	s.listener.accepted <- far
+	near := s.listener.Connect(wrap)
 	return &client{Conn: near, reader: bufio.NewReader(near)}
 }
 
@@ -251,7 +222,7 @@
 	}}
 	s := newService(idle)
 	defer s.close()
-	s.listener.accepted <- far
+	go s.listener.Connect(func(net.Conn) net.Conn { return far })
 	c := &client{Conn: near, reader: bufio.NewReader(near)}
 	is.True(c.do())
 	answeredAt.Store(time.Now().UnixNano())
