Refuse on the linked path what a stopping entry cannot finish

A request whose agent died was sent to another one even if that could not answer in time.

The dispatcher now asks the finisher for a forecast by class of work, before the first attempt and before each further one.

--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -21,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
@@ -52,6 +53,7 @@
 	dispatcher  *dispatcher.Dispatcher
 	quarantiner *quarantiner.Quarantiner
 	assessor    *assessor.Assessor
+	finisher    *finisher.Finisher
 	server      *server.Server
 	traffic     messenger.Traffic
 	listener    *messenger.Listener
@@ -138,6 +140,7 @@
 	}
 	e.quarantiner = quarantiner.New(quarantiner.Complete)
 	e.assessor = assessor.New()
+	e.finisher = finisher.New()
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -214,6 +217,7 @@
 		Quarantiner:    e.quarantiner,
 		Assessor:       e.assessor,
 		Recorder:       e.recorder,
+		Finisher:       e.finisher,
 		Log:            e.log,
 	})
 	e.closers.Add(e.dispatcher)
@@ -258,7 +262,9 @@
 func (e *entry) stop() error {
 	e.log.Info().Msg("entry: draining")
 	e.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), starter.DrainTimeout)
+	end := time.Now().Add(starter.DrainTimeout)
+	e.finisher.Stop(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	drained := e.server.Drain(ctx)
 	if err := e.closers.Close(); err != nil {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -36,7 +36,9 @@
 	answerState struct {
 		writer   AnswerWriter
 		headSent bool
-		status   int
+		// begun is when headSent was set.
+		begun  time.Time
+		status int
 		// written is the number of bytes passed to the writer.
 		written    uint64
 		callerGone bool
@@ -255,7 +257,7 @@
 			Detail:  "backend server did not go on with the answer",
 		}}
 	}
-	a.answer.headSent = true
+	a.answer.headSent, a.answer.begun = true, time.Now()
 	a.answer.status = status
 	return a.writeResult(a.answer.writer.Head(status, head.GetContentType()))
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/assessor"
 	"github.com/carawaybeam/carawaybeam/binder"
+	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/randomizer"
 	"github.com/carawaybeam/carawaybeam/router/counter"
@@ -133,6 +134,9 @@
 		Assessor *assessor.Assessor
 		// Recorder records attempts and the ends of requests. It may be nil.
 		Recorder Recorder
+		// Finisher knows which requests can be finished before the process ends. If nil,
+		// the process never ends.
+		Finisher *finisher.Finisher
 		Log      zerolog.Logger
 	}
 
@@ -178,6 +182,9 @@
 	if options.Assessor == nil {
 		options.Assessor = assessor.New()
 	}
+	if options.Finisher == nil {
+		options.Finisher = finisher.New()
+	}
 	return &Dispatcher{
 		options:  options,
 		random:   randomizer.New(),
@@ -239,6 +246,9 @@
 	defer d.requests.Done()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	if forecast := d.forecast(request, nil); !forecast.InTime() {
+		return d.stoppingError(request, forecast)
+	}
 	now := time.Now()
 	request.routing = newRouting(request)
 	admit, decision := d.admit(now, request)
@@ -309,7 +319,7 @@
 			Unreachable: p.unreachable,
 			Deadline:    request.Deadline,
 		})
-		if !again {
+		if !again || !d.forecast(request, p.answer).InTime() {
 			return withRetryAfter(failure)
 		}
 	}
@@ -360,6 +370,8 @@
 	}
 	run := d.observe(request, target.backend)
 	defer func() { run.end(failure) }()
+	timed := d.options.Finisher.Begin(kindOf(request), 0)
+	defer func() { timed.End(failure == nil || failure.Outcome != carawaybeam.OutcomeNotRun) }()
 	a := &attemptRun{
 		dispatcher: d,
 		request:    request,
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/fakes/linker"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
+	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/retrier/proof"
@@ -58,6 +59,7 @@
 		Binder     *binder.Binder
 		Dispatcher *dispatcher.Dispatcher
 		Assessor   *assessor.Assessor
+		Finisher   *finisher.Finisher
 	}
 
 	// Slot is a VM with a backend server and an agent. Agent and Executor are
@@ -118,7 +120,7 @@
 func (a *Assembler) addEntry(i int) {
 	config := configurer.New()
 	quarantine := quarantiner.New(quarantiner.Complete)
-	assess := assessor.New()
+	assess, finish := assessor.New(), finisher.New()
 	t := tracker.New(tracker.Options{
 		Process:     fmt.Sprintf("entry-%d", i),
 		Incarnation: carawaybeam.NewIncarnation(),
@@ -138,10 +140,11 @@
 		Retrier:        proof.Retrier{},
 		Quarantiner:    quarantine,
 		Assessor:       assess,
+		Finisher:       finish,
 		Log:            zerolog.Nop(),
 	})
 	a.Entries = append(a.Entries, &Entry{
-		Configurer: config, Tracker: t, Binder: b, Dispatcher: d, Assessor: assess,
+		Configurer: config, Tracker: t, Binder: b, Dispatcher: d, Assessor: assess, Finisher: finish,
 	})
 }
 
