Answer requests whose bodies are being read when an entry ends

What callers saw: a client whose body had not arrived as a whole at the end of the time to stop had its connection closed without any answer, and could not know that its request had not run.

Cause: the end cancels the contexts of requests, which nothing that reads a body looks at. The handler came to its answer only as the connection was closed.

Change: the Keeper ends the reads of such requests as it closes, before it waits for the handlers; they answer 503, not run. The end of a read is not recorded as the end of its connection, since the answer can still be written.

Test: a case of acceptor.TestPromiseStopTakesOnlyWhatItFinishes, which fails without the change ("cut without an answer").

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -155,6 +155,9 @@
 	if errors.As(err, &tooLarge) {
 		return request, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
+	if err != nil && r.Context().Err() != nil {
+		return request, carawaybeam.NotRun(carawaybeam.ReasonLeaving, "entry ended before the body was read", 0)
+	}
 	if err != nil {
 		return request, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error(), 0)
 	}
--- a/acceptor/stop_test.go
+++ b/acceptor/stop_test.go
@@ -305,8 +305,9 @@
 		"stream on a connection that is silent at first": {
 			kind: stream, at: 3300 * time.Millisecond, acceptedAt: 2400 * time.Millisecond, want: "refused",
 		},
-		"stream on a kept connection":  {kind: stream, at: 2400 * time.Millisecond, kept: true, want: "refused"},
-		"stream whose body comes late": {kind: stream, bodyAt: 3 * time.Second, want: "refused"},
+		"stream on a kept connection":     {kind: stream, at: 2400 * time.Millisecond, kept: true, want: "refused"},
+		"stream whose body comes late":    {kind: stream, bodyAt: 3 * time.Second, want: "refused"},
+		"stream whose body does not come": {kind: stream, bodyAt: time.Minute, want: "refused"},
 		"lookup on a connection that is silent at first": {
 			kind: lookup, at: 3300 * time.Millisecond, acceptedAt: 2400 * time.Millisecond, want: "served", reached: 1,
 		},
--- a/keeper/conn.go
+++ b/keeper/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -32,6 +33,8 @@
 	// idle is set while the connection is idle, and fresh until it has had a request.
 	idle, fresh bool
 	idleSince   time.Time
+	// readEnded is set once the Keeper has ended the read of a request.
+	readEnded atomic.Bool
 	// began is when the first byte of the last request was read, or its header over TLS.
 	began time.Time
 	// idleLimit is the limit at idleSince.
@@ -201,6 +204,16 @@
 	}
 }
 
+// endRead ends the read of a request.
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		c.readEnded.Store(true)
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // SetReadDeadline sets the deadline for reads.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -246,6 +259,8 @@
 	switch {
 	case errors.Is(err, net.ErrClosed):
 		// The end was recorded when the connection was closed.
+	case timeout == CauseReadTimeout && c.readEnded.Load():
+		// The request is still answered.
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.setEnd(End{By: PartyEntry, Cause: timeout})
 	default:
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -217,6 +217,15 @@
 	return k.endIdle(ctx)
 }
 
+// endReads ends the reads of requests that have not arrived as a whole.
+func (k *Keeper) endReads() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		c.endRead()
+	}
+}
+
 // endIdle ends all connections as they become idle.
 func (k *Keeper) endIdle(ctx context.Context) error {
 	err := k.listener.Close()
@@ -237,11 +246,13 @@
 	}
 }
 
-// Close cancels all requests in flight and closes the listener. It leaves the handlers a
-// short time to answer them before it closes the remaining connections.
+// Close cancels all requests in flight, also those whose bodies are still being read, and closes
+// the listener. It leaves the handlers a short time to answer them before it closes the remaining
+// connections.
 func (k *Keeper) Close() error {
 	k.leaving.Store(true)
 	k.cancel()
+	k.endReads()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	inUse := errors.Is(k.endIdle(ctx), context.DeadlineExceeded)
--- a/server/server.go
+++ b/server/server.go
@@ -273,6 +273,9 @@
 		return nil, carawaybeam.NotRun(carawaybeam.ReasonTooLarge, "body is too large", 0)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, s.options.BodyBytes+1))
+	if err != nil && r.Context().Err() != nil {
+		return nil, carawaybeam.NotRun(carawaybeam.ReasonLeaving, "entry ended before the body was read", time.Second)
+	}
 	if err != nil {
 		return nil, carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error(), 0)
 	}
