--- a/storer/storer.go
+++ b/storer/storer.go
@@ -45,6 +45,8 @@
 		Status int
 		Header http.Header
 		Body   []byte
+		// TooLong is set if Body is only the beginning of a longer body.
+		TooLong bool
 	}
 
 	// objectList is the answer to a list or watch request.
@@ -198,8 +200,8 @@
 	return decode(method, carawaybeam.StoreEra(era), answer, result)
 }
 
-// Exchange sends a request to a store and returns the answer. It reads at most limit
-// bytes of the body. Errors are of type *carawaybeam.StoreError.
+// Exchange sends a request to a store and returns the answer with at most limit bytes of
+// its body. Errors are of type *carawaybeam.StoreError.
 func Exchange(client *http.Client, request *http.Request, limit int64) (Answer, error) {
 	failed := func(err error) (Answer, error) {
 		return Answer{}, &carawaybeam.StoreError{Failure: FailureOf(request.Method, err), Detail: err.Error()}
@@ -209,11 +211,15 @@
 		return failed(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return failed(err)
 	}
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	answer := Answer{Status: response.StatusCode, Header: response.Header, Body: body}
+	if int64(len(body)) > limit {
+		answer.Body, answer.TooLong = body[:limit], true
+	}
+	return answer, nil
 }
 
 // FailureOf classifies the transport error of a request. A failed write is uncertain
