Forecast answers of any stated length

A client may state any maximum length for its answer. Its product with the time for each token overflowed, so that the forecast was negative and the request was sent by a stopping entry. It is bounded now. Test: a case of finisher.TestForecast, which fails without the bound.

--- a/finisher/finisher_test.go
+++ b/finisher/finisher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,6 +71,9 @@
 		"a longer answer": {
 			func(f *finisher.Finisher) { run(f, 100, second, 4*second, 100) }, 200, 9 * second, 11 * second,
 		},
+		"an answer of any length": {
+			func(f *finisher.Finisher) { run(f, 100, second, 4*second, 100) }, math.MaxInt64, timeout, timeout,
+		},
 		"short answers that took long": {
 			func(f *finisher.Finisher) {
 				run(f, 100, second, 4*second, 100)
--- a/finisher/record.go
+++ b/finisher/record.go
@@ -22,6 +22,9 @@
 	// fewSamples is the number of requests below which nothing is known of how much they
 	// differ.
 	fewSamples = 3
+
+	// maxRest is the longest time that is forecast for the rest of an answer.
+	maxRest = 24 * time.Hour
 )
 
 type (
@@ -81,7 +84,7 @@
 	if answer <= 0 || e.answer == 0 {
 		return e.first + e.rest
 	}
-	rest := time.Duration(answer) * e.perToken
+	rest := time.Duration(min(float64(answer)*float64(e.perToken), float64(maxRest)))
 	if answer <= e.answer {
 		rest = min(rest, e.rest)
 	}
