Log an invalid announcement once

An invalid announcement of another writer was logged at warning level each time it was read: at each start, each list and each change, with a name of any length.

Now it is logged when it is first seen and when its fault changes; the errors of the latest 256 names are remembered.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -30,6 +30,10 @@
 	// maxEnded is the maximum number of ended incarnations that are remembered, and
 	// of those whose announcements were removed. The oldest are forgotten first.
 	maxEnded = 4096
+
+	// maxInvalid is the maximum number of invalid announcements whose errors are
+	// remembered, so that each is logged once.
+	maxInvalid = 256
 )
 
 type (
@@ -57,6 +61,8 @@
 		// removed holds the incarnations whose announcements were removed. They
 		// may be announced again.
 		removed *simplelru.LRU[carawaybeam.BackendIncarnation, struct{}]
+		// invalid holds the errors of invalid announcements by their names.
+		invalid *simplelru.LRU[carawaybeam.BackendID, string]
 		loaded  bool
 		// era is the newest era of the store in which announcements were read.
 		era   carawaybeam.StoreEra
@@ -80,8 +86,11 @@
 
 // New returns a Discoverer without backend servers.
 func New(options Options) *Discoverer {
+	// The only error is about a size below 1.
+	invalid, _ := simplelru.NewLRU[carawaybeam.BackendID, string](maxInvalid, nil)
 	return &Discoverer{
 		options: options,
+		invalid: invalid,
 		members: make(map[carawaybeam.BackendID]*member),
 		ended:   newIncarnations(),
 		removed: newIncarnations(),
@@ -260,10 +269,11 @@
 	if err != nil {
 		// An invalid announcement also ends the use of a backend server that
 		// was known before.
-		d.options.Log.Warn().Err(err).Str("backend", o.Name).Msg("discoverer: announcement is invalid and not used")
+		d.logInvalid(carawaybeam.BackendID(o.Name), err)
 		d.withdraw(carawaybeam.BackendID(o.Name), false)
 		return instance, false
 	}
+	d.invalid.Remove(instance.ID)
 	if d.ended.Contains(instance.BackendIncarnation) {
 		instance.Leaving = true
 	}
@@ -294,6 +304,16 @@
 	return instance, true
 }
 
+// logInvalid logs an invalid announcement, unless it was logged before. The caller holds mu.
+func (d *Discoverer) logInvalid(name carawaybeam.BackendID, err error) {
+	detail := err.Error()
+	if known, ok := d.invalid.Get(name); ok && known == detail {
+		return
+	}
+	d.invalid.Add(name, detail)
+	d.options.Log.Warn().Str("error", detail).Msg("discoverer: announcement is invalid and not used")
+}
+
 // remove removes a member. The caller holds mu.
 func (d *Discoverer) remove(m *member) {
 	d.removed.Add(m.instance.BackendIncarnation, struct{}{})
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -1,6 +1,7 @@
 package discoverer_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/discoverer"
+	"github.com/carawaybeam/carawaybeam/platform"
 )
 
 // outage is the last outage of the store, as returned by SinceOutage.
@@ -223,3 +225,25 @@
 	is.Equal(names(d), "a")
 	is.Equal(len(d.Known()), 2)
 }
+
+// TestInvalidAnnouncementIsLoggedOnce guards against a log that is filled by one odd announcement
+// of another writer, which is read again and again and may have a long name.
+func TestInvalidAnnouncementIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	decode := func(o carawaybeam.Object) (carawaybeam.Instance, error) { return platform.Dialect{}.DecodeInstance(o) }
+	d := discoverer.New(discoverer.Options{
+		Decode: decode, SinceOutage: func() (time.Duration, bool) { return 0, false }, Log: zerolog.New(&log),
+	})
+	odd := object(strings.Repeat("x", 1<<20), `{"state":"odd"}`)
+	for range 1000 {
+		d.Replace([]carawaybeam.Object{odd})
+		d.Apply([]carawaybeam.Object{odd})
+	}
+	is.Equal(strings.Count(log.String(), "announcement is invalid"), 1)
+	is.True(log.Len() < 1000)
+	// Another fault of the same announcement is logged.
+	odd.Value = nil
+	d.Apply([]carawaybeam.Object{odd})
+	is.Equal(strings.Count(log.String(), "announcement is invalid"), 2)
+}
