Send each identifier once over a connection

A backend server wrote an earlier refusal once more on a kept connection.

Cause: an answer counts if it bears the identifier of the request, which all attempts of a request share. Evidence: pooler.TestPromiseLateRefusalOfSameRequest, both cases fail on the code before; the attempts of a request may also be those of two requests whose clients chose the same identifier.

Change: a connection remembers hashes of the identifiers that it has carried, and is not used for one of them again; after 256 requests it is closed. An answer without an identifier counts only for the first request on its connection.

Why it works: what a backend server writes on a connection was caused by a request on it, so that a copy bears another identifier than each later request there.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -13,10 +13,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/carawaybeam/carawaybeam"
 )
 
@@ -58,6 +61,10 @@
 	maxHeadBytes     = 64 << 10
 	maxInformational = 8
 
+	// maxRequests is the maximum number of requests that are sent over one connection, whose
+	// identifiers are remembered.
+	maxRequests = 256
+
 	// drainTimeout and maxDrainBytes limit the reading of the rest of an answer whose
 	// content is irrelevant.
 	drainTimeout  = 20 * time.Millisecond
@@ -142,7 +149,8 @@
 	StrayAnswerError struct {
 		// Request is the request that was sent.
 		Request carawaybeam.RequestID
-		// Got is the request of the last answer.
+		// Got is the request of the last answer, or empty if the answer names none on a
+		// connection over which an earlier request was sent.
 		Got carawaybeam.RequestID
 	}
 
@@ -151,7 +159,11 @@
 		address carawaybeam.Address
 		// headLeft is how many more bytes of the head of an answer may be read, or
 		// negative while the size of what is read is not limited.
-		headLeft  int
+		headLeft int
+		// requests holds hashes of the identifiers of the requests that were sent over the
+		// connection. A late copy of an earlier answer can only be told from the answer to
+		// a later request if that has another identifier.
+		requests  []uint64
 		reader    *bufio.Reader
 		idleSince time.Time
 		idleFor   time.Duration
@@ -251,10 +263,12 @@
 // answer begins. Cancelling ctx closes the connection, also while the body of
 // the answer is read.
 func (p *Pooler) Send(ctx context.Context, address carawaybeam.Address, request Request) (*Reply, error) {
-	c, err := p.get(ctx, address)
+	hash := xxhash.Sum64String(string(request.ID))
+	c, err := p.get(ctx, address, hash)
 	if err != nil {
 		return nil, &carawaybeam.NotSentError{Cause: err}
 	}
+	c.requests = append(c.requests, hash)
 	stop := context.AfterFunc(ctx, c.reset)
 	reply, err := p.exchange(c, request, stop)
 	if err != nil {
@@ -305,19 +319,14 @@
 	return n, err
 }
 
-// get returns an idle connection that is still usable, or opens a new one.
-func (p *Pooler) get(ctx context.Context, address carawaybeam.Address) (*connection, error) {
+// get returns an idle connection that is still usable and over which no request with the hash was
+// sent, or opens a new one.
+func (p *Pooler) get(ctx context.Context, address carawaybeam.Address, hash uint64) (*connection, error) {
 	for {
-		p.mu.Lock()
-		idle := p.idle[address]
-		if len(idle) == 0 {
-			p.opened++
-			p.mu.Unlock()
+		c := p.takeIdle(address, hash)
+		if c == nil {
 			break
 		}
-		c := idle[len(idle)-1]
-		p.idle[address] = idle[:len(idle)-1]
-		p.mu.Unlock()
 		if !c.expired() && c.openAndEmpty() {
 			p.mu.Lock()
 			p.reused++
@@ -329,6 +338,22 @@
 	return p.dial(ctx, address)
 }
 
+// takeIdle takes the idle connection that was used last, among those over which no request with the
+// hash was sent. It returns nil if there is none, and counts a new connection then.
+func (p *Pooler) takeIdle(address carawaybeam.Address, hash uint64) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	for i := len(idle) - 1; i >= 0; i-- {
+		if c := idle[i]; !slices.Contains(c.requests, hash) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
+	}
+	p.opened++
+	return nil
+}
+
 // exchange writes a request and reads the head of its answer.
 func (p *Pooler) exchange(c *connection, request Request, stop func() bool) (*Reply, error) {
 	written := make(chan error, 1)
@@ -386,10 +411,12 @@
 			continue
 		}
 		head := p.options.DecodeReply(response.StatusCode, response.Header)
-		if head.Request == "" || head.Request == request.ID {
+		if head.Request == request.ID || head.Request == "" && len(c.requests) == 1 {
 			return response, &Reply{ReplyHead: head, Length: response.ContentLength}, nil
 		}
-		stray = head.Request
+		if stray = head.Request; stray == "" {
+			break
+		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
 			return nil, nil, err
 		}
@@ -421,7 +448,7 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ctx.Err() != nil || len(p.idle[c.address]) >= most {
+	if p.ctx.Err() != nil || len(p.idle[c.address]) >= most || len(c.requests) >= maxRequests {
 		c.discard()
 		return
 	}
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/prover"
 )
 
 // backend is a backend server that handles each request with a script.
@@ -549,3 +550,86 @@
 	r.Header = http.Header{"Request-Id": {fmt.Sprint(n)}}
 	return r
 }
+
+// refuseRequest writes an answer that proves that a request did not run.
+func refuseRequest(conn net.Conn, id string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// TestPromiseLateRefusalOfSameRequest guards against taking a late copy of a refusal for the answer to the
+// next attempt of the same request, or to another request with the same identifier (TWICE, REFUSED).
+func TestPromiseLateRefusalOfSameRequest(t *testing.T) {
+	violations := 0
+	tests := map[string]int{"next attempt": 0, "after other requests": 3}
+	for name, between := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var refused sync.Map
+			b := newBackend(t, func(_ int, conn net.Conn, r *http.Request) bool {
+				id := r.Header.Get("Request-Id")
+				// A refusal that was sent on the connection is sent again before each answer.
+				if _, ok := refused.Load(conn); ok {
+					refuseRequest(conn, "0")
+				}
+				if _, ran := refused.LoadOrStore(id, true); id == "0" && !ran {
+					refused.Store(conn, true)
+					refuseRequest(conn, id)
+					return true
+				}
+				answer(conn, id, "ran")
+				return true
+			})
+			p := newPooler(t)
+			_, err := send(t, p, b, numbered(0))
+			is.NoErr(err)
+			for n := range between {
+				body, err := send(t, p, b, numbered(n+1))
+				is.NoErr(err)
+				is.Equal(body, "ran")
+			}
+			body, err := send(t, p, b, numbered(0))
+			is.NoErr(err)
+			if body != "ran" {
+				violations++
+			}
+		})
+	}
+	prover.Report(t, prover.NotRun, len(tests), violations)
+}
+
+// TestUnnamedAnswer checks that an answer which names no request is the answer to the first request
+// on its connection, and cannot be told from a late copy of that on behalf of a later one.
+func TestUnnamedAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 1\r\n\r\n%d", n)
+		return true
+	})
+	p := newPooler(t)
+	body, err := send(t, p, b, numbered(0))
+	is.NoErr(err)
+	is.Equal(body, "1")
+	var stray *pooler.StrayAnswerError
+	_, err = send(t, p, b, numbered(1))
+	is.True(errors.As(err, &stray))
+	body, err = send(t, p, b, numbered(2))
+	is.NoErr(err)
+	is.Equal(body, "3")
+	is.Equal(b.connections(), 2)
+}
+
+// TestRequestsOfOneConnectionAreBounded checks that a connection is given up before the memory for
+// the requests that were sent over it is full.
+func TestRequestsOfOneConnectionAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		answer(conn, r.Header.Get("Request-Id"), "body")
+		return true
+	})
+	p := newPooler(t)
+	for n := range 600 {
+		_, err := send(t, p, b, numbered(n))
+		is.NoErr(err)
+	}
+	is.Equal(b.connections(), 3)
+}
