Continue a stream only with its rest

Cause: a new answer was checked by status, signature and framing, not as the rest of a certain stream; events without identifiers passed any check.

Change: only streams of events are forwarded as such; an answer that continues one, also one that the client continues, must begin with the next event; each line must be a comment or begin with the name of a field; an answer without any event is not complete; a stream without identifiers is not continued.

--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -245,6 +245,11 @@
 	if r.unsent {
 		return len(p.unsent) <= maxUnsent
 	}
+	if p.started && p.lastEvent == p.request.After {
+		// The client has events without identifiers, behind which no other backend
+		// server can go on.
+		return false
+	}
 	proven := r.failure != nil && r.failure.Outcome == carawaybeam.OutcomeNotRun
 	if !proven && !p.idempotent() || len(p.tried) >= p.route.MaxAttempts {
 		return false
@@ -466,7 +471,7 @@
 	switch {
 	case reply.NotRun:
 		return refusal(reply)
-	case reply.Status == http.StatusOK && p.route.Kind == carawaybeam.RouteStream && reply.Sealed && !reply.Encoded:
+	case p.isStream(reply):
 		return p.relayStream(ctx, reply, o)
 	}
 	return p.relayWhole(ctx, reply, o)
