Continue an answer on the linked path only where it goes on

The same fault on the linked path: an answer with the same status continued a stream whatever its content type was, and a model engine that ignored the offset was taken to have gone on there, so that the beginning of a second run was appended (ORDER).

Change: a model engine repeats the offset in its answer (X-Resume-Offset), and an answer behind another offset fails. The content type must be that of the first answer. An engine that does not repeat the offset has its streams ended instead of continued; the engines of the stand-ins do.

--- a/backend.go
+++ b/backend.go
@@ -31,7 +31,10 @@
 		Status      int
 		ContentType string
 		Body        io.ReadCloser
-		Signals     BackendSignals
+		// Resumed is the number of bytes behind which the backend server says that it
+		// continues the answer, or 0.
+		Resumed Bytes
+		Signals BackendSignals
 	}
 
 	// Load is the load that a backend server reports.
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,7 +26,8 @@
 	// HeaderPriority is the header field with the priority for a model engine.
 	HeaderPriority = "X-Priority"
 	// HeaderResume is the header field with the number of answer bytes that are
-	// already delivered, after which a model engine continues the answer.
+	// already delivered, after which a model engine continues the answer. It returns
+	// the header field with such an answer.
 	HeaderResume = "X-Resume-Offset"
 	// HeaderLimit is the header field of an answer with the number of requests per second
 	// that the backend server takes.
@@ -177,10 +178,16 @@
 		_ = response.Body.Close()
 		return nil, &StrayAnswerError{Attempt: call.Attempt, Got: got}
 	}
+	var resumed uint64
+	if c.engine {
+		// Without a valid number, the answer continues nothing.
+		resumed, _ = strconv.ParseUint(response.Header.Get(HeaderResume), 10, 63)
+	}
 	return &carawaybeam.BackendResponse{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        response.Body,
+		Resumed:     carawaybeam.Bytes(resumed),
 		Signals:     signalFields.Decode(response.StatusCode, response.Header),
 	}, nil
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -39,6 +39,8 @@
 		// begun is when headSent was set.
 		begun  time.Time
 		status int
+		// contentType is the type of the answer.
+		contentType string
 		// written is the number of bytes passed to the writer.
 		written    uint64
 		callerGone bool
@@ -241,14 +243,14 @@
 }
 
 // handleHead begins the answer. If an earlier attempt has begun it, this attempt
-// must continue it with the same status, not replace it with an error.
+// must continue it with the same status and type, not replace it with another one.
 func (a *attemptRun) handleHead(head *framer.Head) streamResult {
 	if !a.matches(head.GetAttempt()) {
 		return streamResult{}
 	}
 	status := int(head.GetStatus())
 	if a.answer.headSent {
-		if status == a.answer.status {
+		if status == a.answer.status && head.GetContentType() == a.answer.contentType {
 			return streamResult{}
 		}
 		return streamResult{final: true, failure: &carawaybeam.RequestError{
@@ -258,7 +260,7 @@
 		}}
 	}
 	a.answer.headSent, a.answer.begun = true, time.Now()
-	a.answer.status = status
+	a.answer.status, a.answer.contentType = status, head.GetContentType()
 	return a.writeResult(a.answer.writer.Head(status, head.GetContentType()))
 }
 
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -268,3 +269,42 @@
 		is.Equal(failure.Outcome, carawaybeam.OutcomeUnknown)
 	})
 }
+
+// TestStreamIsContinuedByItsType guards against continuing an answer with one of another content type,
+// such as an error with the same status.
+func TestStreamIsContinuedByItsType(t *testing.T) {
+	for name, contentType := range map[string]string{"same": "text/plain", "other": "application/json"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newSystem(t, 2)
+				p.Network.SetInjector(func(_ carawaybeam.Address, _ linker.Direction, f *framer.Frame) linker.Decision {
+					if head := f.GetHead(); head != nil && !strings.HasSuffix(head.GetAttempt(), ".1") {
+						head.ContentType = contentType
+					}
+					return linker.Decision{}
+				})
+				time.AfterFunc(350*time.Millisecond, func() {
+					for i, slot := range p.Slots {
+						if slot.Backend.Runs("d") > 0 {
+							is.NoErr(p.KillAgent(i))
+						}
+					}
+				})
+				var a assembler.Answer
+				failure := p.Entries[0].Dispatcher.Do(t.Context(), dispatcher.Request{
+					ID: carawaybeam.NewRequestID(),
+					Class: carawaybeam.Class{
+						ID: assembler.ClassDrafting, Kind: carawaybeam.WorkModel, Pool: assembler.Pool, Idempotent: true,
+					},
+					Organisation: "org", Method: "POST", Path: "/" + string(assembler.ClassDrafting), Body: []byte("d"),
+					Deadline: time.Now().Add(time.Minute),
+				}, &a)
+				whole := assembler.FullAnswer("d")
+				is.Equal(failure == nil, name == "same")
+				is.Equal(a.Body.String() == whole, name == "same")
+				is.True(strings.HasPrefix(whole, a.Body.String()) && a.Body.Len() > 0)
+			})
+		})
+	}
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -76,6 +78,13 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	e.observeSignals(sent, answer.Signals)
+	if resume := carawaybeam.Bytes(d.GetResume()); answer.Status < http.StatusMultipleChoices && answer.Resumed != resume {
+		return carawaybeam.RequestError{
+			Outcome: carawaybeam.OutcomeUnknown,
+			Reason:  carawaybeam.ReasonBackendFailed,
+			Detail:  fmt.Sprintf("answer goes on at byte %d, not %d", answer.Resumed, resume),
+		}, true
+	}
 	a.begin(answer.Status, answer.ContentType)
 	pooled := buffers.Get().(*[chunkBytes]byte)
 	defer buffers.Put(pooled)
--- a/executor/run_test.go
+++ b/executor/run_test.go
@@ -54,3 +54,56 @@
 		})
 	}
 }
+
+// resumingBackend answers with the number of bytes behind which it says that it goes on.
+type resumingBackend struct {
+	answeringBackend
+
+	status  int
+	resumed carawaybeam.Bytes
+}
+
+func (b *resumingBackend) Start(
+	ctx context.Context,
+	call carawaybeam.BackendRequest,
+) (*carawaybeam.BackendResponse, error) {
+	answer, err := b.answeringBackend.Start(ctx, call)
+	answer.Status, answer.Resumed = b.status, b.resumed
+	return answer, err
+}
+
+// TestContinuedAnswer guards against continuing an answer with one that begins elsewhere, such as that
+// of a model engine which ignores the offset (ORDER).
+func TestContinuedAnswer(t *testing.T) {
+	tests := map[string]struct {
+		status          int
+		resume, resumed carawaybeam.Bytes
+		goesOn          bool
+	}{
+		"new answer":               {200, 0, 0, true},
+		"rest":                     {200, 20, 20, true},
+		"from the beginning on":    {200, 20, 0, false},
+		"from another byte on":     {200, 20, 10, false},
+		"rest, not asked for":      {200, 0, 20, false},
+		"error, for the caller":    {503, 0, 0, true},
+		"error in place of a rest": {503, 20, 0, true}, // The entry compares the status.
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, link := newLinkTo(t, executor.Options{
+				Backend: &resumingBackend{
+					answeringBackend: answeringBackend{text: "data: a\n\n"}, status: test.status, resumed: test.resumed,
+				},
+				Incarnation: "i", Concurrency: 4, Log: zerolog.Nop(),
+			})
+			first := dispatch("a", "")
+			first.GetDispatch().Resume = uint64(test.resume)
+			last := exchange(t, link, first, "a")
+			is.Equal(last.GetTail() != nil, test.goesOn)
+			if !test.goesOn {
+				is.Equal(last.GetFailed().GetOutcome(), string(carawaybeam.OutcomeUnknown))
+			}
+		})
+	}
+}
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -193,11 +193,13 @@
 	for i := range Parts {
 		remaining = append(remaining, part(body, i))
 	}
+	var resumed carawaybeam.Bytes
 	if strings.HasPrefix(call.Path, "/"+string(ClassDrafting)) {
-		remaining = skip(remaining, int(call.Resume))
+		resumed = call.Resume
+		remaining = skip(remaining, int(resumed))
 	}
 	reader := &partReader{ctx: ctx, cut: b.answersCut, remaining: remaining, partTime: b.partTimeOf(body)}
-	return &carawaybeam.BackendResponse{Status: 200, ContentType: "text/plain", Body: reader}, nil
+	return &carawaybeam.BackendResponse{Status: 200, ContentType: "text/plain", Body: reader, Resumed: resumed}, nil
 }
 
 func (b *Backend) partTimeOf(body string) time.Duration {
--- a/fakes/generator/generator.go
+++ b/fakes/generator/generator.go
@@ -348,6 +348,9 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	skip := intHeader(r, caller.HeaderResume)
+	if skip > 0 {
+		w.Header().Set(caller.HeaderResume, strconv.Itoa(skip))
+	}
 	for i := range p.MaxTokens {
 		skip = write(w, event(text, i), skip)
 		if skip > 0 {
