Believe no old keys on public routes

Cause: the age up to which keys are believed was checked only where a key is needed.

Change: on a public route a key that is no longer believed counts as none, and the request is served without an organisation, as anyone's is.

Test: forwarder.TestPublicRouteBelievesNoOldKeys; two of four cases fail before.

--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -209,7 +209,8 @@
 		if failure := f.authorize(p, age); failure != nil {
 			return p, failure
 		}
-	} else if holder := current.Holder(request.Key); holder != nil {
+	} else if holder := current.Holder(request.Key); holder != nil && f.believesKeys(age) {
+		// Anyone may use the route, and is served without an organisation.
 		p.organisation = holder.ID
 	}
 	pool, ok := matcher.ChoosePool(p.route, f.random)
@@ -252,10 +253,17 @@
 	)
 }
 
+// believesKeys reports whether no key can have been revoked, for so long that it must no longer be
+// accepted, since the configuration was known to be the newest.
+func (f *Forwarder) believesKeys(age time.Duration) bool {
+	limit := f.options.MaxKeyAge()
+	return limit <= 0 || age <= limit
+}
+
 // authorize determines the organisation that holds the request's key. It accepts
 // no key while the configuration is so old that keys may have been revoked since.
 func (f *Forwarder) authorize(p *pendingRequest, age time.Duration) *carawaybeam.RequestError {
-	if limit := f.options.MaxKeyAge(); limit > 0 && age > limit {
+	if !f.believesKeys(age) {
 		return carawaybeam.NotRun(
 			carawaybeam.ReasonStaleConfig,
 			"configuration is too old to believe keys",
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -752,3 +752,23 @@
 	}
 	is.True(slices.ContainsFunc(env.sender.sent, func(r pooler.Request) bool { return r.Target == "/safe/x?y=1" }))
 }
+
+// TestPublicRouteBelievesNoOldKeys guards against handing a request on a public route to a backend
+// server on behalf of the organisation that held its key, long after the key may have been withdrawn
+// (UNASKED). Anyone may use the route, so that the request is served.
+func TestPublicRouteBelievesNoOldKeys(t *testing.T) {
+	for age, organisation := range map[time.Duration]carawaybeam.OrganisationID{
+		0: "org", 5 * time.Second: "org", 5*time.Second + 1: "", time.Hour: "",
+	} {
+		t.Run(age.String(), func(t *testing.T) {
+			is := is.New(t)
+			env := newEnvironment(whole("x"))
+			env.routing.Routes[0].Public = true
+			env.age = age
+			answer, failure := env.serve(request(carawaybeam.RouteSafe))
+			is.True(failure == nil)
+			is.Equal(answer.String(), "x")
+			is.Equal(env.forwarded[0].Organisation, organisation)
+		})
+	}
+}
