Refuse a request on trial at once where another entry tries it

What happened to callers: a request that is tried by another entry was refused in a loop, as such an attempt adds nothing to those that were tried. Each round took a retry from the budget that all requests share: 86 for one request in TestTrialsRunOneAtATime, so that others, which a retry would have served, failed.

Cause: the refusal is not run, and so may be retried, but no other backend server is meant by it. It is final now.

Test: forwarder.TestTrialsRunOneAtATime counts the retries; 86 before, 0 now.

--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -48,6 +49,12 @@
 		bytes.Buffer
 	}
 
+	// countingRetrier counts the retries that it is asked for.
+	countingRetrier struct {
+		carawaybeam.Retrier
+		asked *int
+	}
+
 	// environment is what a Forwarder runs in: its configuration and backend
 	// servers.
 	environment struct {
@@ -60,6 +67,8 @@
 		sender    *scriptedSender
 		instances []carawaybeam.Instance
 		reserve   float64
+		// retries is how often another attempt was asked for.
+		retries   int
 		forwarded []carawaybeam.Forwarding
 		// refusing is the address of a backend server that has ended.
 		refusing    carawaybeam.Address
@@ -132,6 +141,15 @@
 	return next(r)
 }
 
+func (r countingRetrier) Retry(
+	now time.Time,
+	request carawaybeam.RetryRequest,
+	random *rand.Rand,
+) carawaybeam.RetryDecision {
+	*r.asked++
+	return r.Retrier.Retry(now, request, random)
+}
+
 func (s *scriptedSender) CloseIdle(carawaybeam.Address) {}
 
 func (a *recordedAnswer) Head(status int, header http.Header, _ int) error {
@@ -232,10 +250,10 @@
 		},
 		Router:  occupancy.New(),
 		Limiter: unlimited.Limiter{},
-		Retrier: quota.New(quota.Options{
+		Retrier: countingRetrier{asked: &env.retries, Retrier: quota.New(quota.Options{
 			Bound:   quota.Bound{Reserve: env.reserve, Window: 10 * time.Second},
 			Entries: func() int { return 1 },
-		}),
+		})},
 		Log: env.log,
 	})
 	answer := &recordedAnswer{}
@@ -561,6 +579,7 @@
 		is.Equal(failure.Outcome, carawaybeam.OutcomeNotRun)
 		is.Equal(failure.Reason, carawaybeam.ReasonBusy)
 		is.Equal(len(env.sender.sent), 0)
+		is.Equal(env.retries, 0) // The budget of retries is for other requests.
 	}
 }
 
--- a/dispatcher/forwarder/trials.go
+++ b/dispatcher/forwarder/trials.go
@@ -52,12 +52,12 @@
 			continue
 		}
 		if !f.conductsTrial(fingerprint) || !f.trials.begin(fingerprint) {
-			return result{failure: onTrialError()}
+			return result{failure: onTrialError(), final: true}
 		}
 		defer f.trials.end(fingerprint)
 		f.awaitShared(ctx, fingerprint)
 		if f.options.Quarantiner.Status(fingerprint) == quarantiner.Quarantined {
-			return result{failure: onTrialError()}
+			return result{failure: onTrialError(), final: true}
 		}
 	}
 	forecast := f.forecast(p)
