Use an earlier announcement at an address that does not lapse

Cause: of the announcements with one address only the latest start was used. An earlier one usually is of a backend server that has ended and lapses within seconds.

Change: the earlier one is a reserve for the 5 s in which it would lapse, which is used if its pool has no other, and counts again afterwards. A backend server that a request does not name answers 421 and counts as ended, as before (ROUTE).

Tests: discoverer.TestForeignAnnouncementAtTheAddress and TestForeignAnnouncementsAtAllAddresses, which fail on the code before.

--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -67,8 +67,8 @@
 		// era is the newest era of the store in which announcements were read.
 		era   carawaybeam.StoreEra
 		pools map[carawaybeam.PoolID][]carawaybeam.Instance
-		// nextUpdate is the earliest dropAt or usableAt of a member, or zero if
-		// there is none.
+		// nextUpdate is the earliest time at which a member is dropped or becomes
+		// usable, or zero if there is none.
 		nextUpdate time.Time
 	}
 
@@ -80,7 +80,9 @@
 		// usableAt is when a member is used whose announcement was removed and is
 		// back from an older copy of the store. It is zero for other members.
 		usableAt time.Time
-		version  carawaybeam.StoreVersion
+		// seenAt is when the incarnation was first announced at its address.
+		seenAt  time.Time
+		version carawaybeam.StoreVersion
 	}
 )
 
@@ -287,7 +289,11 @@
 	if instance.Leaving {
 		d.markEnded(instance.BackendIncarnation)
 	}
-	next := &member{instance: instance, version: o.Version}
+	next := &member{instance: instance, version: o.Version, seenAt: time.Now()}
+	if known && previous.instance.BackendIncarnation == instance.BackendIncarnation &&
+		previous.instance.Address == instance.Address {
+		next.seenAt = previous.seenAt
+	}
 	switch removed := d.removed.Contains(instance.BackendIncarnation); {
 	case removed && newEra:
 		// It may have gone for good. If so, it does not renew the announcement.
@@ -348,14 +354,12 @@
 	d.remove(m)
 }
 
-// latestStarts returns the start time of the latest incarnation at each
-// address. The announcements of earlier incarnations lapse only some seconds
-// later. The caller holds mu.
-func (d *Discoverer) latestStarts() map[carawaybeam.Address]int64 {
-	latest := make(map[carawaybeam.Address]int64, len(d.members))
+// latestAt returns the latest incarnation at each address. The caller holds mu.
+func (d *Discoverer) latestAt() map[carawaybeam.Address]*member {
+	latest := make(map[carawaybeam.Address]*member, len(d.members))
 	for _, m := range d.members {
-		if started, ok := latest[m.instance.Address]; !ok || m.instance.Started > started {
-			latest[m.instance.Address] = m.instance.Started
+		if other, ok := latest[m.instance.Address]; !ok || m.instance.Started > other.instance.Started {
+			latest[m.instance.Address] = m
 		}
 	}
 	return latest
@@ -372,8 +376,8 @@
 			continue
 		}
 		for _, at := range []time.Time{m.dropAt, m.usableAt} {
-			if at.After(now) && (d.nextUpdate.IsZero() || at.Before(d.nextUpdate)) {
-				d.nextUpdate = at
+			if at.After(now) {
+				d.updateAt(at)
 			}
 		}
 	}
@@ -381,19 +385,37 @@
 
 // rebuild removes the members that were not announced again in time and groups
 // the available ones by pool. The caller holds mu.
+//
+// Of two incarnations at one address, the earlier one has probably ended, and its announcement
+// lapses within lapseTime. Until then it is used only if its pool has no other. If it is still
+// announced afterwards, the later announcement may be that of another writer. A backend server that
+// is not the one which a request names does not run it.
 func (d *Discoverer) rebuild() {
 	now := time.Now()
 	d.dropLapsed(now)
-	latest := d.latestStarts()
+	latest := d.latestAt()
 	pools := make(map[carawaybeam.PoolID][]carawaybeam.Instance)
+	superseded := make(map[carawaybeam.PoolID][]carawaybeam.Instance)
 	for _, m := range d.members {
 		if !m.usableAt.IsZero() && !now.Before(m.usableAt) {
 			m.usableAt = time.Time{}
 			d.removed.Remove(m.instance.BackendIncarnation)
 		}
-		usable := !m.instance.Leaving && m.usableAt.IsZero()
-		if usable && m.instance.Started >= latest[m.instance.Address] {
-			pools[m.instance.Pool] = append(pools[m.instance.Pool], m.instance)
+		if m.instance.Leaving || !m.usableAt.IsZero() {
+			continue
+		}
+		into := pools
+		if later := latest[m.instance.Address]; later.instance.Started > m.instance.Started {
+			if until := later.seenAt.Add(lapseTime); until.After(now) {
+				into = superseded
+				d.updateAt(until)
+			}
+		}
+		into[m.instance.Pool] = append(into[m.instance.Pool], m.instance)
+	}
+	for pool, instances := range superseded {
+		if len(pools[pool]) == 0 {
+			pools[pool] = instances
 		}
 	}
 	for _, instances := range pools {
@@ -403,3 +425,10 @@
 	}
 	d.pools = pools
 }
+
+// updateAt makes a rebuild due at a time. The caller holds mu.
+func (d *Discoverer) updateAt(at time.Time) {
+	if d.nextUpdate.IsZero() || at.Before(d.nextUpdate) {
+		d.nextUpdate = at
+	}
+}
--- a/discoverer/discoverer_test.go
+++ b/discoverer/discoverer_test.go
@@ -247,3 +247,46 @@
 	d.Apply([]carawaybeam.Object{odd})
 	is.Equal(strings.Count(log.String(), "announcement is invalid"), 2)
 }
+
+// TestForeignAnnouncementAtTheAddress guards against hiding a sound backend server for good because
+// another writer has announced something else at its address, of whatever pool and start.
+func TestForeignAnnouncementAtTheAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDiscoverer(&outage{})
+		d.Replace([]carawaybeam.Object{object("a", "1"), object("b", "1")})
+		// The pool has another backend server: until the earlier one would have lapsed, that is used.
+		d.Apply([]carawaybeam.Object{object("A", "9")})
+		is.Equal(names(d), "Ab")
+		time.Sleep(4 * time.Second)
+		// Writing it again does not hide the earlier one for longer.
+		d.Apply([]carawaybeam.Object{object("A", "9")})
+		is.Equal(names(d), "Ab")
+		time.Sleep(time.Second + time.Millisecond)
+		is.Equal(names(d), "Aab")
+		// The backend server tells which of the two it is.
+		d.ReportMisdirected(carawaybeam.BackendIncarnation{ID: "A", Started: '9'})
+		is.Equal(names(d), "ab")
+	})
+}
+
+// TestForeignAnnouncementsAtAllAddresses guards against a pool without backend servers because another
+// writer has announced something else at all their addresses.
+func TestForeignAnnouncementsAtAllAddresses(t *testing.T) {
+	is := is.New(t)
+	d := discoverer.New(discoverer.Options{
+		Decode: func(o carawaybeam.Object) (carawaybeam.Instance, error) {
+			start, pool := int64(1), carawaybeam.PoolID("p")
+			if strings.HasPrefix(o.Name, "foreign-") {
+				start, pool = 1<<40, "other"
+			}
+			return carawaybeam.Instance{
+				BackendIncarnation: carawaybeam.BackendIncarnation{ID: carawaybeam.BackendID(o.Name), Started: start},
+				Pool:               pool, Address: carawaybeam.Address(strings.TrimPrefix(o.Name, "foreign-")),
+			}, nil
+		},
+		SinceOutage: func() (time.Duration, bool) { return 0, false }, Log: zerolog.Nop(),
+	})
+	d.Replace([]carawaybeam.Object{object("foreign-a", ""), object("a", ""), object("foreign-b", ""), object("b", "")})
+	is.Equal(names(d), "ab")
+}
