Let a client's condition change nothing for others

Cause: each 421 counted as the answer of another backend server at the address, whose incarnation was then never used again.

Change: the refusal of a request with a condition of its client changes no belief. It is sent to another backend server within the attempts of its route.

--- a/dialect.go
+++ b/dialect.go
@@ -35,6 +35,10 @@
 		Prompt    Tokens
 		MaxAnswer Tokens
 		Parts     []PromptPart
+		// Conditional is set if the client names backend servers which may not run the
+		// request, such as those with another version. They answer as misdirected
+		// ones do.
+		Conditional bool
 	}
 
 	// Forwarding holds what the load balancer adds to a request that it forwards
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -461,6 +461,12 @@
 	// An error of Close is irrelevant, because the answer has been checked by
 	// then.
 	defer func() { _ = reply.Body.Close() }()
+	if reply.Misdirected && p.request.Conditional {
+		// What a client can bring about says nothing of the backend server to others.
+		r := refusal(reply)
+		r.misdirected, r.backendFault = false, false
+		return r
+	}
 	if reply.Misdirected {
 		f.options.Members.ReportMisdirected(instance.BackendIncarnation)
 	} else {
--- a/dispatcher/forwarder/forwarder_test.go
+++ b/dispatcher/forwarder/forwarder_test.go
@@ -791,3 +791,25 @@
 		})
 	}
 }
+
+// TestConditionalRequestChangesNoBelief guards against a client that takes all backend servers away
+// from the others by requests which backend servers of another version refuse.
+func TestConditionalRequestChangesNoBelief(t *testing.T) {
+	is := is.New(t)
+	other := func() behaviour {
+		return reply(http.StatusMisdirectedRequest, strings.NewReader(""), func(h *carawaybeam.ReplyHead) {
+			h.NotRun, h.Misdirected = true, true
+			h.Signals.Leaving = true
+		})
+	}
+	env := newEnvironment(other(), other(), whole("x"))
+	r := request(carawaybeam.RouteUnsafe)
+	r.Conditional = true
+	_, failure := env.serve(r)
+	is.Equal(failure.Outcome, carawaybeam.OutcomeNotRun)
+	is.Equal(len(env.sender.sent), 2) // Backend servers may have different versions.
+	is.Equal(len(env.instances), 2)
+	answer, failure := env.serve(request(carawaybeam.RouteUnsafe))
+	is.True(failure == nil)
+	is.Equal(answer.String(), "x")
+}
