--- a/executor/run_test.go
+++ b/executor/run_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/prover"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 )
 
@@ -72,9 +73,9 @@
 	return answer, err
 }
 
-// TestContinuedAnswer guards against continuing an answer with one that begins elsewhere, such as that
+// TestPromiseContinuedAnswer guards against continuing an answer with one that begins elsewhere, such as that
 // of a model engine which ignores the offset (ORDER).
-func TestContinuedAnswer(t *testing.T) {
+func TestPromiseContinuedAnswer(t *testing.T) {
 	tests := map[string]struct {
 		status          int
 		resume, resumed carawaybeam.Bytes
@@ -88,8 +89,9 @@
 		"error, for the caller":    {503, 0, 0, true},
 		"error in place of a rest": {503, 20, 0, true}, // The entry compares the status.
 	}
+	violations := 0
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
+		right := t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			_, link := newLinkTo(t, executor.Options{
 				Backend: &resumingBackend{
@@ -105,5 +107,9 @@
 				is.Equal(last.GetFailed().GetOutcome(), string(carawaybeam.OutcomeUnknown))
 			}
 		})
+		if !right {
+			violations++
+		}
 	}
+	prover.Report(t, prover.WholeAnswer, len(tests), violations)
 }
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -43,6 +43,9 @@
 	// ServerSignals promises that a backend server which says that it is leaving, or wants
 	// no requests for a time, gets none.
 	ServerSignals Promise = "serverSignals"
+	// OddObject promises that one object of another writer in the store leaves the others
+	// readable.
+	OddObject Promise = "oddObject"
 	// Soak covers all promises that the soak test checks.
 	Soak Promise = "soak"
 )
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -19,6 +19,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/fakes/assembler"
 	"github.com/carawaybeam/carawaybeam/fakes/piper"
+	"github.com/carawaybeam/carawaybeam/prover"
 	"github.com/carawaybeam/carawaybeam/server"
 )
 
@@ -75,9 +76,9 @@
 	return nil
 }
 
-// TestStopTakesOnlyWhatItFinishes guards against requests that a stopping entry passes on to an
+// TestPromiseStopTakesOnlyWhatItFinishes guards against requests that a stopping entry passes on to an
 // agent although they cannot end in the time that it has left, and then cuts (LOST).
-func TestStopTakesOnlyWhatItFinishes(t *testing.T) {
+func TestPromiseStopTakesOnlyWhatItFinishes(t *testing.T) {
 	tests := map[string]struct {
 		path, class, body string
 		// left is how long the entry serves on.
@@ -102,8 +103,9 @@
 			path: "/v1/completions", class: "drafting", body: "{}", left: 10 * time.Second, want: http.StatusOK, runs: 1,
 		},
 	}
+	violations := 0
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
+		right := t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				a := assembler.New(assembler.Options{Entries: 1, Agents: 2, Concurrency: 8, PartTime: partTime})
@@ -142,5 +144,9 @@
 				is.Equal(runsOf(a, test.body), test.runs)
 			})
 		})
+		if !right {
+			violations++
+		}
 	}
+	prover.Report(t, prover.PlannedStop, len(tests), violations)
 }
