--- a/acceptor/memory_test.go
+++ b/acceptor/memory_test.go
@@ -38,7 +38,7 @@
 }
 
 func (f *uploadForwarder) Serve(
-	ctx context.Context, _ time.Time, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+	_ context.Context, _ time.Time, r *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
 ) *carawaybeam.RequestError {
 	if held := int64(f.memory.State().Held); held > f.most.Load() {
 		f.most.Store(held)
--- a/dispatcher/forwarder/memory_test.go
+++ b/dispatcher/forwarder/memory_test.go
@@ -44,7 +44,12 @@
 			env.memory = memory
 			for range 2 {
 				env.sender.behaviours = append(env.sender.behaviours, func(r pooler.Request) (*pooler.Reply, error) {
-					head := carawaybeam.ReplyHead{Request: r.ID, Status: http.StatusOK, Sealed: true, Header: http.Header{}}
+					head := carawaybeam.ReplyHead{
+						Request: r.ID,
+						Status:  http.StatusOK,
+						Sealed:  true,
+						Header:  http.Header{},
+					}
 					return &pooler.Reply{ReplyHead: head, Body: endlessBody{}, Length: -1}, nil
 				})
 			}
--- a/dispatcher/path_test.go
+++ b/dispatcher/path_test.go
@@ -295,7 +295,10 @@
 				failure := p.Entries[0].Dispatcher.Do(t.Context(), dispatcher.Request{
 					ID: carawaybeam.NewRequestID(),
 					Class: carawaybeam.Class{
-						ID: assembler.ClassDrafting, Kind: carawaybeam.WorkModel, Pool: assembler.Pool, Idempotent: true,
+						ID:         assembler.ClassDrafting,
+						Kind:       carawaybeam.WorkModel,
+						Pool:       assembler.Pool,
+						Idempotent: true,
 					},
 					Organisation: "org", Method: "POST", Path: "/" + string(assembler.ClassDrafting), Body: []byte("d"),
 					Deadline: time.Now().Add(time.Minute),
--- a/executor/run.go
+++ b/executor/run.go
@@ -78,7 +78,10 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	e.observeSignals(sent, answer.Signals)
-	if resume := carawaybeam.Bytes(d.GetResume()); answer.Status < http.StatusMultipleChoices && answer.Resumed != resume {
+	if resume := carawaybeam.Bytes(
+		d.GetResume(),
+	); answer.Status < http.StatusMultipleChoices &&
+		answer.Resumed != resume {
 		return carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeUnknown,
 			Reason:  carawaybeam.ReasonBackendFailed,
--- a/finisher/finisher_test.go
+++ b/finisher/finisher_test.go
@@ -50,7 +50,10 @@
 			func(f *finisher.Finisher) { run(f, 0, second/10, second/10, 400) }, 0, second / 5, second / 4,
 		},
 		"the longest counts": {
-			func(f *finisher.Finisher) { run(f, 0, 0, 5*second, 1); run(f, 0, 0, second/100, 400) }, 0, 5 * second, 6 * second,
+			func(f *finisher.Finisher) { run(f, 0, 0, 5*second, 1); run(f, 0, 0, second/100, 400) },
+			0,
+			5 * second,
+			6 * second,
 		},
 		"requests of long ago": {
 			func(f *finisher.Finisher) { run(f, 0, 0, 5*second, 1); time.Sleep(3 * time.Minute) }, 0, timeout, timeout,
@@ -66,7 +69,10 @@
 			}, 0, 9 * second, 11 * second,
 		},
 		"a shorter answer": {
-			func(f *finisher.Finisher) { run(f, 100, second, 4*second, 100) }, 10, 1400 * time.Millisecond, 1700 * time.Millisecond,
+			func(f *finisher.Finisher) { run(f, 100, second, 4*second, 100) },
+			10,
+			1400 * time.Millisecond,
+			1700 * time.Millisecond,
 		},
 		"a longer answer": {
 			func(f *finisher.Finisher) { run(f, 100, second, 4*second, 100) }, 200, 9 * second, 11 * second,
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -27,6 +27,9 @@
 	// partTime is the time for a part of an answer. Long answers take 80 s and others 4 s.
 	partTime = 500 * time.Millisecond
 	killTime = 20 * time.Second
+
+	bookingPath = "/services/bookings/x"
+	draftPath   = "/v1/completions"
 )
 
 // deskConfiguration assigns every class to the pool of the assembler. Requests may run again.
@@ -90,17 +93,31 @@
 		runs int
 	}{
 		"long booking": {
-			path: "/services/bookings/x", body: assembler.LongPrefix, left: 90 * time.Second, want: http.StatusOK, runs: 1,
+			path: bookingPath,
+			body: assembler.LongPrefix,
+			left: 90 * time.Second,
+			want: http.StatusOK,
+			runs: 1,
 		},
 		"long booking that would be cut": {
-			path: "/services/bookings/x", body: assembler.LongPrefix, left: 75 * time.Second,
+			path: bookingPath, body: assembler.LongPrefix, left: 75 * time.Second,
 			want: http.StatusServiceUnavailable,
 		},
 		"long booking whose agent is killed": {
-			path: "/services/bookings/x", body: assembler.LongPrefix, left: 90 * time.Second, kill: true, want: http.StatusBadGateway, runs: 1,
+			path: bookingPath,
+			body: assembler.LongPrefix,
+			left: 90 * time.Second,
+			kill: true,
+			want: http.StatusBadGateway,
+			runs: 1,
 		},
 		"short draft": {
-			path: "/v1/completions", class: "drafting", body: "{}", left: 10 * time.Second, want: http.StatusOK, runs: 1,
+			path:  draftPath,
+			class: "drafting",
+			body:  "{}",
+			left:  10 * time.Second,
+			want:  http.StatusOK,
+			runs:  1,
 		},
 	}
 	violations := 0
@@ -120,8 +137,8 @@
 				}
 				var before sync.WaitGroup
 				for range 4 {
-					before.Go(func() { is.Equal(send("/services/bookings/x", "", assembler.LongPrefix+"before"), http.StatusOK) })
-					before.Go(func() { is.Equal(send("/v1/completions", "drafting", `{"n":1}`), http.StatusOK) })
+					before.Go(func() { is.Equal(send(bookingPath, "", assembler.LongPrefix+"before"), http.StatusOK) })
+					before.Go(func() { is.Equal(send(draftPath, "drafting", `{"n":1}`), http.StatusOK) })
 				}
 				before.Wait()
 				end := time.Now().Add(test.left)
