Let another writer use the store in the soak

Odd announcements, and announcements at the addresses of the backend servers, which stay for the rest of a run.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -94,6 +94,8 @@
 	onConfig
 	// onCaller is a misbehaving caller. It excuses no violation.
 	onCaller
+	// onWriter is another writer of the platform's store. It excuses no violation.
+	onWriter
 )
 
 // targets returns the number of possible targets of a fault, or 0 if it has no single
@@ -176,6 +178,8 @@
 	"routeTimeout":       {onConfig, changeLimits(changeRouteTimeout, false)},
 	"routeTimeoutSeries": {onConfig, changeLimits(changeRouteTimeout, true)},
 	"sizeLimits":         {onConfig, changeLimits(changeSizeLimits, false)},
+	"oddEntries":         {onWriter, announceForeign(oddAnnouncement)},
+	"foreignEntries":     {onWriter, announceForeign(foreignAnnouncement)},
 	"stutter":            {onEntry, stutter},
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
@@ -222,7 +226,8 @@
 // servers, faults that concern limits, and signals of backend servers. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
-		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) || slices.Contains(signalKinds, name)
+		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) || slices.Contains(signalKinds, name) ||
+			kinds[name].scope == onWriter
 	})
 	n := minFaults + random.IntN(extraFaults)
 	faults := make([]fault, 0, n+len(pairs[0]))
@@ -232,7 +237,8 @@
 	faults = append(faults, newPair(random, options, pairs)...)
 	faults = append(faults, newCrashingRequests(options)...)
 	faults = append(faults, newLimitFaults(options)...)
-	return append(faults, newSignalFaults(options)...)
+	faults = append(faults, newSignalFaults(options)...)
+	return append(faults, newForeignFaults(options)...)
 }
 
 // newFault returns a random fault of one of the kinds.
