Keep reads ended at a stop, and ask for no body without memory

A request that began to read its body just after the end of the reads set a deadline of its own and was closed without an answer. A client that waits for a response before it sends its body was told to send it, although it was to be refused. A request without a body sets no deadlines.

Test: acceptor.TestNoBodyIsAskedForWithoutMemory.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -190,6 +190,9 @@
 
 // readBody reads the body of a request, which may have limit bytes.
 func (a *Acceptor) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, func(), error) {
+	if r.ContentLength == 0 {
+		return nil, func() {}, nil
+	}
 	control := http.NewResponseController(w)
 	ctx, cancel := context.WithTimeout(r.Context(), maxMemoryWait)
 	defer cancel()
@@ -200,7 +203,8 @@
 	data, release, err := a.options.Memory.Read(
 		ctx, body, carawaybeam.Bytes(r.ContentLength), carawaybeam.Bytes(limit),
 	)
-	if errors.Is(err, reserver.ErrFull) {
+	// A client that waits for a response before it sends the body has not sent it.
+	if errors.Is(err, reserver.ErrFull) && r.Header.Get("Expect") == "" {
 		_ = control.SetReadDeadline(time.Now().Add(discardTime))
 		_, _ = io.Copy(io.Discard, body)
 	}
--- a/acceptor/memory_test.go
+++ b/acceptor/memory_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// TestNoBodyIsAskedForWithoutMemory checks that a client which waits before it sends its body is
+// refused without being told to send it.
+func TestNoBodyIsAskedForWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	f := &uploadForwarder{memory: reserver.New(uploadMemory)}
+	release, err := f.memory.Reserve(t.Context(), uploadMemory)
+	is.NoErr(err)
+	defer release()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a := acceptor.New(listener, acceptor.Options{
+		Dialect: platform.Dialect{}, Forwarder: f, BodyBytes: uploadBytes, HeaderBytes: 4096, Memory: f.memory,
+		ReadTimeout: time.Second, WriteTimeout: time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
+	})
+	defer func() { is.NoErr(a.Close()) }()
+	began := time.Now()
+	refused := exchange(t, listener.Addr().String(),
+		"POST / HTTP/1.1\r\n"+head+"Expect: 100-continue\r\nContent-Length: 4000000\r\n\r\n")
+	is.Equal(refused.status, http.StatusServiceUnavailable) // Not 100.
+	is.True(time.Since(began) < time.Second)
+	is.True(refused.last)
+}
+
 // upload sends a large body, and returns the status of the answer, or 0 if there is none.
 func upload(address string, chunked bool) int {
 	conn, err := net.Dial("tcp", address)
--- a/keeper/conn.go
+++ b/keeper/conn.go
@@ -219,7 +219,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = deadline
-	if c.idle {
+	if c.idle || c.readEnded.Load() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
