--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -226,7 +226,8 @@
 // servers, faults that concern limits, and signals of backend servers. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
-		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) || slices.Contains(signalKinds, name) ||
+		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) ||
+			slices.Contains(signalKinds, name) ||
 			kinds[name].scope == onWriter
 	})
 	n := minFaults + random.IntN(extraFaults)
