--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -475,6 +475,13 @@
 	return ended
 }
 
+// Err returns the error with which the process has ended, or nil.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
 // Stop sends SIGTERM and waits until the process has ended. It returns an error
 // if the exit code is not 0. A process that has not ended after stopTimeout is
 // killed.
--- a/prover/leaving_test.go
+++ b/prover/leaving_test.go
@@ -140,7 +140,13 @@
 	if !paused {
 		return
 	}
-	time.Sleep(leavingPause)
+	stopped := time.Now()
+	select {
+	case <-agent.Ended():
+		// A stopped process cannot end by itself.
+		t.Errorf("agent ended %v after SIGSTOP: %v", time.Since(stopped), agent.Err())
+	case <-time.After(leavingPause):
+	}
 	if err := agent.Signal(syscall.SIGCONT); err != nil {
 		t.Errorf("%v: %v", syscall.SIGCONT, err)
 	}
