Let callers set conditions in the soak

A caller sends requests that no backend server may run, for want of a version. All others must be served in the final phase. It is drawn with the faults of other writers.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -187,6 +187,9 @@
 	"crashingPart": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingPart(ctx, f.target)
 	}},
+	"conditionalCaller": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
+		s.runConditionalCaller(ctx, paths[f.target])
+	}},
 	"crashingCrowd": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCrowd(ctx, paths[f.target])
 	}},
--- a/soaker/foreign.go
+++ b/soaker/foreign.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"strings"
 	"time"
+
+	"github.com/carawaybeam/carawaybeam/platform/emulator"
 )
 
 const (
@@ -14,16 +16,19 @@
 	maxForeignFaults = 2
 	foreignStream    = 1 << 38
 
+	// conditionalInterval is the time between two requests that no backend server may run.
+	conditionalInterval = 100 * time.Millisecond
+
 	// largeBytes is the size of the largest announcement of another writer.
 	largeBytes = 900 << 10
 )
 
 // foreignKinds are the kinds of faults in which another writer announces something among the backend
-// servers.
-var foreignKinds = []string{"oddEntries", "foreignEntries"}
+// servers, or a caller brings about answers that could be taken for those of others.
+var foreignKinds = []string{"oddEntries", "foreignEntries", "conditionalCaller"}
 
-// newForeignFaults returns the faults of a run in which another writer uses the store. They do not
-// depend on the other faults of the seed.
+// newForeignFaults returns the faults of a run of the foreignKinds. They do not depend on the other
+// faults of the seed.
 func newForeignFaults(options Options) []fault {
 	random := rand.New(rand.NewPCG(options.Seed, foreignStream))
 	faults := make([]fault, 0, maxForeignFaults)
@@ -33,6 +38,21 @@
 	return faults
 }
 
+// runConditionalCaller sends requests that no backend server may run, each through a random entry.
+func (s *Soaker) runConditionalCaller(ctx context.Context, path string) {
+	random := rand.New(rand.NewPCG(s.options.Seed, foreignStream+uint64(len(path))))
+	end := s.history.finalPhaseStart().Add(-crashingMargin)
+	for n := 1; time.Now().Before(end); n++ {
+		e := s.pickEntry(random)
+		if conn, err := emulator.Dial(ctx, e.callers); err == nil {
+			id := fmt.Sprintf("%s%d-%s-%d", emulator.ConditionalID, s.options.Seed, path[1:], n)
+			s.send(conn, random, e, sentRequest{id: id, path: path, connectedAt: time.Now()})
+			_ = conn.Close()
+		}
+		time.Sleep(conditionalInterval)
+	}
+}
+
 // announceForeign returns an action in which another writer makes one announcement for each host. They
 // stay for the rest of the run.
 func announceForeign(announcement func(*host) any) action {
--- a/soaker/foreign_test.go
+++ b/soaker/foreign_test.go
@@ -18,3 +18,14 @@
 		{kind: "kill", target: 1, at: 6 * time.Second},
 	})
 }
+
+// TestPromiseConditionalCallerProcesses guards against a caller that takes all backend servers away from
+// the others by requests which none of them may run.
+func TestPromiseConditionalCallerProcesses(t *testing.T) {
+	options := Options{Entries: 2, Callers: 16, FaultWindow: 6 * time.Second}
+	runSchedule(t, prover.OddObject, 1, options, []fault{
+		{kind: "conditionalCaller", target: 0},
+		{kind: "conditionalCaller", target: 1, at: time.Second},
+		{kind: "conditionalCaller", target: 2, at: 2 * time.Second},
+	})
+}
