Bind no entry by answers that a fault of the soak keeps from it

Trace: the backend server of host 3 says from 32.500 s on that it is leaving; from 32.530 to 36.407 s the fault linkMute loses all answers of that host. Request idle2-3 of entry-2 arrives there at 33.810 s and is answered with the signal; the entry logs for it "no answer came in time" at 38 s. Request 6-41 of entry-2 arrives at 36.030 s, 2.2 s later. No answer with the signal had reached entry-2: after the fault its links ended with "unexpected EOF".

The judge of the soak took it as passed on when the backend server wrote it. It leaves out answers that are written while a fault loses them; those before and after bind as they did.

Test: TestLostAnswersSayNothing.

--- a/soaker/signals.go
+++ b/soaker/signals.go
@@ -105,6 +105,9 @@
 	}
 	leaving := make(map[string]bool)
 	for _, said := range s.journal.SignalAnswers() {
+		if s.history.losesAnswers(said.Server, said.At) {
+			continue
+		}
 		sender := s.history.sender(said.Request)
 		key := fmt.Sprint(said.Server, sender)
 		if said.Signals.Leaving && !leaving[key] {
@@ -121,6 +124,13 @@
 	}
 }
 
+// losesAnswers reports whether what a backend server answers at a time does not reach the entry.
+func (h *history) losesAnswers(server string, at time.Time) bool {
+	return slices.ContainsFunc(h.faults, func(f injectedFault) bool {
+		return f.kind == "linkMute" && f.target == h.hosts[server] && f.overlaps(at, at)
+	})
+}
+
 // countLate returns the number of requests that reached a backend server although their caller
 // sent them later than drainBound after the same entry had passed on that it is leaving.
 func (s *Soaker) countLate(arrivals []emulator.Arrival, said emulator.SignalAnswer) int {
--- a/soaker/signals_test.go
+++ b/soaker/signals_test.go
@@ -7,6 +7,31 @@
 	"github.com/carawaybeam/carawaybeam/prover"
 )
 
+// TestLostAnswersSayNothing checks that an entry is not bound by answers that a fault kept from it, and
+// by all others.
+func TestLostAnswersSayNothing(t *testing.T) {
+	began := time.Now()
+	h := history{hosts: map[string]int{"a": 3, "b": 4}, faults: []injectedFault{
+		{kind: "linkMute", scope: onServer, target: 3, beganAt: began, endedAt: began.Add(4 * time.Second)},
+		{kind: "linkDeaf", scope: onServer, target: 4, beganAt: began, endedAt: began.Add(4 * time.Second)},
+	}}
+	for _, test := range []struct {
+		server string
+		at     time.Duration
+		lost   bool
+	}{
+		{"a", -time.Millisecond, false},
+		{"a", time.Millisecond, true},
+		{"a", 3999 * time.Millisecond, true},
+		{"a", 4001 * time.Millisecond, false},
+		{"b", time.Second, false},
+	} {
+		if got := h.losesAnswers(test.server, began.Add(test.at)); got != test.lost {
+			t.Errorf("answer of %s %v after the beginning is lost: %t", test.server, test.at, got)
+		}
+	}
+}
+
 // TestPromiseServerLimitProcesses guards against entries that together send a backend server more
 // requests than the limit that it names, though each of them was told. The backend servers are with
 // and without agents.
