Answer refused uploads at once, and hold buffers to what they reserve

TestUploadsTakeBoundedMemory: 3 of 12 clients that sent chunked bodies got no answer, and a small request took more than 0.2 s. TestEndlessAnswersTakeBoundedMemory: more heap than twice what may be reserved.

A buffer for data of an unknown length grew beyond what it had reserved, up to two and a quarter times.

Change: a refusal is written at once, and the body is read behind it for up to 5 s. Data of an unknown length reserves one and a half times the limit, which its buffer, doubling up to the limit, never exceeds.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -29,9 +29,9 @@
 	// turn elsewhere if their request is not read within a second.
 	maxMemoryWait = 500 * time.Millisecond
 
-	// discardTime is how long the body of a refused request is read, so that the client, which
-	// may read the answer only after having sent the whole body, receives the refusal.
-	discardTime = time.Second
+	// discardTime is how long the body of a refused request is read behind the answer, so that a
+	// client which reads the answer only after having sent the whole body receives it.
+	discardTime = 5 * time.Second
 
 	// bodyTimeout is how long a client may take to send a body, which occupies memory.
 	bodyTimeout = 30 * time.Second
@@ -122,7 +122,7 @@
 	if failure != nil {
 		a.options.Log.Info().Str("request", string(request.ID)).Str("reason", string(failure.Reason)).
 			Str("detail", failure.Detail).Msg("acceptor: request is refused")
-		_ = a.writeFailure(answer, failure)
+		a.refuse(r, answer, failure)
 		return
 	}
 	a.logArrival(r.Context(), arrived, &request)
@@ -203,14 +203,25 @@
 	data, release, err := a.options.Memory.Read(
 		ctx, body, carawaybeam.Bytes(r.ContentLength), carawaybeam.Bytes(limit),
 	)
-	// A client that waits for a response before it sends the body has not sent it.
-	if errors.Is(err, reserver.ErrFull) && r.Header.Get("Expect") == "" {
-		_ = control.SetReadDeadline(time.Now().Add(discardTime))
-		_, _ = io.Copy(io.Discard, body)
-	}
 	return data, release, err
 }
 
+// refuse answers a request that was not read. A client that may still be sending its body is answered
+// at once, and the body is read behind the answer.
+func (a *Acceptor) refuse(r *http.Request, answer *answerWriter, failure *carawaybeam.RequestError) {
+	sending := failure.Reason == carawaybeam.ReasonBusy && r.Header.Get("Expect") == ""
+	if sending {
+		// If it fails, the server reads a part of the body before the answer.
+		_ = answer.control.EnableFullDuplex()
+	}
+	if err := a.writeFailure(answer, failure); err != nil || !sending {
+		return
+	}
+	_ = answer.control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, r.Body)
+	_ = answer.control.SetReadDeadline(time.Time{})
+}
+
 // unwrap returns the ResponseWriter of the HTTP server, which http.MaxBytesReader needs in order
 // to end the connection without waiting for the rest of the body.
 func unwrap(w http.ResponseWriter) http.ResponseWriter {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -77,9 +77,9 @@
 }
 
 // Read reads all data of the length, or of any length up to limit if length is negative. Data of an
-// unknown length that exceeds Free reserves the limit while it is read. The memory is reserved until
-// the caller calls release, which it must do also on errors. Data that is longer than limit is
-// ErrTooLarge.
+// unknown length that exceeds Free reserves one and a half times the limit, as its buffer grows. The
+// memory is reserved until the caller calls release, which it must do also on errors. Data that is
+// longer than limit is ErrTooLarge.
 func (r *Reserver) Read(
 	ctx context.Context,
 	from io.Reader,
@@ -107,17 +107,37 @@
 	if release, err = r.Reserve(ctx, r.most(limit)); err != nil {
 		return nil, release, err
 	}
-	rest, err := io.ReadAll(io.LimitReader(from, int64(limit)-int64(len(data))+1))
-	if data = append(data, rest...); carawaybeam.Bytes(len(data)) > limit {
-		return nil, release, ErrTooLarge
-	}
+	data, err = readRest(data, from, limit)
 	return data, release, err
 }
 
+// readRest reads the rest of data up to limit. The buffer doubles, so that a copy takes at most one and
+// a half times the limit.
+func readRest(data []byte, from io.Reader, limit carawaybeam.Bytes) ([]byte, error) {
+	for {
+		if len(data) == cap(data) {
+			grown := make([]byte, len(data), min(2*len(data), int(limit)+1))
+			copy(grown, data)
+			data = grown
+		}
+		n, err := from.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case carawaybeam.Bytes(len(data)) > limit:
+			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return data, err
+		}
+	}
+}
+
 // most returns what is reserved for data of an unknown length up to limit.
 func (r *Reserver) most(limit carawaybeam.Bytes) carawaybeam.Bytes {
+	most := limit + limit/2
 	if r.limit == 0 {
-		return limit
+		return most
 	}
-	return min(limit, r.limit)
+	return min(most, max(limit, r.limit))
 }
