--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -106,7 +106,10 @@
 			if n := taken[agent]; n < 9 || n > 14 {
 				t.Errorf("%d requests to %s in 10 s", n, agent)
 			}
-			is.Equal(agents.near[agent], agent == "10.0.0.1:7340")
+			agents.mu.Lock()
+			near := agents.near[agent]
+			agents.mu.Unlock()
+			is.Equal(near, agent == "10.0.0.1:7340")
 		}
 	})
 }
