Wait for memory only while there is none, and let small answers fit little of it

A body in chunks whose first 16 KiB took more than 0.5 s was refused (503) as if other bodies took the memory: the wait was counted from the first read, not from the reservation. And where an entry has less than 54 MB, every answer in chunks above 16 KiB failed, since the reservation for the largest one did not fit.

Change: the Reserver bounds the wait of each reservation. Data of an unknown length reserves at most what there is, and is too large only beyond that.

Tests, both seen failing before: acceptor.TestSlowUploadIsNotRefused (503 for 200) and reserver.TestUnknownLengthFitsLittleMemory ("data is too large"). The acceptors of three tests are started in one place.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -25,9 +25,9 @@
 const drainDelay = 2500 * time.Millisecond
 
 const (
-	// maxMemoryWait is how long a request waits until there is memory for its body. Clients
-	// turn elsewhere if their request is not read within a second.
-	maxMemoryWait = 500 * time.Millisecond
+	// memoryRetryAfter is when the client of a request may retry for whose body there was no
+	// memory.
+	memoryRetryAfter = 500 * time.Millisecond
 
 	// discardTime is how long the body of a refused request is read behind the answer, so that a
 	// client which reads the answer only after having sent the whole body receives it.
@@ -85,7 +85,7 @@
 // New returns an Acceptor that serves clients on the listener until Close.
 func New(listener net.Listener, options Options) *Acceptor {
 	if options.Memory == nil {
-		options.Memory = reserver.New(0)
+		options.Memory = reserver.New(0, 0)
 	}
 	a := &Acceptor{options: options}
 	a.keeper = keeper.New(listener, keeper.Options{
@@ -181,7 +181,11 @@
 	case r.Context().Err() != nil:
 		failure = carawaybeam.NotRun(carawaybeam.ReasonLeaving, "entry ended before the body was read", 0)
 	case errors.Is(err, reserver.ErrFull):
-		failure = carawaybeam.NotRun(carawaybeam.ReasonBusy, "bodies of other requests take the memory", maxMemoryWait)
+		failure = carawaybeam.NotRun(
+			carawaybeam.ReasonBusy,
+			"bodies of other requests take the memory",
+			memoryRetryAfter,
+		)
 	default:
 		failure = carawaybeam.NotRun(carawaybeam.ReasonBadRequest, "body could not be read: "+err.Error(), 0)
 	}
@@ -194,16 +198,11 @@
 		return nil, func() {}, nil
 	}
 	control := http.NewResponseController(w)
-	ctx, cancel := context.WithTimeout(r.Context(), maxMemoryWait)
-	defer cancel()
 	// If it fails, the body may take any time, and the next request has no deadline of this one.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body := http.MaxBytesReader(unwrap(w), r.Body, limit)
-	data, release, err := a.options.Memory.Read(
-		ctx, body, carawaybeam.Bytes(r.ContentLength), carawaybeam.Bytes(limit),
-	)
-	return data, release, err
+	return a.options.Memory.Read(r.Context(), body, carawaybeam.Bytes(r.ContentLength), carawaybeam.Bytes(limit))
 }
 
 // refuse answers a request that was not read. A client that may still be sending its body is answered
--- a/acceptor/memory_test.go
+++ b/acceptor/memory_test.go
@@ -58,6 +58,25 @@
 	return carawaybeam.ClientLimits{BodyBytes: uploadBytes}, true
 }
 
+// listen starts an Acceptor for the time of the test and returns its address.
+func (f *uploadForwarder) listen(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := acceptor.New(listener, acceptor.Options{
+		Dialect: platform.Dialect{}, Forwarder: f, BodyBytes: uploadBytes, HeaderBytes: 4096, Memory: f.memory,
+		ReadTimeout: time.Second, WriteTimeout: time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
+	})
+	t.Cleanup(func() {
+		if err := a.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String()
+}
+
 // TestUploadsTakeBoundedMemory guards against an entry that exceeds its memory because many clients
 // send large bodies at once. Clients whose bodies do not fit are told so, and small requests go on.
 func TestUploadsTakeBoundedMemory(t *testing.T) {
@@ -69,15 +88,11 @@
 				// The buffer for a body of an unknown length grows.
 				fit = uploadMemory / (uploadBytes * 3 / 2)
 			}
-			f := &uploadForwarder{memory: reserver.New(uploadMemory), release: make(chan struct{})}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			a := acceptor.New(listener, acceptor.Options{
-				Dialect: platform.Dialect{}, Forwarder: f, BodyBytes: uploadBytes, HeaderBytes: 4096, Memory: f.memory,
-				ReadTimeout: time.Second, WriteTimeout: time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
-			})
-			defer func() { is.NoErr(a.Close()) }()
-			address := listener.Addr().String()
+			f := &uploadForwarder{
+				memory:  reserver.New(uploadMemory, 500*time.Millisecond),
+				release: make(chan struct{}),
+			}
+			address := f.listen(t)
 			var served, refused atomic.Int64
 			var clients sync.WaitGroup
 			for range uploads {
@@ -114,25 +129,40 @@
 // refused without being told to send it.
 func TestNoBodyIsAskedForWithoutMemory(t *testing.T) {
 	is := is.New(t)
-	f := &uploadForwarder{memory: reserver.New(uploadMemory)}
+	f := &uploadForwarder{memory: reserver.New(uploadMemory, 500*time.Millisecond)}
 	release, err := f.memory.Reserve(t.Context(), uploadMemory)
 	is.NoErr(err)
 	defer release()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	a := acceptor.New(listener, acceptor.Options{
-		Dialect: platform.Dialect{}, Forwarder: f, BodyBytes: uploadBytes, HeaderBytes: 4096, Memory: f.memory,
-		ReadTimeout: time.Second, WriteTimeout: time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
-	})
-	defer func() { is.NoErr(a.Close()) }()
+	address := f.listen(t)
 	began := time.Now()
-	refused := exchange(t, listener.Addr().String(),
+	refused := exchange(t, address,
 		"POST / HTTP/1.1\r\n"+head+"Expect: 100-continue\r\nContent-Length: 4000000\r\n\r\n")
 	is.Equal(refused.status, http.StatusServiceUnavailable) // Not 100.
 	is.True(time.Since(began) < time.Second)
 	is.True(refused.last)
 }
 
+// TestSlowUploadIsNotRefused guards against refusing a client that sends its body slowly as if there
+// were no memory for it.
+func TestSlowUploadIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	f := &uploadForwarder{memory: reserver.New(uploadMemory, 500*time.Millisecond), release: make(chan struct{})}
+	close(f.release)
+	address := f.listen(t)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\n%sTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", head)
+	is.NoErr(err)
+	time.Sleep(800 * time.Millisecond)
+	_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", 64<<10, make([]byte, 64<<10))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusOK)
+}
+
 // upload sends a large body, and returns the status of the answer.
 func upload(address string, chunked bool) (int, error) {
 	conn, err := net.Dial("tcp", address)
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -95,6 +95,11 @@
 	bodyMemoryShare   = 0.4
 	answerMemoryShare = 0.15
 
+	// maxBodyWait is how long a request waits until there is memory for its body. Clients turn
+	// elsewhere if their request is not read within a second. A request waits for memory for
+	// its answer until its deadline.
+	maxBodyWait = 500 * time.Millisecond
+
 	// logBytes is the size of the log lines that are kept for operators. It is
 	// enough for a few thousand requests.
 	logBytes = 1 << 20
@@ -193,8 +198,8 @@
 		logKeeper:   logkeeper.New(logBytes),
 		quarantiner: quarantiner.New(quarantiner.Partial),
 		finisher:    finisher.New(),
-		bodies:      reserver.New(memoryShare(settings.Direct.MemoryMB, bodyMemoryShare)),
-		answers:     reserver.New(memoryShare(settings.Direct.MemoryMB, answerMemoryShare)),
+		bodies:      reserver.New(memoryShare(settings.Direct.MemoryMB, bodyMemoryShare), maxBodyWait),
+		answers:     reserver.New(memoryShare(settings.Direct.MemoryMB, answerMemoryShare), 0),
 	}
 	e.log = starter.NewLog(settings.Process, e.logKeeper)
 	e.entries = enroller.NewEntrySet(e.log)
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -148,7 +148,7 @@
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
 	if options.Memory == nil {
-		options.Memory = reserver.New(0)
+		options.Memory = reserver.New(0, 0)
 	}
 	if options.Finisher == nil {
 		options.Finisher = finisher.New()
--- a/dispatcher/forwarder/memory_test.go
+++ b/dispatcher/forwarder/memory_test.go
@@ -32,7 +32,7 @@
 // backend servers send bytes without end. All requests end within their deadlines.
 func TestEndlessAnswersTakeBoundedMemory(t *testing.T) {
 	is := is.New(t)
-	memory := reserver.New(memoryLimit)
+	memory := reserver.New(memoryLimit, 0)
 	var requests sync.WaitGroup
 	var mu sync.Mutex
 	var longest time.Duration
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -8,6 +8,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -30,6 +31,7 @@
 	// Reserver holds memory that can be reserved. Its methods are safe for concurrent use.
 	Reserver struct {
 		limit     carawaybeam.Bytes
+		maxWait   time.Duration
 		semaphore *semaphore.Weighted
 		held      atomic.Int64
 		refused   atomic.Uint64
@@ -45,9 +47,10 @@
 	}
 )
 
-// New returns a Reserver of as many bytes as limit, or of any number if limit is 0.
-func New(limit carawaybeam.Bytes) *Reserver {
-	return &Reserver{limit: limit, semaphore: semaphore.NewWeighted(int64(limit))}
+// New returns a Reserver of as many bytes as limit, or of any number if limit is 0. A reservation waits
+// for at most maxWait, or for any time if maxWait is 0.
+func New(limit carawaybeam.Bytes, maxWait time.Duration) *Reserver {
+	return &Reserver{limit: limit, maxWait: maxWait, semaphore: semaphore.NewWeighted(int64(limit))}
 }
 
 // State returns the state dump.
@@ -55,8 +58,9 @@
 	return State{Limit: r.limit, Held: carawaybeam.Bytes(r.held.Load()), Refused: r.refused.Load()}
 }
 
-// Reserve reserves a number of bytes. It waits until they are free, in the order of the calls, or until
-// ctx is done, when it returns ErrFull. The caller must call release, which may be called again.
+// Reserve reserves a number of bytes. It waits until they are free, in the order of the calls. If that
+// takes too long or ctx is done, it returns ErrFull. The caller must call release, which may be called
+// again.
 func (r *Reserver) Reserve(ctx context.Context, size carawaybeam.Bytes) (release func(), err error) {
 	if size <= Free || r.limit == 0 {
 		return func() {}, nil
@@ -65,6 +69,11 @@
 		r.refused.Add(1)
 		return func() {}, ErrTooLarge
 	}
+	if r.maxWait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.maxWait)
+		defer cancel()
+	}
 	if r.semaphore.Acquire(ctx, int64(size)) != nil {
 		r.refused.Add(1)
 		return func() {}, ErrFull
@@ -97,6 +106,10 @@
 		_, err = io.ReadFull(from, data)
 		return data, release, err
 	}
+	if r.limit > 0 {
+		// What is reserved below must fit.
+		limit = min(limit, r.limit/3*2)
+	}
 	data, err = io.ReadAll(io.LimitReader(from, int64(min(limit, Free))+1))
 	if err != nil || carawaybeam.Bytes(len(data)) <= min(limit, Free) {
 		return data, release, err
@@ -104,7 +117,7 @@
 	if limit <= Free {
 		return nil, release, ErrTooLarge
 	}
-	if release, err = r.Reserve(ctx, r.most(limit)); err != nil {
+	if release, err = r.Reserve(ctx, limit+limit/2); err != nil {
 		return nil, release, err
 	}
 	data, err = readRest(data, from, limit)
@@ -137,12 +150,3 @@
 		}
 	}
 }
-
-// most returns what is reserved for data of an unknown length up to limit.
-func (r *Reserver) most(limit carawaybeam.Bytes) carawaybeam.Bytes {
-	most := limit + limit/2
-	if r.limit == 0 {
-		return most
-	}
-	return min(most, max(limit, r.limit))
-}
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -21,7 +21,7 @@
 func TestReserve(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r := reserver.New(100 * kib)
+		r := reserver.New(100*kib, 0)
 		first, err := r.Reserve(t.Context(), 60*kib)
 		is.NoErr(err)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -67,7 +67,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			r := reserver.New(1 << 20)
+			r := reserver.New(1<<20, 0)
 			whole := bytes.Repeat([]byte("x"), int(test.data))
 			data, release, err := r.Read(t.Context(), bytes.NewReader(whole), test.length, limit)
 			is.True(errors.Is(err, test.err))
@@ -104,7 +104,7 @@
 func TestBuffersStayWithinReservation(t *testing.T) {
 	const limit = 8 << 20
 	is := is.New(t)
-	r, from := reserver.New(2*limit), &growthReader{}
+	r, from := reserver.New(2*limit, 0), &growthReader{}
 	_, release, err := r.Read(t.Context(), from, -1, limit)
 	defer release()
 	is.True(errors.Is(err, reserver.ErrTooLarge))
@@ -116,10 +116,25 @@
 	}
 }
 
+// TestUnknownLengthFitsLittleMemory guards against refusing small data of an unknown length because
+// data of the largest size would not fit.
+func TestUnknownLengthFitsLittleMemory(t *testing.T) {
+	is := is.New(t)
+	r := reserver.New(1<<20, 0)
+	data, release, err := r.Read(t.Context(), strings.NewReader(strings.Repeat("x", 100<<10)), -1, 8<<20)
+	is.NoErr(err)
+	is.Equal(len(data), 100<<10)
+	is.True(r.State().Held <= 1<<20)
+	release()
+	_, release, err = r.Read(t.Context(), strings.NewReader(strings.Repeat("x", 1<<20)), -1, 8<<20)
+	is.True(errors.Is(err, reserver.ErrTooLarge))
+	release()
+}
+
 // TestUnbounded checks that a Reserver without a limit reserves nothing.
 func TestUnbounded(t *testing.T) {
 	is := is.New(t)
-	data, release, err := reserver.New(0).Read(t.Context(), strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<20)
+	data, release, err := reserver.New(0, 0).Read(t.Context(), strings.NewReader(strings.Repeat("x", 1<<20)), -1, 1<<20)
 	is.NoErr(err)
 	is.Equal(len(data), 1<<20)
 	release()
