Send second attempts only where the first one is expected to take longer

A second attempt was sent when the first one had taken longer than most of its kind, since it was expected to take as long again. The first attempt is now expected to take the mean residual latency of its kind, and a second one that would be later is looked at again after half of the time taken, so that a request that hangs is still sent again.

20 latencies of a kind are enough instead of 50, and those of rare kinds are kept for longer: an entry that got a route every two seconds never had enough.

TestNarrowLatencies and TestFewRequests failed before. In TestOneSlowServerOfMany the latencies are so narrow that the second check sends; all 100 are still sent. The scene of the forwarder's tests learns latencies that spread, as one value for all has no quantile.

--- a/dispatcher/forwarder/hedge.go
+++ b/dispatcher/forwarder/hedge.go
@@ -37,10 +37,14 @@
 		winner atomic.Pointer[contender]
 
 		mu sync.Mutex
+		// timer runs runSecond.
+		timer *time.Timer
+		// checked is set once a second attempt was due.
+		checked bool
 		// ended is set once no second attempt may begin any more.
 		ended bool
 		// due is closed once the second attempt, if one is sent, has ended. It is nil unless one
-		// became due.
+		// became due, and replaced when one becomes due again.
 		due chan struct{}
 		// second is nil unless a second attempt was sent.
 		second *contender
@@ -80,8 +84,10 @@
 	defer r.close()
 	if delay, known := f.options.Hedger.Delay(r.began, r.kind); known {
 		r.delay = delay
-		timer := time.AfterFunc(delay, r.runSecond)
-		defer timer.Stop()
+		r.mu.Lock()
+		r.timer = time.AfterFunc(delay, r.runSecond)
+		r.mu.Unlock()
+		defer r.timer.Stop()
 	}
 	r.first.result = f.attempt(r.first.ctx, &r.first.request, decision)
 	r.first.releaseLost()
@@ -174,6 +180,12 @@
 // runSecond sends the second attempt, if that is allowed, and waits for its end. It runs when the delay
 // has passed.
 func (r *race) runSecond() {
+	postpone := false
+	defer func() {
+		if postpone {
+			r.postpone()
+		}
+	}()
 	due := make(chan struct{})
 	defer close(due)
 	r.mu.Lock()
@@ -186,12 +198,15 @@
 	// A panic goes on in the goroutine of the request, where one of the first attempt would be.
 	defer func() { r.panicked = recover() }()
 	f := r.forwarder
-	if f.options.Hedger.Check(time.Now(), f.hedgeRequest(r)) != hedger.Permitted {
+	request := f.hedgeRequest(r)
+	r.checked = true
+	if f.options.Hedger.Check(time.Now(), request) != hedger.Permitted {
 		return
 	}
 	decision, offer := f.chooseSecond(time.Now(), r)
-	c := r.begin(offer)
+	c, reason := r.begin(offer)
 	if c == nil {
+		postpone = reason == hedger.NotSooner
 		return
 	}
 	defer c.cancel()
@@ -202,18 +217,31 @@
 // isOver reports whether no second attempt may begin any more. The caller holds mu.
 func (r *race) isOver() bool { return r.ended || r.winner.Load() != nil || r.ctx.Err() != nil }
 
-// begin returns the second attempt, or nil if it is not allowed.
-func (r *race) begin(offer hedger.Offer) *contender {
+// postpone makes the second attempt due again after half of the time that the first one has taken. The
+// longer that takes, the longer it is expected to take still.
+func (r *race) postpone() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isOver() {
+		r.timer.Reset(time.Since(r.began) / 2)
+	}
+}
+
+// begin returns the second attempt, or nil and the reason if it is not allowed.
+func (r *race) begin(offer hedger.Offer) (*contender, hedger.Reason) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isOver() || r.forwarder.options.Hedger.Take(time.Now(), r.kind, offer) != hedger.Permitted {
-		return nil
+	if r.isOver() {
+		return nil, hedger.Permitted
+	}
+	if reason := r.forwarder.options.Hedger.Take(time.Now(), r.kind, offer); reason != hedger.Permitted {
+		return nil, reason
 	}
 	c := &contender{}
 	c.prepare(r)
 	c.request.attempts++
 	r.second = c
-	return c
+	return c, hedger.Permitted
 }
 
 // awaitSecond keeps a second attempt from beginning and waits for the end of one that has begun.
@@ -264,14 +292,15 @@
 
 // observe records how long the first attempt took, or would have taken at least.
 func (r *race) observe() {
-	latency := r.answered
-	if r.winner.Load() == nil {
-		if r.due == nil {
-			return
-		}
-		latency = time.Since(r.began)
+	h, now, winner := r.forwarder.options.Hedger, time.Now(), r.winner.Load()
+	switch {
+	case winner == &r.first:
+		h.Observe(now, r.kind, r.answered, r.due != nil)
+	case winner != nil:
+		h.ObserveCancelled(now, r.kind, r.answered)
+	case r.due != nil:
+		h.ObserveCancelled(now, r.kind, now.Sub(r.began))
 	}
-	r.forwarder.options.Hedger.Observe(time.Now(), r.kind, latency, r.due != nil)
 }
 
 // join makes the state of both attempts that of the request, and returns their result. Without a winner it
@@ -345,6 +374,7 @@
 		Stopping:     f.forecast(p).Stopping,
 		AttemptsLeft: p.route.MaxAttempts - len(p.tried) - 1,
 		Late:         time.Until(p.deadline) < minTimeLeft,
+		Again:        r.checked,
 	}
 }
 
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -25,9 +25,9 @@
 	minQuantile = 0.95
 	maxQuantile = 0.99
 
-	// minSamples is the number of latencies of a kind from which its quantile is used. Fewer have
-	// no more than two above the 95th percentile.
-	minSamples = 50
+	// minSamples is the number of latencies of a kind from which its quantile is used. Fewer do not
+	// show the 95th percentile. With too few for a higher quantile, it is the longest one.
+	minSamples = 20
 
 	// minFreeShare is the share of the slots of a pool that must be free. With fewer, a second
 	// attempt soon delays the first attempt of another request.
@@ -113,6 +113,8 @@
 		AttemptsLeft int
 		// Late is set if so little time is left that no further attempt begins.
 		Late bool
+		// Again is set if the request was checked before.
+		Again bool
 	}
 
 	// Offer is the backend server that would get the second attempt.
@@ -220,10 +222,19 @@
 }
 
 // Observe records how long a first attempt took: to the first event of a stream, or to the whole
-// answer. An attempt that was cancelled is recorded with the time until then, if due is set, because
-// it would have taken longer: without it, the delay would fall with each second attempt. due is set if
-// Check was called for the attempt.
+// answer. due is set if Check was called for the attempt.
 func (h *Hedger) Observe(now time.Time, kind Kind, latency time.Duration, due bool) {
+	h.observe(now, kind, latency, false, due)
+}
+
+// ObserveCancelled records how long a first attempt for which Check was called had taken when it was
+// cancelled. It counts as a latency, because it would have taken longer: without it, the delay would
+// fall with each second attempt.
+func (h *Hedger) ObserveCancelled(now time.Time, kind Kind, latency time.Duration) {
+	h.observe(now, kind, latency, true, true)
+}
+
+func (h *Hedger) observe(now time.Time, kind Kind, latency time.Duration, cancelled, due bool) {
 	settings := h.settings.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -233,19 +244,22 @@
 		h.kinds.Add(kind, known)
 	}
 	known.update(now, settings.quantile)
-	known.record(latency)
+	known.record(latency, cancelled)
 	if !due {
 		h.pool(kind.Pool).lateness.add(now, false)
 	}
 }
 
 // Check reports why no second attempt may be sent, or Permitted, when the delay of a request has
-// passed. It is called once for each such request, before a backend server is sought.
+// passed. It is called before a backend server is sought, and again if the answer was not forecast to
+// be sooner there.
 func (h *Hedger) Check(now time.Time, request Request) Reason {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	lateness := &h.pool(request.Kind.Pool).lateness
-	lateness.add(now, true)
+	if !request.Again {
+		lateness.add(now, true)
+	}
 	reason := request.check()
 	if reason == Permitted && lateness.most(now) {
 		reason = Slow
@@ -297,9 +311,7 @@
 		return LockStep
 	case !offer.Found:
 		return NoServer
-	case offer.Expected >= offer.Elapsed:
-		// Latencies have long tails: an attempt that has taken longer than most may be expected to
-		// take about as long again.
+	case !h.isSooner(kind, offer):
 		return NotSooner
 	case !own.allows(now.Sub(h.started), settings.Ratio):
 		return Budget
@@ -310,6 +322,21 @@
 	return Permitted
 }
 
+// isSooner reports whether the answer is expected sooner from the offered backend server than from the one
+// that has the request. The usual latency is expected of a backend server that does not report its load.
+// The caller holds mu.
+func (h *Hedger) isSooner(kind Kind, offer Offer) bool {
+	known, ok := h.kinds.Get(kind)
+	if !ok || known.samples == 0 {
+		return offer.Expected < offer.Elapsed
+	}
+	expected := offer.Expected
+	if expected <= 0 {
+		expected = known.median
+	}
+	return expected <= known.remaining(offer.Elapsed)
+}
+
 // CountEnd counts the end of a second attempt. won is set if its answer was delivered, and cancelled
 // if that of the first one was.
 func (h *Hedger) CountEnd(route carawaybeam.RouteID, won, cancelled bool) {
--- a/hedger/latencies.go
+++ b/hedger/latencies.go
@@ -8,9 +8,15 @@
 
 const (
 	// periods of periodTime each are remembered of the latencies of a kind. A quantile of one kind
-	// thus follows a change of load within a minute.
-	periods    = 3
-	periodTime = 20 * time.Second
+	// thus follows a change of load within a minute. A period with few latencies lasts until there
+	// are enough, at most sparsePeriodTime: an entry may get a kind only every few seconds.
+	periods          = 3
+	periodTime       = 20 * time.Second
+	sparsePeriodTime = time.Minute
+
+	// minLonger is the number of known latencies above the time that an attempt has taken from which
+	// they tell how long it still takes.
+	minLonger = 3
 
 	// updateInterval is how often the quantiles are computed. It takes microseconds.
 	updateInterval = 250 * time.Millisecond
@@ -38,9 +44,12 @@
 	latencies struct {
 		window  *hdrhistogram.WindowedHistogram
 		rotated time.Time
+		// cancelled holds those in window of attempts that would have taken longer.
+		cancelled *hdrhistogram.WindowedHistogram
 
-		// updated is when the quantiles were computed, from so many samples.
+		// updated is when the quantiles were computed, from so many samples in known.
 		updated       time.Time
+		known, cut    *hdrhistogram.Histogram
 		samples       int64
 		delay, median time.Duration
 	}
@@ -56,14 +65,21 @@
 )
 
 func newLatencies(now time.Time) *latencies {
-	window := hdrhistogram.NewWindowed(periods, 1, int64(maxLatency/unit), digits)
-	return &latencies{window: window, rotated: now}
+	return &latencies{window: newWindow(), cancelled: newWindow(), rotated: now}
+}
+
+func newWindow() *hdrhistogram.WindowedHistogram {
+	return hdrhistogram.NewWindowed(periods, 1, int64(maxLatency/unit), digits)
 }
 
-// record records one latency.
-func (l *latencies) record(latency time.Duration) {
+// record records one latency, which is that of an attempt that was cancelled if cut is set.
+func (l *latencies) record(latency time.Duration, cut bool) {
+	value := int64(min(max(latency, unit), maxLatency) / unit)
 	// The only error is about a latency above the maximum.
-	_ = l.window.Current.RecordValue(int64(min(max(latency, unit), maxLatency) / unit))
+	_ = l.window.Current.RecordValue(value)
+	if cut {
+		_ = l.cancelled.Current.RecordValue(value)
+	}
 }
 
 // update forgets old latencies and computes the quantiles, if they were not computed just now.
@@ -72,17 +88,55 @@
 		return
 	}
 	l.updated = now
-	for range min(int(now.Sub(l.rotated)/periodTime), periods) {
+	for range periods {
+		period := l.period()
+		if now.Sub(l.rotated) < period {
+			break
+		}
 		l.window.Rotate()
-		l.rotated = l.rotated.Add(periodTime)
+		l.cancelled.Rotate()
+		l.rotated = l.rotated.Add(period)
 	}
-	if now.Sub(l.rotated) >= periodTime {
+	if now.Sub(l.rotated) >= sparsePeriodTime {
 		l.rotated = now
 	}
-	merged := l.window.Merge()
-	l.samples = merged.TotalCount()
-	l.delay = time.Duration(merged.ValueAtQuantile(quantile*percent)) * unit
-	l.median = time.Duration(merged.ValueAtQuantile(middle)) * unit
+	l.known, l.cut = l.window.Merge(), l.cancelled.Merge()
+	l.samples = l.known.TotalCount()
+	l.delay = time.Duration(l.known.ValueAtQuantile(quantile*percent)) * unit
+	l.median = time.Duration(l.known.ValueAtQuantile(middle)) * unit
+}
+
+// period returns how long the current period lasts.
+func (l *latencies) period() time.Duration {
+	if l.window.Current.TotalCount() < minSamples {
+		return sparsePeriodTime
+	}
+	return periodTime
+}
+
+// remaining returns how long an attempt that has taken some time is expected to take still: the mean
+// residual latency. If hardly any known latency was longer, that is the time by which the attempt
+// exceeds the usual one, as the residual grows with it for a long tail.
+func (l *latencies) remaining(elapsed time.Duration) time.Duration {
+	count, sum := longer(l.known, elapsed)
+	if count < minLonger {
+		return elapsed - l.median
+	}
+	// Attempts that were cancelled are taken to have needed as long again. Otherwise the second attempts
+	// that won would make further ones seem useless.
+	_, more := longer(l.cut, elapsed)
+	return time.Duration(sum+more)*unit/time.Duration(count) - elapsed
+}
+
+// longer returns the number and the sum of the latencies that are longer than elapsed.
+func longer(h *hdrhistogram.Histogram, elapsed time.Duration) (count, sum int64) {
+	for _, bar := range h.Distribution() {
+		if bar.From > int64(elapsed/unit) {
+			count += bar.Count
+			sum += bar.Count * (bar.From + bar.To) / 2
+		}
+	}
+	return count, sum
 }
 
 // add adds an attempt.
--- a/hedger/state.go
+++ b/hedger/state.go
@@ -18,7 +18,8 @@
 		Sent      uint64 `json:"sent"`
 		Won       uint64 `json:"won"`
 		Cancelled uint64 `json:"cancelled"`
-		// Suppressed is how many were due and not sent, by reason.
+		// Suppressed is how often one was due and not sent, by reason. One that is not forecast to be
+		// sooner is due again later.
 		Suppressed map[Reason]uint64 `json:"suppressed"`
 	}
 
