Keep latencies of rare kinds until a period has enough

A period that had lasted longer than 20 s to get its 20 latencies was followed by one whose beginning was set 20 s after that of its predecessor, so that it ended too soon: with a request every 2.9 s, after 20 to 23 s with 7 or 8 latencies instead of after 58 s with 20. The window then held 27 or 28 latencies. Each period now begins where the last one ended.

TestSparsePeriodLasts failed before.

--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -244,7 +244,7 @@
 		h.kinds.Add(kind, known)
 	}
 	known.update(now, settings.quantile)
-	known.record(latency, cancelled)
+	known.record(now, latency, cancelled)
 	if !due {
 		h.pool(kind.Pool).lateness.add(now, false)
 	}
--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -362,3 +362,18 @@
 	_, known = s.Delay(s.now, kind)
 	is.True(!known)
 }
+
+// TestSparsePeriodLasts guards against a period that ends before it has enough latencies because the one before
+// it lasted longer than usual: the quantiles would be those of too few.
+func TestSparsePeriodLasts(t *testing.T) {
+	is := is.New(t)
+	s := newScene(hedger.Settings{Ratio: 0.05})
+	for i := range 200 {
+		s.now = s.now.Add(2900 * time.Millisecond)
+		s.Observe(s.now, kind, fast, false)
+		if i >= 60 {
+			// Two periods of 20 latencies each, and the current one.
+			is.True(s.State(s.now).Kinds[0].Samples >= 40)
+		}
+	}
+}
--- a/hedger/latencies.go
+++ b/hedger/latencies.go
@@ -42,8 +42,9 @@
 type (
 	// latencies is what is known of the latencies of one kind.
 	latencies struct {
-		window  *hdrhistogram.WindowedHistogram
-		rotated time.Time
+		window *hdrhistogram.WindowedHistogram
+		// rotated is when the current period began, and ends when it ends.
+		rotated, ends time.Time
 		// cancelled holds those in window of attempts that would have taken longer.
 		cancelled *hdrhistogram.WindowedHistogram
 
@@ -65,7 +66,9 @@
 )
 
 func newLatencies(now time.Time) *latencies {
-	return &latencies{window: newWindow(), cancelled: newWindow(), rotated: now}
+	l := &latencies{window: newWindow(), cancelled: newWindow()}
+	l.begin(now)
+	return l
 }
 
 func newWindow() *hdrhistogram.WindowedHistogram {
@@ -73,13 +76,16 @@
 }
 
 // record records one latency, which is that of an attempt that was cancelled if cut is set.
-func (l *latencies) record(latency time.Duration, cut bool) {
+func (l *latencies) record(now time.Time, latency time.Duration, cut bool) {
 	value := int64(min(max(latency, unit), maxLatency) / unit)
 	// The only error is about a latency above the maximum.
 	_ = l.window.Current.RecordValue(value)
 	if cut {
 		_ = l.cancelled.Current.RecordValue(value)
 	}
+	if l.window.Current.TotalCount() == minSamples {
+		l.ends = l.rotated.Add(max(periodTime, now.Sub(l.rotated)))
+	}
 }
 
 // update forgets old latencies and computes the quantiles, if they were not computed just now.
@@ -89,16 +95,15 @@
 	}
 	l.updated = now
 	for range periods {
-		period := l.period()
-		if now.Sub(l.rotated) < period {
+		if now.Before(l.ends) {
 			break
 		}
 		l.window.Rotate()
 		l.cancelled.Rotate()
-		l.rotated = l.rotated.Add(period)
+		l.begin(l.ends)
 	}
-	if now.Sub(l.rotated) >= sparsePeriodTime {
-		l.rotated = now
+	if !now.Before(l.ends) {
+		l.begin(now)
 	}
 	l.known, l.cut = l.window.Merge(), l.cancelled.Merge()
 	l.samples = l.known.TotalCount()
@@ -106,13 +111,8 @@
 	l.median = time.Duration(l.known.ValueAtQuantile(middle)) * unit
 }
 
-// period returns how long the current period lasts.
-func (l *latencies) period() time.Duration {
-	if l.window.Current.TotalCount() < minSamples {
-		return sparsePeriodTime
-	}
-	return periodTime
-}
+// begin begins a period, which has no latencies yet.
+func (l *latencies) begin(at time.Time) { l.rotated, l.ends = at, at.Add(sparsePeriodTime) }
 
 // remaining returns how long an attempt that has taken some time is expected to take still: the mean
 // residual latency. If hardly any known latency was longer, that is the time by which the attempt
