Forecast whole answers by their usual latency

The router forecasts the first event. For routes whose whole answer is measured, and for backend servers that do not report, a second attempt is expected to take at least the median. A first attempt that failed is no longer recorded as cancelled. The timer is stopped before the race ends. TestWholeAnswers failed before; TestCheckedAgain fails if Again is ignored.

TestOneSlowServerOfMany follows the schedule of checks: where latencies hardly differ, the third check sends; all 100 are still sent, and each within three times the usual latency.

--- a/dispatcher/forwarder/hedge.go
+++ b/dispatcher/forwarder/hedge.go
@@ -30,7 +30,7 @@
 		// decided is the backend server of the first attempt.
 		decided carawaybeam.BackendID
 		began   time.Time
-		// delay is the time after which a second attempt is due.
+		// delay is the time after which a second attempt was sent, or is due.
 		delay time.Duration
 		first contender
 		// winner is the attempt that writes to the client, or nil.
@@ -87,7 +87,6 @@
 		r.mu.Lock()
 		r.timer = time.AfterFunc(delay, r.runSecond)
 		r.mu.Unlock()
-		defer r.timer.Stop()
 	}
 	r.first.result = f.attempt(r.first.ctx, &r.first.request, decision)
 	r.first.releaseLost()
@@ -240,7 +239,7 @@
 	c := &contender{}
 	c.prepare(r)
 	c.request.attempts++
-	r.second = c
+	r.second, r.delay = c, time.Since(r.began)
 	return c, hedger.Permitted
 }
 
@@ -266,6 +265,9 @@
 	r.mu.Lock()
 	r.ended = true
 	due := r.due
+	if r.timer != nil {
+		r.timer.Stop()
+	}
 	if r.second != nil {
 		r.second.cancel()
 	}
@@ -298,8 +300,10 @@
 		h.Observe(now, r.kind, r.answered, r.due != nil)
 	case winner != nil:
 		h.ObserveCancelled(now, r.kind, r.answered)
-	case r.due != nil:
+	case r.due != nil && r.ctx.Err() != nil:
 		h.ObserveCancelled(now, r.kind, now.Sub(r.began))
+	case r.due != nil:
+		h.Observe(now, r.kind, now.Sub(r.began), true)
 	}
 }
 
@@ -404,7 +408,7 @@
 	decision, ok := f.options.Router.Route(now, f.routeRequest(p, nil), candidates, f.random)
 	offer.Found = ok && decision.ClosedFor == 0
 	offer.Crowded = decision.Crowded
-	offer.Expected = decision.Expected
+	offer.Expected, offer.Whole = decision.Expected, p.route.Kind != carawaybeam.RouteStream
 	return decision, offer
 }
 
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -129,8 +129,10 @@
 		Found, LockStep bool
 		// Crowded is set if another request would make those there late.
 		Crowded bool
-		// Expected is how long the answer is expected to take there, or 0 if unknown.
+		// Expected is how long the first event is expected to take there, or 0 if unknown, and Whole is set
+		// if latencies of the kind are those of whole answers.
 		Expected time.Duration
+		Whole    bool
 		// Retry draws on the retry budget of all entries together and reports whether that
 		// allows an attempt.
 		Retry func() bool
@@ -331,8 +333,8 @@
 		return offer.Expected < offer.Elapsed
 	}
 	expected := offer.Expected
-	if expected <= 0 {
-		expected = known.median
+	if expected <= 0 || offer.Whole {
+		expected = max(expected, known.median)
 	}
 	return expected <= known.remaining(offer.Elapsed)
 }
