Keep young connections of clients that exceed their share

At the bound, connections of a client with more than its share were closed whatever their age, those with the least progress first: the one that had just been accepted, or a write that had just begun. Behind one address, a readiness check lost its connection 41 ms after it was accepted, before its request arrived (seen in TestMisbehavingClientsLinked with the readiness address attacked beside busy processes: no answer).

Connections younger than 100 ms stay whatever their client holds, and those younger than 500 ms give way only where there is no other room. TestYoungOfLargeClient fails without the change (new, head that has begun, write that has begun).

--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -145,10 +145,13 @@
 		return victim{class: int(Idle), score: -age.Seconds() * weight}, true
 	case c.Stage != Idle && rate/weight < SoundRate && age >= newTime:
 		return victim{class: int(c.Stage), score: rate / weight}, true
-	case weight > 1:
+	case age < sendTime:
+		// The request of a new connection may not have arrived yet, whatever its client has beside it.
+		return victim{}, false
+	case weight > 1 && (rate >= SoundRate || age >= newTime):
 		return victim{class: greedyClass, score: rate / weight}, true
-	case rate < SoundRate && age >= sendTime:
-		return victim{class: newClass, score: -age.Seconds()}, true
+	case rate < SoundRate:
+		return victim{class: newClass, score: -age.Seconds() * weight}, true
 	}
 	return victim{}, false
 }
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -113,6 +113,40 @@
 	}
 }
 
+// TestYoungOfLargeClient guards against closing a connection that has just been accepted, or a write that has just
+// begun, because its client has more than its share. Behind a load balancer all clients may have the same address.
+func TestYoungOfLargeClient(t *testing.T) {
+	const bound = shedder.Bound(64)
+	now := time.Now()
+	tests := map[string]struct {
+		stage shedder.Stage
+		age   time.Duration
+		bytes carawaybeam.Bytes
+		want  bool
+	}{
+		"new":                   {shedder.Idle, second / 20, 0, false},
+		"new with room needed":  {shedder.Idle, second / 5, 0, true},
+		"head that has begun":   {shedder.Reading, second / 20, 100, false},
+		"write that has begun":  {shedder.Writing, second / 20, 0, false},
+		"sound upload":          {shedder.Reading, second, 100 << 10, true},
+		"sound upload of late":  {shedder.Reading, second / 5, 100 << 10, true},
+		"write that is stopped": {shedder.Writing, second, 0, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			connections := make([]shedder.Connection, 0, 65)
+			for len(connections) < 64 {
+				connections = append(connections, shedder.Connection{Stage: shedder.Serving, Client: client(1)})
+			}
+			connections = append(connections, shedder.Connection{
+				Stage: test.stage, Client: client(1), Since: now.Add(-test.age), Bytes: test.bytes,
+			})
+			is.Equal(len(bound.Choose(now, connections)) > 0, test.want)
+		})
+	}
+}
+
 // TestFloodOfNewConnections guards against closing the connection of an ordinary client because it has just been
 // accepted, while a crowd sends its requests byte by byte. It simulates 200 connections a second that send 2
 // bytes a second each, and 20 ordinary clients a second that send 2 KB after 50 ms and are served for 300 ms.
