Look at all connections at most every 5 ms, and look again before closing one

A listener at its bound looked at all its connections for each new one: with a crowd that connects again and again, 1,000 connections cost as many looks, under the lock that each connection needs to end. Connections are now ranked at most every 5 ms (10 ms below the bound), and victims taken in that order. TestScansAreBounded fails without it.

Each victim is judged again at its present state before it is closed. Only the stage was compared: a connection that had been chosen for a write could lose the next one, and one chosen while it wrote its last answer was reset as soon as the server waited for the client's close. A write that ends whole after its connection was chosen no longer cuts the connection. TestHolds checks the decision; TestTakenWriteStays fails without the change (the next answer was cut).

--- a/keeper/bound.go
+++ b/keeper/bound.go
@@ -37,9 +37,10 @@
 	maxEndWait = 200 * time.Millisecond
 	retryWait  = 5 * time.Millisecond
 
-	// scanInterval is the time after a look at all connections that found none to close in which there is no other
-	// one while the bound is not reached. Progress is measured over 500 ms.
+	// scanInterval is the least time between two looks at all connections, and fullInterval that while the
+	// bound is reached. Progress is measured over 500 ms.
 	scanInterval = 10 * time.Millisecond
+	fullInterval = retryWait
 
 	// logInterval is the least time between two log lines on connections that are closed for
 	// others.
@@ -103,8 +104,6 @@
 	// counts counts what was done for lack of room. The fields are guarded by the mu of Keeper.
 	counts struct {
 		shedCount, refusedCount, headerCount, scanCount uint64
-		// scanned is when all connections were last looked at without closing one.
-		scanned time.Time
 		// logged is when that was last logged, and unlogged how many connections were closed or
 		// refused since.
 		logged   time.Time
@@ -193,16 +192,10 @@
 func (k *Keeper) tryAdmit(c *conn, late bool) (admitted, wait bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	closed, ending := 0, 0
-	if k.scanDue() {
-		closed, ending = k.closeLeast()
-		k.shedCount += uint64(closed)
-		if closed == 0 {
-			k.scanned = time.Now()
-		}
-	}
+	closed := k.makeRoom()
+	k.shedCount += uint64(closed)
 	k.unlogged += closed
-	if !k.options.Bound.Full(len(k.conns), ending) {
+	if !k.full() {
 		k.conns[c] = struct{}{}
 		return true, false
 	}
@@ -214,39 +207,87 @@
 	return false, false
 }
 
-// scanDue reports whether connections are to be closed if some make too little progress. The caller holds mu.
-func (k *Keeper) scanDue() bool {
-	bound, connections := k.options.Bound, len(k.conns)
-	return bound.Full(connections, 0) || bound.Room(connections) <= 0 && time.Since(k.scanned) >= scanInterval
+// full reports whether there is no room for a further connection. The caller holds mu.
+func (k *Keeper) full() bool {
+	return k.options.Bound.Full(len(k.conns), k.ending, k.options.Bound.Spare())
 }
 
-// closeLeast closes the connections with the least progress. It returns how many, and how many are being closed in
-// all. The caller holds mu.
-func (k *Keeper) closeLeast() (closed, ending int) {
-	now := time.Now()
-	k.scanCount++
-	conns := make([]*conn, 0, len(k.conns))
-	described := make([]shedder.Connection, 0, len(k.conns))
-	for c := range k.conns {
-		d := c.describe()
-		if d.Stage == shedder.Ending {
-			ending++
-		}
-		conns, described = append(conns, c), append(described, d)
+// makeRoom closes connections with little progress until there is room for a further one, and returns how many. It
+// looks at all connections once in a while, and takes victims from what it found then. The caller holds mu.
+func (k *Keeper) makeRoom() (closed int) {
+	if k.options.Bound.Room(len(k.conns)) > 0 {
+		k.victims, k.ranked = nil, nil
+		return 0
+	}
+	if closed = k.closeVictims(); k.options.Bound.Room(len(k.conns)-k.ending) > 0 {
+		return closed
+	}
+	interval := scanInterval
+	if k.full() {
+		interval = fullInterval
+	}
+	if time.Since(k.scanned) < interval {
+		return closed
 	}
-	closedNow := 0
-	for _, i := range k.options.Bound.Choose(now, described) {
-		if !conns[i].closeForOthers(described[i].Stage) {
+	k.scan()
+	return closed + k.closeVictims()
+}
+
+// closeVictims closes as many of the victims as are needed for a further connection, and returns how many. The caller
+// holds mu.
+func (k *Keeper) closeVictims() (closed int) {
+	now := time.Now()
+	for len(k.victims) > 0 && k.options.Bound.Needed(k.victims[0], len(k.conns)-k.ending) {
+		v := k.victims[0]
+		k.victims = k.victims[1:]
+		c := k.ranked[v.Index]
+		if _, open := k.conns[c]; !open || !c.closeForOthers(now, v) {
 			continue
 		}
 		closed++
-		if conns[i].isClosed() {
+		if c.isClosed() {
 			// The server still waits a moment, and then closes it once more.
-			delete(k.conns, conns[i])
-			closedNow++
+			k.forget(c)
+			continue
 		}
+		k.setEnding(c, true)
+	}
+	return closed
+}
+
+// scan ranks all connections, and counts those that are being closed. The caller holds mu.
+func (k *Keeper) scan() {
+	now := time.Now()
+	k.scanCount++
+	k.scanned = now
+	k.ranked = make([]*conn, 0, len(k.conns))
+	described := make([]shedder.Connection, 0, len(k.conns))
+	for c := range k.conns {
+		c.mu.Lock()
+		d := c.describe()
+		c.mu.Unlock()
+		// A connection whose request arrived in time is served all the same.
+		k.setEnding(c, d.Stage == shedder.Ending)
+		k.ranked, described = append(k.ranked, c), append(described, d)
 	}
-	return closed, ending + closed - closedNow
+	k.victims = k.options.Bound.Rank(now, described)
+}
+
+// setEnding sets whether a connection counts as ending. The caller holds mu.
+func (k *Keeper) setEnding(c *conn, ending bool) {
+	switch {
+	case ending && !c.ending:
+		k.ending++
+	case !ending && c.ending:
+		k.ending--
+	}
+	c.ending = ending
+}
+
+// forget removes a connection. The caller holds mu.
+func (k *Keeper) forget(c *conn) {
+	k.setEnding(c, false)
+	delete(k.conns, c)
 }
 
 // logClosed logs how many connections were closed or refused for lack of room. The log may be slow, so that no lock is
@@ -266,10 +307,8 @@
 		Int("bound", int(k.options.Bound)).Msg(k.options.Component + ": connections are closed for others")
 }
 
-// describe describes the connection to the shedder.
+// describe describes the connection to the shedder. The caller holds mu.
 func (c *conn) describe() shedder.Connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	d := shedder.Connection{Stage: shedder.Serving, Client: c.client, Organisation: c.organisation}
 	switch {
 	case c.closing:
@@ -286,31 +325,29 @@
 	return d
 }
 
-// closeForOthers ends the connection unless it is at another stage by now. A request that has been read
-// meanwhile is still served.
-func (c *conn) closeForOthers(stage shedder.Stage) bool {
+// closeForOthers ends the connection unless it has made progress or begun something else since it was ranked. A
+// request that has been read meanwhile is still served.
+func (c *conn) closeForOthers(now time.Time, victim shedder.Victim) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	current := c.describe()
+	if !victim.Holds(now, current) {
+		return false
+	}
 	past := time.Unix(1, 0)
+	c.shed = true
 	switch {
 	case c.closing:
-		c.shed = true
 		_ = c.Conn.Close()
-	case c.shed && (c.writeShed || !c.writing):
-		return false
-	case stage == shedder.Idle && c.idle:
+	case current.Stage == shedder.Idle:
 		// Its reader ends it, after a last read.
-		c.shed = true
 		_ = c.Conn.SetReadDeadline(past)
-	case stage == shedder.Reading && !c.idle && (c.inHead || c.inBody):
-		c.shed = true
+	case current.Stage == shedder.Reading:
 		c.readEnded.Store(true)
 		_ = c.Conn.SetReadDeadline(past)
-	case stage == shedder.Writing && c.writing:
-		c.shed, c.writeShed = true, true
+	case current.Stage == shedder.Writing:
+		c.writeShed = true
 		_ = c.Conn.SetWriteDeadline(past)
-	default:
-		return false
 	}
 	return true
 }
@@ -529,6 +566,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
+	if c.writeShed && err == nil {
+		// The client had taken all of it before the connection was chosen.
+		c.shed, c.writeShed = false, false
+		_ = c.Conn.SetWriteDeadline(c.writeDeadline)
+	}
 	return written, err
 }
 
--- a/keeper/bound_test.go
+++ b/keeper/bound_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -136,6 +137,67 @@
 	})
 }
 
+// TestScansAreBounded guards against looking at all connections for each new one while a crowd connects again and
+// again, which takes the processor time that the connections need to end.
+func TestScansAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newBoundService(nil)
+		defer s.close()
+		const connections = 1000
+		began := time.Now()
+		for range connections {
+			c := s.connect(nil)
+			defer func() { _ = c.Close() }()
+			time.Sleep(500 * time.Microsecond)
+		}
+		is.True(s.State().Shed >= connections-bound-bound/8)
+		is.True(s.State().Scans <= uint64(time.Since(began)/(5*time.Millisecond))+1)
+	})
+}
+
+// takenConn is a connection whose client takes an answer, while the process learns of it only later.
+type takenConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *takenConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+// TestTakenWriteStays guards against cutting a connection for a write that its client has taken meanwhile. The
+// connections of others are all being served, so that the write is the one with the least progress.
+func TestTakenWriteStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		defer time.Sleep(2 * time.Second) // The last write ends late.
+		s := newBoundService(func(o *keeper.Options) {
+			handler := o.Handler
+			o.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				is.NoErr(http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Minute)))
+				handler.ServeHTTP(w, r)
+			})
+		})
+		defer s.close()
+		c := s.connect(func(inner net.Conn) net.Conn { return &takenConn{inner, time.Second} })
+		is.True(c.do())
+		s.delay = 10 * time.Second
+		var clients sync.WaitGroup
+		for range bound {
+			other := s.connect(nil)
+			clients.Go(func() { is.True(other.do()) })
+			time.Sleep(15 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		is.Equal(s.State().Shed, uint64(1))
+		is.True(c.do())
+		clients.Wait()
+	})
+}
+
 // TestFewScans guards against looking at all connections for each new one while they are all being served, which
 // takes processor time from them.
 func TestFewScans(t *testing.T) {
--- a/keeper/conn.go
+++ b/keeper/conn.go
@@ -27,6 +27,8 @@
 	net.Conn
 	keeper   *Keeper
 	accepted time.Time
+	// ending is set while the Keeper counts the connection as ending. It is guarded by the mu of Keeper.
+	ending bool
 
 	mu  sync.Mutex
 	end End
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -81,6 +81,13 @@
 		conns map[*conn]struct{}
 		// removed receives a value when a connection has ended, unless there is one in it.
 		removed chan struct{}
+		// ending is the number of connections that are being closed for others.
+		ending int
+		// victims are the connections that may be closed for others, as they were ranked at scanned, and
+		// ranked are the connections to which they refer.
+		victims []shedder.Victim
+		ranked  []*conn
+		scanned time.Time
 		// lateAt is when a new connection last waited in vain for others to end. Only Accept uses it.
 		lateAt time.Time
 		counts
@@ -315,7 +322,7 @@
 func (k *Keeper) remove(c *conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.conns, c)
+	k.forget(c)
 	select {
 	case k.removed <- struct{}{}:
 	default:
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -45,10 +45,6 @@
 
 	// reserveShare is the part of the connections that is kept free for new ones.
 	reserveShare = 8
-
-	// batchShare is the largest part of the connections that is closed for one new connection, so that
-	// the others need not be looked at for each.
-	batchShare = 64
 )
 
 type (
@@ -70,10 +66,13 @@
 	// Bound is the bound on the number of connections.
 	Bound int
 
-	// victim is a connection that may be closed.
-	victim struct {
-		index int
+	// Victim is a connection that may be closed.
+	Victim struct {
+		// Index is its index in the connections that were ranked.
+		Index int
 		class int
+		// weight is by how much its client exceeds its share.
+		weight float64
 		// score is the progress, or for idle connections the negative time that they are idle.
 		score float64
 	}
@@ -84,45 +83,44 @@
 func (b Bound) Room(connections int) int { return int(b) - int(b)/reserveShare - connections }
 
 // Full reports whether a further connection is to be refused. The number of connections includes those that are being
-// closed, which may exceed the bound by the part that is kept free.
-func (b Bound) Full(connections, ending int) bool {
-	return connections-ending >= int(b) || connections >= int(b)+int(b)/reserveShare
+// closed, of which no more than spare may exceed the bound.
+func (b Bound) Full(connections, ending, spare int) bool {
+	return connections-ending >= int(b) || connections >= int(b)+spare
 }
 
-// Choose returns the indices of the connections that are to be closed now, those with the least progress
-// first. It returns none while there is room.
-func (b Bound) Choose(now time.Time, connections []Connection) []int {
-	ending := 0
-	for _, c := range connections {
-		if c.Stage == Ending {
-			ending++
-		}
-	}
-	excess := 1 - b.Room(len(connections)-ending)
-	if excess <= 0 {
-		return nil
-	}
+// Spare returns by how many connections that are being closed the bound may usually be exceeded.
+func (b Bound) Spare() int { return int(b) / reserveShare }
+
+// Rank returns the connections that may be closed, those with the least progress first.
+func (b Bound) Rank(now time.Time, connections []Connection) []Victim {
 	weights := b.weights(connections)
-	victims := make([]victim, 0, len(connections))
+	victims := make([]Victim, 0, len(connections))
 	for i, c := range connections {
-		if v, ok := assess(now, c, weights(c)); ok {
-			v.index = i
+		v := Victim{Index: i, weight: weights(c)}
+		if v.assess(now, c) {
 			victims = append(victims, v)
 		}
 	}
-	slices.SortFunc(victims, func(x, y victim) int {
+	slices.SortFunc(victims, func(x, y Victim) int {
 		return cmp.Or(cmp.Compare(x.class, y.class), cmp.Compare(x.score, y.score))
 	})
-	most := max(excess, int(b)/batchShare)
-	chosen := make([]int, 0, min(most, len(victims)))
-	full := 1 + len(connections) - ending - int(b)
-	for _, v := range victims[:min(most, len(victims))] {
-		if v.class == greedyClass && len(chosen) >= excess || v.class == newClass && len(chosen) >= full {
-			break
-		}
-		chosen = append(chosen, v.index)
+	return victims
+}
+
+// Needed reports whether a victim is to be closed before a further connection is opened. The number of connections
+// is without those that are being closed.
+func (b Bound) Needed(v Victim, connections int) bool {
+	if v.class == newClass {
+		return connections >= int(b)
 	}
-	return chosen
+	return b.Room(connections) <= 0
+}
+
+// Holds reports whether the connection of a victim is still to be closed for the reason for which it was chosen. It may
+// have made progress or have begun something else.
+func (v Victim) Holds(now time.Time, c Connection) bool {
+	current := v
+	return current.assess(now, c) && current.class == v.class
 }
 
 const (
@@ -133,27 +131,29 @@
 	newClass = 4
 )
 
-// assess returns the class and score of a connection, or false if it is not to be closed. A connection with
+// assess sets the class and score of a connection, or returns false if it is not to be closed. A connection with
 // less progress has a lower one.
-func assess(now time.Time, c Connection, weight float64) (victim, bool) {
+func (v *Victim) assess(now time.Time, c Connection) bool {
 	age := now.Sub(c.Since)
 	rate := float64(c.Bytes) / max(age, newTime).Seconds()
 	switch {
 	case c.Stage == Serving || c.Stage == Ending:
-		return victim{}, false
+		return false
 	case c.Stage == Idle && age >= newTime:
-		return victim{class: int(Idle), score: -age.Seconds() * weight}, true
-	case c.Stage != Idle && rate/weight < SoundRate && age >= newTime:
-		return victim{class: int(c.Stage), score: rate / weight}, true
+		v.class, v.score = int(Idle), -age.Seconds()*v.weight
+	case c.Stage != Idle && rate/v.weight < SoundRate && age >= newTime:
+		v.class, v.score = int(c.Stage), rate/v.weight
 	case age < sendTime:
 		// The request of a new connection may not have arrived yet, whatever its client has beside it.
-		return victim{}, false
-	case weight > 1 && (rate >= SoundRate || age >= newTime):
-		return victim{class: greedyClass, score: rate / weight}, true
+		return false
+	case v.weight > 1 && (rate >= SoundRate || age >= newTime):
+		v.class, v.score = greedyClass, rate/v.weight
 	case rate < SoundRate:
-		return victim{class: newClass, score: -age.Seconds() * weight}, true
+		v.class, v.score = newClass, -age.Seconds()*v.weight
+	default:
+		return false
 	}
-	return victim{}, false
+	return true
 }
 
 // weights returns a function that returns by how much the client or the organisation of a connection exceeds
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -17,6 +17,25 @@
 // client returns the address of a client.
 func client(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
 
+// choose returns the indices of the connections that are to be closed before a further one is opened.
+func choose(bound shedder.Bound, now time.Time, connections []shedder.Connection) []int {
+	open := len(connections)
+	for _, c := range connections {
+		if c.Stage == shedder.Ending {
+			open--
+		}
+	}
+	var chosen []int
+	for _, v := range bound.Rank(now, connections) {
+		if !bound.Needed(v, open) {
+			break
+		}
+		chosen = append(chosen, v.Index)
+		open--
+	}
+	return chosen
+}
+
 // TestChoose guards against closing connections that make progress, or that came last, in place of those which
 // make none. Each case fills the bound of 64 up to the reserve with sound uploads of 50 KB/s by clients of their
 // own, and names the connections that take the place of some of them.
@@ -76,7 +95,7 @@
 				connections = append(connections, sound(len(connections)))
 			}
 			is.Equal(len(connections)+bound.Room(len(connections)), 56)
-			got := bound.Choose(now, connections)
+			got := choose(bound, now, connections)
 			is.True(slices.Equal(got, test.want)) // got
 		})
 	}
@@ -104,7 +123,7 @@
 				c.Stage, c.Since, c.Bytes = shedder.Reading, now.Add(-2*second), 100<<10
 				connections = append(connections, c)
 			}
-			chosen := bound.Choose(now, connections)
+			chosen := choose(bound, now, connections)
 			is.True(len(chosen) > 0)
 			for _, i := range chosen {
 				is.True(i >= 6) // a connection of the large one
@@ -142,7 +161,39 @@
 			connections = append(connections, shedder.Connection{
 				Stage: test.stage, Client: client(1), Since: now.Add(-test.age), Bytes: test.bytes,
 			})
-			is.Equal(len(bound.Choose(now, connections)) > 0, test.want)
+			is.Equal(len(choose(bound, now, connections)) > 0, test.want)
+		})
+	}
+}
+
+// TestHolds guards against closing a connection that has made progress or has begun something else since it was
+// ranked.
+func TestHolds(t *testing.T) {
+	const bound = shedder.Bound(64)
+	now := time.Now()
+	at := func(stage shedder.Stage, age time.Duration, bytes carawaybeam.Bytes) shedder.Connection {
+		return shedder.Connection{Stage: stage, Client: client(1), Since: now.Add(-age), Bytes: bytes}
+	}
+	tests := map[string]struct {
+		ranked, current shedder.Connection
+		want            bool
+	}{
+		"same":               {at(shedder.Writing, second, 0), at(shedder.Writing, second, 0), true},
+		"little progress":    {at(shedder.Reading, second, 0), at(shedder.Reading, second, 1), true},
+		"next write":         {at(shedder.Writing, second, 0), at(shedder.Writing, 0, 0), false},
+		"write was taken":    {at(shedder.Writing, second, 0), at(shedder.Writing, second, 16<<10), false},
+		"answer has begun":   {at(shedder.Reading, second, 0), at(shedder.Writing, second, 0), false},
+		"is served":          {at(shedder.Idle, second, 0), at(shedder.Serving, second, 0), false},
+		"idle again":         {at(shedder.Idle, second, 0), at(shedder.Idle, second/5, 0), false},
+		"is being closed":    {at(shedder.Idle, second, 0), at(shedder.Ending, second, 0), false},
+		"waits for the peer": {at(shedder.Writing, second, 0), at(shedder.Reading, 0, 0), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			victims := bound.Rank(now, []shedder.Connection{test.ranked})
+			is.Equal(len(victims), 1)
+			is.Equal(victims[0].Holds(now, test.current), test.want)
 		})
 	}
 }
@@ -182,14 +233,14 @@
 		for _, c := range open {
 			described = append(described, c.Connection)
 		}
-		chosen := bound.Choose(now, described)
+		chosen := choose(bound, now, described)
 		slices.Sort(chosen)
 		for _, i := range slices.Backward(chosen) {
 			is.True(open[i].Stage != shedder.Serving)
 			open = slices.Delete(open, i, i+1)
 		}
 		ordinary := step%10 == 0
-		if bound.Full(len(open), 0) {
+		if bound.Full(len(open), 0, bound.Spare()) {
 			if ordinary {
 				refused++
 			}
