Let readiness checks wait for room where they have no other place to go

A listener at its bound refused a new connection after 200 ms, and everything that came in the next 200 ms. In a busy process the connections that were closed for others end late, so that a readiness check got no answer. On the admin port 192 and more requests for the state waited 2 s in their handlers, where no connection can be closed for another.

Listeners with readiness checks (readier, dumper) let a new connection wait up to 900 ms, and half as many connections as the bound may be ending. The bound is 192 in place of 256, so that there are 288 connections at most, as before. The admin port lets 64 requests wait for an answer and refuses others with 503.

--- a/dumper/dumper.go
+++ b/dumper/dumper.go
@@ -40,12 +40,14 @@
 	headerBytes   = 16 << 10
 
 	// maxConnections is the maximum number of connections. Those with the least progress are closed
-	// for new ones.
-	maxConnections = 256
+	// for new ones, and half as many may be closing.
+	maxConnections = 192
 
 	// maxAnswers is the maximum number of answers, other than to checks, that are produced at the
-	// same time. A state dump takes megabytes. Further requests wait for answerWait.
+	// same time. A state dump takes megabytes. Up to maxWaiting further requests wait for answerWait, and others
+	// are refused: a connection whose request waits cannot be closed for a check.
 	maxAnswers = 8
+	maxWaiting = 64
 	answerWait = 2 * time.Second
 )
 
@@ -68,7 +70,9 @@
 		options Options
 		keeper  *keeper.Keeper
 		answers *semaphore.Weighted
-		scope   tally.Scope
+		// places holds the requests that produce or wait for an answer.
+		places *semaphore.Weighted
+		scope  tally.Scope
 		// closer stops the reporting of metrics.
 		closer io.Closer
 	}
@@ -90,7 +94,10 @@
 
 // New returns a Dumper that serves the admin port on the listener until Close.
 func New(listener net.Listener, options Options) *Dumper {
-	d := &Dumper{options: options, answers: semaphore.NewWeighted(maxAnswers)}
+	d := &Dumper{
+		options: options, answers: semaphore.NewWeighted(maxAnswers),
+		places: semaphore.NewWeighted(maxAnswers + maxWaiting),
+	}
 	reporter := prometheus.NewReporter(prometheus.Options{OnRegisterError: d.registerError})
 	d.scope, d.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "carawaybeam",
@@ -115,6 +122,7 @@
 		ReadTimeout:   readTimeout,
 		HeaderBytes:   headerBytes,
 		Bound:         maxConnections,
+		Checks:        true,
 		Scope:         d.scope,
 		Log:           options.Log,
 	})
@@ -137,9 +145,12 @@
 		}
 		ctx, cancel := context.WithTimeout(c.Request().Context(), answerWait)
 		defer cancel()
+		if !d.places.TryAcquire(1) {
+			return refuse(c)
+		}
+		defer d.places.Release(1)
 		if d.answers.Acquire(ctx, 1) != nil {
-			c.Response().Header().Set("Retry-After", "1")
-			return c.NoContent(http.StatusServiceUnavailable)
+			return refuse(c)
 		}
 		defer d.answers.Release(1)
 		c.SetResponse(&answerWriter{ResponseWriter: c.Response()})
@@ -147,6 +158,11 @@
 	}
 }
 
+func refuse(c *echo.Context) error {
+	c.Response().Header().Set("Retry-After", "1")
+	return c.NoContent(http.StatusServiceUnavailable)
+}
+
 // WriteHeader writes the head of the answer and begins the time for writing it.
 func (w *answerWriter) WriteHeader(status int) {
 	w.headWritten = true
--- a/dumper/late_test.go
+++ b/dumper/late_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +43,51 @@
 		is.Equal(response.StatusCode, http.StatusOK)
 	})
 }
+
+// TestChecksBesideStates guards against readiness checks without an answer while a crowd asks for state dumps, which
+// take long, over all connections.
+func TestChecksBesideStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		listener := piper.New()
+		d := dumper.New(listener, dumper.Options{
+			Ready: func() bool { return true }, Log: zerolog.Nop(),
+			State: func() any {
+				time.Sleep(5 * time.Second)
+				return nil
+			},
+		})
+		defer func() { _ = d.Close() }()
+		get := func(path string) int {
+			conn := listener.Connect(nil)
+			defer func() { _ = conn.Close() }()
+			if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				return 0
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return 0
+			}
+			_ = response.Body.Close()
+			return response.StatusCode
+		}
+		var crowd sync.WaitGroup
+		defer crowd.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range 400 {
+			crowd.Go(func() {
+				for ctx.Err() == nil {
+					get("/state")
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			began := time.Now()
+			is.Equal(get("/readyz"), http.StatusOK)
+			is.True(time.Since(began) < time.Second)
+		}
+	})
+}
--- a/keeper/bound.go
+++ b/keeper/bound.go
@@ -37,6 +37,14 @@
 	maxEndWait = 200 * time.Millisecond
 	retryWait  = 5 * time.Millisecond
 
+	// maxCheckWait is the same where readiness checks are offered, which are to be answered within 1 s. A refused
+	// check gets no answer at all.
+	maxCheckWait = 900 * time.Millisecond
+
+	// checkSpare is the part of the bound by which connections that are being closed may exceed it where readiness
+	// checks are offered. In a busy process they are late to end, and new ones wait for that.
+	checkSpare = 2
+
 	// scanInterval is the least time between two looks at all connections, and fullInterval that while the
 	// bound is reached. Progress is measured over 500 ms.
 	scanInterval = 10 * time.Millisecond
@@ -167,6 +175,10 @@
 	c.setBuffers(receiveBuffer, sendBuffer)
 	// Connections that end slowly are not waited for again and again.
 	late := time.Since(k.lateAt) < maxEndWait
+	longest := maxEndWait
+	if k.options.Checks {
+		longest = maxCheckWait
+	}
 	began := time.Now()
 	for {
 		admitted, wait := k.tryAdmit(c, late)
@@ -181,7 +193,7 @@
 			timer.Stop()
 		case <-timer.C:
 		}
-		if time.Since(began) >= maxEndWait {
+		if time.Since(began) >= longest || k.draining.Load() {
 			late, k.lateAt = true, time.Now()
 		}
 	}
@@ -209,7 +221,11 @@
 
 // full reports whether there is no room for a further connection. The caller holds mu.
 func (k *Keeper) full() bool {
-	return k.options.Bound.Full(len(k.conns), k.ending, k.options.Bound.Spare())
+	spare := k.options.Bound.Spare()
+	if k.options.Checks {
+		spare = int(k.options.Bound) / checkSpare
+	}
+	return k.options.Bound.Full(len(k.conns), k.ending, spare)
 }
 
 // makeRoom closes connections with little progress until there is room for a further one, and returns how many. It
--- a/keeper/bound_test.go
+++ b/keeper/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -137,6 +138,74 @@
 	})
 }
 
+// lateReader is a connection whose reads return some time after they have ended, as in a process that gets little
+// processor time.
+type lateReader struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *lateReader) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		time.Sleep(c.delay)
+	}
+	return n, err
+}
+
+// TestPromiseChecksAmongCrowd guards against closing the connection of a readiness check before its request has arrived, or
+// without having waited for room. A crowd holds all connections and connects again as soon as it is closed, from the
+// same address. The check sends its request late, as a client that gets little processor time, or the connections of
+// the crowd are late to end.
+func TestPromiseChecksAmongCrowd(t *testing.T) {
+	tests := map[string]struct{ send, end time.Duration }{
+		"request at once":    {},
+		"request after 80ms": {send: 80 * time.Millisecond},
+		"late ends":          {end: 400 * time.Millisecond},
+	}
+	trials, violations := 0, 0
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				defer time.Sleep(time.Second) // The connections end late.
+				s := newBoundService(func(o *keeper.Options) { o.Checks = true })
+				defer s.close()
+				var crowd sync.WaitGroup
+				defer crowd.Wait()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				for range 2 * bound {
+					crowd.Go(func() {
+						for ctx.Err() == nil {
+							c := s.connect(func(inner net.Conn) net.Conn { return &lateReader{inner, test.end} })
+							stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+							_, _ = c.reader.ReadByte()
+							stop()
+							_ = c.Close()
+							time.Sleep(10 * time.Millisecond)
+						}
+					})
+				}
+				for range 50 {
+					time.Sleep(50 * time.Millisecond)
+					began := time.Now()
+					c := s.connect(nil)
+					time.Sleep(test.send)
+					trials++
+					if status := c.get(""); status != http.StatusOK || time.Since(began) >= time.Second {
+						t.Logf("got %d after %v", status, time.Since(began))
+						violations++
+					}
+					_ = c.Close()
+				}
+				is.True(s.State().Connections <= bound+bound/2)
+			})
+		})
+	}
+	prover.Report(t, prover.ReadinessCheck, trials, violations)
+}
+
 // TestScansAreBounded guards against looking at all connections for each new one while a crowd connects again and
 // again, which takes the processor time that the connections need to end.
 func TestScansAreBounded(t *testing.T) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -57,6 +57,9 @@
 		// Bound is the maximum number of connections, or 0 for any number. Near it, those
 		// with the least progress are closed for new ones.
 		Bound shedder.Bound
+		// Checks is set if the listener offers readiness checks, which have no other place to go. New
+		// connections then wait longer for room, and more connections may be ending meanwhile.
+		Checks bool
 		// Memory bounds the memory for headers of many fields. If nil, it is not bounded.
 		Memory *reserver.Reserver
 		// Scope receives the metrics.
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -31,6 +31,9 @@
 	// ReadIsAnswered promises that a request of a client that an entry has read gets an
 	// answer, also while its connection is about to be closed.
 	ReadIsAnswered Promise = "readIsAnswered"
+	// ReadinessCheck promises that a readiness check is answered within 1 s although others hold all
+	// connections of its listener.
+	ReadinessCheck Promise = "readinessCheck"
 	// ConfigInForce promises that accepted configuration comes into force in
 	// all processes and never reverts.
 	ConfigInForce Promise = "configInForce"
--- a/readier/readier.go
+++ b/readier/readier.go
@@ -20,8 +20,8 @@
 	idleTimeout = 5 * time.Second
 
 	// maxConnections is the maximum number of connections, also of others than the load balancer. Those
-	// with the least progress are closed for new ones.
-	maxConnections = 256
+	// with the least progress are closed for new ones, and half as many may be closing.
+	maxConnections = 192
 
 	// maxRequests is the maximum number of requests on one connection.
 	maxRequests = 16
@@ -59,6 +59,7 @@
 		ReadTimeout:   readTimeout,
 		HeaderBytes:   headerBytes,
 		Bound:         maxConnections,
+		Checks:        true,
 		MaxRequests:   maxRequests,
 		Scope:         tally.NoopScope,
 		Log:           log,
