--- a/keeper/bound_test.go
+++ b/keeper/bound_test.go
@@ -153,10 +153,10 @@
 	return n, err
 }
 
-// TestPromiseChecksAmongCrowd guards against closing the connection of a readiness check before its request has arrived, or
-// without having waited for room. A crowd holds all connections and connects again as soon as it is closed, from the
-// same address. The check sends its request late, as a client that gets little processor time, or the connections of
-// the crowd are late to end.
+// TestPromiseChecksAmongCrowd guards against closing the connection of a readiness check before its request has
+// arrived, or without having waited for room. A crowd holds all connections and connects again as soon as it is
+// closed, from the same address. The check sends its request late, as a client that gets little processor time, or
+// the connections of the crowd are late to end.
 func TestPromiseChecksAmongCrowd(t *testing.T) {
 	tests := map[string]struct{ send, end time.Duration }{
 		"request at once":    {},
