Compare response times of plain services per route and unit of work

Cause: the limiter precedence compared the mean response time of all requests of a plain service with the shortest mean. When long requests became more frequent, it took the longer mean for a wait and refused less urgent requests.

Change: response times are compared per route and per unit of stated work (tokens, or the length of the body), in at most 512 cells of a pool; when they are full, further routes are not measured and the known ones stay. The measure is a lower confidence bound of the median of what responses take longer than their cell at best. Waits of more urgent kinds count for less urgent ones. Admission falls in proportion to the wait, estimated by Little's law, instead of all at once: with all at once the five entries admitted too many and too few in turns, in a period of 3 s.

--- a/contention.go
+++ b/contention.go
@@ -2,6 +2,18 @@
 
 import "time"
 
+// The units of expected work. Work in different units is not compared.
+const (
+	// WorkUnknown means that each request counts as much as others of its route.
+	WorkUnknown WorkUnit = iota
+	// WorkBytes is the length of the body.
+	WorkBytes
+	// WorkPrompt is the tokens of the prompt, if nothing is known of the response.
+	WorkPrompt
+	// WorkTokens is the tokens of the prompt and of the expected response.
+	WorkTokens
+)
+
 // The reasons for which a Limiter refuses a request.
 const (
 	// RefusedClosed means that the groups of all backend servers refuse requests.
@@ -43,6 +55,12 @@
 		// Gap is the time between events on the chosen backend server that has lasted for some
 		// passes, or 0 if unknown.
 		Gap time.Duration
+		// Route is the route of the request. Work is its expected work in Unit, or 0 if
+		// unknown. Response times are compared between requests of a route and of similar
+		// work only.
+		Route RouteID
+		Unit  WorkUnit
+		Work  float64
 		// Engine describes the model engines of the pool, or is nil.
 		Engine *EngineProfile
 		// Chosen is the backend server that the router chose among Candidates, which are
@@ -51,6 +69,9 @@
 		Candidates []Candidate
 	}
 
+	// WorkUnit is the unit in which the work of a request is estimated.
+	WorkUnit uint8
+
 	// RefusalReason is why a Limiter refused a request.
 	RefusalReason string
 
--- a/dispatcher/forwarder/admission.go
+++ b/dispatcher/forwarder/admission.go
@@ -53,7 +53,11 @@
 	}
 	admit.Priority = p.priority
 	admit.Fingerprint = binary.BigEndian.Uint64([]byte(p.fingerprint))
+	unit, work := p.expectedWork()
 	admit.Contention = carawaybeam.Contention{
+		Route:        p.route.ID,
+		Unit:         unit,
+		Work:         work,
 		Several:      f.isContended(p),
 		MustComplete: true,
 		Probe:        p.probe,
@@ -84,6 +88,24 @@
 	return max(1, tokens/float64(engine.StepsPerPass)-float64(p.lastEvent))
 }
 
+// expectedWork returns what the client states of the work of the request: the tokens of the prompt and of the
+// expected response, or else the length of the body.
+func (p *pendingRequest) expectedWork() (carawaybeam.WorkUnit, float64) {
+	prompt, answer := p.request.Prompt, p.request.AnswerHint
+	if longest := p.request.MaxAnswer; longest > 0 {
+		answer = min(answer, longest)
+	}
+	switch {
+	case answer > 0:
+		return carawaybeam.WorkTokens, float64(prompt) + float64(answer)
+	case prompt > 0:
+		return carawaybeam.WorkPrompt, float64(prompt)
+	case len(p.request.Body) > 0:
+		return carawaybeam.WorkBytes, float64(len(p.request.Body))
+	}
+	return carawaybeam.WorkUnknown, 0
+}
+
 // promising returns the candidates on which the answer can end before the deadline, or all if there is none,
 // or those that the request is to measure.
 func (f *Forwarder) promising(
--- a/dispatcher/forwarder/admission_test.go
+++ b/dispatcher/forwarder/admission_test.go
@@ -122,6 +122,41 @@
 	})
 }
 
+// The limiter must learn the route and the stated work of a request, since response times are compared between requests
+// of a route and of similar work only.
+func TestLimiterLearnsOfWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env, limiter := newAdmissionEnvironment()
+		env.sender.behaviours = []behaviour{whole("x"), whole("x"), whole("x"), whole("x"), whole("x")}
+		tests := []struct {
+			change func(*carawaybeam.ClientRequest)
+			unit   carawaybeam.WorkUnit
+			work   float64
+		}{
+			{func(*carawaybeam.ClientRequest) {}, carawaybeam.WorkBytes, 4},
+			{func(r *carawaybeam.ClientRequest) { r.Body = nil }, carawaybeam.WorkUnknown, 0},
+			{func(r *carawaybeam.ClientRequest) { r.Prompt, r.MaxAnswer = 300, 90 }, carawaybeam.WorkPrompt, 300},
+			{func(r *carawaybeam.ClientRequest) { r.Prompt, r.AnswerHint = 300, 70 }, carawaybeam.WorkTokens, 370},
+			{
+				func(r *carawaybeam.ClientRequest) { r.Prompt, r.AnswerHint, r.MaxAnswer = 300, 70, 20 },
+				carawaybeam.WorkTokens, 320,
+			},
+		}
+		for i, test := range tests {
+			r := admissionRequest("id")
+			test.change(r)
+			_, failure := env.serve(r)
+			is.True(failure == nil)
+			seen := limiter.seen[i].Contention
+			is.Equal(seen.Route, env.routing.Routes[0].ID)
+			is.Equal(seen.Unit, test.unit)
+			is.Equal(seen.Work, test.work)
+			is.Equal(limiter.released[i].Contention.Work, test.work)
+		}
+	})
+}
+
 // The limiter must learn which requests were not answered, so that it doesn't take them for fast answers.
 func TestLimiterLearnsOfFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/limiter/precedence/limiter.go
+++ b/limiter/precedence/limiter.go
@@ -82,11 +82,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	times := &l.poolOf(now, request.Class.Pool).times
-	if request.Contention.Failed && (times.at.IsZero() || took.Seconds() < times.usual.value) {
-		return // Failures may come sooner than any answer.
-	}
-	times.observe(now, took)
+	p := l.poolOf(now, request.Class.Pool)
+	k := p.kindOf(now, request.Priority)
+	k.samples.end(now)
+	p.times.observe(now, k, &request, took)
 }
 
 // poolOf returns the pool, which it creates if necessary. The caller holds mu.
--- a/limiter/precedence/pool.go
+++ b/limiter/precedence/pool.go
@@ -114,6 +114,8 @@
 		gapAt       time.Time
 		endGapMean  mean
 		shares      *shares
+		// samples are the response times if the backend servers do not report their load.
+		samples samples
 		// nextReturn is the earliest time to which the next refused request is invited, and
 		// returnRate the rate per second at which the refused requests of all entries come
 		// back until then.
@@ -183,10 +185,13 @@
 	cost := requestCost + float64(request.Prompt)
 	if engine := request.Contention.Engine; engine != nil {
 		cost += request.Contention.Events * float64(engine.StepsPerPass)
+	} else if request.Contention.Unit == carawaybeam.WorkTokens {
+		cost = requestCost + request.Contention.Work
 	}
 	u.offer(now, cost)
 	decision := p.decide(now, request, k, u)
 	if decision.Admitted {
+		k.samples.inFlight++
 		k.admittedLately.add(now, 1, shareDecay)
 		k.admittedNow.add(now, 1, overtakingDecay)
 		k.shares.admit(now, u, cost)
@@ -212,6 +217,11 @@
 	case request.Contention.Probe:
 		return carawaybeam.AdmitDecision{Admitted: true}
 	}
+	if forecast := p.serviceForecast(now, &request, k); p.mustRefuse(now, forecast, request.Contention.TimeLeft) {
+		decision := refuseTooLate(request)
+		decision.Refusal.Forecast = forecast
+		return decision
+	}
 	k.offered.add(now)
 	c := p.observe(now, request)
 	p.binding(now, request, &c, k)
@@ -238,7 +248,11 @@
 	c capacity,
 	kept thresholds,
 ) carawaybeam.RefusalReason {
-	if !p.begins(now, request, k, c) {
+	if limit, ok := p.serviceWaitLimit(now, request, k, c); ok {
+		if reason := p.serviceReason(now, request, k, u, limit); reason != "" {
+			return reason
+		}
+	} else if !p.begins(now, request, c) {
 		return carawaybeam.RefusedWait
 	}
 	if p.isStarved(now, k, u) {
@@ -246,7 +260,9 @@
 	}
 	free := p.available(now, c)
 	returns := inWindow(now, request.Fingerprint)
-	if returns {
+	// At plain services the reservation for urgent requests is often the most that is reserved, so that nothing is
+	// left to reserve for organisations below their share.
+	if returns || request.Contention.Engine == nil && u.isWithin(now, k.shares.level(now)) {
 		kept.urgent *= returnReserve
 	}
 	switch {
@@ -274,17 +290,9 @@
 func isShort(free, kept float64) bool { return kept >= 0.5 && free < kept }
 
 // begins reports whether the answer is expected to begin in time, as in package deadline.
-func (p *pool) begins(now time.Time, request carawaybeam.AdmitRequest, k *kind, c capacity) bool {
+func (p *pool) begins(now time.Time, request carawaybeam.AdmitRequest, c capacity) bool {
 	limit := deadline.MaxWait(request)
 	wait := request.Expected - request.Unloaded
-	if request.Contention.Engine == nil && !isReported(request) && c.running > 0 {
-		// Plain services do not report their load. By how much answers take longer than usual
-		// is taken for the wait, if this entry has requests there. The more urgent requests
-		// there are, the less wait is allowed.
-		if urgent := p.urgentShare(now, k); urgent > 0 && limit > 0 {
-			return max(wait, p.times.excess(now)) <= time.Duration((1-urgent)*float64(limit))
-		}
-	}
 	if short := -p.available(now, c); short > 0 {
 		wait = max(wait, time.Duration(short/max(1, p.freed(request, c))*float64(time.Second)))
 	}
--- a/limiter/precedence/shares.go
+++ b/limiter/precedence/shares.go
@@ -73,6 +73,11 @@
 	u.offeredLately.add(now, 1, shareDecay)
 }
 
+// isWithin reports whether all requests of the organisation are within the fair level, which limits others.
+func (u *usage) isWithin(now time.Time, level float64) bool {
+	return !math.IsInf(level, 1) && u.requested.get(now, workDecay) <= level
+}
+
 func (s *shares) admit(now time.Time, u *usage, cost float64) {
 	u.admitted.add(now, cost, workDecay)
 	u.admittedLately.add(now, 1, shareDecay)
--- a/limiter/precedence/state.go
+++ b/limiter/precedence/state.go
@@ -30,9 +30,11 @@
 		Pool carawaybeam.PoolID `json:"pool"`
 		// Running is the estimated number of running requests of all entries, and Scale
 		// how many times more these have than this entry.
-		Running float64     `json:"running"`
-		Scale   float64     `json:"scale"`
-		Kinds   []KindState `json:"kinds"`
+		Running float64 `json:"running"`
+		Scale   float64 `json:"scale"`
+		// Times is the number of routes and sizes of work whose response times are known.
+		Times int         `json:"times"`
+		Kinds []KindState `json:"kinds"`
 	}
 
 	// KindState is the state dump of the requests of one priority.
@@ -44,8 +46,11 @@
 		Admitted float64 `json:"admitted"`
 		// Kept is how many places less urgent requests leave free for these, or fewer if
 		// answers are shorter than 300 ms.
-		Kept          float64 `json:"kept"`
-		Organisations int     `json:"organisations"`
+		Kept float64 `json:"kept"`
+		// WaitMs is the wait at backend servers that do not report their load, as far as it
+		// is more than chance.
+		WaitMs        int64 `json:"waitMs"`
+		Organisations int   `json:"organisations"`
 		// FairTokens is the fair share of one organisation in tokens per second, or -1 while
 		// no organisation is limited to it.
 		FairTokens float64 `json:"fairTokens"`
@@ -83,12 +88,18 @@
 }
 
 func (p *pool) state(now time.Time, id carawaybeam.PoolID) PoolState {
-	state := PoolState{Pool: id, Running: p.poolRunning.value, Scale: p.scale(), Kinds: []KindState{}}
+	state := PoolState{
+		Pool:    id,
+		Running: p.poolRunning.value,
+		Scale:   p.scale(),
+		Times:   len(p.times.cells),
+		Kinds:   []KindState{},
+	}
 	for _, k := range p.kinds {
 		offered := k.offered.perSecond(now)
 		s := KindState{
 			Priority: k.priority, Offered: offered, Organisations: len(k.shares.usages), FairTokens: -1,
-			Kept: need(offered*p.scale(), reserveTime),
+			Kept: need(offered*p.scale(), reserveTime), WaitMs: k.samples.excess(now).Milliseconds(),
 			Admitted: k.admittedLately.get(now, shareDecay) /
 				max(1, k.offeredLately.get(now, shareDecay)),
 		}
