Shed less urgent requests earlier for waits of urgent ones

Cause: behind five entries, less urgent requests were only refused from half of the allowed wait of the urgent ones on, when the responses that ended show it. By then the queue makes urgent requests late.

Change: for waits of more urgent kinds the admitted share falls from a quarter of the allowed wait on. TestRandomSlowServices compares urgent requests behind four to eight entries with the same ones without any others.

--- a/limiter/precedence/service.go
+++ b/limiter/precedence/service.go
@@ -60,6 +60,11 @@
 	// organisations within the fair level are admitted.
 	smallShare = -2
 
+	// ownWait and urgentWait are the parts of the allowed wait from which on fewer requests are
+	// admitted, for waits of the kind and of more urgent ones.
+	ownWait    = 0.5
+	urgentWait = 0.25
+
 	// minEnded bounds the rate of ended requests, per second, from which the wait is computed.
 	minEnded = 0.1
 
@@ -335,8 +340,8 @@
 }
 
 // admittedShare returns which share of the requests of a kind is admitted for the waits of the kind
-// and of the more urgent ones, which may be negative. From half of the allowed wait on, the share
-// falls to 0. If it fell at once, all entries together would admit too many and too few requests in
+// and of the more urgent ones, which may be negative. From a part of the allowed wait on, the
+// share falls to 0. If it fell at once, all entries together would admit too many and too few requests in
 // turns, since waits are seen when requests end.
 func (p *pool) admittedShare(now time.Time, last *kind, limit time.Duration) float64 {
 	urgentShare := p.urgentShare(now, last)
@@ -345,19 +350,19 @@
 		if k.priority > last.priority {
 			break
 		}
-		allowed := limit
+		allowed, from := limit, ownWait
 		if k != last {
-			allowed = time.Duration((1 - urgentShare) * float64(k.samples.waitLimit))
+			allowed, from = time.Duration((1-urgentShare)*float64(k.samples.waitLimit)), urgentWait
 			if allowed <= 0 || k.offered.perSecond(now) < minDemand {
 				continue
 			}
 		}
 		excess := k.samples.excess(now)
-		if excess <= allowed/2 {
+		if excess.Seconds() <= from*allowed.Seconds() {
 			continue
 		}
 		wait := min(k.samples.expectedWait(now), maxWaitRise*excess)
-		share = min(share, 2-2*wait.Seconds()/allowed.Seconds())
+		share = min(share, (1-wait.Seconds()/allowed.Seconds())/(1-from))
 	}
 	return share
 }
