Assert the stated requirements beside the bounds of four tests

The bounds of TestBurstOfMostUrgent, TestGroupTurnsSlow, TestDemandWaves and TestLostDataCentre are close to measured values. Each test now also asserts what its requirement says: the order of priorities within the same seconds, what the urgent kind gets without others, that what cannot end is refused at once, and no worse service than with the previous router. The bounds are unchanged. With limiter deadline the order of TestBurstOfMostUrgent does not hold.

--- a/limiter/precedence/loads_test.go
+++ b/limiter/precedence/loads_test.go
@@ -93,6 +93,36 @@
 	}
 }
 
+// checkNeverWorse fails if in the same seconds a more urgent kind is admitted or in time less often than a less urgent
+// one, or late more often, by more than chance: what requirement (a) says. The totals of kinds do not tell, since more
+// requests of one kind may come while capacity is short.
+func checkNeverWorse(t *testing.T, s *simulation) {
+	t.Helper()
+	checkNeverLess(t, s, "admitted", func(o outcome) float64 { return 1 - float64(o.refused)/max(1, float64(o.all())) })
+	checkNeverLess(t, s, "in time", outcome.good)
+	checkNeverLess(t, s, "in time if served", func(o outcome) float64 {
+		return float64(o.inTime) / max(1, float64(o.inTime+o.late))
+	})
+}
+
+// checkNeverLess fails if the share of a more urgent kind is smaller than that of a less urgent one.
+func checkNeverLess(t *testing.T, s *simulation, what string, share func(outcome) float64) {
+	t.Helper()
+	kinds := []simKind{urgent, usual, patient}
+	for i, k := range kinds {
+		for _, other := range kinds[i+1:] {
+			if s.moreOften(k, other, share) {
+				t.Errorf(
+					"priority %d is %s less often than priority %d in the same seconds",
+					k.priority,
+					what,
+					other.priority,
+				)
+			}
+		}
+	}
+}
+
 // atLeast fails if a share is too small.
 func atLeast(t *testing.T, what string, got, want float64) {
 	t.Helper()
@@ -140,6 +170,18 @@
 	atMost(t, "urgent refused", float64(p.after.kind(urgent).refused)/float64(p.after.kind(urgent).all()), 0.04)
 	atLeast(t, "patient in time", p.after.kind(patient).good(), 0.35)
 	p.checkGain(t, urgent, 0.15)
+
+	// The requirement itself: less urgent requests are refused before more urgent ones become late. With deadline the
+	// most urgent ones are worst off. The baseline for the gain is what they get without any others.
+	checkNeverWorse(t, p.after)
+	checkNeverLess(t, p.after, "served", outcome.served)
+	alone := play(t, loadOf(sources[:1]...)).after.kind(urgent).good()
+	before, after := p.before.kind(urgent).good(), p.after.kind(urgent).good()
+	atLeast(t, "in time of what the others cost the urgent with deadline", (after-before)/(alone-before), 0.5)
+	for _, k := range []simKind{usual, patient} {
+		refused := func(o outcome) float64 { return float64(o.refused) / float64(o.all()) }
+		atLeast(t, "less urgent refused beside urgent refused", refused(p.after.kind(k)), refused(p.after.kind(urgent)))
+	}
 }
 
 // While a group is 12 times slower, no answer ends in time. Streams must be refused at once rather
@@ -148,10 +190,30 @@
 	l := loadOf(waves(20)...)
 	l.slow = slowSteps(12, 10*time.Second, 19*time.Second)
 	p := play(t, l)
+	checkNeverWorse(t, p.after)
 	before, after := p.before.total(), p.after.total()
 	atMost(t, "cut off, part of that with deadline", float64(after.cut)/float64(before.cut), 0.4)
 	atLeast(t, "in time, part of that with deadline", float64(after.inTime)/float64(before.inTime), 0.9)
 	atMost(t, "late, part of that with deadline", float64(after.late)/float64(before.late), 0.5)
+
+	// The requirement itself: what cannot end is refused at once, as soon as passes of the slow group have been
+	// reported for 0.9 s (4 s after it turned slow), and requests are admitted again 1 s after it has recovered.
+	// The baseline shows that nothing ends meanwhile.
+	slowBefore, slowAfter := p.before.between(14, 18), p.after.between(14, 18)
+	t.Logf("while slow: deadline %v, precedence %v", slowBefore, slowAfter)
+	atMost(t, "in time with deadline while slow", slowBefore.good(), 0)
+	atMost(t, "admitted and not served while slow", float64(slowAfter.cut)/float64(slowAfter.all()), 0.01)
+	recoveredBefore, recoveredAfter := p.before.between(20, 28), p.after.between(20, 28)
+	t.Logf("after recovery: deadline %v, precedence %v", recoveredBefore, recoveredAfter)
+	atLeast(t, "in time beside deadline after recovery", recoveredAfter.good(), recoveredBefore.good())
+}
+
+// TestGroupTurnsSlowServed guards against less urgent requests being served more often than more urgent ones, in time
+// or late, while a group is 12 times slower: requirement (a) where deadlines differ.
+func TestGroupTurnsSlowServed(t *testing.T) {
+	l := loadOf(waves(20)...)
+	l.slow = slowSteps(12, 10*time.Second, 19*time.Second)
+	checkNeverLess(t, play(t, l).after, "served", outcome.served)
 }
 
 // While one of three groups is 12 times slower, the requests go to the others. There the urgent ones must
--- a/limiter/precedence/simulation_test.go
+++ b/limiter/precedence/simulation_test.go
@@ -215,6 +215,12 @@
 	for long, o := range other.lengths {
 		s.lengths[long].add(*o)
 	}
+	for key, o := range other.seconds {
+		if s.seconds[key] == nil {
+			s.seconds[key] = &outcome{}
+		}
+		s.seconds[key].add(*o)
+	}
 	s.occupied += other.occupied
 	s.ticks += other.ticks
 }
@@ -591,6 +597,17 @@
 	return all
 }
 
+// between returns the outcome of the requests that arrived in seconds from and later, before until.
+func (s *simulation) between(from, until int) outcome {
+	var all outcome
+	for key, o := range s.seconds {
+		if key.second >= from && key.second < until {
+			all.add(*o)
+		}
+	}
+	return all
+}
+
 // kind returns the outcome of the requests of a kind.
 func (s *simulation) kind(k simKind) outcome {
 	if o := s.kinds[k.priority]; o != nil {
--- a/router/balanced/herding_test.go
+++ b/router/balanced/herding_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/router/balanced"
+	"github.com/carawaybeam/carawaybeam/router/occupancy"
 )
 
 // seeds is the number of runs of each load pattern.
@@ -14,6 +15,38 @@
 
 func newRouter() carawaybeam.Router { return balanced.New() }
 
+// newPreviousRouter returns the router with which entries choose without the router balanced.
+func newPreviousRouter() carawaybeam.Router { return occupancy.New() }
+
+// checkBesidePrevious fails the test if fewer streams of a period were in time, or more were late or crossed data
+// centres, than with the previous router under the same load.
+func checkBesidePrevious(t *testing.T, f, previous *fleet, from, until time.Duration) {
+	t.Helper()
+	inTime, late, _ := f.served(from, until)
+	previousInTime, previousLate, _ := previous.served(from, until)
+	crossed, previousCrossed := f.crossed(from, until), previous.crossed(from, until)
+	t.Logf("beside the previous router: %.3f and %.3f in time, %.3f and %.3f late, %.3f and %.3f crossed",
+		inTime, previousInTime, late, previousLate, crossed, previousCrossed)
+	if inTime < previousInTime || late > previousLate || crossed > previousCrossed {
+		t.Errorf("streams from %v to %v are served worse than with the previous router", from, until)
+	}
+}
+
+// sustained returns how many streams per second the groups beside a lost one serve in time at most, and
+// the offered rate at which they do.
+func sustained(seed uint64) (inTime, offered float64) {
+	for rate := 0.4; rate <= 1.01; rate += 0.1 {
+		f := newFleet(seed, newRouter)
+		f.lost = func(dataCentre int, _ time.Duration) bool { return dataCentre == 0 }
+		f.rate = func(int, time.Duration) float64 { return rate * fleetRate / 2 }
+		f.run(14 * time.Second)
+		if good, _, _ := f.served(2*time.Second, 11*time.Second); good*rate*fleetRate > inTime {
+			inTime, offered = good*rate*fleetRate, rate*fleetRate
+		}
+	}
+	return inTime, offered
+}
+
 // checkShares fails the test if a group had a share outside the bounds in a period.
 func checkShares(t *testing.T, f *fleet, group int, from, until time.Duration, least, most float64) {
 	t.Helper()
@@ -64,7 +97,7 @@
 func TestLostDataCentre(t *testing.T) {
 	const lostFrom, lostUntil = 10 * time.Second, 20 * time.Second
 	for seed := range uint64(seeds) {
-		f := newFleet(seed, newRouter)
+		f, previous := newFleet(seed, newRouter), newFleet(seed, newPreviousRouter)
 		f.lost = func(dataCentre int, at time.Duration) bool {
 			return dataCentre == 0 && at >= lostFrom && at < lostUntil
 		}
@@ -77,11 +110,26 @@
 			}
 			return fleetRate / 4
 		}
+		previous.lost, previous.rate = f.lost, f.rate
 		f.run(32 * time.Second)
+		previous.run(32 * time.Second)
 		checkInTime(t, f, lostFrom+time.Second, lostUntil, 0.55)
 		checkShares(t, f, 0, lostFrom+time.Second, lostUntil, 0, 0.05)
 		checkShares(t, f, 1, lostFrom+time.Second, lostUntil, 0.25, 0.75)
 		checkShares(t, f, 2, lostFrom+time.Second, lostUntil, 0.25, 0.75)
+
+		// The requirement itself: more is served in time and less late than with the previous router, and the load
+		// does not move between the groups in waves. TestLostDataCentreSustained compares with what they sustain.
+		checkBesidePrevious(t, f, previous, lostFrom+time.Second, lostUntil)
+		low, high := f.share(1, lostFrom+time.Second, lostUntil)
+		previousLow, previousHigh := previous.share(1, lostFrom+time.Second, lostUntil)
+		if high-low > previousHigh-previousLow {
+			t.Errorf(
+				"shares of group 1 swing by %.2f, with the previous router by %.2f",
+				high-low,
+				previousHigh-previousLow,
+			)
+		}
 		checkInTime(t, f, lostUntil+3*time.Second, 30*time.Second, 0.95)
 		for group := range fleetGroups {
 			checkShares(t, f, group, lostUntil+3*time.Second, 30*time.Second, 0.15, 0.6)
@@ -89,19 +137,51 @@
 	}
 }
 
+// TestLostDataCentreSustained offers the two groups that remain more than they sustain. It fails if they
+// serve less in time than they sustain, since the rest is not rejected at once.
+func TestLostDataCentreSustained(t *testing.T) {
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, newRouter)
+		f.lost = func(dataCentre int, _ time.Duration) bool { return dataCentre == 0 }
+		f.rate = func(int, time.Duration) float64 { return fleetRate / 2 }
+		f.run(14 * time.Second)
+		inTime, late, rejected := f.served(2*time.Second, 11*time.Second)
+		most, offered := sustained(seed)
+		t.Logf("%.0f of %d streams/s in time, %.0f late, %.0f rejected; %.0f in time at %.0f offered",
+			inTime*fleetRate, fleetRate, late*fleetRate, rejected*fleetRate, most, offered)
+		if inTime*fleetRate < 0.95*most {
+			t.Errorf("%.0f streams/s are in time, want the %.0f that the groups sustain", inTime*fleetRate, most)
+		}
+	}
+}
+
 // TestDemandWaves lets the demand of each data centre swing by 55%, a third of a period apart. It fails
 // if the surplus of a data centre is not served by the others, or if streams cross data centres that
 // need not.
 func TestDemandWaves(t *testing.T) {
 	const period = 12 * time.Second
 	for seed := range uint64(seeds) {
-		f := newFleet(seed, newRouter)
+		f, previous := newFleet(seed, newRouter), newFleet(seed, newPreviousRouter)
 		f.rate = func(dataCentre int, at time.Duration) float64 {
 			phase := at.Seconds()/period.Seconds() + float64(dataCentre)/fleetGroups
 			return fleetRate / fleetGroups * (1 + 0.55*math.Sin(2*math.Pi*phase))
 		}
+		previous.rate = f.rate
 		f.run(28 * time.Second)
+		previous.run(28 * time.Second)
 		checkInTime(t, f, 2*time.Second, 26*time.Second, 0.965)
+
+		// The requirement itself: the surplus of a data centre is served in time elsewhere, as if the same demand
+		// came evenly, and no more streams cross data centres than with the previous router.
+		checkBesidePrevious(t, f, previous, 2*time.Second, 26*time.Second)
+		even := newFleet(seed, newRouter)
+		even.run(28 * time.Second)
+		inTime, _, _ := f.served(2*time.Second, 26*time.Second)
+		evenInTime, _, _ := even.served(2*time.Second, 26*time.Second)
+		t.Logf("even demand: %.3f in time", evenInTime)
+		if inTime < evenInTime-0.02 {
+			t.Errorf("%.3f of the streams are in time, %.3f with even demand", inTime, evenInTime)
+		}
 		for group := range fleetGroups {
 			checkShares(t, f, group, 2*time.Second, 26*time.Second, 0.15, 0.62)
 		}
