Compute the wait at plain services once for each decision

A decision computed the median of the same response times several times. It is kept until the next response or the next time. The simulation puts waiting requests in order as they arrive instead of sorting them in each tick.

--- a/limiter/precedence/service.go
+++ b/limiter/precedence/service.go
@@ -112,6 +112,9 @@
 	samples struct {
 		ring [maxSamples]sample
 		next int
+		// computed is the excess at computedAt, until another response ends.
+		computed   time.Duration
+		computedAt time.Time
 		// inFlight is the number of admitted requests that have not ended. ended counts the
 		// recent ends, and expected is the mean time that their routes and work let expect.
 		inFlight int
@@ -241,6 +244,7 @@
 	s.expected.observe(now, expected, sampleWindow)
 	s.ring[s.next] = sample{at: now, excess: took - expected}
 	s.next = (s.next + 1) % maxSamples
+	s.computedAt = time.Time{}
 }
 
 // excess returns by how much requests take longer now than their routes and their work let expect at best, as
@@ -249,6 +253,13 @@
 // Unlike the mean, the median hardly depends on a few long responses. A wait at the servers delays all
 // of them.
 func (s *samples) excess(now time.Time) time.Duration {
+	if !s.computedAt.Equal(now) {
+		s.computed, s.computedAt = s.computeExcess(now), now
+	}
+	return s.computed
+}
+
+func (s *samples) computeExcess(now time.Time) time.Duration {
 	var values [maxSamples]float64
 	n := 0
 	for n < maxSamples {
--- a/limiter/precedence/service_loads_test.go
+++ b/limiter/precedence/service_loads_test.go
@@ -116,9 +116,6 @@
 				s.arrive(source)
 			}
 		}
-		if l.ordered {
-			slices.SortStableFunc(s.waiting, func(a, b serviceJob) int { return a.source.priority - b.source.priority })
-		}
 		for len(s.running) < l.slots && len(s.waiting) > 0 {
 			j := s.waiting[0]
 			slow := 1.0
@@ -186,7 +183,11 @@
 		return
 	}
 	s.own[entry]++
-	s.waiting = append(s.waiting, serviceJob{
+	place := len(s.waiting)
+	for s.load.ordered && place > 0 && s.waiting[place-1].source.priority > source.priority {
+		place--
+	}
+	s.waiting = slices.Insert(s.waiting, place, serviceJob{
 		source: source, arrived: s.now, work: work, entry: entry, request: request,
 	})
 }
@@ -437,7 +438,7 @@
 			l := slowService(entries, ordered)
 			l.slow, l.slots = nil, 20
 			l.sources[0].rate = constant(700)
-			for seed := range uint64(2) { // The queues are long, and sorted often.
+			for seed := range uint64(2) {
 				l.seed = seed
 				results := playService(l, newPrecedence)
 				var all, less serviceResult
