--- a/limiter/precedence/service_loads_test.go
+++ b/limiter/precedence/service_loads_test.go
@@ -259,6 +259,8 @@
 // TestLongRequestsBecomeMoreFrequent guards against long requests that become more frequent being
 // taken for a slow service.
 func TestLongRequestsBecomeMoreFrequent(t *testing.T) {
+	t.Parallel()
+
 	sources := serviceMix()
 	sources[2].rate = stepTo(8, 150)
 	checkNothingRefused(t, serviceLoad{sources: sources})
@@ -272,6 +274,8 @@
 
 // TestLongerRequestsOfOneRoute guards against longer requests of the same kind being taken for a slow service.
 func TestLongerRequestsOfOneRoute(t *testing.T) {
+	t.Parallel()
+
 	for _, longer := range []float64{90, 300, 450} {
 		sources := serviceMix()[:2]
 		sources[1].target = 700 * time.Millisecond
@@ -283,6 +287,8 @@
 // TestBurstOfOneRoute guards against a burst of one route, urgent or not, that the service sustains being taken for a
 // slow service. A route whose first requests are the burst has no earlier times to compare with.
 func TestBurstOfOneRoute(t *testing.T) {
+	t.Parallel()
+
 	for i := range serviceMix() {
 		for _, base := range []float64{0, 8} {
 			sources := serviceMix()
@@ -308,6 +314,8 @@
 // TestServiceTurnsSlowForAll guards against urgent requests being late while a service that is four
 // times slower takes less urgent ones.
 func TestServiceTurnsSlowForAll(t *testing.T) {
+	t.Parallel()
+
 	checkProtection(t, slowService(1, false), 0.8)
 	checkProtection(t, slowService(1, true), 0.9)
 }
@@ -315,6 +323,8 @@
 // TestServiceBehindFiveEntries guards against entries that see a fifth of the requests each, and
 // little of each route, either missing that the service is slow or taking chance for it.
 func TestServiceBehindFiveEntries(t *testing.T) {
+	t.Parallel()
+
 	checkProtection(t, slowService(5, false), 0.8)
 	checkProtection(t, slowService(5, true), 0.9)
 	sources := serviceMix()
@@ -433,6 +443,8 @@
 // TestServiceFullOfUrgentRequests guards against less urgent requests being starved while the urgent
 // ones alone are more than a plain service sustains: requirement (b).
 func TestServiceFullOfUrgentRequests(t *testing.T) {
+	t.Parallel()
+
 	for _, ordered := range []bool{false, true} {
 		for _, entries := range []int{1, 5} {
 			l := slowService(entries, ordered)
@@ -458,6 +470,8 @@
 // TestOrganisationsAtService guards against a large organisation crowding out small ones of its
 // priority while a plain service is slow: requirement (c).
 func TestOrganisationsAtService(t *testing.T) {
+	t.Parallel()
+
 	for _, entries := range []int{1, 5} {
 		l := slowService(entries, false)
 		l.sources[1].organisation, l.sources[2].organisation = "large", "large"
@@ -497,6 +511,8 @@
 // admitted, or being refused more often, behind four to eight entries. They are compared with the same urgent requests
 // without any others.
 func TestRandomSlowServices(t *testing.T) {
+	t.Parallel()
+
 	var together, alone serviceResult
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 31))
