Evacuate data centres in the soak test

Hosts and entries are in two data centres, which the fault evacuate sets and lifts, evacuateAgain sets again within a second, and storeBack restores an older copy of the store. The check counts requests that reach an evacuated data centre through an entry that was in contact with the store for 5 s on end since the acknowledgement, without those that got 421.

--- a/soaker/check.go
+++ b/soaker/check.go
@@ -50,7 +50,7 @@
 	h := &s.history
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	result := Result{Requests: len(h.requests), Faults: len(h.faults)}
+	result := Result{Requests: len(h.requests), Faults: len(h.faults), Evacuations: len(h.evacuations)}
 	addViolation := func(format string, args ...any) {
 		if len(result.Violations) < maxViolations {
 			result.Violations = append(result.Violations, fmt.Sprintf(format, args...))
@@ -85,6 +85,7 @@
 	}
 	result.Limited = s.checkServerLimits(addViolation)
 	s.checkSignals(addViolation)
+	h.checkEvacuations(s.journal.Arrivals(), addViolation)
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
--- a/soaker/evidence.go
+++ b/soaker/evidence.go
@@ -35,6 +35,10 @@
 		ended := f.endedAt.Format(timeFormat)
 		fmt.Fprintf(&b, "%s fault %s target %d ended %s\n", f.beganAt.Format(timeFormat), f.kind, f.target, ended)
 	}
+	for _, v := range h.evacuations {
+		fmt.Fprintf(&b, "%s evacuation of %s ended %s\n", v.setAt.Format(timeFormat), dataCentres[v.dataCentre],
+			v.liftedAt.Format(timeFormat))
+	}
 	for _, r := range h.requests {
 		fmt.Fprintf(&b, "%s request %s %s entry-%d ended %s status %d error %v\n", r.sentAt.Format(timeFormat), r.id,
 			r.path, r.entry, r.endedAt.Format(timeFormat), r.reply.Status, r.err)
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -96,6 +96,8 @@
 	onCaller
 	// onWriter is another writer of the platform's store. It excuses no violation.
 	onWriter
+	// onDataCentre is an order of the operator for a data centre. It excuses no violation.
+	onDataCentre
 )
 
 // targets returns the number of possible targets of a fault, or 0 if it has no single
@@ -110,6 +112,8 @@
 		return len(startPools)
 	case onCaller:
 		return len(paths)
+	case onDataCentre:
+		return len(dataCentres)
 	}
 	return 0
 }
@@ -181,6 +185,9 @@
 	"oddEntries":         {onWriter, announceForeign(oddAnnouncement)},
 	"foreignEntries":     {onWriter, announceForeign(foreignAnnouncement)},
 	"stutter":            {onEntry, stutter},
+	"evacuate":           {onDataCentre, evacuate(false)},
+	"evacuateAgain":      {onDataCentre, evacuate(true)},
+	"storeBack":          {onStore, comeBack},
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
 	}},
@@ -226,11 +233,12 @@
 
 // newSchedule returns the faults of a run: random ones, with equal probability for each
 // kind except those of callers, limits and signals, one pair, requests that crash backend
-// servers, faults that concern limits, and signals of backend servers. Consecutive seeds use the pairs in turn.
+// servers, faults that concern limits or evacuations, and signals of backend servers. Consecutive seeds
+// use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
 		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) ||
-			slices.Contains(signalKinds, name) ||
+			slices.Contains(signalKinds, name) || slices.Contains(evacuationKinds, name) ||
 			kinds[name].scope == onWriter
 	})
 	n := minFaults + random.IntN(extraFaults)
@@ -242,7 +250,8 @@
 	faults = append(faults, newCrashingRequests(options)...)
 	faults = append(faults, newLimitFaults(options)...)
 	faults = append(faults, newSignalFaults(options)...)
-	return append(faults, newForeignFaults(options)...)
+	faults = append(faults, newForeignFaults(options)...)
+	return append(faults, newEvacuations(options)...)
 }
 
 // newFault returns a random fault of one of the kinds.
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -56,6 +56,7 @@
 		// leavingSince holds, by backend server, when the platform accepted that it
 		// leaves or was withdrawn.
 		leavingSince map[string]time.Time
+		evacuations  []evacuation
 		// finished holds, by request, when a backend server had its answer ready.
 		finished map[string]time.Time
 		// hosts holds the index of the host of each backend server.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -97,6 +97,8 @@
 		// Limited is the number of requests that backend servers got while they named a
 		// limit.
 		Limited int
+		// Evacuations is the number of evacuations that the store acknowledged.
+		Evacuations int
 		// MapChanges is the number of changes of the expert map, added up over all
 		// ranks.
 		MapChanges int
@@ -124,6 +126,9 @@
 
 		history history
 
+		// evacuating is held, by data centre, while a fault evacuates it.
+		evacuating [2]sync.Mutex
+
 		// configuring is held while the configuration is being changed.
 		configuring sync.Mutex
 		config      emulator.Configuration
@@ -302,7 +307,8 @@
 	}
 	server := emulator.ServerOptions{
 		Platform: s.platform, Journal: &s.journal, ID: id, Pool: pool, AnnouncedAddress: h.linkAddress,
-		Crash: func(server *emulator.Server) { s.wait.Go(func() { s.crashedByRequest(ctx, h, server) }) },
+		DataCentre: dataCentres[dataCentreOf(h.index)],
+		Crash:      func(server *emulator.Server) { s.wait.Go(func() { s.crashedByRequest(ctx, h, server) }) },
 	}
 	if h.rank >= 0 {
 		server.Group, server.Rank = s.group, h.rank
@@ -349,7 +355,7 @@
 	return s.addProcess(
 		e,
 		s.options.EntryTemplate,
-		emulator.ProcessSettings{Callers: e.callers, Readiness: e.readiness},
+		emulator.ProcessSettings{Callers: e.callers, Readiness: e.readiness, DataCentre: dataCentres[dataCentreOf(i)]},
 	)
 }
 
@@ -357,7 +363,9 @@
 func (s *Soaker) addAgent(h *host) error {
 	e := &daemon{index: s.options.Entries + h.rank, name: fmt.Sprintf("agent-%d", h.rank), program: "cbagent"}
 	s.agents = append(s.agents, e)
-	return s.addProcess(e, s.options.AgentTemplate, emulator.ProcessSettings{Rank: h.linkAddress})
+	return s.addProcess(e, s.options.AgentTemplate, emulator.ProcessSettings{
+		Rank: h.linkAddress, DataCentre: dataCentres[dataCentreOf(h.index)],
+	})
 }
 
 // addProcess writes the settings file of a process and starts the process.
