Make backend servers cold in the soak test

All backend servers of a data centre are started again at once (coldRestart), are cold after its evacuation, or become cold without a start (chill), also while the store is unavailable. The check counts what a cold one gets in any second from all entries; no fault is an excuse. Entries of such runs have the router and limiter that the platform's bounds for cold servers select.

--- a/soaker/check.go
+++ b/soaker/check.go
@@ -85,7 +85,7 @@
 	}
 	result.Limited = s.checkServerLimits(addViolation)
 	s.checkSignals(addViolation)
-	h.checkEvacuations(s.journal.Arrivals(), addViolation)
+	result.Cold = h.checkDataCentres(s.journal.Arrivals(), addViolation)
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
--- a/soaker/evacuations.go
+++ b/soaker/evacuations.go
@@ -108,6 +108,10 @@
 	if err == nil {
 		index := s.history.evacuationSet(evacuation{dataCentre: dataCentre, setAt: at})
 		time.Sleep(duration)
+		if s.cold {
+			s.chillAll(dataCentre, coldTime, 0)
+			defer s.announceAll(ctx, dataCentre)
+		}
 		s.history.evacuationLifted(index, time.Now())
 		_, err = s.platform.Evacuate(ctx, dataCentres[dataCentre], false)
 	}
--- a/soaker/evidence.go
+++ b/soaker/evidence.go
@@ -39,6 +39,9 @@
 		fmt.Fprintf(&b, "%s evacuation of %s ended %s\n", v.setAt.Format(timeFormat), dataCentres[v.dataCentre],
 			v.liftedAt.Format(timeFormat))
 	}
+	for _, v := range h.cold {
+		fmt.Fprintf(&b, "%s cold %s until %s\n", v.from.Format(timeFormat), v.server, v.to.Format(timeFormat))
+	}
 	for _, r := range h.requests {
 		fmt.Fprintf(&b, "%s request %s %s entry-%d ended %s status %d error %v\n", r.sentAt.Format(timeFormat), r.id,
 			r.path, r.entry, r.endedAt.Format(timeFormat), r.reply.Status, r.err)
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -188,6 +188,8 @@
 	"evacuate":           {onDataCentre, evacuate(false)},
 	"evacuateAgain":      {onDataCentre, evacuate(true)},
 	"storeBack":          {onStore, comeBack},
+	"coldRestart":        {onDataCentre, restartAll},
+	"chill":              {onDataCentre, chill},
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
 	}},
@@ -233,12 +235,13 @@
 
 // newSchedule returns the faults of a run: random ones, with equal probability for each
 // kind except those of callers, limits and signals, one pair, requests that crash backend
-// servers, faults that concern limits or evacuations, and signals of backend servers. Consecutive seeds
-// use the pairs in turn.
+// servers, faults that concern limits, evacuations or cold backend servers, and signals of backend
+// servers. Consecutive seeds use the pairs in turn.
 func newSchedule(random *rand.Rand, options Options) []fault {
 	names := slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(name string) bool {
 		return kinds[name].scope == onCaller || slices.Contains(limitKinds, name) ||
 			slices.Contains(signalKinds, name) || slices.Contains(evacuationKinds, name) ||
+			slices.Contains(coldKinds, name) ||
 			kinds[name].scope == onWriter
 	})
 	n := minFaults + random.IntN(extraFaults)
@@ -251,7 +254,8 @@
 	faults = append(faults, newLimitFaults(options)...)
 	faults = append(faults, newSignalFaults(options)...)
 	faults = append(faults, newForeignFaults(options)...)
-	return append(faults, newEvacuations(options)...)
+	faults = append(faults, newEvacuations(options)...)
+	return append(faults, newColdFaults(options)...)
 }
 
 // newFault returns a random fault of one of the kinds.
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -57,6 +57,7 @@
 		// leaves or was withdrawn.
 		leavingSince map[string]time.Time
 		evacuations  []evacuation
+		cold         []coldSpan
 		// finished holds, by request, when a backend server had its answer ready.
 		finished map[string]time.Time
 		// hosts holds the index of the host of each backend server.
@@ -104,13 +105,16 @@
 	h.leavingSince[server] = at
 }
 
-func (h *history) serverStarted(server string, host int) {
+// serverStarted records the host of a backend server, and reports whether it was started before.
+func (h *history) serverStarted(server string, host int) (restarted bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	_, restarted = h.hosts[server]
 	if h.hosts == nil {
 		h.hosts = make(map[string]int)
 	}
 	h.hosts[server] = host
+	return restarted
 }
 
 // idleLimit returns the idle limit of the configuration that was accepted last.
--- a/soaker/schedule_test.go
+++ b/soaker/schedule_test.go
@@ -33,8 +33,16 @@
 	for _, v := range result.Violations {
 		t.Log(v)
 	}
-	fmt.Printf("%s: %d requests, %d served, %d crashes, %d by backend servers with limits, %d evacuations\n",
-		t.Name(), result.Requests, result.Served, result.Crashes, result.Limited, result.Evacuations)
+	fmt.Printf(
+		"%s: %d requests, %d served, %d crashes, %d by backend servers with limits, %d evacuations, %d by cold ones\n",
+		t.Name(),
+		result.Requests,
+		result.Served,
+		result.Crashes,
+		result.Limited,
+		result.Evacuations,
+		result.Cold,
+	)
 	if len(result.Violations) > 0 {
 		fmt.Printf("logs of the violations are in %s\n", options.Directory)
 		if err := PrintEvidence(os.Stdout, options.Directory, result.Violations); err != nil {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -99,6 +99,8 @@
 		Limited int
 		// Evacuations is the number of evacuations that the store acknowledged.
 		Evacuations int
+		// Cold is the number of requests that backend servers got while they were cold.
+		Cold int
 		// MapChanges is the number of changes of the expert map, added up over all
 		// ranks.
 		MapChanges int
@@ -110,6 +112,9 @@
 	// Soaker holds the processes, emulators and history of one run.
 	Soaker struct {
 		options  Options
+		schedule []fault
+		// cold is set if backend servers are cold for some time in the run.
+		cold     bool
 		platform *emulator.Platform
 		journal  emulator.Journal
 		entries  []*daemon
@@ -211,11 +216,17 @@
 
 // run runs the soak test with the faults of a schedule.
 func run(ctx context.Context, options Options, schedule []fault) (Result, error) {
-	s := &Soaker{options: options, platform: emulator.New(), group: emulator.NewGroup("g"), stop: make(chan struct{})}
+	s := &Soaker{
+		options:  options,
+		schedule: schedule, cold: hasCold(schedule),
+		platform: emulator.New(),
+		group:    emulator.NewGroup("g"),
+		stop:     make(chan struct{}),
+	}
 	s.wait.Go(func() { s.group.Run(s.stop) })
 	err := s.start(ctx)
 	if err == nil {
-		s.runLoad(ctx, schedule)
+		s.runLoad(ctx)
 	}
 	result := s.check()
 	if len(result.Violations) > 0 {
@@ -245,6 +256,9 @@
 			HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: firstRouteTimeout, IdleTimeout: firstIdleLimit,
 		},
 	}
+	if s.cold {
+		s.config.ColdRate, s.config.ColdStart = coldRate, coldTime
+	}
 	if err := s.configure(ctx, func(*emulator.Configuration) {}); err != nil {
 		return err
 	}
@@ -317,7 +331,10 @@
 	h.mu.Lock()
 	h.id, h.pool, h.server = id, pool, started
 	h.mu.Unlock()
-	s.history.serverStarted(id, h.index)
+	restarted := s.history.serverStarted(id, h.index)
+	if s.cold {
+		s.startCold(id, started, restarted)
+	}
 	_, err = started.Announce(ctx, false)
 	return err
 }
@@ -355,7 +372,10 @@
 	return s.addProcess(
 		e,
 		s.options.EntryTemplate,
-		emulator.ProcessSettings{Callers: e.callers, Readiness: e.readiness, DataCentre: dataCentres[dataCentreOf(i)]},
+		emulator.ProcessSettings{
+			Callers: e.callers, Readiness: e.readiness, DataCentre: dataCentres[dataCentreOf(i)],
+			NamesCold: s.cold,
+		},
 	)
 }
 
@@ -493,8 +513,8 @@
 	return nil
 }
 
-// runLoad runs the callers and injects the faults of a schedule.
-func (s *Soaker) runLoad(ctx context.Context, schedule []fault) {
+// runLoad runs the callers and injects the faults of the schedule.
+func (s *Soaker) runLoad(ctx context.Context) {
 	began := time.Now()
 	faultsEnd := began.Add(warmUpTime + s.options.FaultWindow)
 	finalStart := faultsEnd.Add(settleTime)
@@ -508,7 +528,7 @@
 		seed := rand.NewPCG(s.options.Seed, idleStream+uint64(n))
 		callers.Go(func() { s.runIdleCaller(ctx, rand.New(seed), n, finalStart.Add(finalTime)) })
 	}
-	for _, f := range schedule {
+	for _, f := range s.schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(began.Add(warmUpTime + f.at)))
 			s.injectFault(ctx, f)
