--- a/soaker/evacuations.go
+++ b/soaker/evacuations.go
@@ -22,6 +22,10 @@
 	// minEvacuationTime is the shortest evacuation. A late write must not set it again after its end.
 	minEvacuationTime = lateWriteDelay + 500*time.Millisecond
 
+	// Evacuations end recoveryTime before the final phase if they can. An entry takes the backend servers for
+	// cold until it has read announcements from 3 s after the end, which it knows a second late.
+	recoveryTime = 7 * time.Second
+
 	// An evacuation that is set again does so minResetGap to maxResetGap after it was lifted. It counts
 	// as still set if that took less than resetTime, which leaves some of the second of the rule for the
 	// way to the entries.
@@ -93,21 +97,26 @@
 			return
 		}
 		defer s.evacuating[f.target].Unlock()
-		s.evacuateFor(ctx, f.target, evacuationBound+min(f.duration, extraDuration))
+		until := s.history.finalPhaseStart().Add(-recoveryTime)
+		if again {
+			until = until.Add(-maxResetGap - minEvacuationTime)
+		}
+		s.evacuateFor(ctx, f.target, evacuationBound+min(f.duration, extraDuration), until)
 		if again {
 			random := rand.New(rand.NewPCG(s.options.Seed, evacuationStream+uint64(f.at)))
 			time.Sleep(pickDuration(random, minResetGap, maxResetGap))
-			s.evacuateFor(ctx, f.target, minEvacuationTime)
+			s.evacuateFor(ctx, f.target, minEvacuationTime, until)
 		}
 	}
 }
 
-// evacuateFor evacuates a data centre for a time. It records a problem if the context ends first.
-func (s *Soaker) evacuateFor(ctx context.Context, dataCentre int, duration time.Duration) {
+// evacuateFor evacuates a data centre for a time, or up to a moment if that is earlier. It records a problem if
+// the context ends first.
+func (s *Soaker) evacuateFor(ctx context.Context, dataCentre int, duration time.Duration, until time.Time) {
 	at, err := s.platform.Evacuate(ctx, dataCentres[dataCentre], true)
 	if err == nil {
 		index := s.history.evacuationSet(evacuation{dataCentre: dataCentre, setAt: at})
-		time.Sleep(duration)
+		time.Sleep(max(minEvacuationTime, min(duration, time.Until(until))))
 		if s.cold {
 			s.chillAll(dataCentre, coldTime, 0)
 			defer s.announceAll(ctx, dataCentre)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -27,7 +27,7 @@
 	// warmUpTime is how long callers run before the fault window and settleTime how
 	// long after it. In the finalTime after that every request must be served.
 	warmUpTime = 2 * time.Second
-	settleTime = 14 * time.Second
+	settleTime = 17 * time.Second
 	finalTime  = 2 * time.Second
 
 	// readyTimeout limits the time until all entries are ready.
