Let clients read slowly and stall bodies in the soak test

stalledBodies sends bodies of legal size that stop a byte short of their end over 100 connections to an entry, slowReaders requests large answers that 20 clients read slowly or not at all.

--- a/soaker/check.go
+++ b/soaker/check.go
@@ -83,9 +83,7 @@
 			addViolation("requests with %s: %s", cmp.Or(cause.part, cause.body), found)
 		}
 	}
-	result.Limited = s.checkServerLimits(addViolation)
-	s.checkSignals(addViolation)
-	result.Cold = h.checkDataCentres(s.journal.Arrivals(), addViolation)
+	s.checkParts(&result, addViolation)
 	for id, sent := range h.requests {
 		if sent.err == nil && sent.reply.Status == http.StatusOK {
 			result.Served++
@@ -109,6 +107,14 @@
 	return result
 }
 
+// checkParts checks the history against the promises of single parts. The caller holds the mutex of the history.
+func (s *Soaker) checkParts(result *Result, addViolation func(format string, args ...any)) {
+	result.Limited = s.checkServerLimits(addViolation)
+	s.checkSignals(addViolation)
+	s.history.checkOthersServed(max(1, len(s.entries)), addViolation)
+	result.Cold = s.history.checkDataCentres(s.journal.Arrivals(), addViolation)
+}
+
 const (
 	timeFormat = "15:04:05.000"
 
@@ -198,7 +204,7 @@
 	took := s.endedAt.Sub(s.sentAt)
 	served := s.err == nil && (s.reply.Status == http.StatusOK || s.reply.Status == http.StatusUnauthorized)
 	switch {
-	case s.abandoned || s.endedAt.IsZero():
+	case s.abandoned || s.slow || s.endedAt.IsZero():
 		return ""
 	case took > h.longestTimeout(s)+answerMargin && h.undisturbed(s.entry, s.sentAt, s.endedAt, ""):
 		return fmt.Sprintf("got no answer for %v", took.Round(time.Millisecond))
@@ -225,7 +231,7 @@
 // checkClosed returns a violation if the connection of a whole request was closed without an
 // answer, or "". It is allowed if the close crosses a request that no backend server got.
 func (h *history) checkClosed(s sentRequest, arrivals []emulator.Arrival) string {
-	if s.abandoned || !s.whole || !s.closed() || h.excusesClose(s, arrivals) {
+	if s.abandoned || s.slow || !s.whole || !s.closed() || h.excusesClose(s, arrivals) {
 		return ""
 	}
 	took := s.endedAt.Sub(s.sentAt).Round(time.Millisecond)
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -190,6 +190,8 @@
 	"storeBack":          {onStore, comeBack},
 	"coldRestart":        {onDataCentre, restartAll},
 	"chill":              {onDataCentre, chill},
+	"stalledBodies":      {onCaller, stallBodies},
+	"slowReaders":        {onCaller, readSlowly},
 	"crashingRequest": {onCaller, func(ctx context.Context, s *Soaker, f fault) {
 		s.runCrashingCaller(ctx, paths[f.target])
 	}},
@@ -255,7 +257,8 @@
 	faults = append(faults, newSignalFaults(options)...)
 	faults = append(faults, newForeignFaults(options)...)
 	faults = append(faults, newEvacuations(options)...)
-	return append(faults, newColdFaults(options)...)
+	faults = append(faults, newColdFaults(options)...)
+	return append(faults, newClientFaults(options)...)
 }
 
 // newFault returns a random fault of one of the kinds.
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -22,6 +22,8 @@
 		// abandoned is set if the caller closes the connection without waiting for the
 		// answer.
 		abandoned bool
+		// slow is set if the caller reads slowly, or not at all.
+		slow bool
 		// whole is set if the whole request was sent.
 		whole bool
 		reply emulator.Reply
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -253,7 +253,7 @@
 
 		RouteTimeout: firstRouteTimeout,
 		Limits: emulator.ClientLimits{
-			HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: firstRouteTimeout, IdleTimeout: firstIdleLimit,
+			HeaderBytes: 1 << 14, BodyBytes: 1 << 22, HeaderTimeout: firstRouteTimeout, IdleTimeout: firstIdleLimit,
 		},
 	}
 	if s.cold {
