--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -86,7 +86,7 @@
 		t.Fatal(err)
 	}
 	options.Entries, options.Callers, options.IdleCallers, options.FaultWindow = 3, 12, 96, faultWindow
-	var requests, violations atomic.Int64
+	var requests, violations, changes atomic.Int64
 	t.Run("seeds", func(t *testing.T) {
 		for _, seed := range list {
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -104,9 +104,13 @@
 				}
 				requests.Add(int64(result.Requests))
 				violations.Add(int64(len(result.Violations)))
+				changes.Add(int64(result.MapChanges))
 			})
 		}
 	})
+	if changes.Load() == 0 {
+		t.Error("no rank has changed its expert map, so that the promise of one map was not tested")
+	}
 	prover.Report(t, prover.Soak, int(requests.Load()), int(violations.Load()))
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -5,6 +5,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -113,6 +114,8 @@
 	Soaker struct {
 		options  Options
 		schedule []fault
+		// agentPort is the port on which all agents receive requests.
+		agentPort string
 		// cold is set if backend servers are cold for some time in the run.
 		cold     bool
 		platform *emulator.Platform
@@ -383,8 +386,12 @@
 func (s *Soaker) addAgent(h *host) error {
 	e := &daemon{index: s.options.Entries + h.rank, name: fmt.Sprintf("agent-%d", h.rank), program: "cbagent"}
 	s.agents = append(s.agents, e)
+	ip, _, err := net.SplitHostPort(h.linkAddress)
+	if err != nil {
+		return err
+	}
 	return s.addProcess(e, s.options.AgentTemplate, emulator.ProcessSettings{
-		Rank: h.linkAddress, DataCentre: dataCentres[dataCentreOf(h.index)],
+		IP: ip, Rank: h.linkAddress, DataCentre: dataCentres[dataCentreOf(h.index)],
 	})
 }
 
@@ -396,15 +403,19 @@
 		if err != nil {
 			return err
 		}
-		if p.IP, ports[i], err = net.SplitHostPort(address); err != nil {
+		var ip string
+		if ip, ports[i], err = net.SplitHostPort(address); err != nil {
 			return err
 		}
+		p.IP = cmp.Or(p.IP, ip)
 	}
+	// Entries reach all agents on one port, at the addresses of their ranks.
+	s.agentPort = cmp.Or(s.agentPort, ports[0])
 	var err error
 	if e.link, p.Store, err = forwarder.Listen(s.store); err != nil {
 		return err
 	}
-	p.Name, p.Admin, p.Links, p.MaxKeyAge, p.StopWithin = e.name, ports[0], ports[1], keyBound, stopBound
+	p.Name, p.Admin, p.Links, p.MaxKeyAge, p.StopWithin = e.name, s.agentPort, ports[1], keyBound, stopBound
 	e.settingsFile = filepath.Join(s.options.Directory, e.name+".toml")
 	if err := os.WriteFile(e.settingsFile, []byte(emulator.FillTemplate(template, p)), 0o600); err != nil {
 		return err
