--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -5,6 +5,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,7 +28,7 @@
 	// warmUpTime is how long callers run before the fault window and settleTime how
 	// long after it. In the finalTime after that every request must be served.
 	warmUpTime = 2 * time.Second
-	settleTime = 14 * time.Second
+	settleTime = 17 * time.Second
 	finalTime  = 2 * time.Second
 
 	// readyTimeout limits the time until all entries are ready.
@@ -97,6 +98,10 @@
 		// Limited is the number of requests that backend servers got while they named a
 		// limit.
 		Limited int
+		// Evacuations is the number of evacuations that the store acknowledged.
+		Evacuations int
+		// Cold is the number of requests that backend servers got while they were cold.
+		Cold int
 		// MapChanges is the number of changes of the expert map, added up over all
 		// ranks.
 		MapChanges int
@@ -108,6 +113,11 @@
 	// Soaker holds the processes, emulators and history of one run.
 	Soaker struct {
 		options  Options
+		schedule []fault
+		// agentPort is the port on which all agents receive requests.
+		agentPort string
+		// cold is set if backend servers are cold for some time in the run.
+		cold     bool
 		platform *emulator.Platform
 		journal  emulator.Journal
 		entries  []*daemon
@@ -124,6 +134,9 @@
 
 		history history
 
+		// evacuating is held, by data centre, while a fault evacuates it.
+		evacuating [2]sync.Mutex
+
 		// configuring is held while the configuration is being changed.
 		configuring sync.Mutex
 		config      emulator.Configuration
@@ -206,11 +219,17 @@
 
 // run runs the soak test with the faults of a schedule.
 func run(ctx context.Context, options Options, schedule []fault) (Result, error) {
-	s := &Soaker{options: options, platform: emulator.New(), group: emulator.NewGroup("g"), stop: make(chan struct{})}
+	s := &Soaker{
+		options:  options,
+		schedule: schedule, cold: hasCold(schedule),
+		platform: emulator.New(),
+		group:    emulator.NewGroup("g"),
+		stop:     make(chan struct{}),
+	}
 	s.wait.Go(func() { s.group.Run(s.stop) })
 	err := s.start(ctx)
 	if err == nil {
-		s.runLoad(ctx, schedule)
+		s.runLoad(ctx)
 	}
 	result := s.check()
 	if len(result.Violations) > 0 {
@@ -237,9 +256,12 @@
 
 		RouteTimeout: firstRouteTimeout,
 		Limits: emulator.ClientLimits{
-			HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: firstRouteTimeout, IdleTimeout: firstIdleLimit,
+			HeaderBytes: 1 << 14, BodyBytes: 1 << 22, HeaderTimeout: firstRouteTimeout, IdleTimeout: firstIdleLimit,
 		},
 	}
+	if s.cold {
+		s.config.ColdRate, s.config.ColdStart = coldRate, coldTime
+	}
 	if err := s.configure(ctx, func(*emulator.Configuration) {}); err != nil {
 		return err
 	}
@@ -302,7 +324,8 @@
 	}
 	server := emulator.ServerOptions{
 		Platform: s.platform, Journal: &s.journal, ID: id, Pool: pool, AnnouncedAddress: h.linkAddress,
-		Crash: func(server *emulator.Server) { s.wait.Go(func() { s.crashedByRequest(ctx, h, server) }) },
+		DataCentre: dataCentres[dataCentreOf(h.index)],
+		Crash:      func(server *emulator.Server) { s.wait.Go(func() { s.crashedByRequest(ctx, h, server) }) },
 	}
 	if h.rank >= 0 {
 		server.Group, server.Rank = s.group, h.rank
@@ -311,7 +334,10 @@
 	h.mu.Lock()
 	h.id, h.pool, h.server = id, pool, started
 	h.mu.Unlock()
-	s.history.serverStarted(id, h.index)
+	restarted := s.history.serverStarted(id, h.index)
+	if s.cold {
+		s.startCold(id, started, restarted)
+	}
 	_, err = started.Announce(ctx, false)
 	return err
 }
@@ -349,7 +375,10 @@
 	return s.addProcess(
 		e,
 		s.options.EntryTemplate,
-		emulator.ProcessSettings{Callers: e.callers, Readiness: e.readiness},
+		emulator.ProcessSettings{
+			Callers: e.callers, Readiness: e.readiness, DataCentre: dataCentres[dataCentreOf(i)],
+			NamesCold: s.cold,
+		},
 	)
 }
 
@@ -357,7 +386,13 @@
 func (s *Soaker) addAgent(h *host) error {
 	e := &daemon{index: s.options.Entries + h.rank, name: fmt.Sprintf("agent-%d", h.rank), program: "cbagent"}
 	s.agents = append(s.agents, e)
-	return s.addProcess(e, s.options.AgentTemplate, emulator.ProcessSettings{Rank: h.linkAddress})
+	ip, _, err := net.SplitHostPort(h.linkAddress)
+	if err != nil {
+		return err
+	}
+	return s.addProcess(e, s.options.AgentTemplate, emulator.ProcessSettings{
+		IP: ip, Rank: h.linkAddress, DataCentre: dataCentres[dataCentreOf(h.index)],
+	})
 }
 
 // addProcess writes the settings file of a process and starts the process.
@@ -368,15 +403,19 @@
 		if err != nil {
 			return err
 		}
-		if p.IP, ports[i], err = net.SplitHostPort(address); err != nil {
+		var ip string
+		if ip, ports[i], err = net.SplitHostPort(address); err != nil {
 			return err
 		}
+		p.IP = cmp.Or(p.IP, ip)
 	}
+	// Entries reach all agents on one port, at the addresses of their ranks.
+	s.agentPort = cmp.Or(s.agentPort, ports[0])
 	var err error
 	if e.link, p.Store, err = forwarder.Listen(s.store); err != nil {
 		return err
 	}
-	p.Name, p.Admin, p.Links, p.MaxKeyAge, p.StopWithin = e.name, ports[0], ports[1], keyBound, stopBound
+	p.Name, p.Admin, p.Links, p.MaxKeyAge, p.StopWithin = e.name, s.agentPort, ports[1], keyBound, stopBound
 	e.settingsFile = filepath.Join(s.options.Directory, e.name+".toml")
 	if err := os.WriteFile(e.settingsFile, []byte(emulator.FillTemplate(template, p)), 0o600); err != nil {
 		return err
@@ -485,8 +524,8 @@
 	return nil
 }
 
-// runLoad runs the callers and injects the faults of a schedule.
-func (s *Soaker) runLoad(ctx context.Context, schedule []fault) {
+// runLoad runs the callers and injects the faults of the schedule.
+func (s *Soaker) runLoad(ctx context.Context) {
 	began := time.Now()
 	faultsEnd := began.Add(warmUpTime + s.options.FaultWindow)
 	finalStart := faultsEnd.Add(settleTime)
@@ -500,7 +539,7 @@
 		seed := rand.NewPCG(s.options.Seed, idleStream+uint64(n))
 		callers.Go(func() { s.runIdleCaller(ctx, rand.New(seed), n, finalStart.Add(finalTime)) })
 	}
-	for _, f := range schedule {
+	for _, f := range s.schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(began.Add(warmUpTime + f.at)))
 			s.injectFault(ctx, f)
