Refuse new work at agents in evacuated data centres

Entries may state on control streams whether the data centre of an agent is evacuated, with the store version up to which they have read the evacuations. The agent follows the statement with the highest version and makes no call to the store. Meanwhile it refuses attempts that it does not know, with proof, and releases their keys, as it does when it leaves. Suspects that wait for their turn do not start. A dispatch can also forbid the start by itself, for keys that only this agent may run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -147,6 +147,7 @@
 	defer cancel()
 	exchange := replicator.NewExchange(a.options.Configurer, a.options.Log)
 	exchange.Receive(first)
+	a.options.Executor.ObserveEvacuation(first.GetHello().GetEvacuation())
 	interval := make(chan time.Duration, 1)
 	var receiver sync.WaitGroup
 	defer receiver.Wait()
@@ -187,6 +188,7 @@
 		}
 		exchange.Receive(frame)
 		a.options.Executor.Quarantiner().MergeFrame(frame.GetSuspects().GetSuspects())
+		a.options.Executor.ObserveEvacuation(frame.GetKeepAlive().GetEvacuation())
 		requested := requestedInterval(frame)
 		if requested == 0 || requested == current {
 			continue
--- a/cmd/cbagent/metrics.go
+++ b/cmd/cbagent/metrics.go
@@ -24,6 +24,11 @@
 	g.scope.Gauge("attempts_running").Update(float64(state.Running))
 	g.scope.Gauge("attempts_remembered").Update(float64(state.Remembered))
 	g.scope.Gauge("answer_bytes_held").Update(float64(state.HeldBytes))
+	evacuated := 0.0
+	if state.Evacuated {
+		evacuated = 1
+	}
+	g.scope.Gauge("evacuated").Update(evacuated)
 	g.count("started", state.Started, g.last.Started)
 	g.count("done", state.Done, g.last.Done)
 	g.count("failed", state.Failed, g.last.Failed)
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -50,6 +50,8 @@
 		options Options
 		// view is replaced as a whole, because each request reads it.
 		view atomic.Pointer[view]
+		// version is the store version up to which view has all changes, or 0.
+		version atomic.Uint64
 
 		mu sync.Mutex
 		// logged holds the names that were logged as unknown, and allEvacuated the pools whose
@@ -85,6 +87,8 @@
 	State struct {
 		// Loaded is set once the evacuations have been read.
 		Loaded bool `json:"loaded"`
+		// Version is the store version up to which they have been read, or 0 if it is not needed.
+		Version carawaybeam.StoreVersion `json:"version,omitempty"`
 		// DataCentres lists the evacuated data centres.
 		DataCentres []carawaybeam.DataCentre `json:"dataCentres"`
 		// Overflow is set while there are more evacuations than are kept by name. Those beyond
@@ -107,6 +111,15 @@
 // Loaded reports whether the evacuations have been read.
 func (e *Evacuator) Loaded() bool { return e.view.Load() != nil }
 
+// Complete records the store version up to which the evacuations have been read.
+func (e *Evacuator) Complete(version carawaybeam.StoreVersion) { e.version.Store(uint64(version)) }
+
+// Version returns the store version up to which the evacuations have been read. What the other
+// methods report afterwards is of this version or a later one.
+func (e *Evacuator) Version() carawaybeam.StoreVersion {
+	return carawaybeam.StoreVersion(e.version.Load())
+}
+
 // Active reports whether a data centre may be evacuated. Unless it does, Evacuated is false for
 // all.
 func (e *Evacuator) Active() bool {
@@ -326,7 +339,7 @@
 	if current == nil {
 		return state
 	}
-	state.Loaded = true
+	state.Loaded, state.Version = true, e.Version()
 	now := time.Now()
 	state.Overflow = current.overflow != nil
 	for dataCentre, s := range current.kept {
--- a/executor/admit.go
+++ b/executor/admit.go
@@ -47,8 +47,9 @@
 	return a
 }
 
-// refuse records that the attempt will never run. If the agent is leaving, it also
-// releases the key of the attempt, so that another agent may run the request.
+// refuse records that the attempt will never run. If the agent is leaving or its data
+// centre is evacuated, it also releases the key of the attempt, so that another agent
+// may run the request.
 func (e *Executor) refuse(a *attempt, refusal carawaybeam.RequestError) {
 	e.counts.refused.Add(1)
 	a.refuse(refusal)
@@ -89,6 +90,8 @@
 		refusal = quarantined()
 	case e.leaving || e.closed:
 		refusal.Reason = carawaybeam.ReasonLeaving
+	case e.evacuation.evacuated || d.GetOnlyKnown():
+		refusal = evacuated()
 	case e.suspended():
 		refusal.Reason = carawaybeam.ReasonBusy
 		refusal.Detail = "agent was suspended"
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -92,6 +92,9 @@
 	if e.options.Quarantiner.Status(a.fingerprint) == quarantiner.Quarantined {
 		return quarantined(), true
 	}
+	if e.isEvacuated() {
+		return evacuated(), true
+	}
 	if e.suspended() {
 		return carawaybeam.RequestError{
 			Outcome: carawaybeam.OutcomeNotRun,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -110,7 +110,9 @@
 		running int
 		leaving bool
 		closed  bool
-		tickets openTickets
+		// evacuation is what entries last said of the data centre.
+		evacuation evacuation
+		tickets    openTickets
 
 		// endedBytes is the memory of the attempts that ended since the last
 		// sweep. sweepRequested triggers a sweep before the next interval.
@@ -136,19 +138,21 @@
 		Backend       carawaybeam.BackendID     `json:"backend"`
 		ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 		Leaving       bool                      `json:"leaving"`
-		Running       int                       `json:"running"`
-		Limit         int                       `json:"limit"`
-		Remembered    int                       `json:"remembered"`
-		Compact       int                       `json:"compact"`
-		HeldBytes     int                       `json:"heldBytes"`
-		Started       uint64                    `json:"started"`
-		Done          uint64                    `json:"done"`
-		Failed        uint64                    `json:"failed"`
-		Refused       uint64                    `json:"refused"`
-		Tombstones    uint64                    `json:"tombstones"`
-		Resumed       uint64                    `json:"resumed"`
-		Crashes       uint64                    `json:"crashes"`
-		Quarantine    quarantiner.State         `json:"quarantine"`
+		// Evacuated is set while entries say that the data centre is evacuated.
+		Evacuated  bool              `json:"evacuated,omitempty"`
+		Running    int               `json:"running"`
+		Limit      int               `json:"limit"`
+		Remembered int               `json:"remembered"`
+		Compact    int               `json:"compact"`
+		HeldBytes  int               `json:"heldBytes"`
+		Started    uint64            `json:"started"`
+		Done       uint64            `json:"done"`
+		Failed     uint64            `json:"failed"`
+		Refused    uint64            `json:"refused"`
+		Tombstones uint64            `json:"tombstones"`
+		Resumed    uint64            `json:"resumed"`
+		Crashes    uint64            `json:"crashes"`
+		Quarantine quarantiner.State `json:"quarantine"`
 		// Restrictions is what the backend server says of the requests that it takes.
 		Restrictions throttler.State `json:"restrictions"`
 	}
@@ -274,6 +278,7 @@
 		Backend:       e.options.BackendID,
 		ConfigVersion: e.ConfigVersion(),
 		Leaving:       e.leaving,
+		Evacuated:     e.evacuation.evacuated,
 		Running:       e.running,
 		Limit:         e.limit.Value(),
 		Remembered:    len(e.ledger.attempts),
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -73,6 +73,9 @@
 		// MaxBackoff is the maximum backoff after a failed call, or 0 for the
 		// default of 400 ms. It is at least 50 ms.
 		MaxBackoff time.Duration
+		// Complete, if it is not nil, receives the version up to which Sink has received
+		// all changes, after each successful call.
+		Complete func(version carawaybeam.StoreVersion)
 		// Outage, if it is not nil, is shared by the followers of a process. A
 		// follower that waits after a failed call tries again once a call of
 		// another one has ended an outage. Of several followers only one then
@@ -236,6 +239,7 @@
 		}
 		f.recordSuccess(sent)
 		f.options.Sink.Replace(objects)
+		f.complete(version)
 		f.confirm(sent)
 		return version, nil
 	}
@@ -255,10 +259,18 @@
 	if len(changes) > 0 {
 		f.options.Sink.Apply(changes)
 	}
+	f.complete(max(at, version))
 	f.confirm(sent)
 	return max(at, version), nil
 }
 
+// complete passes on the version up to which the copy is complete.
+func (f *Follower) complete(version carawaybeam.StoreVersion) {
+	if f.options.Complete != nil {
+		f.options.Complete(version)
+	}
+}
+
 // recordEra records the era in which all objects were read. It returns an error if an
 // answer of a later era has arrived before.
 func (f *Follower) recordEra(era carawaybeam.StoreEra) error {
--- a/store.go
+++ b/store.go
@@ -56,6 +56,9 @@
 	// KindLimit is the kind of objects that hold the shares of the limits that
 	// backend servers name.
 	KindLimit StoreKind = "limit"
+	// KindEvacuation is the kind of objects whose names are the evacuated data
+	// centres, in an installation with agents.
+	KindEvacuation StoreKind = "evacuations"
 	// KindSettings is the kind of objects that hold the settings of the whole
 	// installation.
 	KindSettings StoreKind = "settings"
