Obey evacuations on the linked path

Evacuations were obeyed on the direct path only: an entry in front of agents went on sending to an evacuated data centre. With the setting evacuations it now follows them, leaves out backend servers there for first attempts, retries, resumed streams, suspects and tickets, asks again right before each dispatch, and tells the agents. A dispatch with a key or ticket forbids the start, so that the answer is delivered or the key released. An entry that has not read the evacuations is not ready. Where only a part of a pool is linked, agents elsewhere are linked in addition. No map change begins in a group that is evacuated as a whole. Without the setting no call is made.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -58,6 +58,9 @@
 		// Explain returns what this process recorded of a request, or false if
 		// that is nothing. It may be nil.
 		Explain func(request carawaybeam.RequestID) (recorder.Explanation, bool)
+		// Evacuated returns the data centres to which this process sends no requests. It
+		// may be nil.
+		Evacuated func() []carawaybeam.DataCentre
 	}
 
 	// Administrator serves requests of operators.
--- a/administrator/processes.go
+++ b/administrator/processes.go
@@ -171,6 +171,9 @@
 		QuarantinedRequests: targets.quarantined,
 		Processes:           append(entries, a.agents()...),
 	}
+	if a.options.Evacuated != nil {
+		status.EvacuatedDataCentres = a.options.Evacuated()
+	}
 	for _, invalid := range held.Invalid() {
 		status.Invalid = append(status.Invalid, invalid.Error())
 	}
--- a/cmd/cbentry/config.go
+++ b/cmd/cbentry/config.go
@@ -58,6 +58,7 @@
 		Configurer: e.configurer,
 		Tracker:    e.tracker,
 		Explain:    e.recorder.Explain,
+		Evacuated:  e.evacuatedDataCentres,
 		Dialer:     e.dialer(certifier.RoleEntry, certifier.RoleAgent),
 	})
 }
--- a/cmd/cbentry/groups.go
+++ b/cmd/cbentry/groups.go
@@ -13,13 +13,13 @@
 	if err != nil {
 		return err
 	}
-	e.closers.Add(proposer.New(proposer.Options{
+	e.closers.Add(proposer.New(e.holdEvacuatedGroups(proposer.Options{
 		Store:      e.store,
 		Config:     e.configurer,
 		Dialer:     e.dialer(certifier.RoleAgent),
 		NewPlanner: newPlanner,
 		Holder:     incarnation,
 		Log:        e.log,
-	}))
+	})))
 	return nil
 }
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -21,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/dumper"
+	"github.com/carawaybeam/carawaybeam/evacuator"
 	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/keeper"
 	"github.com/carawaybeam/carawaybeam/loader"
@@ -57,6 +58,8 @@
 	assessor    *assessor.Assessor
 	finisher    *finisher.Finisher
 	server      *server.Server
+	// evacuator is nil if evacuations are not followed.
+	evacuator *evacuator.Evacuator
 	// bodies and answers bound the memory for bodies of requests and for held answers.
 	bodies, answers *reserver.Reserver
 	// serving is server once it has been created.
@@ -81,6 +84,8 @@
 	// Complete is the store version up to which the entry has all changes.
 	Complete carawaybeam.ConfigVersion `json:"complete"`
 	StoreEra carawaybeam.StoreEra      `json:"storeEra,omitempty"`
+	// Evacuations is nil if evacuations are not followed.
+	Evacuations *evacuator.State `json:"evacuations,omitempty"`
 	// Invalid describes objects of the configuration that cannot be decoded.
 	Invalid []string                `json:"invalid,omitempty"`
 	Classes []configurer.ClassState `json:"classes"`
@@ -157,7 +162,10 @@
 	e.quarantiner = quarantiner.New(quarantiner.Complete)
 	e.assessor = assessor.New()
 	e.finisher = finisher.New()
-	e.tracker = tracker.New(tracker.Options{
+	if err := e.followEvacuations(); err != nil {
+		return err
+	}
+	e.tracker = tracker.New(e.trackEvacuations(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
 		DataCentre:  e.settings.DataCentre,
@@ -166,8 +174,9 @@
 		Config:      e.configurer,
 		Quarantiner: e.quarantiner,
 		Log:         e.log,
-	})
+	}))
 	e.closers.Add(e.tracker)
+	e.reviewEvacuations()
 	if err := e.startReplication(incarnation); err != nil {
 		return err
 	}
@@ -221,7 +230,7 @@
 	}
 	keyBinder := binder.New(e.store)
 	e.closers.Add(keyBinder)
-	e.dispatcher = dispatcher.New(dispatcher.Options{
+	e.dispatcher = dispatcher.New(e.withEvacuations(dispatcher.Options{
 		DataCentre:     e.settings.DataCentre,
 		Members:        e.tracker,
 		Binder:         keyBinder,
@@ -235,7 +244,7 @@
 		Recorder:       e.recorder,
 		Finisher:       e.finisher,
 		Log:            e.log,
-	})
+	}))
 	e.closers.Add(e.dispatcher)
 	return nil
 }
@@ -295,7 +304,7 @@
 }
 
 func (e *entry) ready() bool {
-	return e.configurer.Ready() && e.tracker.Ready()
+	return e.configurer.Ready() && e.tracker.Ready() && (e.evacuator == nil || e.evacuator.Loaded())
 }
 
 func (e *entry) dumpOptions() dumper.Options {
@@ -325,6 +334,7 @@
 		BodyMemory:    e.bodies.State(),
 		AnswerMemory:  e.answers.State(),
 		Clients:       e.clients(),
+		Evacuations:   e.evacuationState(),
 	}
 	for _, invalid := range e.configurer.Invalid() {
 		s.Invalid = append(s.Invalid, invalid.Error())
--- a/cmd/cbentry/metrics.go
+++ b/cmd/cbentry/metrics.go
@@ -71,6 +71,9 @@
 	}
 	g.scope.Gauge("agents_linked").Update(float64(linked))
 	g.scope.Gauge("agents_leaving").Update(float64(leaving))
+	if evacuations := g.entry.evacuationState(); evacuations != nil {
+		g.scope.Gauge("data_centres_evacuated").Update(float64(len(evacuations.DataCentres)))
+	}
 	setClientGauges(g.scope, g.entry.clients(), g.entry.bodies.State())
 	g.scope.Gauge("entries_linked").Update(float64(len(g.entry.replicator.Peers())))
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -188,6 +188,9 @@
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { a.cancel(stream) })
 	defer stop()
+	if failure := a.checkEvacuation(first); failure != nil {
+		return streamResult{final: true, failure: failure}
+	}
 	a.sent = true
 	if stream.Send(first) != nil {
 		return streamResult{}
--- a/dispatcher/candidates.go
+++ b/dispatcher/candidates.go
@@ -136,15 +136,15 @@
 }
 
 // candidates returns the linked backend servers of the request's pool that are
-// not leaving.
+// not leaving and not in evacuated data centres.
 func (d *Dispatcher) candidates(now time.Time, request Request) []carawaybeam.Candidate {
 	members := d.options.Members.Members(request.Class.Pool)
 	d.updateIncarnations(members)
 	hits := d.prefixes.Lookup(request.routing.prefixes)
 	candidates := make([]carawaybeam.Candidate, 0, len(members))
-	for _, m := range members {
-		if m.Linked && !m.Leaving {
-			candidates = append(candidates, d.candidate(now, m, hits))
+	for i := range members {
+		if d.acceptsWork(&members[i]) {
+			candidates = append(candidates, d.candidate(now, members[i], hits))
 		}
 	}
 	return candidates
--- a/dispatcher/candidates_test.go
+++ b/dispatcher/candidates_test.go
@@ -53,7 +53,16 @@
 }
 
 func newDispatcher(p *assembler.Assembler, router carawaybeam.Router) *dispatcher.Dispatcher {
+	return newDispatcherWith(p, router, nil)
+}
+
+func newDispatcherWith(
+	p *assembler.Assembler,
+	router carawaybeam.Router,
+	evacuations dispatcher.Evacuations,
+) *dispatcher.Dispatcher {
 	return dispatcher.New(dispatcher.Options{
+		Evacuations:    evacuations,
 		Members:        p.Entries[0].Tracker,
 		Binder:         binder.New(p.Store),
 		ConfigObserver: p.Entries[0].Configurer,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -132,6 +132,9 @@
 		// Assessor measures requests against the targets of their classes. If
 		// nil, the Dispatcher creates its own.
 		Assessor *assessor.Assessor
+		// Evacuations knows the evacuated data centres, to whose backend servers no
+		// new work is sent. It is nil if evacuations are not followed.
+		Evacuations Evacuations
 		// Recorder records attempts and the ends of requests. It may be nil.
 		Recorder Recorder
 		// Finisher knows which requests can be finished before the process ends. If nil,
@@ -244,6 +247,9 @@
 		return carawaybeam.NotRun(carawaybeam.ReasonLeaving, "this entry does not serve now", defaultRetryAfter)
 	}
 	defer d.requests.Done()
+	if failure := d.unreadEvacuations(); failure != nil {
+		return failure
+	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	if forecast := d.forecast(request, nil); !forecast.InTime() {
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -34,6 +34,7 @@
 	target struct {
 		backend     carawaybeam.BackendID
 		incarnation carawaybeam.Incarnation
+		dataCentre  carawaybeam.DataCentre
 		// key is set when only this incarnation may run the request, because
 		// the idempotency key is bound to it. binding is that binding.
 		key     carawaybeam.AttemptID
@@ -86,7 +87,9 @@
 	if request.Key != "" && !request.Class.Idempotent {
 		return d.bind(ctx, request, member, p.released)
 	}
-	return target{backend: member.Backend, incarnation: member.Incarnation}, nil
+	return target{
+		backend: member.Backend, incarnation: member.Incarnation, dataCentre: member.VM.DataCentre,
+	}, nil
 }
 
 // choose asks the router for a backend server. A request that is suspected of
@@ -107,11 +110,7 @@
 	}
 	member := d.member(request.Class.Pool, backend)
 	if backend == "" || member.Backend == "" {
-		return member, carawaybeam.NotRun(
-			carawaybeam.ReasonNoBackend,
-			"no backend server can take the request",
-			defaultRetryAfter,
-		)
+		return member, d.noBackendError(request.Class.Pool)
 	}
 	return member, nil
 }
@@ -134,7 +133,7 @@
 	var best, bestTried carawaybeam.BackendID
 	var weight, weightTried uint64
 	for _, m := range d.options.Members.Members(request.Class.Pool) {
-		if !m.Linked || m.Leaving {
+		if !d.acceptsWork(&m) {
 			continue
 		}
 		w := xxhash.Sum64String(fingerprint + string(m.Backend))
@@ -173,10 +172,14 @@
 	if bound.BodyHash != want.BodyHash {
 		return target{}, carawaybeam.NotRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
-	if d.connect(ctx, request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
+	holder := d.connect(ctx, request.Class.Pool, bound.Backend)
+	if holder.Incarnation != bound.Incarnation {
 		return target{}, wrongIncarnation("agent that the key is bound to is gone")
 	}
-	return target{backend: bound.Backend, incarnation: bound.Incarnation, key: key, binding: bound}, nil
+	return target{
+		backend: bound.Backend, incarnation: bound.Incarnation, dataCentre: holder.VM.DataCentre,
+		key: key, binding: bound,
+	}, nil
 }
 
 // wrongIncarnation returns the error of a request that only an incarnation which
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -72,6 +72,9 @@
 	class carawaybeam.Class,
 	organisation carawaybeam.OrganisationID,
 ) (Ticket, *carawaybeam.RequestError) {
+	if failure := d.unreadEvacuations(); failure != nil {
+		return Ticket{}, failure
+	}
 	request := Request{ID: carawaybeam.NewRequestID(), Class: class, Organisation: organisation}
 	request.routing = newRouting(request)
 	var tried []carawaybeam.BackendID
@@ -123,8 +126,12 @@
 // incarnation of the agent that issued the ticket.
 func (d *Dispatcher) ticketTarget(ctx context.Context, request Request) (target, *carawaybeam.RequestError) {
 	ticket := request.Ticket
-	if d.connect(ctx, request.Class.Pool, ticket.Backend).Incarnation != ticket.Incarnation {
+	holder := d.connect(ctx, request.Class.Pool, ticket.Backend)
+	if holder.Incarnation != ticket.Incarnation {
 		return target{}, wrongIncarnation("agent that minted the ticket is gone")
 	}
-	return target{backend: ticket.Backend, incarnation: ticket.Incarnation, ticket: ticket.Number}, nil
+	return target{
+		backend: ticket.Backend, incarnation: ticket.Incarnation, dataCentre: holder.VM.DataCentre,
+		ticket: ticket.Number,
+	}, nil
 }
--- a/fakes/assembler/assembler.go
+++ b/fakes/assembler/assembler.go
@@ -14,19 +14,9 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/agent"
-	"github.com/carawaybeam/carawaybeam/assessor"
-	"github.com/carawaybeam/carawaybeam/binder"
-	"github.com/carawaybeam/carawaybeam/configurer"
-	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/executor"
 	"github.com/carawaybeam/carawaybeam/fakes/linker"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
-	"github.com/carawaybeam/carawaybeam/finisher"
-	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
-	"github.com/carawaybeam/carawaybeam/quarantiner"
-	"github.com/carawaybeam/carawaybeam/retrier/proof"
-	"github.com/carawaybeam/carawaybeam/router/leastinflight"
-	"github.com/carawaybeam/carawaybeam/tracker"
 )
 
 // settleTime is how long New waits for the entries to link to the agents.
@@ -50,16 +40,11 @@
 		// request crashed it. If it is 0, the server stays down until
 		// Backend.Recover.
 		Restart time.Duration
-	}
-
-	// Entry holds the components of one entry.
-	Entry struct {
-		Configurer *configurer.Configurer
-		Tracker    *tracker.Tracker
-		Binder     *binder.Binder
-		Dispatcher *dispatcher.Dispatcher
-		Assessor   *assessor.Assessor
-		Finisher   *finisher.Finisher
+		// DataCentres is the number of data centres over which the VMs are spread. If it
+		// is 0, they have none.
+		DataCentres int
+		// Evacuations makes the entries follow the evacuations in the store.
+		Evacuations bool
 	}
 
 	// Slot is a VM with a backend server and an agent. Agent and Executor are
@@ -96,8 +81,8 @@
 		a.addSlot(i)
 	}
 	a.PublishVMs()
-	for i := range options.Entries {
-		a.addEntry(i)
+	for range options.Entries {
+		a.StartEntry()
 	}
 	time.Sleep(settleTime)
 	return a
@@ -108,7 +93,7 @@
 func (a *Assembler) Close() error {
 	errs := make([]error, 0, len(a.Entries)+len(a.Slots)+1)
 	for _, e := range a.Entries {
-		errs = append(errs, errors.Join(e.Dispatcher.Close(), e.Binder.Close(), e.Tracker.Close()))
+		errs = append(errs, e.Close())
 	}
 	errs = append(errs, a.Network.Close())
 	for _, s := range a.Slots {
@@ -117,35 +102,9 @@
 	return errors.Join(errs...)
 }
 
-func (a *Assembler) addEntry(i int) {
-	config := configurer.New()
-	quarantine := quarantiner.New(quarantiner.Complete)
-	assess, finish := assessor.New(), finisher.New()
-	t := tracker.New(tracker.Options{
-		Process:     fmt.Sprintf("entry-%d", i),
-		Incarnation: carawaybeam.NewIncarnation(),
-		Lister:      a.Store.VMList(),
-		Dialer:      a.Network,
-		Config:      config,
-		Quarantiner: quarantine,
-		Log:         zerolog.Nop(),
-	})
-	b := binder.New(a.Store)
-	d := dispatcher.New(dispatcher.Options{
-		Members:        t,
-		Binder:         b,
-		ConfigObserver: config,
-		Router:         leastinflight.Router{},
-		Limiter:        unlimited.Limiter{},
-		Retrier:        proof.Retrier{},
-		Quarantiner:    quarantine,
-		Assessor:       assess,
-		Finisher:       finish,
-		Log:            zerolog.Nop(),
-	})
-	a.Entries = append(a.Entries, &Entry{
-		Configurer: config, Tracker: t, Binder: b, Dispatcher: d, Assessor: assess, Finisher: finish,
-	})
+// DataCentre returns the name of a data centre, of which the first has number 0.
+func DataCentre(number int) carawaybeam.DataCentre {
+	return carawaybeam.DataCentre(fmt.Sprintf("dc-%d", number))
 }
 
 func (a *Assembler) addSlot(i int) {
@@ -159,6 +118,9 @@
 		},
 		Backend: NewBackend(a.options.PartTime, a.options.Restart),
 	}
+	if a.options.DataCentres > 0 {
+		s.VM.DataCentre = DataCentre(i % a.options.DataCentres)
+	}
 	a.Slots = append(a.Slots, s)
 	a.StartAgent(i)
 }
--- a/fakes/assembler/backend.go
+++ b/fakes/assembler/backend.go
@@ -44,8 +44,10 @@
 		runs     map[string]int
 		attempts map[carawaybeam.AttemptID]int
 		starts   []time.Time
-		down     bool
-		crashes  []time.Time
+		// started holds the attempts of starts.
+		started []carawaybeam.AttemptID
+		down    bool
+		crashes []time.Time
 		// poison holds the bodies that crash the backend server, with the times at which
 		// they did.
 		poison     map[string][]time.Time
@@ -114,6 +116,15 @@
 	return n
 }
 
+// EachStart calls a function with the time and attempt of each start.
+func (b *Backend) EachStart(visit func(at time.Time, attempt carawaybeam.AttemptID)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, at := range b.starts {
+		visit(at, b.started[i])
+	}
+}
+
 // Crashes returns the times at which the backend server crashed.
 func (b *Backend) Crashes() []time.Time {
 	b.mu.Lock()
@@ -181,6 +192,7 @@
 	b.runs[body]++
 	b.attempts[call.Attempt]++
 	b.starts = append(b.starts, time.Now())
+	b.started = append(b.started, call.Attempt)
 	if crashes, ok := b.poison[body]; ok {
 		b.poison[body] = append(crashes, time.Now())
 		b.crash()
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -28,15 +28,18 @@
 		Callers    carawaybeam.Address    `toml:"callers"    doc:"Address for callers."`
 		Links      carawaybeam.Address    `toml:"links"      doc:"Address for links, as in the list of VMs."`
 		Admin      carawaybeam.Address    `toml:"admin"      doc:"Address for operators and metrics."`
-		Store      Service                `toml:"store"`
-		VMList     Service                `toml:"vmList"`
-		Policies   Policies               `toml:"policies"`
-		Limits     Limits                 `toml:"limits"`
-		CallerTLS  TLS                    `toml:"callerTLS"`
-		LinkTLS    TLS                    `toml:"linkTLS"`
-		Operators  Operators              `toml:"operators"`
-		Direct     Direct                 `toml:"direct"`
-		Admission  Admission              `toml:"admission"`
+		// Evacuations applies to entries in an installation with agents.
+		Evacuations bool `toml:"evacuations" doc:"Obey evacuations of data centres where agents forward."`
+
+		Store     Service   `toml:"store"`
+		VMList    Service   `toml:"vmList"`
+		Policies  Policies  `toml:"policies"`
+		Limits    Limits    `toml:"limits"`
+		CallerTLS TLS       `toml:"callerTLS"`
+		LinkTLS   TLS       `toml:"linkTLS"`
+		Operators Operators `toml:"operators"`
+		Direct    Direct    `toml:"direct"`
+		Admission Admission `toml:"admission"`
 	}
 
 	// Operators configures the authentication of operators.
--- a/proposer/controller.go
+++ b/proposer/controller.go
@@ -90,6 +90,9 @@
 	if stored, version, err = c.restorePlans(ctx, stored, version, inForce); err != nil {
 		return err
 	}
+	if c.options.Evacuated != nil && c.options.Evacuated(c.settings.Peers) {
+		return nil
+	}
 	current := c.currentMap(stored, inForce)
 	next := c.planner.Plan(time.Now(), carawaybeam.PlanRequest{Current: current, Loads: loads})
 	if next.Version == current.Version {
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -34,6 +34,9 @@
 		Dialer carawaybeam.Dialer
 		// NewPlanner returns a planner for one group.
 		NewPlanner func(carawaybeam.PlannerOptions) carawaybeam.Planner
+		// Evacuated reports whether all agents of a group are in evacuated data centres,
+		// so that no change of its map is begun. If nil, none is.
+		Evacuated func(agents []carawaybeam.Address) bool
 		// Holder identifies this incarnation of the process.
 		Holder carawaybeam.Incarnation
 		Log    zerolog.Logger
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -127,6 +127,30 @@
 	})
 }
 
+// TestEvacuatedGroup guards against map changes that begin while all ranks of the group are in evacuated
+// data centres.
+func TestEvacuatedGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group, store := newGroup(t), storer.New()
+		evacuated := time.Now().Add(30 * time.Second)
+		p := proposer.New(proposer.Options{
+			Store: store, Config: group.config, Dialer: group.network, NewPlanner: drift.New, Holder: "a",
+			Evacuated: func(agents []carawaybeam.Address) bool {
+				is.Equal(len(agents), ranks)
+				return time.Now().Before(evacuated)
+			},
+			Log: zerolog.Nop(),
+		})
+		time.Sleep(29 * time.Second)
+		is.Equal(group.Counts().Switches, 0)
+		time.Sleep(time.Minute)
+		is.True(group.Counts().Switches > 0)
+		is.NoErr(p.Close())
+		group.close(is)
+	})
+}
+
 // checkPlans fails if a stored map does not have the digest with which it is stored.
 func checkPlans(is *is.I, value []byte) {
 	is.Helper()
--- a/tracker/list.go
+++ b/tracker/list.go
@@ -85,7 +85,7 @@
 	for address, m := range t.members {
 		agents[address] = m.snapshot().VM
 	}
-	chosen := subset(t.options.Process, agents, t.options.SubsetSize, t.options.MaxFullPool)
+	chosen := subset(t.options.Process, agents, t.isEvacuated, t.options.SubsetSize, t.options.MaxFullPool)
 	t.interval = reportInterval(len(chosen))
 	for address, m := range t.members {
 		m.setChosen(chosen[address])
--- a/tracker/member.go
+++ b/tracker/member.go
@@ -278,6 +278,16 @@
 		DataCentre:  string(m.tracker.options.DataCentre),
 		Role:        carawaybeam.RoleEntry,
 		IntervalMs:  uint64(interval.Milliseconds()),
+		Evacuation:  m.evacuation(),
+	}}}
+}
+
+// keepAlive returns a keep-alive frame that asks for a report interval, or for no change
+// of it if it is 0.
+func (m *member) keepAlive(interval time.Duration) *framer.Frame {
+	return &framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: &framer.KeepAlive{
+		IntervalMs: uint64(interval.Milliseconds()),
+		Evacuation: m.evacuation(),
 	}}}
 }
 
@@ -288,6 +298,7 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	m.setRequestedInterval(interval)
+	evacuations := m.tracker.nextEvacuations()
 	if stream.Send(exchange.Stamp(m.hello(interval))) != nil {
 		return
 	}
@@ -306,12 +317,15 @@
 		case <-ticker.C:
 			interval = m.tracker.reportInterval()
 			ticker.Reset(interval)
-			keepAlive := &framer.KeepAlive{IntervalMs: uint64(interval.Milliseconds())}
-			frame := &framer.Frame{Body: &framer.Frame_KeepAlive{KeepAlive: keepAlive}}
-			if stream.Send(exchange.Stamp(frame)) != nil {
+			if stream.Send(exchange.Stamp(m.keepAlive(interval))) != nil {
 				return
 			}
 			m.setRequestedInterval(interval)
+		case <-evacuations:
+			evacuations = m.tracker.nextEvacuations()
+			if stream.Send(exchange.Stamp(m.keepAlive(0))) != nil {
+				return
+			}
 		case <-exchange.Pending():
 		case <-changed:
 		case <-suspects.Changed():
--- a/tracker/selection.go
+++ b/tracker/selection.go
@@ -57,10 +57,13 @@
 
 // subset returns the addresses of the agents that an entry links to, by
 // rendezvous hashing within each pool. Each agent is chosen by about the same
-// number of entries, and a change of the list changes few links.
+// number of entries, and a change of the list changes few links. In a pool of which
+// only a part is linked, agents in evacuated data centres are replaced by others and
+// stay linked, so that they are at hand after the evacuation.
 func subset(
 	process string,
 	agents map[carawaybeam.Address]carawaybeam.VM,
+	evacuated func(carawaybeam.DataCentre) bool,
 	size, whole int,
 ) map[carawaybeam.Address]bool {
 	type scored struct {
@@ -84,6 +87,15 @@
 		for _, s := range pool[:min(wanted, len(pool))] {
 			chosen[s.address] = true
 		}
+		for _, s := range pool {
+			if wanted == 0 {
+				break
+			}
+			if !evacuated(agents[s.address].DataCentre) {
+				chosen[s.address] = true
+				wanted--
+			}
+		}
 	}
 	return chosen
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -64,6 +64,9 @@
 		// Quarantiner holds the requests that crash backend servers. If it is
 		// nil, the Tracker creates its own.
 		Quarantiner *quarantiner.Quarantiner
+		// Evacuations knows the evacuated data centres, of which the agents are told.
+		// It is nil if evacuations are not followed.
+		Evacuations Evacuations
 		Log         zerolog.Logger
 	}
 
@@ -75,6 +78,16 @@
 		Observe(version carawaybeam.ConfigVersion)
 	}
 
+	// Evacuations knows the evacuated data centres.
+	Evacuations interface {
+		// Loaded reports whether the evacuations have been read.
+		Loaded() bool
+		// Version returns the store version up to which they have been read.
+		Version() carawaybeam.StoreVersion
+		// Evacuated reports whether nothing may be sent to a data centre.
+		Evacuated(dataCentre carawaybeam.DataCentre) bool
+	}
+
 	// Member is a snapshot of the state of one backend server.
 	Member struct {
 		VM          carawaybeam.VM
@@ -106,6 +119,10 @@
 		interval    time.Duration
 		listedAt    time.Time
 		listFailing bool
+		// evacuated holds the evacuated data centres of agents at the last review.
+		evacuated map[carawaybeam.DataCentre]struct{}
+		// evacuationsChanged is closed and replaced when evacuated changes.
+		evacuationsChanged chan struct{}
 	}
 )
 
@@ -132,6 +149,8 @@
 		members:  make(map[carawaybeam.Address]*member),
 		entries:  make(map[carawaybeam.Address]carawaybeam.VM),
 		interval: minReportInterval,
+
+		evacuationsChanged: make(chan struct{}),
 	}
 	t.wait.Go(t.pollList)
 	return t
