Test that an entry is not ready before it has read the evacuations

TestLinkedEvacuation passed without the condition in entry.ready, as the configuration was unread there, too. The new test withholds the evacuations only, and fails without the condition.

--- a/cmd/cbentry/linked_evacuations_test.go
+++ b/cmd/cbentry/linked_evacuations_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,6 +81,37 @@
 	await(t, "the data centre is used again", func() bool { return book(t, again).status == http.StatusOK })
 }
 
+// TestNotReadyBeforeEvacuations guards against an entry that is ready although it has read the configuration
+// only, as when its peers deliver that.
+func TestNotReadyBeforeEvacuations(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	callers, admin := freeAddress(t), freeAddress(t)
+	handler := platform(t, freeAddress(t)).Handler()
+	var readable atomic.Bool
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !readable.Load() && strings.Contains(r.URL.String(), string(carawaybeam.KindEvacuation)) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(web.Close)
+	start(t, "cbentry", "evacuations = true\n"+entrySettings(callers, admin, web.URL))
+	ready := func() bool { return status("http://"+admin+"/readyz") == http.StatusOK }
+	await(t, "the configuration is read", func() bool {
+		return strings.Contains(body(t, "http://"+admin+"/state"), "bookings")
+	})
+	time.Sleep(time.Second)
+	is.True(!ready())
+	refused := book(t, callers)
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.Equal(refused.outcome, carawaybeam.OutcomeNotRun)
+	is.Equal(refused.retryAfter, "1")
+	readable.Store(true)
+	await(t, "the entry is ready", ready)
+}
+
 // evacuatedIn returns the evacuated data centres that an entry reports to operators.
 func evacuatedIn(t *testing.T, admin string) []carawaybeam.DataCentre {
 	t.Helper()
