Keep requests with home regions in these on the direct path

A route or an organisation may name homes, the regions in which its requests may be served. Until now the field was not decoded, and requests went to any backend server of the pool.

The entry's settings name the region of each data centre ([regions]). The forwarder leaves out backend servers in other regions for first attempts, retries, second attempts and resumed streams, and asks again right before it sends and once the connection is open, with the configuration in force then. A request none of whose backend servers is in a home region is rejected at once with the status and Retry-After of a pool without servers. Of several pools of a route, one with a backend server in a home region is drawn. Homes that cannot be read restrict requests to those that can, so that a fault never widens where a request may go.

--- a/cmd/cbentry/cold.go
+++ b/cmd/cbentry/cold.go
@@ -44,10 +44,11 @@
 	return following.Age()
 }
 
-// decodeAnnouncement decodes the announcement of a backend server and passes on how long it stays
-// cold.
+// decodeAnnouncement decodes the announcement of a backend server, adds its region and passes on how long
+// it stays cold.
 func (e *directEntry) decodeAnnouncement(object carawaybeam.Object) (carawaybeam.Instance, error) {
 	instance, report, err := e.dialect.DecodeAnnouncement(object)
+	instance.Region = e.locator.Region(instance.DataCentre)
 	if err == nil {
 		e.warmer.Announce(e.warmer.Now(), instance, report)
 	}
--- a/cmd/cbentry/direct.go
+++ b/cmd/cbentry/direct.go
@@ -28,6 +28,7 @@
 	"github.com/carawaybeam/carawaybeam/hedger"
 	"github.com/carawaybeam/carawaybeam/keeper"
 	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/locator"
 	"github.com/carawaybeam/carawaybeam/logkeeper"
 	"github.com/carawaybeam/carawaybeam/orderer"
 	"github.com/carawaybeam/carawaybeam/overseer"
@@ -141,6 +142,7 @@
 	bodies, answers *reserver.Reserver
 	evacuator       *evacuator.Evacuator
 	warmer          *warmer.Warmer
+	locator         *locator.Locator
 	acceptor        *acceptor.Acceptor
 	entries         *enroller.EntrySet
 	collector       *collector.Collector
@@ -194,6 +196,8 @@
 	// Evacuations is nil unless the entry obeys evacuations.
 	Evacuations *evacuator.State `json:"evacuations,omitempty"`
 	Warmth      *warmer.State    `json:"coldServers,omitempty"`
+	// Homes is nil unless the configuration has home regions.
+	Homes *locator.State `json:"homes,omitempty"`
 	// Hedging is nil unless operators allow second attempts.
 	Hedging *hedger.State `json:"secondAttempts,omitempty"`
 }
@@ -233,6 +237,7 @@
 	}
 	e.log = starter.NewLog(settings.Process, e.logKeeper)
 	e.entries = enroller.NewEntrySet(e.log)
+	e.locator = locator.New(locator.Options{Regions: settings.Regions, Log: e.log})
 	e.retrier = quota.New(quota.Options{
 		Bound: retryBound(settings.Direct.Retries), Entries: e.entries.Len, Started: time.Now(),
 	})
--- a/cmd/cbentry/evacuations.go
+++ b/cmd/cbentry/evacuations.go
@@ -47,15 +47,17 @@
 		options.Evacuations = e.evacuator
 	}
 	options.Warmer = e.warmer
+	options.HomeRefused = e.locator.CountRefused
 	return options
 }
 
-// review logs what has changed of evacuations and cold backend servers.
+// review logs what has changed of evacuations and cold backend servers, and odd homes.
 func (e *directEntry) review() {
 	if e.evacuator != nil && e.evacuator.Active() {
 		e.evacuator.Review(e.discoverer.Known())
 	}
 	e.warmer.Review(e.warmer.Now(), e.discoverer.Uses)
+	e.reviewHomes()
 }
 
 // groupEvacuated reports whether all ranks of a group are in evacuated data centres.
@@ -76,7 +78,7 @@
 	return len(statuses) > 0
 }
 
-// addExclusions adds evacuations and cold backend servers to the state dump.
+// addExclusions adds evacuations, cold backend servers and homes to the state dump.
 func (e *directEntry) addExclusions(state *directState) {
 	if e.evacuator != nil {
 		evacuations := e.evacuator.State()
@@ -86,13 +88,20 @@
 		warmth := e.warmer.State()
 		state.Warmth = &warmth
 	}
+	if e.hasHomes() {
+		homes := e.locator.State()
+		state.Homes = &homes
+	}
 }
 
-// setExclusionGauges sets the gauges of evacuations and cold backend servers.
+// setExclusionGauges sets the gauges of evacuations, cold backend servers and homes.
 func (e *directEntry) setExclusionGauges(scope tally.Scope) {
 	if e.evacuator != nil {
 		scope.Gauge("data_centres_evacuated").Update(float64(len(e.evacuator.State().DataCentres)))
 	}
+	if e.hasHomes() {
+		setHomeGauges(scope, e.locator.State())
+	}
 	if !e.limitsCold() {
 		return
 	}
--- a/cmd/cbentry/exclusions_test.go
+++ b/cmd/cbentry/exclusions_test.go
@@ -48,20 +48,7 @@
 	}
 	web := httptest.NewServer(e.platform.Handler())
 	t.Cleanup(web.CloseClientConnections)
-	_, err := e.platform.Configure(t.Context(), emulator.Configuration{
-		Version: 1,
-		Routes:  []emulator.Route{{Prefix: "/look/", Kind: "safe", Pool: "desk"}},
-		Pools:   []string{"desk"},
-		Keys: map[string]string{
-			"crews": "key",
-		},
-		RouteTimeout: 2 * time.Second,
-		ColdRate:     coldRate,
-		ColdStart:    time.Second,
-		Limits: emulator.ClientLimits{
-			HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second,
-		},
-	})
+	_, err := e.platform.Configure(t.Context(), e.configuration(1))
 	is.NoErr(err)
 	e.near, e.far = e.startServer("near"), e.startServer("far")
 	template, err := os.ReadFile("../../deploy/entry-platform.toml")
@@ -75,12 +62,31 @@
 		Name: "entry-0", Callers: e.callers, Readiness: e.readiness, Store: strings.TrimPrefix(web.URL, "http://"),
 		IP: ip, Admin: adminPort, Links: linksPort, MaxKeyAge: time.Minute, StopWithin: 5 * time.Second,
 	})
+	settings += "\n[regions]\nnear = \"north\"\nfar = \"south\"\n"
 	is.NoErr(os.WriteFile(e.file, []byte(settings), 0o600))
 	e.start()
 	t.Cleanup(e.kill)
 	return e
 }
 
+// configuration returns a version of the configuration, without homes.
+func (e *excludingEntry) configuration(version int) emulator.Configuration {
+	return emulator.Configuration{
+		Version: version,
+		Routes:  []emulator.Route{{Prefix: "/look/", Kind: "safe", Pool: "desk"}},
+		Pools:   []string{"desk"},
+		Keys: map[string]string{
+			"crews": "key",
+		},
+		RouteTimeout: 2 * time.Second,
+		ColdRate:     coldRate,
+		ColdStart:    time.Second,
+		Limits: emulator.ClientLimits{
+			HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second,
+		},
+	}
+}
+
 func (e *excludingEntry) startServer(dataCentre string) *emulator.Server {
 	e.t.Helper()
 	host, _, err := net.SplitHostPort(freeAddress(e.t))
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -45,7 +45,9 @@
 		pool         *carawaybeam.Pool
 		organisation carawaybeam.OrganisationID
 		priority     int
-		writer       AnswerWriter
+		// residency is where the request may be served according to config.
+		residency carawaybeam.Residency
+		writer    AnswerWriter
 		// fingerprint identifies the request among others with other identifiers.
 		fingerprint quarantiner.Fingerprint
 		// parts identifies the parts of the prompt that other requests may have too.
@@ -320,7 +322,11 @@
 		return carawaybeam.RouteDecision{}, failure
 	}
 	members := f.options.Members.Instances(p.pool.ID)
-	allowed := f.withoutEvacuated(members)
+	residency := f.residency(p)
+	if failure := f.residencyError(residency, members); failure != nil {
+		return carawaybeam.RouteDecision{}, failure
+	}
+	allowed := f.withoutEvacuated(permitted(residency, members))
 	instances, restricted := f.openInstances(now, allowed)
 	instances, cold := f.withoutCold(p.pool, instances)
 	candidates := f.candidates(now, instances)
@@ -423,7 +429,7 @@
 		}
 	}
 	began := time.Now()
-	if failure := f.admitInstance(began, instance); failure != nil {
+	if failure := f.admitInstance(began, p, instance); failure != nil {
 		p.unsent = append(p.unsent, instance.ID)
 		return result{failure: failure, unsent: true}
 	}
@@ -509,7 +515,7 @@
 		Body:   p.request.Body,
 
 		MaxIdle: f.maxIdle(p.pool),
-		Permit:  f.permit(instance),
+		Permit:  f.permit(p, instance),
 	})
 	if err != nil {
 		return f.sendFailure(ctx, instance, err)
--- a/dispatcher/forwarder/exclusions.go
+++ b/dispatcher/forwarder/exclusions.go
@@ -115,17 +115,30 @@
 
 // permit returns what tells whether a request may still be sent to a backend server once there is a
 // connection to it, or nil if nothing can change that.
-func (f *Forwarder) permit(instance carawaybeam.Instance) func() bool {
-	if f.options.Evacuations == nil {
+func (f *Forwarder) permit(p *pendingRequest, instance carawaybeam.Instance) func() bool {
+	if f.options.Evacuations == nil && !f.residency(p).Restricted() {
 		return nil
 	}
-	return func() bool { return !f.options.Evacuations.Evacuated(instance.DataCentre) }
+	return func() bool {
+		return f.residency(p).Permits(instance.Region) &&
+			(f.options.Evacuations == nil || !f.options.Evacuations.Evacuated(instance.DataCentre))
+	}
 }
 
 // admitInstance reports whether a request may be sent to a backend server now, and counts it. If not,
 // it returns the error of the request. What was known when the backend server was chosen may have
 // changed since.
-func (f *Forwarder) admitInstance(now time.Time, instance carawaybeam.Instance) *carawaybeam.RequestError {
+func (f *Forwarder) admitInstance(
+	now time.Time,
+	p *pendingRequest,
+	instance carawaybeam.Instance,
+) *carawaybeam.RequestError {
+	if residency := f.residency(p); !residency.Permits(instance.Region) {
+		return carawaybeam.NotRun(
+			carawaybeam.ReasonNoBackend, "backend server is not in a home region any more: "+residency.String(),
+			shortRetryAfter,
+		)
+	}
 	if f.options.Evacuations != nil && f.options.Evacuations.Evacuated(instance.DataCentre) {
 		return carawaybeam.NotRun(
 			carawaybeam.ReasonNoBackend, "data centre of the backend server was evacuated meanwhile", shortRetryAfter,
--- a/dispatcher/forwarder/forwarder.go
+++ b/dispatcher/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -151,6 +152,8 @@
 		Evacuations Evacuations
 		// Warmer bounds the requests to cold backend servers. If nil, none is cold.
 		Warmer *warmer.Warmer
+		// HomeRefused is called for each request that is rejected because of its homes. It may be nil.
+		HomeRefused func()
 		// Hedger decides on second attempts. If nil, there are none.
 		Hedger    *hedger.Hedger
 		Router    carawaybeam.Router
@@ -234,18 +237,12 @@
 		return p, carawaybeam.NotRun(carawaybeam.ReasonStaleConfig, "no configuration is known yet", shortRetryAfter)
 	}
 	p.config = current
-	path := request.Target
-	for i := range len(path) {
-		if path[i] == '?' {
-			path = path[:i]
-			break
-		}
-	}
-	p.route = current.Route(request.Host, path)
+	p.route = routeOf(current, request)
 	if p.route == nil {
 		return p, unknownError(age, carawaybeam.ReasonUnknownClass, "no route has this host and path")
 	}
 	p.priority = p.route.Priority
+	p.residency = newResidency(current, p.route, request)
 	if current.NeedsKey(p.route) {
 		if failure := f.authorize(p, age); failure != nil {
 			return p, failure
@@ -254,7 +251,7 @@
 		// Anyone may use the route, and is served without an organisation.
 		p.organisation = holder.ID
 	}
-	pool, ok := matcher.ChoosePool(p.route, f.random)
+	pool, ok := f.choosePool(p)
 	if !ok {
 		return p, carawaybeam.NotRun(carawaybeam.ReasonNoBackend, "route has no pool", shortRetryAfter)
 	}
@@ -268,6 +265,12 @@
 	return p, nil
 }
 
+// routeOf returns the route of a request, or nil if there is none.
+func routeOf(config *matcher.Matcher, request *carawaybeam.ClientRequest) *carawaybeam.Route {
+	path, _, _ := strings.Cut(request.Target, "?")
+	return config.Route(request.Host, path)
+}
+
 // partFingerprints identifies the parts of the request's prompt that other requests for the pool
 // may have as well, which are all but the last one.
 func partFingerprints(request *carawaybeam.ClientRequest, pool carawaybeam.PoolID) []quarantiner.Fingerprint {
--- a/dispatcher/forwarder/hedge.go
+++ b/dispatcher/forwarder/hedge.go
@@ -362,7 +362,8 @@
 // cold, and may be fast while that of the first attempt is slow.
 func (f *Forwarder) chooseSecond(now time.Time, r *race) (carawaybeam.RouteDecision, hedger.Offer) {
 	p := r.parent
-	instances, _ := f.openInstances(now, f.withoutEvacuated(f.options.Members.Instances(p.pool.ID)))
+	allowed := f.withoutEvacuated(permitted(f.residency(p), f.options.Members.Instances(p.pool.ID)))
+	instances, _ := f.openInstances(now, allowed)
 	candidates := f.candidates(now, instances)
 	offer := hedger.Offer{Elapsed: now.Sub(r.began), Retry: func() bool { return f.mayHedge(now, p) }}
 	offer.Slots, offer.Used = f.slots(candidates)
--- a/dispatcher/forwarder/hedge_bench_test.go
+++ b/dispatcher/forwarder/hedge_bench_test.go
@@ -56,7 +56,18 @@
 
 func newBenchmarked(b *testing.B, servers int, decides *hedger.Hedger) *forwarder.Forwarder {
 	b.Helper()
-	env := newEnvironment()
+	return forwarder.New(newBenchmarkOptions(b, newEnvironment(), servers, decides))
+}
+
+// newBenchmarkOptions returns the options of a Forwarder in an environment that gets a number of backend
+// servers.
+func newBenchmarkOptions(
+	b testing.TB,
+	env *environment,
+	servers int,
+	decides *hedger.Hedger,
+) forwarder.Options {
+	b.Helper()
 	env.instances = nil
 	for i := range servers {
 		env.instances = append(env.instances, carawaybeam.Instance{
@@ -70,7 +81,7 @@
 		Log: zerolog.Nop(),
 	})
 	b.Cleanup(func() { _ = detect.Close() })
-	return forwarder.New(forwarder.Options{
+	return forwarder.Options{
 		Configuration: env,
 		ConfigAge:     func() (time.Duration, bool) { return 0, true },
 		MaxKeyAge:     func() time.Duration { return 0 },
@@ -91,7 +102,7 @@
 			Bound: quota.Bound{Window: 10 * time.Second}, Entries: func() int { return 1 }, Started: time.Now(),
 		}),
 		Log: zerolog.Nop(),
-	})
+	}
 }
 
 // TestHedgingOffCostsNothing guards against a timer, a goroutine or memory for requests while hedging is
--- a/ids.go
+++ b/ids.go
@@ -18,6 +18,9 @@
 	// DataCentre names one data centre.
 	DataCentre string
 
+	// Region names a set of data centres under the same rules for where data may be processed.
+	Region string
+
 	// VMID names one VM of the platform.
 	VMID string
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -37,8 +37,12 @@
 		Operators  Operators              `toml:"operators"`
 		Direct     Direct                 `toml:"direct"`
 		Admission  Admission              `toml:"admission"`
+		Regions    Regions                `toml:"regions"    doc:"Region of each data centre, for homes."`
 	}
 
+	// Regions holds the region of each data centre.
+	Regions map[carawaybeam.DataCentre]carawaybeam.Region
+
 	// Operators configures the authentication of operators.
 	Operators struct {
 		// TokenHash is the hexadecimal SHA-256 of the operators' token. If it is
@@ -227,6 +231,7 @@
 	problems = append(problems, registered("policies.limiter", &carawaybeam.Limiters, s.Policies.Limiter)...)
 	problems = append(problems, registered("policies.retrier", &carawaybeam.Retriers, s.Policies.Retrier)...)
 	problems = append(problems, registered("policies.planner", &carawaybeam.Planners, s.Policies.Planner)...)
+	problems = append(problems, s.Regions.validate()...)
 	problems = append(problems, s.CallerTLS.validate("callerTLS", false)...)
 	problems = append(problems, s.LinkTLS.validate("linkTLS", true)...)
 	problems = append(problems, tokenHash("operators.tokenHash", s.Operators.TokenHash)...)
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -23,6 +23,8 @@
 	several map[carawaybeam.PoolID]bool
 	// hasColdPools is set if the backend servers of a pool may be cold.
 	hasColdPools bool
+	// hasHomes is set if the requests of a route or an organisation may not be served everywhere.
+	hasHomes bool
 }
 
 // New returns a Matcher for a routing configuration.
@@ -49,6 +51,7 @@
 		m.pools[routing.Pools[i].ID] = &routing.Pools[i]
 		m.hasColdPools = m.hasColdPools || routing.Pools[i].ColdRate > 0
 	}
+	m.hasHomes = hasHomes(&routing)
 	m.several = m.poolsWithSeveralPriorities()
 	return m
 }
--- a/prover/prover.go
+++ b/prover/prover.go
@@ -54,6 +54,9 @@
 	ColdServer Promise = "coldServer"
 	// Evacuation promises that nothing is sent to an evacuated data centre.
 	Evacuation Promise = "evacuation"
+	// HomeRegions promises that a request whose route or organisation has home regions is sent to
+	// backend servers in these only.
+	HomeRegions Promise = "homeRegions"
 	// SecondAttempts promises that all entries together send no more second attempts than operators
 	// allow, and none of a request that must not run twice.
 	SecondAttempts Promise = "secondAttempts"
--- a/routes.go
+++ b/routes.go
@@ -59,6 +59,12 @@
 		// Resumable is set if another backend server can continue a stream
 		// after a given event.
 		Resumable bool
+		// Homes lists the regions in which the requests may be served. If it is empty and
+		// HomesFault is too, they may be served anywhere.
+		Homes []Region
+		// HomesFault says which part of the homes is unreadable, or is empty. If it is set, the
+		// requests may be served in Homes only, even if that is empty.
+		HomesFault string
 	}
 
 	// EngineProfile describes the capacity and speed of the model engines of a
@@ -140,6 +146,12 @@
 		Keys []APIKey
 		// Priority overrides the priority of the route if it is not nil.
 		Priority *int
+		// Homes lists the regions in which the requests may be served. If it is empty and
+		// HomesFault is too, they may be served anywhere.
+		Homes []Region
+		// HomesFault says which part of the homes is unreadable, or is empty. If it is set, the
+		// requests may be served in Homes only, even if that is empty.
+		HomesFault string
 	}
 
 	// ClientLimits holds the size limits and timeouts for client connections.
@@ -173,6 +185,9 @@
 		Pool       PoolID
 		Address    Address
 		DataCentre DataCentre
+		// Region is that of the data centre, or empty if it is unknown. The announcement does not
+		// say it, but the settings of the process.
+		Region Region
 		// Slots is how many requests it runs at once.
 		Slots int
 		// Leaving is set once it accepts no further work.
--- a/schema.go
+++ b/schema.go
@@ -17,6 +17,7 @@
 	FieldRouteGap      RoutingField = "route.gap"
 	FieldRoutePriority RoutingField = "route.priority"
 	FieldRouteAttempts RoutingField = "route.attempts"
+	FieldRouteHomes    RoutingField = "route.homes"
 	// FieldRoutePool is the only pool of a route. FieldRouteShares lists the pools of a route that
 	// has several.
 	FieldRoutePool   RoutingField = "route.pool"
@@ -30,6 +31,7 @@
 	FieldOrganisationName     RoutingField = "organisation.name"
 	FieldOrganisationKeys     RoutingField = "organisation.keys"
 	FieldOrganisationPriority RoutingField = "organisation.priority"
+	FieldOrganisationHomes    RoutingField = "organisation.homes"
 
 	FieldHeaderBytes   RoutingField = "limits.headerBytes"
 	FieldBodyBytes     RoutingField = "limits.bodyBytes"
