Keep requests with home regions in these on the linked path

Classes of work and organisations of the linked path may have homes, too. The dispatcher leaves out agents in other regions for requests, retries, suspects, tickets and idempotency keys. A key or ticket that names an agent outside the homes gets the outcome "unknown", since an earlier request may have run there. Documents with invalid homes are refused.

--- a/cmd/cbentry/homes.go
+++ b/cmd/cbentry/homes.go
@@ -1,12 +1,18 @@
 package main
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/locator"
 )
 
+// homesInterval is the time between two checks of the homes of classes and organisations for what is to be
+// logged.
+const homesInterval = 5 * time.Second
+
 // hasHomes reports whether the configuration has home regions.
 func (e *directEntry) hasHomes() bool {
 	current := e.adopter.Current()
@@ -37,6 +43,39 @@
 	e.locator.Review(homes, dataCentres)
 }
 
+// configuredHomes returns the homes of classes and organisations.
+func (e *entry) configuredHomes() []locator.Homes {
+	var homes []locator.Homes
+	for _, class := range e.configurer.Classes() {
+		homes = appendHomes(homes, "class "+string(class.ID), class.Homes, "")
+	}
+	for _, org := range e.configurer.Organisations() {
+		homes = appendHomes(homes, "organisation "+string(org.ID), org.Homes, "")
+	}
+	return homes
+}
+
+// homes returns the state of home regions, or false if the configuration has none.
+func (e *entry) homes() (locator.State, bool) {
+	if len(e.configuredHomes()) == 0 {
+		return locator.State{}, false
+	}
+	return e.locator.State(), true
+}
+
+// reviewHomes logs odd homes of the configuration.
+func (e *entry) reviewHomes() {
+	homes := e.configuredHomes()
+	if len(homes) == 0 {
+		return
+	}
+	var dataCentres []carawaybeam.DataCentre
+	for _, m := range e.tracker.All() {
+		dataCentres = append(dataCentres, m.VM.DataCentre)
+	}
+	e.locator.Review(homes, dataCentres)
+}
+
 // appendHomes appends the homes of an owner if it has any.
 func appendHomes(
 	homes []locator.Homes,
--- a/cmd/cbentry/homes_test.go
+++ b/cmd/cbentry/homes_test.go
@@ -1,13 +1,19 @@
 package main_test
 
 import (
+	"encoding/json"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/configurer"
+	"github.com/carawaybeam/carawaybeam/fakes/booker"
 	"github.com/carawaybeam/carawaybeam/platform/emulator"
 )
 
@@ -84,3 +90,53 @@
 		return len(at(arrivals, "near")) > 0 && len(at(arrivals, "far")) > 0
 	})
 }
+
+// TestLinkedHomeRegions sets the homes of a class at running processes of the linked path. It guards against
+// parts that are not connected.
+func TestLinkedHomeRegions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	callers, admin, links, service := freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	objects := platform(t, links)
+	store := httptest.NewServer(objects.Handler())
+	t.Cleanup(store.Close)
+	desk := booker.New(0)
+	listener, err := net.Listen("tcp", service)
+	is.NoErr(err)
+	server := &http.Server{Handler: desk.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	start(t, "cbagent", agentSettings(links, freeAddress(t), "http://"+service))
+	operators := "\n[operators]\ntokenHash = \"" + configurer.HashToken("secret") + "\"\n"
+	start(t, "cbentry", entrySettings(callers, admin, store.URL)+operators+"\n[regions]\nkitami = \"north\"\n")
+	await(t, "the booking runs", func() bool { return book(t, callers).status == http.StatusOK })
+
+	setHomes := func(homes ...carawaybeam.Region) {
+		object, err := objects.Get(t.Context(), carawaybeam.KindClass, "bookings")
+		is.NoErr(err)
+		value, err := json.Marshal(configurer.ClassDocument{
+			Kind: carawaybeam.WorkService, Pool: "desk", Homes: homes,
+			Targets: configurer.TargetsDocument{Completed: "5s", Completion: "99.9%"},
+		})
+		is.NoErr(err)
+		_, err = objects.Put(
+			t.Context(),
+			carawaybeam.Object{Kind: carawaybeam.KindClass, Name: "bookings", Value: value},
+			object.Version,
+		)
+		is.NoErr(err)
+	}
+	setHomes("south")
+	await(t, "the booking is refused", func() bool { return book(t, callers).status == http.StatusServiceUnavailable })
+	before := desk.Counts().Bookings["B-1"]
+	for range 10 {
+		refused := book(t, callers)
+		is.Equal(refused.status, http.StatusServiceUnavailable)
+		is.Equal(refused.outcome, carawaybeam.OutcomeNotRun)
+		is.True(refused.retryAfter != "")
+	}
+	is.Equal(desk.Counts().Bookings["B-1"], before)
+	is.True(strings.Contains(body(t, "http://"+admin+"/state"), `"homes"`))
+	setHomes("south", "north")
+	await(t, "the booking runs again", func() bool { return book(t, callers).status == http.StatusOK })
+}
--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -24,6 +24,7 @@
 	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/keeper"
 	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/locator"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/recorder"
@@ -56,6 +57,7 @@
 	quarantiner *quarantiner.Quarantiner
 	assessor    *assessor.Assessor
 	finisher    *finisher.Finisher
+	locator     *locator.Locator
 	server      *server.Server
 	// bodies and answers bound the memory for bodies of requests and for held answers.
 	bodies, answers *reserver.Reserver
@@ -90,6 +92,8 @@
 	BodyMemory   reserver.State `json:"bodyMemory"`
 	AnswerMemory reserver.State `json:"answerMemory"`
 	Clients      keeper.State   `json:"clients"`
+	// Homes is nil unless the configuration has home regions.
+	Homes *locator.State `json:"homes,omitempty"`
 
 	Members []memberState `json:"members"`
 	// OmittedMembers is the number of members beyond maxDumpedMembers.
@@ -157,6 +161,7 @@
 	e.quarantiner = quarantiner.New(quarantiner.Complete)
 	e.assessor = assessor.New()
 	e.finisher = finisher.New()
+	e.locator = locator.New(locator.Options{Regions: e.settings.Regions, Log: e.log})
 	e.tracker = tracker.New(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -234,9 +239,12 @@
 		Assessor:       e.assessor,
 		Recorder:       e.recorder,
 		Finisher:       e.finisher,
+		Region:         e.locator.Region,
+		HomeRefused:    e.locator.CountRefused,
 		Log:            e.log,
 	})
 	e.closers.Add(e.dispatcher)
+	e.closers.Add(starter.Repeat(homesInterval, e.reviewHomes))
 	return nil
 }
 
@@ -329,6 +337,9 @@
 	for _, invalid := range e.configurer.Invalid() {
 		s.Invalid = append(s.Invalid, invalid.Error())
 	}
+	if homes, ok := e.homes(); ok {
+		s.Homes = &homes
+	}
 	members := e.tracker.All()
 	slices.SortFunc(members, func(a, b tracker.Member) int {
 		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
--- a/cmd/cbentry/metrics.go
+++ b/cmd/cbentry/metrics.go
@@ -60,6 +60,9 @@
 	if fresh := config.FreshAt(); !fresh.IsZero() {
 		g.scope.Gauge("config_age_seconds").Update(time.Since(fresh).Seconds())
 	}
+	if homes, ok := g.entry.homes(); ok {
+		setHomeGauges(g.scope, homes)
+	}
 	linked, leaving := 0, 0
 	for _, m := range g.entry.tracker.All() {
 		if m.Linked {
--- a/config.go
+++ b/config.go
@@ -36,6 +36,9 @@
 		// Idempotent is set when a request may safely run more than once.
 		Idempotent bool
 		Targets    Targets
+		// Homes lists the regions in which the requests may be served. If it is empty, they may
+		// be served anywhere.
+		Homes []Region
 	}
 
 	// Organisation is one organisation that may send requests.
@@ -46,5 +49,8 @@
 		// Classes lists the classes that the organisation may use. If empty,
 		// it may use all.
 		Classes []ClassID
+		// Homes lists the regions in which the organisation's requests may be served. If it is
+		// empty, they may be served anywhere.
+		Homes []Region
 	}
 )
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -267,6 +267,21 @@
 	return org, ok
 }
 
+// Organisations returns all organisations, sorted by ID.
+func (c *Configurer) Organisations() []carawaybeam.Organisation {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	organisations := make([]carawaybeam.Organisation, 0, len(c.organisations))
+	for _, org := range c.organisations {
+		organisations = append(organisations, org)
+	}
+	slices.SortFunc(
+		organisations,
+		func(a, b carawaybeam.Organisation) int { return compare(a.ID, b.ID) },
+	)
+	return organisations
+}
+
 // Object returns an object as it was read, which may be a tombstone. It returns
 // false if no object with this name is held.
 func (c *Configurer) Object(kind carawaybeam.StoreKind, name string) (carawaybeam.Object, bool) {
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -119,6 +119,7 @@
 		return `{"kind":"model","pool":"p","targets":{"firstToken":"` + first + `","betweenTokens":"` + between +
 			`","completed":"` + completed + `","completion":"` + completion + `"}}`
 	}
+	homes := func(list string) string { return strings.Replace(service, "{", `{"homes":`+list+",", 1) }
 	for _, test := range []struct{ document, want string }{
 		{targets("1.3s", "67ms", "30s", "99.9%"), ""},
 		{targets("31s", "67ms", "30s", "99.9%"), "less than targets.completed"},
@@ -133,6 +134,13 @@
 		{`{"kind":"service","pool":"p","weights":{"a":1}}`, "not for operators to set"},
 		{`{"kind":"service","pool":"p","Address":"10.0.0.1:1"}`, "not for operators to set"},
 		{`{"kind":"service","pool":"p","speed":1}`, "speed"},
+		{homes(`["north","south"]`), ""},
+		{homes(`[]`), ""},
+		{homes(`["north",""]`), "homes"},
+		{homes(`"north"`), "homes"},
+		{homes(`[3]`), "homes"},
+		{homes(`["` + strings.Repeat("x", 129) + `"]`), "homes"},
+		{homes(`["x"` + strings.Repeat(`,"x"`, 5000) + `]`), "homes"},
 		{`[]`, "cannot unmarshal"},
 	} {
 		t.Run(test.document, func(t *testing.T) {
@@ -197,3 +205,18 @@
 	_, ok = c.Class("withdrawn")
 	is.True(ok)
 }
+
+// TestHomesOfOrganisation guards against homes that are lost, or not checked, in documents of organisations.
+func TestHomesOfOrganisation(t *testing.T) {
+	is := is.New(t)
+	document := `{"tokenHash":"` + configurer.HashToken("t") + `","homes":["north"]}`
+	org, err := configurer.DecodeOrganisation("a", []byte(document))
+	is.NoErr(err)
+	is.Equal(org.Homes, []carawaybeam.Region{"north"})
+	_, err = configurer.DecodeOrganisation("a", []byte(strings.Replace(document, "north", "", 1)))
+	var field *configurer.FieldError
+	is.True(errors.As(err, &field))
+	class, err := configurer.DecodeClass("a", []byte(strings.Replace(service, "{", `{"homes":["south"],`, 1)))
+	is.NoErr(err)
+	is.Equal(class.Homes, []carawaybeam.Region{"south"})
+}
--- a/configurer/document.go
+++ b/configurer/document.go
@@ -20,6 +20,7 @@
 		Pool       carawaybeam.PoolID   `json:"pool"             toml:"pool"`
 		Idempotent bool                 `json:"idempotent"       toml:"idempotent"`
 		Targets    TargetsDocument      `json:"targets"          toml:"targets"`
+		Homes      []carawaybeam.Region `json:"homes,omitempty"  toml:"homes"`
 		Change     *ChangeRecord        `json:"change,omitempty" toml:"-"`
 	}
 
@@ -37,6 +38,7 @@
 	OrganisationDocument struct {
 		TokenHash string                `json:"tokenHash"         toml:"tokenHash"`
 		Classes   []carawaybeam.ClassID `json:"classes,omitempty" toml:"classes"`
+		Homes     []carawaybeam.Region  `json:"homes,omitempty"   toml:"homes"`
 		Change    *ChangeRecord         `json:"change,omitempty"  toml:"-"`
 	}
 
@@ -95,13 +97,16 @@
 // Class validates the document and returns the class that it describes. Errors are
 // of type *FieldError.
 func (d ClassDocument) Class(id carawaybeam.ClassID) (carawaybeam.Class, error) {
-	class := carawaybeam.Class{ID: id, Kind: d.Kind, Pool: d.Pool, Idempotent: d.Idempotent}
+	class := carawaybeam.Class{ID: id, Kind: d.Kind, Pool: d.Pool, Idempotent: d.Idempotent, Homes: d.Homes}
 	if d.Kind != carawaybeam.WorkModel && d.Kind != carawaybeam.WorkService {
 		return class, &FieldError{Field: "kind", Value: string(d.Kind), Want: "model or service"}
 	}
 	if d.Pool == "" {
 		return class, &FieldError{Field: "pool", Want: "the name of a pool"}
 	}
+	if err := checkHomes(d.Homes); err != nil {
+		return class, err
+	}
 	var err error
 	class.Targets, err = d.Targets.targets(d.Kind)
 	return class, err
@@ -184,7 +189,30 @@
 			Field: "tokenHash", Value: document.TokenHash, Want: "the hexadecimal SHA-256 of the token",
 		}
 	}
-	return carawaybeam.Organisation{ID: id, TokenHash: document.TokenHash, Classes: document.Classes}, nil
+	if err := checkHomes(document.Homes); err != nil {
+		return carawaybeam.Organisation{}, err
+	}
+	return carawaybeam.Organisation{
+		ID: id, TokenHash: document.TokenHash, Classes: document.Classes, Homes: document.Homes,
+	}, nil
+}
+
+// checkHomes checks the names of home regions. Errors are of type *FieldError.
+func checkHomes(homes []carawaybeam.Region) error {
+	if len(homes) > carawaybeam.MaxHomes {
+		return &FieldError{
+			Field: "homes", Value: fmt.Sprint(len(homes)), Want: fmt.Sprintf("up to %d regions", carawaybeam.MaxHomes),
+		}
+	}
+	for _, region := range homes {
+		if region == "" || len(region) > maxNameBytes {
+			return &FieldError{
+				Field: "homes", Value: string(region[:min(len(region), maxNameBytes)]),
+				Want: fmt.Sprintf("names of 1 to %d bytes", maxNameBytes),
+			}
+		}
+	}
+	return nil
 }
 
 func decodeStrict(value []byte, document any) error {
--- a/dispatcher/candidates.go
+++ b/dispatcher/candidates.go
@@ -143,7 +143,7 @@
 	hits := d.prefixes.Lookup(request.routing.prefixes)
 	candidates := make([]carawaybeam.Candidate, 0, len(members))
 	for _, m := range members {
-		if m.Linked && !m.Leaving {
+		if m.Linked && !m.Leaving && d.permits(request, m) {
 			candidates = append(candidates, d.candidate(now, m, hits))
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -53,6 +53,8 @@
 		// ConfigVersion is the version of the configuration from which Class was
 		// read.
 		ConfigVersion carawaybeam.ConfigVersion
+		// Residency is where the request may be served according to that configuration.
+		Residency carawaybeam.Residency
 
 		routing *routing
 	}
@@ -137,7 +139,12 @@
 		// Finisher knows which requests can be finished before the process ends. If nil,
 		// the process never ends.
 		Finisher *finisher.Finisher
-		Log      zerolog.Logger
+		// Region returns the region of a data centre, or an empty one if it is unknown. If nil, all
+		// are unknown.
+		Region func(carawaybeam.DataCentre) carawaybeam.Region
+		// HomeRefused is called for each request that is rejected because of its homes. It may be nil.
+		HomeRefused func()
+		Log         zerolog.Logger
 	}
 
 	// Dispatcher serves requests. Its methods are safe for concurrent use.
@@ -249,6 +256,9 @@
 	if forecast := d.forecast(request, nil); !forecast.InTime() {
 		return d.stoppingError(request, forecast)
 	}
+	if failure := d.residencyError(request); failure != nil {
+		return failure
+	}
 	now := time.Now()
 	request.routing = newRouting(request)
 	admit, decision := d.admit(now, request)
@@ -364,6 +374,9 @@
 	p *progress,
 ) (*carawaybeam.RequestError, carawaybeam.BackendID) {
 	p.unreachable = false
+	if number > 1 {
+		request.Residency = d.residency(request)
+	}
 	target, failure := d.target(ctx, request, p)
 	if failure != nil {
 		return failure, ""
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -106,7 +106,7 @@
 		backend = choice.Backend
 	}
 	member := d.member(request.Class.Pool, backend)
-	if backend == "" || member.Backend == "" {
+	if backend == "" || member.Backend == "" || !d.permits(request, member) {
 		return member, carawaybeam.NotRun(
 			carawaybeam.ReasonNoBackend,
 			"no backend server can take the request",
@@ -134,7 +134,7 @@
 	var best, bestTried carawaybeam.BackendID
 	var weight, weightTried uint64
 	for _, m := range d.options.Members.Members(request.Class.Pool) {
-		if !m.Linked || m.Leaving {
+		if !m.Linked || m.Leaving || !d.permits(request, m) {
 			continue
 		}
 		w := xxhash.Sum64String(fingerprint + string(m.Backend))
@@ -173,14 +173,18 @@
 	if bound.BodyHash != want.BodyHash {
 		return target{}, carawaybeam.NotRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
-	if d.connect(ctx, request.Class.Pool, bound.Backend).Incarnation != bound.Incarnation {
+	holder := d.connect(ctx, request.Class.Pool, bound.Backend)
+	if holder.Incarnation != bound.Incarnation {
 		return target{}, wrongIncarnation("agent that the key is bound to is gone")
 	}
+	if !d.permits(request, holder) {
+		return target{}, wrongIncarnation("agent that the key is bound to is not in a home region")
+	}
 	return target{backend: bound.Backend, incarnation: bound.Incarnation, key: key, binding: bound}, nil
 }
 
 // wrongIncarnation returns the error of a request that only an incarnation which
-// has ended may run, and may have run.
+// has ended, or is not in a home region any more, may run, and may have run.
 func wrongIncarnation(detail string) *carawaybeam.RequestError {
 	return &carawaybeam.RequestError{
 		Outcome: carawaybeam.OutcomeUnknown,
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -74,6 +74,7 @@
 ) (Ticket, *carawaybeam.RequestError) {
 	request := Request{ID: carawaybeam.NewRequestID(), Class: class, Organisation: organisation}
 	request.routing = newRouting(request)
+	request.Residency = d.residency(request)
 	var tried []carawaybeam.BackendID
 	for range maxTicketAttempts {
 		choice, ok := d.route(time.Now(), request, tried)
@@ -123,8 +124,12 @@
 // incarnation of the agent that issued the ticket.
 func (d *Dispatcher) ticketTarget(ctx context.Context, request Request) (target, *carawaybeam.RequestError) {
 	ticket := request.Ticket
-	if d.connect(ctx, request.Class.Pool, ticket.Backend).Incarnation != ticket.Incarnation {
+	issuer := d.connect(ctx, request.Class.Pool, ticket.Backend)
+	if issuer.Incarnation != ticket.Incarnation {
 		return target{}, wrongIncarnation("agent that minted the ticket is gone")
 	}
+	if !d.permits(request, issuer) {
+		return target{}, wrongIncarnation("agent that minted the ticket is not in a home region")
+	}
 	return target{backend: ticket.Backend, incarnation: ticket.Incarnation, ticket: ticket.Number}, nil
 }
--- a/server/server.go
+++ b/server/server.go
@@ -250,7 +250,11 @@
 		Body:          body,
 		Deadline:      time.Now().Add(deadlineFactor * class.Targets.Completed),
 		ConfigVersion: version,
-		Ticket:        ticket,
+		Residency: carawaybeam.Residency{
+			Route:        carawaybeam.NewHomeRegions(class.Homes, ""),
+			Organisation: carawaybeam.NewHomeRegions(org.Homes, ""),
+		},
+		Ticket: ticket,
 	}, release, nil
 }
 
