Report odd homes in cbctl check

cbctl check reports homes that are unreadable, homes without a data centre (with -settings FILE, the settings of an entry) and organisations whose homes share no region with those of a route. Homes are shown among the differences.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -72,6 +72,9 @@
 	CodeVersion          Code = "version"
 	CodeHedgingAttempts  Code = "hedgingAttempts"
 	CodeHedgingException Code = "hedgingException"
+	CodeHomes            Code = "homes"
+	CodeUnknownRegion    Code = "unknownRegion"
+	CodeNoCommonHome     Code = "noCommonHome"
 )
 
 type (
@@ -109,6 +112,8 @@
 		Against *Snapshot
 		// Backends holds the number of backend servers by pool. Pools that it lacks are not known.
 		Backends map[carawaybeam.PoolID]int
+		// Regions holds the region of each data centre. If it is nil, they are not known.
+		Regions map[carawaybeam.DataCentre]carawaybeam.Region
 		// Hedging is nil if there are no second attempts, or the settings are not known.
 		Hedging *Hedging
 	}
@@ -186,6 +191,7 @@
 	c.checkOrganisations()
 	c.checkLimits()
 	c.checkHedging()
+	c.checkHomes()
 	report := Report{}
 	if k.options.Against != nil {
 		after := NewSnapshot(routing)
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -65,6 +65,7 @@
 			}
 			options := newOptions()
 			options.Backends = map[carawaybeam.PoolID]int{"large": 3, "small": 9}
+			options.Regions = map[carawaybeam.DataCentre]carawaybeam.Region{"a": "north", "b": "south"}
 			if strings.HasPrefix(test.Name, "hedging") {
 				options.Hedging = &checker.Hedging{ExceptRoutes: []carawaybeam.RouteID{"chat"}}
 				if test.Name == "hedging exception" {
--- a/checker/compare.go
+++ b/checker/compare.go
@@ -121,7 +121,8 @@
 
 func compareOrganisations(before, after *OrganisationSnapshot) []Difference {
 	differences := compareFields(SubjectOrganisation, string(after.Name),
-		[]field{{"priority", optional(before.Priority)}}, []field{{"priority", optional(after.Priority)}})
+		[]field{{"priority", optional(before.Priority)}, {"homes", before.Homes}},
+		[]field{{"priority", optional(after.Priority)}, {"homes", after.Homes}})
 	key := func(action Action, b, a string) {
 		differences = append(differences, Difference{
 			Subject: SubjectOrganisation, Name: string(after.Name), Action: action, Field: "key", Before: b, After: a,
@@ -145,7 +146,7 @@
 func (r *RouteSnapshot) equals(o *RouteSnapshot) bool {
 	return r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind && slices.Equal(r.Pools, o.Pools) &&
 		r.Timeout == o.Timeout && r.Target == o.Target && r.Gap == o.Gap && r.Priority == o.Priority &&
-		r.Attempts == o.Attempts && r.Public == o.Public && r.Resumable == o.Resumable
+		r.Attempts == o.Attempts && r.Public == o.Public && r.Resumable == o.Resumable && r.Homes == o.Homes
 }
 
 func (r *RouteSnapshot) fields() []field {
@@ -165,6 +166,7 @@
 		{"attempts", strconv.Itoa(r.Attempts)},
 		{"public", strconv.FormatBool(r.Public)},
 		{"resumable", strconv.FormatBool(r.Resumable)},
+		{"homes", r.Homes},
 	}
 }
 
--- a/checker/snapshot.go
+++ b/checker/snapshot.go
@@ -42,6 +42,8 @@
 		Priority  int                   `json:"priority"`
 		Public    bool                  `json:"public"`
 		Resumable bool                  `json:"resumable"`
+		// Homes is empty if there are none.
+		Homes string `json:"homes,omitempty"`
 	}
 
 	// ShareSnapshot is the share of a pool in a route. The weights of a route have no common divisor,
@@ -71,6 +73,8 @@
 		Name      carawaybeam.OrganisationID `json:"name"`
 		KeyHashes []string                   `json:"keyHashes"`
 		Priority  *int                       `json:"priority,omitempty"`
+		// Homes is empty if there are none.
+		Homes string `json:"homes,omitempty"`
 	}
 
 	// LimitsSnapshot holds the limits for clients.
@@ -104,6 +108,7 @@
 			Pools: newShares(route.Shares), Attempts: route.MaxAttempts,
 			Timeout: route.Timeout, Target: route.Target, Gap: route.EventGap,
 			Priority: route.Priority, Public: route.Public, Resumable: route.Resumable,
+			Homes: homesText(route.Homes, route.HomesFault),
 		})
 	}
 	for _, pool := range routing.Pools {
@@ -120,6 +125,7 @@
 		slices.Sort(hashes)
 		s.Organisations = append(s.Organisations, OrganisationSnapshot{
 			Name: holder.ID, KeyHashes: slices.Compact(hashes), Priority: holder.Priority,
+			Homes: homesText(holder.Homes, holder.HomesFault),
 		})
 	}
 	return s
--- a/cmd/cbctl/check.go
+++ b/cmd/cbctl/check.go
@@ -13,6 +13,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/administrator"
 	"github.com/carawaybeam/carawaybeam/checker"
+	"github.com/carawaybeam/carawaybeam/loader"
 	_ "github.com/carawaybeam/carawaybeam/platform" // Registers the dialect.
 )
 
@@ -28,7 +29,8 @@
 	outputJSON = "json"
 
 	defaultDialect = "objects"
-	checkUsage     = "check wants FILE [-against FORCE|FILE] [-strict] [-output text|json] [-dialect NAME]"
+	checkUsage     = "check wants FILE [-against FORCE|FILE] [-strict] [-output text|json] [-dialect NAME] " +
+		"[-settings FILE]"
 )
 
 type (
@@ -39,6 +41,8 @@
 		strict  bool
 		output  string
 		dialect string
+		// settings is the file with the settings of an entry, or empty.
+		settings string
 	}
 
 	// decoder decodes a routing configuration.
@@ -80,6 +84,11 @@
 		return usage("the dialect " + arguments.dialect + " does not describe its configuration")
 	}
 	options := checker.Options{Decode: dialect.DecodeRouting, Schema: describer.RoutingSchema()}
+	if arguments.settings != "" {
+		if options.Regions, err = loader.LoadRegions(arguments.settings); err != nil {
+			return &exitError{code: exitErrors, detail: err.Error()}
+		}
+	}
 	// Decoding takes most of the time, so that both files are decoded at the same time.
 	file := startReading(arguments.file, dialect.DecodeRouting)
 	if arguments.against != "" {
@@ -128,6 +137,7 @@
 	flags.BoolVar(&arguments.strict, "strict", false, "fail on warnings")
 	flags.StringVar(&arguments.output, "output", arguments.output, "text or json")
 	flags.StringVar(&arguments.dialect, "dialect", defaultDialect, "plug-in that decodes the configuration")
+	flags.StringVar(&arguments.settings, "settings", "", "settings of an entry, which name the regions")
 	if err := flags.Parse(args); err != nil || flags.NArg() == 0 {
 		return arguments, usage(checkUsage)
 	}
--- a/cmd/cbctl/check_test.go
+++ b/cmd/cbctl/check_test.go
@@ -133,3 +133,34 @@
 	code, _ = execute("valid.json")
 	is.Equal(code, exitUnavailable)
 }
+
+// TestCheckRegions guards against homes without a data centre that are not reported, and against settings that
+// cannot be read and are ignored.
+func TestCheckRegions(t *testing.T) {
+	is := is.New(t)
+	valid, err := os.ReadFile(filepath.Join("testdata", "check", "valid.json"))
+	is.NoErr(err)
+	directory := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(directory, name)
+		is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+		return file
+	}
+	check := func(args ...string) (code int, out, errOut string) {
+		var stdout, stderr bytes.Buffer
+		code = run(args, &stdout, &stderr)
+		return code, stdout.String(), stderr.String()
+	}
+	file := write("homes.json", strings.Replace(string(valid), `"kind"`, `"homes": ["south"], "kind"`, 1))
+	settings := write("entry.toml", "process = \"e\"\n[regions]\na = \"north\"\n")
+	code, out, _ := check("check", file, "-settings", settings)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `the home "south" has no data centre`))
+	_, out, _ = check("check", file)
+	is.True(!strings.Contains(out, "unknownRegion"))
+	code, _, errOut := check("check", file, "-settings", write("bad.toml", "[regions]\na = \"\"\n"))
+	is.Equal(code, exitErrors)
+	is.True(strings.Contains(errOut, "regions"))
+	code, _, _ = check("check", file, "-settings", filepath.Join(directory, "none.toml"))
+	is.Equal(code, exitErrors)
+}
--- a/cmd/cbctl/main.go
+++ b/cmd/cbctl/main.go
@@ -52,7 +52,7 @@
   explain REQUEST                   why a request was routed or refused as it was
   dump PROCESS                      state dump of a process
   drain PROCESS                     begin the graceful stop of a process
-  check FILE [-against FORCE|FILE] [-strict] [-output text|json] [-dialect NAME]
+  check FILE [-against FORCE|FILE] [-strict] [-output text|json] [-dialect NAME] [-settings FILE]
                                     find the faults of a routing configuration,
                                     and what it changes in the one in force
 
