--- a/dispatcher/forwarder/homes_test.go
+++ b/dispatcher/forwarder/homes_test.go
@@ -301,6 +301,9 @@
 		routing.Routes[i].Homes, routing.Routes[i].HomesFault = c.regions(), ""
 		if c.random.IntN(3) == 0 {
 			routing.Routes[i].HomesFault = "homes[9] is 3"
+			if c.random.IntN(2) == 0 {
+				routing.Routes[i].Homes = nil // None can be read.
+			}
 		}
 	}
 	routing.KeyHolders = []carawaybeam.KeyHolder{routing.KeyHolders[0]}
