--- a/cmd/cbctl/check_test.go
+++ b/cmd/cbctl/check_test.go
@@ -151,7 +151,7 @@
 		code = run(args, &stdout, &stderr)
 		return code, stdout.String(), stderr.String()
 	}
-	file := write("homes.json", strings.Replace(string(valid), `"kind"`, `"homes": ["south"], "kind"`, 1))
+	file := write("homes.json", strings.Replace(string(valid), `"kind"`, `"allowedRegions": ["south"], "kind"`, 1))
 	settings := write("entry.toml", "process = \"e\"\n[regions]\na = \"north\"\n")
 	code, out, _ := check("check", file, "-settings", settings)
 	is.Equal(code, 0)
--- a/cmd/cbentry/exclusions_test.go
+++ b/cmd/cbentry/exclusions_test.go
@@ -61,8 +61,8 @@
 	settings := emulator.FillTemplate(string(template), emulator.ProcessSettings{
 		Name: "entry-0", Callers: e.callers, Readiness: e.readiness, Store: strings.TrimPrefix(web.URL, "http://"),
 		IP: ip, Admin: adminPort, Links: linksPort, MaxKeyAge: time.Minute, StopWithin: 5 * time.Second,
+		Regions: map[string]string{"near": "north", "far": "south"},
 	})
-	settings += "\n[regions]\nnear = \"north\"\nfar = \"south\"\n"
 	is.NoErr(os.WriteFile(e.file, []byte(settings), 0o600))
 	e.start()
 	t.Cleanup(e.kill)
