Keep the homes of a route or organisation that is gone

A request on a public route, or of a configuration that has no organisations any more, lost the homes of its organisation once this was removed while the request ran: its retries went to all regions. Homes that an organisation got while the route was removed did not apply. Now a part that is gone keeps the homes with which the request was accepted, and the other part has those in force, as on the linked path.

TestPartOfConfigurationGone failed before in three of its five cases.

--- a/dispatcher/forwarder/homes.go
+++ b/dispatcher/forwarder/homes.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/carawaybeam/carawaybeam"
@@ -28,11 +29,15 @@
 		return p.residency
 	}
 	route := routeOf(current, p.request)
-	if route == nil || current.NeedsKey(route) && current.Holder(p.request.Key) == nil {
-		// The request would be refused now. The restrictions under which it was accepted still apply.
-		return p.residency
+	residency := newResidency(current, cmp.Or(route, p.route), p.request)
+	// If the route or the organisation is gone, its homes with which the request was accepted still apply.
+	if route == nil {
+		residency.Route = p.residency.Route
+	}
+	if current.Holder(p.request.Key) == nil {
+		residency.Organisation = p.residency.Organisation
 	}
-	return newResidency(current, route, p.request)
+	return residency
 }
 
 // permitted returns the backend servers in regions in which a request may be served.
--- a/dispatcher/forwarder/homes_test.go
+++ b/dispatcher/forwarder/homes_test.go
@@ -227,6 +227,56 @@
 	})
 }
 
+// TestPartOfConfigurationGone guards against retries outside the homes with which a request was accepted after its
+// organisation or route is gone, and against homes set at that time that do not apply.
+func TestPartOfConfigurationGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		accepted, then func(*environment)
+	}{
+		"organisation of a public route": {
+			func(env *environment) { env.routing.KeyHolders[0].Homes = []carawaybeam.Region{"north"} },
+			func(env *environment) { env.routing.KeyHolders[0] = carawaybeam.KeyHolder{ID: "other"} },
+		},
+		"all organisations": {
+			func(env *environment) { env.routing.KeyHolders[0].Homes = []carawaybeam.Region{"north"} },
+			func(env *environment) { env.routing.KeyHolders = nil },
+		},
+		"organisation, and the route gets homes": {
+			func(*environment) {},
+			func(env *environment) { env.routing.KeyHolders = nil; env.setHomes("north") },
+		},
+		"route": {
+			func(env *environment) { env.setHomes("north") },
+			func(env *environment) { env.routing.Routes = nil },
+		},
+		"route, and the organisation gets homes": {
+			func(*environment) {},
+			func(env *environment) {
+				env.routing.Routes, env.routing.KeyHolders[0].Homes = nil, []carawaybeam.Region{"north"}
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				for range 20 {
+					env := newRegionalEnvironment()
+					env.routing.Routes[0].Public = true
+					c.accepted(env)
+					env.sender.behaviours = []behaviour{func(r pooler.Request) (*pooler.Reply, error) {
+						c.then(env)
+						env.forwarded = nil
+						return broken()(r)
+					}, broken(), broken()}
+					_, failure := env.serve(request(carawaybeam.RouteSafe))
+					is.True(failure != nil)
+					is.Equal(env.sentTo()["b"], 0)
+				}
+			})
+		})
+	}
+}
+
 // TestPoolInHomeRegion guards against a rejection because of the pool that was drawn, while another pool of
 // the route is in a home region.
 func TestPoolInHomeRegion(t *testing.T) {
