Ask for homes once the connection is open without homes, too

If the configuration got its first homes while the connection to a backend server opened, which may take 700 ms, the request was sent to other regions, unless the entry obeys evacuations: there was nothing to ask. The question is asked always now.

TestFirstHomesSetMeanwhile failed before.

--- a/dispatcher/forwarder/exclusions.go
+++ b/dispatcher/forwarder/exclusions.go
@@ -114,14 +114,13 @@
 }
 
 // permit returns what tells whether a request may still be sent to a backend server once there is a
-// connection to it, or nil if nothing can change that.
+// connection to it. The configuration may get its first homes while the connection opens, so that it is
+// asked without homes, too.
 func (f *Forwarder) permit(p *pendingRequest, instance carawaybeam.Instance) func() bool {
-	if f.options.Evacuations == nil && !f.residency(p).Restricted() {
-		return nil
-	}
+	region, dataCentre := instance.Region, instance.DataCentre
 	return func() bool {
-		return f.residency(p).Permits(instance.Region) &&
-			(f.options.Evacuations == nil || !f.options.Evacuations.Evacuated(instance.DataCentre))
+		return f.residency(p).Permits(region) &&
+			(f.options.Evacuations == nil || !f.options.Evacuations.Evacuated(dataCentre))
 	}
 }
 
--- a/dispatcher/forwarder/homes_test.go
+++ b/dispatcher/forwarder/homes_test.go
@@ -277,6 +277,23 @@
 	}
 }
 
+// TestFirstHomesSetMeanwhile guards against sending outside the first homes of a configuration, which it gets
+// while the connection to the backend server opens.
+func TestFirstHomesSetMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newRegionalEnvironment()
+		permitted := true
+		env.sender.behaviours = []behaviour{func(r pooler.Request) (*pooler.Reply, error) {
+			env.setHomes("east")
+			permitted = r.Permit == nil || r.Permit()
+			return broken()(r)
+		}}
+		_, _ = env.serve(request(carawaybeam.RouteSafe))
+		is.True(!permitted)
+	})
+}
+
 // TestPoolInHomeRegion guards against a rejection because of the pool that was drawn, while another pool of
 // the route is in a home region.
 func TestPoolInHomeRegion(t *testing.T) {
