Ask for homes once a key is bound or an agent is linked to

On the linked path, the first attempt of a request with an idempotency key or a ticket obeyed the homes with which it was accepted. Binding the key in the store and linking to its agent, or to that of the ticket, take time. Homes that were set meanwhile did not apply, and the body was sent to an agent outside them. Now the configuration then in force is asked, and the outcome is "unknown", as for all keys and tickets of agents outside the homes.

TestHomesSetWhileLinking failed before, both for the key and for the ticket.

--- a/dispatcher/homes_test.go
+++ b/dispatcher/homes_test.go
@@ -26,6 +26,7 @@
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/retrier/proof"
 	"github.com/carawaybeam/carawaybeam/router/leastinflight"
+	"github.com/carawaybeam/carawaybeam/tracker"
 )
 
 // regionalSystem is a system of agents in the regions north and south in turn. It is the configuration of its
@@ -36,6 +37,8 @@
 	dispatcher *dispatcher.Dispatcher
 	quarantine *quarantiner.Quarantiner
 	refused    atomic.Int64
+	// linking is called before the agent that a key or a ticket names is linked to, unless it is nil.
+	linking func()
 
 	mu sync.Mutex
 	// class and organisation are the homes in force.
@@ -48,6 +51,13 @@
 	outside    int
 }
 
+// regionalMembers are the agents of a regionalSystem.
+type regionalMembers struct {
+	*tracker.Tracker
+
+	system *regionalSystem
+}
+
 func newRegionalSystem(t *testing.T, agents int) *regionalSystem {
 	t.Helper()
 	s := &regionalSystem{
@@ -56,6 +66,8 @@
 		first:      make(map[carawaybeam.RequestID][2][]carawaybeam.Region),
 		dispatched: make(map[carawaybeam.Region]int),
 	}
+	keys := binder.New(s.Store)
+	t.Cleanup(func() { _ = keys.Close() })
 	regions := make(map[carawaybeam.Address]carawaybeam.Region)
 	for i, slot := range s.Slots {
 		slot.VM.DataCentre = carawaybeam.DataCentre(fmt.Sprint("dc-", i%2))
@@ -64,8 +76,8 @@
 	s.PublishVMs()
 	time.Sleep(30 * time.Second) // Until the list is read again.
 	s.dispatcher = dispatcher.New(dispatcher.Options{
-		Members:        s.Entries[0].Tracker,
-		Binder:         binder.New(s.Store),
+		Members:        regionalMembers{Tracker: s.Entries[0].Tracker, system: s},
+		Binder:         keys,
 		ConfigObserver: s.Entries[0].Configurer,
 		Configuration:  s,
 		Router:         leastinflight.Router{},
@@ -85,6 +97,18 @@
 	return s
 }
 
+// EnsureLink links to a backend server.
+func (m regionalMembers) EnsureLink(
+	ctx context.Context,
+	pool carawaybeam.PoolID,
+	backend carawaybeam.BackendID,
+) bool {
+	if m.system.linking != nil {
+		m.system.linking()
+	}
+	return m.Tracker.EnsureLink(ctx, pool, backend)
+}
+
 func (*regionalSystem) region(dataCentre carawaybeam.DataCentre) carawaybeam.Region {
 	return map[carawaybeam.DataCentre]carawaybeam.Region{"dc-0": "north", "dc-1": "south"}[dataCentre]
 }
@@ -239,6 +263,28 @@
 	})
 }
 
+// TestHomesSetWhileLinking guards against a first attempt outside homes that were set while the idempotency key was
+// bound, or the agent that a key or a ticket names was linked to.
+func TestHomesSetWhileLinking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newRegionalSystem(t, 2)
+		s.setHomes([]carawaybeam.Region{"north"}, nil)
+		ticket, failure := s.dispatcher.ObtainTicket(t.Context(), booking("", "").Class, "org")
+		is.True(failure == nil)
+		ticketed := booking("t", "")
+		ticketed.Ticket = ticket
+		for _, request := range []dispatcher.Request{booking("b", "key"), ticketed} {
+			s.setHomes([]carawaybeam.Region{"north"}, nil)
+			s.linking = func() { s.setHomes([]carawaybeam.Region{"south"}, nil) }
+			failure := s.do(request)
+			is.True(failure != nil)
+			is.Equal(failure.Outcome, carawaybeam.OutcomeUnknown)
+		}
+		is.Equal(len(s.dispatched), 0)
+	})
+}
+
 // TestPromiseLinkedHomeRegions checks over random histories that no body is sent to an agent outside the homes,
 // while homes change, agents end and start again and requests are suspected of crashes.
 func TestPromiseLinkedHomeRegions(t *testing.T) {
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -174,6 +174,7 @@
 		return target{}, carawaybeam.NotRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
 	holder := d.connect(ctx, request.Class.Pool, bound.Backend)
+	request.Residency = d.residency(request) // Homes may have changed while the key was bound.
 	if holder.Incarnation != bound.Incarnation {
 		return target{}, wrongIncarnation("agent that the key is bound to is gone")
 	}
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -125,6 +125,7 @@
 func (d *Dispatcher) ticketTarget(ctx context.Context, request Request) (target, *carawaybeam.RequestError) {
 	ticket := request.Ticket
 	issuer := d.connect(ctx, request.Class.Pool, ticket.Backend)
+	request.Residency = d.residency(request) // Homes may have changed while the agent was linked to.
 	if issuer.Incarnation != ticket.Incarnation {
 		return target{}, wrongIncarnation("agent that minted the ticket is gone")
 	}
