--- a/cmd/cbentry/main.go
+++ b/cmd/cbentry/main.go
@@ -25,6 +25,7 @@
 	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/keeper"
 	"github.com/carawaybeam/carawaybeam/loader"
+	"github.com/carawaybeam/carawaybeam/locator"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	"github.com/carawaybeam/carawaybeam/quarantiner"
 	"github.com/carawaybeam/carawaybeam/recorder"
@@ -57,6 +58,7 @@
 	quarantiner *quarantiner.Quarantiner
 	assessor    *assessor.Assessor
 	finisher    *finisher.Finisher
+	locator     *locator.Locator
 	server      *server.Server
 	// evacuator is nil if evacuations are not followed.
 	evacuator *evacuator.Evacuator
@@ -95,6 +97,8 @@
 	BodyMemory   reserver.State `json:"bodyMemory"`
 	AnswerMemory reserver.State `json:"answerMemory"`
 	Clients      keeper.State   `json:"clients"`
+	// Homes is nil unless the configuration has home regions.
+	Homes *locator.State `json:"homes,omitempty"`
 
 	Members []memberState `json:"members"`
 	// OmittedMembers is the number of members beyond maxDumpedMembers.
@@ -165,6 +169,7 @@
 	if err := e.followEvacuations(); err != nil {
 		return err
 	}
+	e.locator = locator.New(locator.Options{Regions: e.settings.Regions, Log: e.log})
 	e.tracker = tracker.New(e.trackEvacuations(tracker.Options{
 		Process:     e.settings.Process,
 		Incarnation: incarnation,
@@ -243,9 +248,12 @@
 		Assessor:       e.assessor,
 		Recorder:       e.recorder,
 		Finisher:       e.finisher,
+		Region:         e.locator.Region,
+		HomeRefused:    e.locator.CountRefused,
 		Log:            e.log,
 	}))
 	e.closers.Add(e.dispatcher)
+	e.closers.Add(starter.Repeat(homesInterval, e.reviewHomes))
 	return nil
 }
 
@@ -339,6 +347,9 @@
 	for _, invalid := range e.configurer.Invalid() {
 		s.Invalid = append(s.Invalid, invalid.Error())
 	}
+	if homes, ok := e.homes(); ok {
+		s.Homes = &homes
+	}
 	members := e.tracker.All()
 	slices.SortFunc(members, func(a, b tracker.Member) int {
 		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
--- a/dispatcher/candidates.go
+++ b/dispatcher/candidates.go
@@ -143,7 +143,7 @@
 	hits := d.prefixes.Lookup(request.routing.prefixes)
 	candidates := make([]carawaybeam.Candidate, 0, len(members))
 	for i := range members {
-		if d.acceptsWork(&members[i]) {
+		if d.acceptsWork(&members[i]) && d.permits(request, members[i]) {
 			candidates = append(candidates, d.candidate(now, members[i], hits))
 		}
 	}
--- a/dispatcher/target.go
+++ b/dispatcher/target.go
@@ -109,7 +109,7 @@
 		backend = choice.Backend
 	}
 	member := d.member(request.Class.Pool, backend)
-	if backend == "" || member.Backend == "" {
+	if backend == "" || member.Backend == "" || !d.permits(request, member) {
 		return member, d.noBackendError(request.Class.Pool)
 	}
 	return member, nil
@@ -133,7 +133,7 @@
 	var best, bestTried carawaybeam.BackendID
 	var weight, weightTried uint64
 	for _, m := range d.options.Members.Members(request.Class.Pool) {
-		if !d.acceptsWork(&m) {
+		if !d.acceptsWork(&m) || !d.permits(request, m) {
 			continue
 		}
 		w := xxhash.Sum64String(fingerprint + string(m.Backend))
@@ -173,9 +173,13 @@
 		return target{}, carawaybeam.NotRun(carawaybeam.ReasonKeyReused, "key came with another body before", 0)
 	}
 	holder := d.connect(ctx, request.Class.Pool, bound.Backend)
+	request.Residency = d.residency(request) // Homes may have changed while the key was bound.
 	if holder.Incarnation != bound.Incarnation {
 		return target{}, wrongIncarnation("agent that the key is bound to is gone")
 	}
+	if !d.permits(request, holder) {
+		return target{}, wrongIncarnation("agent that the key is bound to is not in a home region")
+	}
 	return target{
 		backend: bound.Backend, incarnation: bound.Incarnation, dataCentre: holder.VM.DataCentre,
 		key: key, binding: bound,
@@ -183,7 +187,7 @@
 }
 
 // wrongIncarnation returns the error of a request that only an incarnation which
-// has ended may run, and may have run.
+// has ended, or is not in a home region any more, may run, and may have run.
 func wrongIncarnation(detail string) *carawaybeam.RequestError {
 	return &carawaybeam.RequestError{
 		Outcome: carawaybeam.OutcomeUnknown,
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -77,6 +77,7 @@
 	}
 	request := Request{ID: carawaybeam.NewRequestID(), Class: class, Organisation: organisation}
 	request.routing = newRouting(request)
+	request.Residency = d.residency(request)
 	var tried []carawaybeam.BackendID
 	for range maxTicketAttempts {
 		choice, ok := d.route(time.Now(), request, tried)
@@ -126,12 +127,16 @@
 // incarnation of the agent that issued the ticket.
 func (d *Dispatcher) ticketTarget(ctx context.Context, request Request) (target, *carawaybeam.RequestError) {
 	ticket := request.Ticket
-	holder := d.connect(ctx, request.Class.Pool, ticket.Backend)
-	if holder.Incarnation != ticket.Incarnation {
+	issuer := d.connect(ctx, request.Class.Pool, ticket.Backend)
+	request.Residency = d.residency(request) // Homes may have changed while the agent was linked to.
+	if issuer.Incarnation != ticket.Incarnation {
 		return target{}, wrongIncarnation("agent that minted the ticket is gone")
 	}
+	if !d.permits(request, issuer) {
+		return target{}, wrongIncarnation("agent that minted the ticket is not in a home region")
+	}
 	return target{
-		backend: ticket.Backend, incarnation: ticket.Incarnation, dataCentre: holder.VM.DataCentre,
+		backend: ticket.Backend, incarnation: ticket.Incarnation, dataCentre: issuer.VM.DataCentre,
 		ticket: ticket.Number,
 	}, nil
 }
