--- a/loader/loader.go
+++ b/loader/loader.go
@@ -40,7 +40,7 @@
 		Operators Operators `toml:"operators"`
 		Direct    Direct    `toml:"direct"`
 		Admission Admission `toml:"admission"`
-		Regions   Regions   `toml:"regions" doc:"Region of each data centre, for homes."`
+		Regions   Regions   `toml:"regions"   doc:"Region of each data centre, for homes."`
 	}
 
 	// Regions holds the region of each data centre.
