Keep priorities in use when a response to a forgotten one ends

Release looked up the kind of a request with kindOf, which marks it as used and creates it if it was forgotten. In a pool with more than 16 priorities a late response thus displaced a kind in use with its reservation, and changed which kind is dropped next, also in pools of model engines, whose decisions must not depend on response times of plain services.

--- a/limiter/precedence/limiter.go
+++ b/limiter/precedence/limiter.go
@@ -83,9 +83,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.poolOf(now, request.Class.Pool)
-	k := p.kindOf(now, request.Priority)
-	k.samples.end(now)
-	p.times.observe(now, k, &request, took)
+	known := p.knownSamples(request.Priority)
+	known.end(now)
+	p.times.observe(now, known, &request, took)
 }
 
 // poolOf returns the pool, which it creates if necessary. The caller holds mu.
--- a/limiter/precedence/pool.go
+++ b/limiter/precedence/pool.go
@@ -88,6 +88,8 @@
 		// of this one.
 		poolRunning, ownRunning mean
 		times                   serviceTimes
+		// forgotten takes the response times of forgotten kinds. No decision reads it.
+		forgotten samples
 	}
 
 	// centre is a data centre of the candidates of a request.
@@ -154,6 +156,17 @@
 	return p.kinds[i]
 }
 
+// knownSamples returns the response times of a priority, or unused ones if it was forgotten since its requests
+// were admitted. A response must not displace another kind.
+func (p *pool) knownSamples(priority int) *samples {
+	for _, k := range p.kinds {
+		if k.priority == priority {
+			return &k.samples
+		}
+	}
+	return &p.forgotten
+}
+
 // meanEvents returns the mean number of events of an answer, or 0 if unknown.
 func meanEvents(request carawaybeam.AdmitRequest) float64 {
 	engine := request.Contention.Engine
--- a/limiter/precedence/service.go
+++ b/limiter/precedence/service.go
@@ -144,10 +144,10 @@
 	}
 }
 
-// observe adds a response time of a kind.
+// observe adds a response time, also to those of its kind.
 func (t *serviceTimes) observe(
 	now time.Time,
-	k *kind,
+	known *samples,
 	request *carawaybeam.AdmitRequest,
 	took time.Duration,
 ) {
@@ -166,11 +166,11 @@
 		return // Failures may come sooner than any response.
 	}
 	if c.times >= minCellTimes {
-		k.samples.add(now, took.Seconds(), c.expected()*workOf(request))
+		known.add(now, took.Seconds(), c.expected()*workOf(request))
 	} else {
 		// Nothing tells that it is slow. Without these, requests whose work is stated too low would be
 		// most of the samples when longer ones than before arrive.
-		k.samples.add(now, took.Seconds(), took.Seconds())
+		known.add(now, took.Seconds(), took.Seconds())
 	}
 	if !failed {
 		c.observe(now, took.Seconds()/workOf(request))
@@ -233,7 +233,7 @@
 // expected returns the time of a unit of work without a wait, with a margin for the error of the median.
 func (c *cell) expected() float64 { return c.least * (1 + medianMargin/math.Sqrt(float64(c.times))) }
 
-// end counts a request that has ended. The kind may have been forgotten since it was admitted.
+// end counts a request that has ended. The kind may have been forgotten and created anew since then.
 func (s *samples) end(now time.Time) {
 	s.inFlight = max(0, s.inFlight-1)
 	s.ended.add(now, 1, sampleWindow)
