Move jobs of the simulated plain service by pointer

Each tick copied all running and waiting jobs with their requests, which the race detector makes expensive: go test -race ./limiter/precedence took 304 s beside other work, 190 s of it in the loads of plain services.

--- a/limiter/precedence/service_loads_test.go
+++ b/limiter/precedence/service_loads_test.go
@@ -72,7 +72,7 @@
 		now              time.Duration
 		limiters         []carawaybeam.Limiter
 		own              []int
-		running, waiting []serviceJob
+		running, waiting []*serviceJob
 		results          map[carawaybeam.RouteID]*serviceResult
 	}
 )
@@ -108,8 +108,8 @@
 		s.results[l.sources[i].route] = &serviceResult{}
 	}
 	for ; s.now < serviceLength; s.now += tick {
-		s.running = s.end(s.running, func(j serviceJob) bool { return j.ends <= s.now })
-		s.waiting = s.end(s.waiting, func(j serviceJob) bool { return s.now-j.arrived > 3*j.source.target })
+		s.running = s.end(s.running, func(j *serviceJob) bool { return j.ends <= s.now })
+		s.waiting = s.end(s.waiting, func(j *serviceJob) bool { return s.now-j.arrived > 3*j.source.target })
 		for i := range l.sources {
 			source := &l.sources[i]
 			for range poisson(s.random, source.rate(s.now)*tick.Seconds()) {
@@ -131,8 +131,8 @@
 }
 
 // end releases the requests that have ended, and returns the others.
-func (s *serviceSimulation) end(jobs []serviceJob, ended func(serviceJob) bool) []serviceJob {
-	return slices.DeleteFunc(jobs, func(j serviceJob) bool {
+func (s *serviceSimulation) end(jobs []*serviceJob, ended func(*serviceJob) bool) []*serviceJob {
+	return slices.DeleteFunc(jobs, func(j *serviceJob) bool {
 		if !ended(j) {
 			return false
 		}
@@ -187,7 +187,7 @@
 	for s.load.ordered && place > 0 && s.waiting[place-1].source.priority > source.priority {
 		place--
 	}
-	s.waiting = slices.Insert(s.waiting, place, serviceJob{
+	s.waiting = slices.Insert(s.waiting, place, &serviceJob{
 		source: source, arrived: s.now, work: work, entry: entry, request: request,
 	})
 }
