Keep backend servers of the soak cold over a restart under their name

A backend server that became cold for 10 s and was restarted under its name by the fault crash announced 4 s, while the check still expected that it is cold for the rest of the 10 s: more than 9 requests in a second after its announced end were reported as a violation. It now stays cold as long as the check expects. TestRestartedServerStaysCold fails with the former rule (4 s, want 8 s).

--- a/soaker/cold.go
+++ b/soaker/cold.go
@@ -118,13 +118,22 @@
 	}
 }
 
-// startCold makes a backend server that was just started cold. Entries cannot tell at once that one was
-// restarted under its name.
-func (s *Soaker) startCold(id string, server *emulator.Server, restarted bool) {
-	server.SetCold(coldTime)
-	if now := time.Now(); !restarted {
-		s.history.coldFor(coldSpan{server: id, from: now, to: now.Add(coldTime)})
+// startedCold records that a backend server was started, and returns how long it is cold: for coldTime, or as long
+// as the one of its name before it was to be if that is longer. Entries cannot tell at once that one was restarted
+// under its name.
+func (h *history) startedCold(id string, now time.Time, restarted bool) time.Duration {
+	if !restarted {
+		h.coldFor(coldSpan{server: id, from: now, to: now.Add(coldTime)})
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	duration := coldTime
+	for _, span := range h.cold {
+		if span.server == id {
+			duration = max(duration, span.to.Sub(now))
+		}
+	}
+	return duration
 }
 
 func (h *history) coldFor(span coldSpan) {
--- a/soaker/cold_test.go
+++ b/soaker/cold_test.go
@@ -63,3 +63,34 @@
 		{kind: "storeSilent", target: 2, at: 24 * time.Second, duration: 3 * time.Second},
 	})
 }
+
+// TestRestartedServerStaysCold guards against a check that expects a backend server to be cold for longer than it
+// announces after it was restarted under its name.
+func TestRestartedServerStaysCold(t *testing.T) {
+	tests := map[string]struct {
+		server    string
+		restarted bool
+		at, want  time.Duration
+	}{
+		"new":                  {"desk-2", false, 12 * time.Second, coldTime},
+		"restarted while cold": {"desk-1", true, 12 * time.Second, 8 * time.Second},
+		"restarted, soon warm": {"desk-1", true, 18 * time.Second, coldTime},
+		"restarted while warm": {"desk-1", true, 30 * time.Second, coldTime},
+		"other one restarted":  {"desk-2", true, 12 * time.Second, coldTime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &history{}
+			h.coldFor(coldSpan{server: "desk-1", from: at(16 * time.Second), to: at(20 * time.Second)})
+			got := h.startedCold(test.server, at(test.at), test.restarted)
+			if got != test.want {
+				t.Errorf("backend server is cold for %v, want %v", got, test.want)
+			}
+			for _, span := range h.cold[1:] {
+				if span.to.Sub(at(test.at)) > got {
+					t.Errorf("check expects that it is cold until %v, but it is so for %v", span.to, got)
+				}
+			}
+		})
+	}
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -336,7 +336,7 @@
 	h.mu.Unlock()
 	restarted := s.history.serverStarted(id, h.index)
 	if s.cold {
-		s.startCold(id, started, restarted)
+		started.SetCold(s.history.startedCold(id, time.Now(), restarted))
 	}
 	_, err = started.Announce(ctx, false)
 	return err
