--- a/soaker/clients.go
+++ b/soaker/clients.go
@@ -21,9 +21,8 @@
 	maxClientFaults = 2
 	clientStream    = 1 << 41
 
-	// stalledBodies is the number of connections on which bodies stop short of their end, and slowReaders that
-	// of clients that read slowly, or not at all if their number is odd. The former read slowBytes after
-	// each slowPause.
+	// stalledBodies is the number of connections on which bodies stop short of their end. Of slowReaders clients,
+	// those with even numbers read slowBytes after each slowPause, and the others do not read.
 	stalledBodies = 100
 	slowReaders   = 20
 	slowBytes     = 1 << 10
--- a/soaker/evacuations.go
+++ b/soaker/evacuations.go
@@ -22,8 +22,9 @@
 	// minEvacuationTime is the shortest evacuation. A late write must not set it again after its end.
 	minEvacuationTime = lateWriteDelay + 500*time.Millisecond
 
-	// Evacuations end recoveryTime before the final phase if they can. An entry takes the backend servers for
-	// cold until it has read announcements from 3 s after the end, which it knows a second late.
+	// Evacuations end recoveryTime before the final phase, unless outages of the store delay their end. An entry
+	// learns of the end up to a second late, and treats the backend servers as cold for 3 s and until it has
+	// read newer announcements.
 	recoveryTime = 7 * time.Second
 
 	// An evacuation that is set again does so minResetGap to maxResetGap after it was lifted. It counts
