Let backend servers of the soak announce that they became cold later

In the store was down while desk-9 was started: it was still in its first announcement, of 4 s, when it became cold for 10 s. The soak left out backend servers that are being replaced, so that desk-9 never announced the 10 s and got 89 requests in a second. What runs at the address after the replacement announces now. TestReplacedServersAnnounceCold fails with the former rule.

--- a/soaker/cold.go
+++ b/soaker/cold.go
@@ -103,18 +103,29 @@
 	}
 }
 
-// announceAll makes the backend servers of a data centre announce how long they stay cold, except those
-// that are being replaced.
+// announceAll makes the backend servers of a data centre announce how long they stay cold. It does not wait for those
+// that are being replaced: what runs at their address after that announces it then. Otherwise a backend server whose
+// first announcement waits for the store would go on announcing the shorter time.
 func (s *Soaker) announceAll(ctx context.Context, dataCentre int) {
 	for _, h := range s.hostsIn(dataCentre) {
-		if !h.changing.TryLock() {
+		if h.changing.TryLock() {
+			s.announceCold(ctx, h)
 			continue
 		}
-		_, _, server := h.current()
-		if _, err := server.Announce(ctx, false); err != nil {
-			s.history.addProblem("request to the platform failed: " + err.Error())
-		}
-		h.changing.Unlock()
+		s.wait.Go(func() {
+			h.changing.Lock()
+			s.announceCold(ctx, h)
+		})
+	}
+}
+
+// announceCold makes the backend server of a host announce how long it stays cold. It unlocks h.changing, which the
+// caller has locked.
+func (s *Soaker) announceCold(ctx context.Context, h *host) {
+	defer h.changing.Unlock()
+	_, _, server := h.current()
+	if _, err := server.Announce(ctx, false); err != nil {
+		s.history.addProblem("request to the platform failed: " + err.Error())
 	}
 }
 
--- a/soaker/cold_test.go
+++ b/soaker/cold_test.go
@@ -1,6 +1,8 @@
 package soaker
 
 import (
+	"net"
+	"reflect"
 	"testing"
 	"time"
 
@@ -94,3 +96,28 @@
 		})
 	}
 }
+
+// TestReplacedServersAnnounceCold guards against backend servers that become cold while they are being replaced, or
+// their first announcement waits for the store, and never announce it.
+func TestReplacedServersAnnounceCold(t *testing.T) {
+	s := &Soaker{platform: emulator.New()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := emulator.ServerOptions{Platform: s.platform, ID: "desk-1", Pool: "desk"}
+	h := &host{id: "desk-1", server: emulator.NewServer(options, listener)}
+	t.Cleanup(func() { _ = h.server.Close() })
+	s.hosts = []*host{h}
+	before := s.platform.Store.Snapshot()
+	h.changing.Lock()
+	chill(t.Context(), s, fault{})
+	if !reflect.DeepEqual(s.platform.Store.Snapshot(), before) {
+		t.Error("backend server announced while it was being replaced")
+	}
+	h.changing.Unlock()
+	s.wait.Wait()
+	if reflect.DeepEqual(s.platform.Store.Snapshot(), before) {
+		t.Error("backend server did not announce that it is cold")
+	}
+}
