--- a/soaker/cold.go
+++ b/soaker/cold.go
@@ -103,28 +103,48 @@
 	}
 }
 
-// announceAll makes the backend servers of a data centre announce how long they stay cold, except those
-// that are being replaced.
+// announceAll makes the backend servers of a data centre announce how long they stay cold. It does not wait for those
+// that are being replaced: what runs at their address after that announces it then. Otherwise a backend server whose
+// first announcement waits for the store would go on announcing the shorter time.
 func (s *Soaker) announceAll(ctx context.Context, dataCentre int) {
 	for _, h := range s.hostsIn(dataCentre) {
-		if !h.changing.TryLock() {
+		if h.changing.TryLock() {
+			s.announceCold(ctx, h)
 			continue
 		}
-		_, _, server := h.current()
-		if _, err := server.Announce(ctx, false); err != nil {
-			s.history.addProblem("request to the platform failed: " + err.Error())
-		}
-		h.changing.Unlock()
+		s.wait.Go(func() {
+			h.changing.Lock()
+			s.announceCold(ctx, h)
+		})
+	}
+}
+
+// announceCold makes the backend server of a host announce how long it stays cold. It unlocks h.changing, which the
+// caller has locked.
+func (s *Soaker) announceCold(ctx context.Context, h *host) {
+	defer h.changing.Unlock()
+	_, _, server := h.current()
+	if _, err := server.Announce(ctx, false); err != nil {
+		s.history.addProblem("request to the platform failed: " + err.Error())
 	}
 }
 
-// startCold makes a backend server that was just started cold. Entries cannot tell at once that one was
-// restarted under its name.
-func (s *Soaker) startCold(id string, server *emulator.Server, restarted bool) {
-	server.SetCold(coldTime)
-	if now := time.Now(); !restarted {
-		s.history.coldFor(coldSpan{server: id, from: now, to: now.Add(coldTime)})
+// startedCold records that a backend server was started, and returns how long it is cold: for coldTime, or as long
+// as the one of its name before it was to be if that is longer. Entries cannot tell at once that one was restarted
+// under its name.
+func (h *history) startedCold(id string, now time.Time, restarted bool) time.Duration {
+	if !restarted {
+		h.coldFor(coldSpan{server: id, from: now, to: now.Add(coldTime)})
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	duration := coldTime
+	for _, span := range h.cold {
+		if span.server == id {
+			duration = max(duration, span.to.Sub(now))
+		}
 	}
+	return duration
 }
 
 func (h *history) coldFor(span coldSpan) {
