Run four process tests of the soak in parallel

With the tests of evacuations, cold servers and clients the package took some ten minutes beside other work, which is the limit of go test.

--- a/soaker/cold_test.go
+++ b/soaker/cold_test.go
@@ -52,6 +52,7 @@
 // TestPromiseColdServersProcesses guards against too many requests to backend servers that return from an evacuation,
 // are started or become cold unnoticed, while the store is away and entries are restarted and suspended.
 func TestPromiseColdServersProcesses(t *testing.T) {
+	t.Parallel()
 	options := Options{Entries: 3, Callers: 48, FaultWindow: 24 * time.Second}
 	runSchedule(t, prover.ColdServer, 1, options, []fault{
 		{kind: "coldRestart", target: 0},
--- a/soaker/evacuations_test.go
+++ b/soaker/evacuations_test.go
@@ -102,6 +102,7 @@
 // TestPromiseEvacuationProcesses guards against requests to evacuated data centres while entries are restarted,
 // suspended and cut off, and the store is away or comes back from an older copy.
 func TestPromiseEvacuationProcesses(t *testing.T) {
+	t.Parallel()
 	options := Options{Entries: 3, Callers: 24, FaultWindow: 14 * time.Second}
 	runSchedule(t, prover.Evacuation, 1, options, []fault{
 		{kind: "evacuateAgain", target: 1, duration: 3 * time.Second},
