Share the store that a process can be cut off from among tests

Three tests had their own copy of it. The copies differed: those of the tests of limits and of cold servers let some calls through while an entry was cut off, and the lists of the latter waited without a bound for a silent store.

--- a/allocator/fleet_test.go
+++ b/allocator/fleet_test.go
@@ -68,7 +68,7 @@
 		fleet     *fleet
 		name      string
 		number    arbiter.Sender
-		store     *linkedStore
+		store     *storer.Link
 		allocator *allocator.Allocator
 		throttler *throttler.Throttler
 		follower  *follower.Follower
@@ -78,66 +78,8 @@
 		running   sync.WaitGroup
 		log       zerolog.Logger
 	}
-
-	// linkedStore is the store as one entry reaches it.
-	linkedStore struct {
-		carawaybeam.Store
-
-		cut atomic.Bool
-	}
 )
 
-var errCut = &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "cut off"}
-
-func (s *linkedStore) Put(
-	ctx context.Context,
-	o carawaybeam.Object,
-	expect carawaybeam.StoreVersion,
-) (carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return 0, errCut
-	}
-	return s.Store.Put(ctx, o, expect)
-}
-
-func (s *linkedStore) Delete(
-	ctx context.Context,
-	kind carawaybeam.StoreKind,
-	name string,
-	expect carawaybeam.StoreVersion,
-) (carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return 0, errCut
-	}
-	return s.Store.Delete(ctx, kind, name, expect)
-}
-
-func (s *linkedStore) List(
-	ctx context.Context,
-	kind carawaybeam.StoreKind,
-) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return nil, 0, errCut
-	}
-	return s.Store.List(ctx, kind)
-}
-
-func (s *linkedStore) Watch(
-	ctx context.Context,
-	kinds []carawaybeam.StoreKind,
-	since carawaybeam.StoreVersion,
-	wait time.Duration,
-) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return nil, 0, errCut
-	}
-	objects, version, err := s.Store.Watch(ctx, kinds, since, wait)
-	if s.cut.Load() {
-		return nil, 0, errCut
-	}
-	return objects, version, err
-}
-
 // Write adds a log line to the history.
 func (w historyWriter) Write(line []byte) (int, error) {
 	w.fleet.mu.Lock()
@@ -180,7 +122,7 @@
 func (f *fleet) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &entry{
-		fleet: f, name: name, store: &linkedStore{Store: f.store}, ctx: ctx, cancel: cancel, log: f.logger(name),
+		fleet: f, name: name, store: storer.NewLink(f.store, 0), ctx: ctx, cancel: cancel, log: f.logger(name),
 	}
 	clock := func() time.Duration { return time.Since(time.Unix(0, 0)) }
 	e.allocator = allocator.New(allocator.Options{
@@ -292,7 +234,7 @@
 // stop ends an entry. A killed one gives no shares back.
 func (e *entry) stop(killed bool) {
 	if killed {
-		e.store.cut.Store(true)
+		e.store.SetCut(true)
 	}
 	e.cancel()
 	e.running.Wait()
@@ -303,9 +245,9 @@
 // freeze suspends an entry: it neither sends requests nor reaches the store.
 func (e *entry) freeze(duration time.Duration) {
 	e.frozen.Store(true)
-	e.store.cut.Store(true)
+	e.store.SetCut(true)
 	time.Sleep(duration)
-	e.store.cut.Store(false)
+	e.store.SetCut(false)
 	e.frozen.Store(false)
 }
 
--- a/allocator/promise_test.go
+++ b/allocator/promise_test.go
@@ -151,10 +151,10 @@
 	case 3:
 		f.wait.Go(func() { e.freeze(duration) })
 	case 4:
-		e.store.cut.Store(true)
+		e.store.SetCut(true)
 		f.wait.Go(func() {
 			time.Sleep(duration)
-			e.store.cut.Store(e.ctx.Err() != nil)
+			e.store.SetCut(e.ctx.Err() != nil)
 		})
 	case 5:
 		modes := []storer.FaultMode{
--- a/fakes/assembler/entry.go
+++ b/fakes/assembler/entry.go
@@ -1,10 +1,8 @@
 package assembler
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +13,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/evacuator"
+	"github.com/carawaybeam/carawaybeam/fakes/storer"
 	"github.com/carawaybeam/carawaybeam/finisher"
 	"github.com/carawaybeam/carawaybeam/follower"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
@@ -45,91 +44,23 @@
 		// Evacuator is nil unless Options.Evacuations is set.
 		Evacuator *evacuator.Evacuator
 		// Store is the store as the entry reaches it.
-		Store *EntryStore
+		Store *storer.Link
 
 		closers starter.Closers
 	}
-
-	// EntryStore is the store as one entry reaches it.
-	EntryStore struct {
-		carawaybeam.Store
-
-		cut atomic.Bool
-	}
 )
 
-var errCutOff = &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "cut off"}
-
-// SetCut cuts the entry off from the store, or ends that.
-func (s *EntryStore) SetCut(cut bool) { s.cut.Store(cut) }
-
-// Get returns one object.
-func (s *EntryStore) Get(
-	ctx context.Context,
-	kind carawaybeam.StoreKind,
-	name string,
-) (carawaybeam.Object, error) {
-	if s.cut.Load() {
-		return carawaybeam.Object{}, errCutOff
-	}
-	return s.Store.Get(ctx, kind, name)
-}
-
-// Put writes an object.
-func (s *EntryStore) Put(
-	ctx context.Context,
-	o carawaybeam.Object,
-	expect carawaybeam.StoreVersion,
-) (carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return 0, errCutOff
-	}
-	return s.Store.Put(ctx, o, expect)
-}
-
-// List returns all objects of a kind.
-func (s *EntryStore) List(
-	ctx context.Context,
-	kind carawaybeam.StoreKind,
-) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return nil, 0, errCutOff
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, callTimeout, errCutOff)
-	defer cancel()
-	return s.Store.List(ctx, kind)
-}
-
-// Watch waits for changes. It fails in time if the store does not answer.
-func (s *EntryStore) Watch(
-	ctx context.Context,
-	kinds []carawaybeam.StoreKind,
-	since carawaybeam.StoreVersion,
-	wait time.Duration,
-) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return nil, 0, errCutOff
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, wait+callTimeout, errCutOff)
-	defer cancel()
-	objects, version, err := s.Store.Watch(ctx, kinds, since, wait)
-	if s.cut.Load() {
-		return nil, 0, errCutOff
-	}
-	return objects, version, err
-}
-
 // StartEntry starts another entry and returns it.
-func (a *Assembler) StartEntry() *Entry { return a.startEntry(&EntryStore{Store: a.Store}) }
+func (a *Assembler) StartEntry() *Entry { return a.startEntry(storer.NewLink(a.Store, callTimeout)) }
 
 // StartEntryCutOff starts another entry that is cut off from the store and returns it.
 func (a *Assembler) StartEntryCutOff() *Entry {
-	store := &EntryStore{Store: a.Store}
+	store := storer.NewLink(a.Store, callTimeout)
 	store.SetCut(true)
 	return a.startEntry(store)
 }
 
-func (a *Assembler) startEntry(store *EntryStore) *Entry {
+func (a *Assembler) startEntry(store *storer.Link) *Entry {
 	quarantine := quarantiner.New(quarantiner.Complete)
 	e := &Entry{
 		Configurer: configurer.New(), Assessor: assessor.New(), Finisher: finisher.New(),
--- a/warmer/fleet_test.go
+++ b/warmer/fleet_test.go
@@ -90,7 +90,7 @@
 	fakeEntry struct {
 		fleet       *fleet
 		name        string
-		store       *linkedStore
+		store       *storer.Link
 		set         *enroller.EntrySet
 		enroller    *enroller.Enroller
 		evacuator   *evacuator.Evacuator
@@ -106,56 +106,8 @@
 		known       map[carawaybeam.BackendID]carawaybeam.Instance
 		hasReadThem bool
 	}
-
-	// linkedStore is the store as one entry reaches it.
-	linkedStore struct {
-		carawaybeam.Store
-
-		cut atomic.Bool
-	}
 )
 
-var errCut = &carawaybeam.StoreError{Failure: carawaybeam.StoreUnavailable, Detail: "cut off"}
-
-func (s *linkedStore) Put(
-	ctx context.Context,
-	o carawaybeam.Object,
-	expect carawaybeam.StoreVersion,
-) (carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return 0, errCut
-	}
-	return s.Store.Put(ctx, o, expect)
-}
-
-func (s *linkedStore) List(
-	ctx context.Context,
-	kind carawaybeam.StoreKind,
-) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return nil, 0, errCut
-	}
-	return s.Store.List(ctx, kind)
-}
-
-func (s *linkedStore) Watch(
-	ctx context.Context,
-	kinds []carawaybeam.StoreKind,
-	since carawaybeam.StoreVersion,
-	wait time.Duration,
-) ([]carawaybeam.Object, carawaybeam.StoreVersion, error) {
-	if s.cut.Load() {
-		return nil, 0, errCut
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, wait+time.Second, errCut)
-	defer cancel()
-	objects, version, err := s.Store.Watch(ctx, kinds, since, wait)
-	if s.cut.Load() {
-		return nil, 0, errCut
-	}
-	return objects, version, err
-}
-
 // newTestFleet returns a fleet whose demand on each backend server is well above what a cold one
 // sustains.
 func newTestFleet(entries int, rate carawaybeam.RequestRate) *fleet {
@@ -270,7 +222,7 @@
 func (f *fleet) start(name string) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	e := &fakeEntry{
-		fleet: f, name: name, store: &linkedStore{Store: f.store}, ctx: ctx, cancel: cancel,
+		fleet: f, name: name, store: storer.NewLink(f.store, time.Second), ctx: ctx, cancel: cancel,
 		set: enroller.NewEntrySet(zerolog.Nop()), evacuator: evacuator.New(evacuator.Options{Log: zerolog.Nop()}),
 		known: make(map[carawaybeam.BackendID]carawaybeam.Instance),
 	}
@@ -368,7 +320,7 @@
 	server.arrive(f.pool.ColdRate)
 	since, ok := f.evacuated[server.dataCentre]
 	now := time.Now()
-	inContact := !e.store.cut.Load() && now.Sub(e.disturbed) > evacuationTime &&
+	inContact := !e.store.IsCut() && now.Sub(e.disturbed) > evacuationTime &&
 		now.Sub(f.storeDisturbed) > evacuationTime
 	if ok && now.Sub(since) > evacuationTime+maxTravel && inContact {
 		f.evacuationRuns++
@@ -429,11 +381,11 @@
 
 // disturb cuts an entry off from the store, and suspends it too if frozen is set.
 func (e *fakeEntry) disturb(duration time.Duration, frozen bool) {
-	e.store.cut.Store(true)
+	e.store.SetCut(true)
 	e.frozen.Store(frozen)
 	time.Sleep(duration)
 	e.frozen.Store(false)
-	e.store.cut.Store(false)
+	e.store.SetCut(false)
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	e.disturbed = time.Now()
@@ -444,7 +396,7 @@
 	e.cancel()
 	e.running.Wait()
 	if killed {
-		e.store.cut.Store(true)
+		e.store.SetCut(true)
 	}
 	_ = e.enroller.Close()
 	for _, following := range e.followers {
