--- a/soaker/cold.go
+++ b/soaker/cold.go
@@ -26,10 +26,10 @@
 	chillTime     = 10 * time.Second
 	unnoticedTime = 6500 * time.Millisecond
 
-	// A cold backend server may get coldOvershoot times coldRate requests, and coldSlack more, in any
+	// A cold backend server may get burstFactor times coldRate requests, and burstAllowance more, in any
 	// second.
-	coldOvershoot = 1.5
-	coldSlack     = 5
+	burstFactor    = 1.5
+	burstAllowance = 5
 )
 
 var (
@@ -172,7 +172,7 @@
 			}
 		}
 		total += len(times)
-		if most := mostPerSecond(times); float64(most) > coldRate*coldOvershoot+coldSlack {
+		if most := mostPerSecond(times); float64(most) > coldRate*burstFactor+burstAllowance {
 			addViolation("%s got %d requests in a second while it was cold, from %s on",
 				span.server, most, span.from.Format(timeFormat))
 		}
