Fail answers that end with their connection if the request was not sent

Callers saw part of an answer as a complete 200 (MIXED). The backend server had answered a long upload at once without a length, sent part of the body, and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one call on the socket only. While an upload is being written that is usually the write. The read then finds the connection ended, as after an orderly close, and an answer without a length or chunks is complete at that point. The pooler looked at the result of the write only to decide whether the connection can be used again.

RFC 9112, section 8, takes such an answer as complete unless the connection indicated an error. Package verifier now decides that for the body of an answer: at the end of the connection it waits until the request has been written, and reports an incomplete answer if that failed. The end of the request ends the wait, since it closes the connection. The result no longer depends on which direction learns of the reset: if the reader does, it fails as before. Answers with a length or chunks do not depend on the write, so that an early 413 is kept, also if a reset follows it. The same holds without a length if the peer reads the rest of the request.

--- a/pooler/body.go
+++ b/pooler/body.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 // body is the body of an answer. Close returns the connection to the pool if the
@@ -17,9 +19,8 @@
 	connection *connection
 	// stop keeps the context from closing the connection. It returns false if
 	// the context has already done so.
-	stop func() bool
-	// written receives the result of writing the request.
-	written  chan error
+	stop     func() bool
+	sending  *verifier.Transmission
 	reusable bool
 	idleFor  time.Duration
 	maxIdle  int
@@ -44,7 +45,7 @@
 	}
 	b.closed = true
 	alive := b.stop()
-	if alive && b.complete && b.reusable && b.sent() && b.connection.reader.Buffered() == 0 {
+	if alive && b.complete && b.reusable && b.sending.Succeeded() && b.connection.reader.Buffered() == 0 {
 		b.pooler.put(b.connection, b.idleFor, b.maxIdle)
 		return nil
 	}
@@ -52,16 +53,6 @@
 	return nil
 }
 
-// sent reports whether the whole request has been written.
-func (b *body) sent() bool {
-	select {
-	case err := <-b.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // ReadAll reads the rest of the answer. It returns an error if the answer is
 // incomplete or longer than limit bytes.
 func (r *Reply) ReadAll(limit int64) ([]byte, error) {
--- /dev/null
+++ b/pooler/broken_test.go
@@ -0,0 +1,193 @@
+package pooler_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/fakes/breaker"
+	"github.com/carawaybeam/carawaybeam/pooler"
+	"github.com/carawaybeam/carawaybeam/prover"
+)
+
+const (
+	// uploadRounds is how often an answer is read during an upload. It depends on the scheduler whether
+	// the reader or the writer of the connection learns of a reset first.
+	uploadRounds = 20
+
+	uploadBytes = 8 << 20
+)
+
+// newBreaker starts a server that sends an answer of the breaker.
+func newBreaker(t *testing.T, answer breaker.Answer) *breaker.Breaker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := breaker.New(listener, answer)
+	t.Cleanup(func() { _ = b.Close() })
+	return b
+}
+
+// upload returns a request with a body that does not fit into the buffers of sockets.
+func upload() pooler.Request {
+	r := request("1")
+	r.Method = http.MethodPost
+	r.Body = make([]byte, uploadBytes)
+	return r
+}
+
+// exchange sends one request and returns its status and body.
+func exchange(
+	ctx context.Context, p *pooler.Pooler, address string, r pooler.Request,
+) (status int, body string, err error) {
+	reply, err := p.Send(ctx, carawaybeam.Address(address), r)
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := reply.ReadAll(1 << 20)
+	return reply.Status, string(data), errors.Join(err, reply.Body.Close())
+}
+
+// TestPromiseAnswerCutDuringUpload guards against taking part of an answer for all of it when its connection
+// fails while the request is being sent (MIXED).
+func TestPromiseAnswerCutDuringUpload(t *testing.T) {
+	violations, trials := 0, 0
+	for _, answer := range append(breaker.Incomplete(), breaker.Unread()) {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBreaker(t, answer)
+			p := newPooler(t)
+			for range uploadRounds {
+				trials++
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				_, _, err := exchange(ctx, p, b.Address(), upload())
+				cancel()
+				if err == nil {
+					violations++
+				}
+				is.True(!errors.Is(ctx.Err(), context.DeadlineExceeded))
+				var unsent *carawaybeam.NotSentError
+				is.True(!errors.As(err, &unsent)) // The request may have run.
+			}
+			is.Equal(p.State().Idle, 0)
+			is.Equal(b.Connections(), uploadRounds)
+		})
+	}
+	prover.Report(t, prover.WholeAnswer, trials, violations)
+}
+
+// TestEarlyAnswerIsWhole guards against losing a complete answer that comes before the request has been read.
+func TestEarlyAnswerIsWhole(t *testing.T) {
+	for _, answer := range breaker.Early() {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBreaker(t, answer)
+			p := newPooler(t)
+			for range uploadRounds {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				status, body, err := exchange(ctx, p, b.Address(), upload())
+				cancel()
+				is.NoErr(err)
+				is.Equal(status, http.StatusRequestEntityTooLarge)
+				is.Equal(body, "{}")
+			}
+		})
+	}
+}
+
+// TestUnreadUploadEndsAtDeadline guards against waiting longer than the deadline for a backend server that ends its
+// answer without a length and never reads the request, and against taking that answer as complete.
+func TestUnreadUploadEndsAtDeadline(t *testing.T) {
+	is := is.New(t)
+	b := newBreaker(t, breaker.Answer{Head: "HTTP/1.1 200 OK\r\n\r\n", Body: "{}", Ending: breaker.Stall})
+	p := newPooler(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, _, err := exchange(ctx, p, b.Address(), upload())
+	is.True(err != nil)
+	is.True(time.Since(began) < 2*time.Second)
+}
+
+// failingConn is a connection whose peer resets it during an upload. One of the two directions learns of
+// the reset, and the other one finds the connection ended.
+type failingConn struct {
+	net.Conn
+	answer io.Reader
+	// atEnd is called when the answer has been read, and returns how reading ends.
+	atEnd func() error
+	// write is called for each write.
+	write func() error
+}
+
+func (c *failingConn) Read(p []byte) (int, error) {
+	n, err := c.answer.Read(p)
+	if n == 0 && err != nil {
+		return 0, c.atEnd()
+	}
+	return n, nil
+}
+
+func (c *failingConn) Write([]byte) (int, error) { return 0, c.write() }
+
+// TestResetInEachOrder guards against a result that depends on which direction of the connection learns of its
+// reset, and when: the reader must not take the end of the connection for that of the answer.
+func TestResetInEachOrder(t *testing.T) {
+	reset := &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
+	orders := map[string]func(c *failingConn){
+		"writer before the end is read": func(c *failingConn) {
+			failed := make(chan struct{})
+			fail := sync.OnceFunc(func() { close(failed) })
+			c.write = func() error { fail(); return reset }
+			c.atEnd = func() error { <-failed; return io.EOF }
+		},
+		"writer after the end is read": func(c *failingConn) {
+			ended := make(chan struct{})
+			end := sync.OnceFunc(func() { close(ended) })
+			c.write = func() error {
+				<-ended
+				time.Sleep(20 * time.Millisecond)
+				return reset
+			}
+			c.atEnd = func() error { end(); return io.EOF }
+		},
+		"reader": func(c *failingConn) {
+			failed := make(chan struct{})
+			fail := sync.OnceFunc(func() { close(failed) })
+			c.write = func() error { <-failed; return syscall.EPIPE }
+			c.atEnd = func() error { fail(); return syscall.ECONNRESET }
+		},
+	}
+	for name, order := range orders {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := pooler.New(pooler.Options{DecodeReply: decode, Dial: func(
+				context.Context, string, string,
+			) (net.Conn, error) {
+				near, far := net.Pipe()
+				t.Cleanup(func() { _ = far.Close() })
+				c := &failingConn{Conn: near, answer: strings.NewReader("HTTP/1.1 200 OK\r\n\r\n{}")}
+				order(c)
+				return c, nil
+			}})
+			defer func() { is.NoErr(p.Close()) }()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, _, err := exchange(ctx, p, "192.0.2.1:80", upload())
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -366,14 +367,14 @@
 
 // exchange writes a request and reads the head of its answer.
 func (p *Pooler) exchange(c *connection, request Request, stop func() bool) (*Reply, error) {
-	written := make(chan error, 1)
+	sending := verifier.NewTransmission()
 	head := encodeHead(request)
 	if len(request.Body) <= maxInlineBody {
 		n, err := c.Write(append(head, request.Body...))
 		if err != nil && n == 0 {
 			return nil, &carawaybeam.NotSentError{Cause: err}
 		}
-		written <- err
+		sending.End(err)
 	} else {
 		// A backend server may answer before it has read all of a long body,
 		// and read the rest later. The body is therefore written concurrently
@@ -382,7 +383,7 @@
 			// The body, which may be large, is not copied.
 			buffers := net.Buffers{head, request.Body}
 			_, err := buffers.WriteTo(c.Conn)
-			written <- err
+			sending.End(err)
 		}()
 	}
 	response, reply, err := p.readHead(c, request) //nolint:bodyclose // The body of the reply closes it.
@@ -394,11 +395,11 @@
 		most = min(most, request.MaxIdle)
 	}
 	reply.Body = &body{
-		ReadCloser: response.Body,
+		ReadCloser: verifier.Body(response, sending),
 		pooler:     p,
 		connection: c,
 		stop:       stop,
-		written:    written,
+		sending:    sending,
 		reusable:   !response.Close && !reply.Encoded,
 		idleFor:    reply.IdleTimeout,
 		maxIdle:    most,
--- /dev/null
+++ b/verifier/verifier.go
@@ -0,0 +1,93 @@
+// Package verifier tells complete HTTP responses from others. All clients of the project read
+// responses through it, so that the same rules hold for each of them.
+//
+// A response with neither a length nor chunks ends with its connection. It is complete only if the
+// whole request was sent and neither direction of the connection failed (RFC 9112, section 8). A
+// reset is reported to one direction only, and the other one finds the connection ended.
+package verifier
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+type (
+	// Transmission is the sending of a request, which may go on while its response is read.
+	Transmission struct {
+		once sync.Once
+		// ended is closed after err has been set.
+		ended chan struct{}
+		err   error
+	}
+
+	// IncompleteError reports that a response which ends with its connection is not complete.
+	IncompleteError struct {
+		// Cause is the failure of sending the request.
+		Cause error
+	}
+
+	// body is the body of a response.
+	body struct {
+		io.ReadCloser
+		response *http.Response
+		sending  *Transmission
+	}
+)
+
+func (e *IncompleteError) Error() string {
+	return "connection ended before the request was sent: " + e.Cause.Error()
+}
+
+func (e *IncompleteError) Unwrap() error { return e.Cause }
+
+// NewTransmission returns a Transmission that has not ended.
+func NewTransmission() *Transmission { return &Transmission{ended: make(chan struct{})} }
+
+// End records that the whole request has been written, or the error of doing so. Later calls do nothing.
+func (t *Transmission) End(err error) {
+	t.once.Do(func() {
+		t.err = err
+		close(t.ended)
+	})
+}
+
+// Succeeded reports whether the whole request has been written.
+func (t *Transmission) Succeeded() bool {
+	select {
+	case <-t.ended:
+		return t.err == nil
+	default:
+		return false
+	}
+}
+
+// wait waits until the Transmission has ended, and returns its error.
+func (t *Transmission) wait() error {
+	<-t.ended
+	return t.err
+}
+
+// Body returns the body of a response, whose Read returns io.EOF only if the response is complete.
+// Closing the connection must end the Transmission.
+func Body(response *http.Response, sending *Transmission) io.ReadCloser {
+	return &body{ReadCloser: response.Body, response: response, sending: sending}
+}
+
+// Read reads from the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && endsWithConnection(b.response) {
+		if cause := b.sending.wait(); cause != nil {
+			return n, &IncompleteError{Cause: cause}
+		}
+	}
+	return n, err
+}
+
+// endsWithConnection reports whether the end of the connection is that of the response.
+func endsWithConnection(response *http.Response) bool {
+	return response.ProtoMajor == 1 && response.ContentLength < 0 && !response.Uncompressed &&
+		len(response.TransferEncoding) == 0
+}
