Fail unframed answers on the linked path if the request was not sent

Callers on the linked path saw the same as on the direct one: part of an answer as a complete 200. The agent sent a tail with a valid checksum, so that no entry could notice.

Cause: net/http has the gap that the pooler had. A Transport's reader takes the end of the connection for the end of a body without a length or chunks, and does not ask what became of the request.

verifier.Transport wraps http.Transport and applies the rule of package verifier to it: once a response has been found to end with its connection, the connection's Read at the end waits until the request has been written, and fails if that failed. The rule is applied in the connection, not in the body, because http.Transport closes a connection at its end, and with that the request of a peer that still reads. Before there is a head, and in bodies with a length or chunks, nothing waits.

--- /dev/null
+++ b/caller/broken_test.go
@@ -0,0 +1,93 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/caller"
+	"github.com/carawaybeam/carawaybeam/fakes/breaker"
+	"github.com/carawaybeam/carawaybeam/prover"
+)
+
+const (
+	// uploadRounds is how often an answer is read during an upload. It depends on the scheduler whether
+	// the reader or the writer of the connection learns of a reset first.
+	uploadRounds = 20
+
+	// uploadBytes do not fit into the buffers of sockets.
+	uploadBytes = 8 << 20
+)
+
+// newBreaker starts a server that sends an answer of the breaker, and returns a client of it.
+func newBreaker(t *testing.T, answer breaker.Answer) (*breaker.Breaker, *caller.Caller) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := breaker.New(listener, answer)
+	t.Cleanup(func() { _ = b.Close() })
+	return b, caller.New(carawaybeam.BackendOptions{URL: "http://" + b.Address()}, false)
+}
+
+// upload sends a request with a long body and returns the status and body of the answer.
+func upload(ctx context.Context, backend *caller.Caller) (status int, body string, err error) {
+	answer, err := backend.Start(ctx, carawaybeam.BackendRequest{
+		Method: http.MethodPost, Path: "/", Attempt: "1", Body: make([]byte, uploadBytes),
+	})
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(answer.Body)
+	return answer.Status, string(data), errors.Join(err, answer.Body.Close())
+}
+
+// TestPromiseAnswerCutDuringUpload guards against taking part of an answer for all of it when its connection
+// fails while the request is being sent (MIXED).
+func TestPromiseAnswerCutDuringUpload(t *testing.T) {
+	violations, trials := 0, 0
+	for _, answer := range append(breaker.Incomplete(), breaker.Unread()) {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			b, backend := newBreaker(t, answer)
+			for range uploadRounds {
+				trials++
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				_, _, err := upload(ctx, backend)
+				cancel()
+				if err == nil {
+					violations++
+				}
+				is.True(!errors.Is(ctx.Err(), context.DeadlineExceeded))
+				var unsent *carawaybeam.NotSentError
+				is.True(!errors.As(err, &unsent)) // The request may have run.
+			}
+			is.Equal(b.Connections(), uploadRounds)
+		})
+	}
+	prover.Report(t, prover.WholeAnswer, trials, violations)
+}
+
+// TestUnreadUploadEndsAtDeadline guards against waiting longer than the deadline for a backend server that ends its
+// answer without a length and never reads the request, and against taking that answer as complete.
+func TestUnreadUploadEndsAtDeadline(t *testing.T) {
+	is := is.New(t)
+	_, backend := newBreaker(
+		t,
+		breaker.Answer{Head: "HTTP/1.1 200 OK\r\n\r\n", Body: "{}", Ending: breaker.Stall},
+	)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, _, err := upload(ctx, backend)
+	is.True(err != nil)
+	is.True(time.Since(began) < 2*time.Second)
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -134,7 +135,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &http.Client{
-		Transport: transport,
+		Transport: verifier.NewTransport(transport),
 		// An answer that redirects is the caller's to follow.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pooler/broken_test.go
+++ b/pooler/broken_test.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -121,67 +117,16 @@
 	is.True(time.Since(began) < 2*time.Second)
 }
 
-// failingConn is a connection whose peer resets it during an upload. One of the two directions learns of
-// the reset, and the other one finds the connection ended.
-type failingConn struct {
-	net.Conn
-	answer io.Reader
-	// atEnd is called when the answer has been read, and returns how reading ends.
-	atEnd func() error
-	// write is called for each write.
-	write func() error
-}
-
-func (c *failingConn) Read(p []byte) (int, error) {
-	n, err := c.answer.Read(p)
-	if n == 0 && err != nil {
-		return 0, c.atEnd()
-	}
-	return n, nil
-}
-
-func (c *failingConn) Write([]byte) (int, error) { return 0, c.write() }
-
 // TestResetInEachOrder guards against a result that depends on which direction of the connection learns of its
 // reset, and when: the reader must not take the end of the connection for that of the answer.
 func TestResetInEachOrder(t *testing.T) {
-	reset := &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
-	orders := map[string]func(c *failingConn){
-		"writer before the end is read": func(c *failingConn) {
-			failed := make(chan struct{})
-			fail := sync.OnceFunc(func() { close(failed) })
-			c.write = func() error { fail(); return reset }
-			c.atEnd = func() error { <-failed; return io.EOF }
-		},
-		"writer after the end is read": func(c *failingConn) {
-			ended := make(chan struct{})
-			end := sync.OnceFunc(func() { close(ended) })
-			c.write = func() error {
-				<-ended
-				time.Sleep(20 * time.Millisecond)
-				return reset
-			}
-			c.atEnd = func() error { end(); return io.EOF }
-		},
-		"reader": func(c *failingConn) {
-			failed := make(chan struct{})
-			fail := sync.OnceFunc(func() { close(failed) })
-			c.write = func() error { <-failed; return syscall.EPIPE }
-			c.atEnd = func() error { fail(); return syscall.ECONNRESET }
-		},
-	}
-	for name, order := range orders {
+	for name, conn := range breaker.NewResetConns() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := pooler.New(pooler.Options{DecodeReply: decode, Dial: func(
-				context.Context, string, string,
-			) (net.Conn, error) {
-				near, far := net.Pipe()
-				t.Cleanup(func() { _ = far.Close() })
-				c := &failingConn{Conn: near, answer: strings.NewReader("HTTP/1.1 200 OK\r\n\r\n{}")}
-				order(c)
-				return c, nil
-			}})
+			p := pooler.New(pooler.Options{
+				DecodeReply: decode,
+				Dial:        func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+			})
 			defer func() { is.NoErr(p.Close()) }()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
--- /dev/null
+++ b/verifier/transport_test.go
@@ -0,0 +1,108 @@
+package verifier_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/carawaybeam/carawaybeam/fakes/breaker"
+	"github.com/carawaybeam/carawaybeam/verifier"
+)
+
+const (
+	// testTimeout is much longer than any exchange of the tests takes.
+	testTimeout = 5 * time.Second
+
+	// uploadBytes do not fit into the buffers of sockets.
+	uploadBytes = 8 << 20
+)
+
+// exchange sends a request and returns the body of the response.
+func exchange(ctx context.Context, client *http.Client, method, url string, body []byte) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	return string(data), errors.Join(err, response.Body.Close())
+}
+
+// newServer starts a server that sends an answer of the breaker.
+func newServer(t *testing.T, answer breaker.Answer) *breaker.Breaker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := breaker.New(listener, answer)
+	t.Cleanup(func() { _ = b.Close() })
+	return b
+}
+
+// TestResetInEachOrder guards against a result that depends on which direction of the connection learns of its
+// reset, and when: the reader must not take the end of the connection for that of the response.
+func TestResetInEachOrder(t *testing.T) {
+	for name, conn := range breaker.NewResetConns() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := &http.Client{Transport: verifier.NewTransport(&http.Transport{
+				DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+			})}
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			_, err := exchange(ctx, client, http.MethodPost, "http://192.0.2.1/", make([]byte, uploadBytes))
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
+
+// TestEndWithoutResponse guards against waiting for the rest of a request whose response can no longer come.
+func TestEndWithoutResponse(t *testing.T) {
+	is := is.New(t)
+	b := newServer(t, breaker.Answer{Head: "HTTP/1.1 200 OK\r\n", Ending: breaker.Stall})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	client := verifier.NewClient(0)
+	_, err := exchange(ctx, client, http.MethodPost, "http://"+b.Address(), make([]byte, uploadBytes))
+	is.True(err != nil)
+	is.NoErr(ctx.Err())
+}
+
+// TestClosedIdleConnection guards against failing a request, which may be repeated, on a connection that the server
+// has closed before.
+func TestClosedIdleConnection(t *testing.T) {
+	is := is.New(t)
+	b := newServer(
+		t,
+		breaker.Answer{Head: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", Body: "{}", Ending: breaker.Close},
+	)
+	client := verifier.NewClient(testTimeout)
+	for range 100 {
+		body, err := exchange(t.Context(), client, http.MethodGet, "http://"+b.Address(), nil)
+		is.NoErr(err)
+		is.Equal(body, "{}")
+	}
+}
+
+// TestTimeout guards against a request without an end whose server does not answer.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	b := newServer(t, breaker.Answer{Ending: breaker.Keep})
+	client := verifier.NewClient(100 * time.Millisecond)
+	began := time.Now()
+	_, err := exchange(t.Context(), client, http.MethodGet, "http://"+b.Address(), nil)
+	is.True(err != nil)
+	is.True(time.Since(began) < testTimeout)
+}
