Keep early answers on the linked path if the request could not be sent

Callers on the linked path got a failure with an unknown outcome in place of an answer that had arrived whole, such as a 413 to a long upload whose backend server closes the connection without reading the rest. On the direct path they got the answer.

Cause: http.Transport closes the connection as soon as a write fails, and drops what it has received but not read.

A Write of a verifier.connection that has failed now returns once reading has come to its end or the connection is closed. The answer is read first, and net/http still learns of the failure, so that it does not use the connection again. Closing the body or the end of the request closes the connection, so that the writer does not stay. TLS connections are left as they are, since a handshake may write without a reader.

Evidence: caller.TestEarlyAnswerIsWhole fails on the code before in the cases "length, closed unread", "length, reset" and "chunks, closed unread" in 3 of 3 runs; it passes now, with the race detector too.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -76,6 +76,24 @@
 	prover.Report(t, prover.WholeAnswer, trials, violations)
 }
 
+// TestEarlyAnswerIsWhole guards against losing a complete answer that comes before the request has been read.
+func TestEarlyAnswerIsWhole(t *testing.T) {
+	for _, answer := range breaker.Early() {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			_, backend := newBreaker(t, answer)
+			for range uploadRounds {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				status, body, err := upload(ctx, backend)
+				cancel()
+				is.NoErr(err)
+				is.Equal(status, http.StatusRequestEntityTooLarge)
+				is.Equal(body, "{}")
+			}
+		})
+	}
+}
+
 // TestUnreadUploadEndsAtDeadline guards against waiting longer than the deadline for a backend server that ends its
 // answer without a length and never reads the request, and against taking that answer as complete.
 func TestUnreadUploadEndsAtDeadline(t *testing.T) {
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -11,8 +11,9 @@
 
 type (
 	// Transport is an http.RoundTripper. The body of a response ends with io.EOF only if the response is
-	// complete. With TLS, which marks the end of a connection, it relies on http.Transport for that. A
-	// Transport is safe for concurrent use.
+	// complete, and a complete response is returned also if the request could not be sent whole. With TLS,
+	// which marks the end of a connection, these are the guarantees of http.Transport. A Transport is safe
+	// for concurrent use.
 	Transport struct {
 		base *http.Transport
 	}
@@ -41,7 +42,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &connection{Conn: conn}, nil
+		return newConnection(conn), nil
 	}
 	return &Transport{base: base}
 }
@@ -88,6 +89,9 @@
 	defer x.mu.Unlock()
 	x.sending = NewTransmission()
 	x.conn, _ = info.Conn.(*connection)
+	if x.conn != nil {
+		x.conn.inExchange.Store(true)
+	}
 }
 
 // wrote records that an attempt to send the request has ended.
