Refuse answers with a status below 100

Callers on the linked path got an answer of status 000 as the answer to their request. On the direct path none was handed on as it is, but the bytes behind its head were read as the next answer: a body that looks like an answer was delivered, and anything else let the request wait for its deadline. A 101, which no request asks for, was treated in the same way.

Cause: net/http accepts any status of three digits, also with a sign. The pooler took all below 200 for informational responses, which have no body.

verifier.Check refuses a status below 100 and 101 (RFC 9110, section 15); the pooler and verifier.Transport call it for each head and close the connection. Statuses from 600 on stay what they were, an error of the backend server, as the RFC asks. The error is a carawaybeam.InvalidAnswerError. Its attempt ends with an unknown outcome and the reason "corrupt" and counts against the backend server, on both paths; a request that may be repeated is tried elsewhere.

--- a/backend.go
+++ b/backend.go
@@ -80,3 +80,14 @@
 }
 
 func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// InvalidAnswerError reports an answer that is not a valid HTTP response, so that nothing of it may
+// be used. The request may have run.
+type InvalidAnswerError struct {
+	// Defect is what is wrong with the answer.
+	Defect string
+}
+
+func (e *InvalidAnswerError) Error() string {
+	return "answer is not a valid HTTP response: " + e.Defect
+}
--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -109,3 +109,31 @@
 	is.True(err != nil)
 	is.True(time.Since(began) < 2*time.Second)
 }
+
+// TestPromiseInvalidAnswer guards against delivering an answer that is not a valid HTTP response, or what follows one
+// on its connection (MIXED), and against using the connection again.
+func TestPromiseInvalidAnswer(t *testing.T) {
+	violations := 0
+	answers := breaker.InvalidStatus()
+	for _, answer := range answers {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			b, backend := newBreaker(t, answer)
+			for n := range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_, _, err := upload(ctx, backend)
+				is.NoErr(ctx.Err())
+				cancel()
+				if err == nil {
+					violations++
+				}
+				var unsent *carawaybeam.NotSentError
+				is.True(!errors.As(err, &unsent)) // The request may have run.
+				is.Equal(b.Connections(), n+1)
+			}
+			_, _, err := backend.Load(t.Context())
+			is.True(err != nil)
+		})
+	}
+	prover.Report(t, prover.WholeAnswer, 2*len(answers), violations)
+}
--- a/dispatcher/candidates.go
+++ b/dispatcher/candidates.go
@@ -238,7 +238,8 @@
 	}
 	o.answered = true
 	switch failure.Reason {
-	case carawaybeam.ReasonBackendFailed, carawaybeam.ReasonNoBackend, carawaybeam.ReasonWrongIncarnation:
+	case carawaybeam.ReasonBackendFailed, carawaybeam.ReasonNoBackend, carawaybeam.ReasonWrongIncarnation,
+		carawaybeam.ReasonCorrupt:
 		o.observe(true)
 	case carawaybeam.ReasonDeadline:
 		o.observe(false)
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -559,6 +559,10 @@
 		return interrupted(ctx, "no answer came in time")
 	}
 	f.options.Sender.CloseIdle(instance.Address)
+	var invalid *carawaybeam.InvalidAnswerError
+	if errors.As(err, &invalid) {
+		return corruptAnswer(err)
+	}
 	return brokenOff(err.Error())
 }
 
--- a/dispatcher/forwarder/broken_test.go
+++ b/dispatcher/forwarder/broken_test.go
@@ -23,6 +23,21 @@
 	uploadRounds = 10
 )
 
+// failureRouter counts the failures that are reported to it.
+type failureRouter struct {
+	carawaybeam.Router
+	failed int
+}
+
+func (r *failureRouter) Observe(
+	now time.Time, decision carawaybeam.RouteDecision, outcome carawaybeam.RouteOutcome,
+) {
+	if outcome.Failed {
+		r.failed++
+	}
+	r.Router.Observe(now, decision, outcome)
+}
+
 // newBrokenEnvironment returns an environment whose backend server "a", which is preferred, sends the answer broken
 // and whose backend server "b" sends the answer sound.
 func newBrokenEnvironment(t *testing.T, broken, sound breaker.Answer) (env *environment, servers [2]*breaker.Breaker) {
@@ -102,3 +117,33 @@
 		is.Equal(servers[1].Requests(), 1)
 	}
 }
+
+// TestInvalidAnswer guards against delivering an answer that is not a valid HTTP response, against repeating a request
+// that may have run only once, and against not holding the answer against its backend server.
+func TestInvalidAnswer(t *testing.T) {
+	whole := breaker.Answer{Head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", Body: "whole"}
+	for _, invalid := range breaker.InvalidStatus() {
+		t.Run(invalid.Name+", repeated", func(t *testing.T) {
+			is := is.New(t)
+			env, _ := newBrokenEnvironment(t, invalid, whole)
+			answer, failure := env.serve(request(carawaybeam.RouteSafe))
+			is.True(failure == nil)
+			is.Equal(answer.String(), "whole")
+			is.Equal(answer.status, http.StatusOK)
+			is.Equal(env.retries, 1)
+		})
+		t.Run(invalid.Name+", not repeated", func(t *testing.T) {
+			is := is.New(t)
+			env, servers := newBrokenEnvironment(t, invalid, whole)
+			router := &failureRouter{Router: env.routerOrDefault()}
+			env.router = router
+			answer, failure := env.serve(request(carawaybeam.RouteUnsafe))
+			is.True(failure != nil)
+			is.Equal(failure.Outcome, carawaybeam.OutcomeUnknown)
+			is.Equal(failure.Reason, carawaybeam.ReasonCorrupt)
+			is.Equal(answer.heads, 0)
+			is.Equal(servers[1].Requests(), 0)
+			is.Equal(router.failed, 1)
+		})
+	}
+}
--- a/dispatcher/forwarder/stream.go
+++ b/dispatcher/forwarder/stream.go
@@ -124,7 +124,7 @@
 		case err != nil && ctx.Err() != nil:
 			return interrupted(ctx, "stream did not end in time")
 		case errors.Is(err, errNotAnEvent):
-			return corruptStream(err)
+			return corruptAnswer(err)
 		case err != nil:
 			return brokenOff("stream broke off: " + err.Error())
 		}
@@ -134,12 +134,12 @@
 		case comment && continues && !numbered:
 			continue
 		case id == 0 && continues && !numbered:
-			return corruptStream(errUnnumbered)
+			return corruptAnswer(errUnnumbered)
 		case id != 0 && id <= p.lastEvent && numbered:
 			// The backend server has sent this event before.
 			continue
 		case id != 0 && id != p.lastEvent+1:
-			return corruptStream(&EventOrderError{Last: p.lastEvent, Got: id})
+			return corruptAnswer(&EventOrderError{Last: p.lastEvent, Got: id})
 		}
 		if err := p.writeEvent(o.forwarder, reply, event, events.reader.Buffered() == 0); err != nil {
 			return o.forwarder.writeFailure(p, err)
@@ -153,7 +153,7 @@
 }
 
 // corruptStream returns the result of an attempt whose answer is not the rest of the stream.
-func corruptStream(err error) result {
+func corruptAnswer(err error) result {
 	return result{failure: unknownOutcome(carawaybeam.ReasonCorrupt, err.Error()), backendFault: true}
 }
 
--- a/errors.go
+++ b/errors.go
@@ -71,7 +71,7 @@
 	// ReasonBadTicket means that the ticket is not open for the class and
 	// organisation of the request.
 	ReasonBadTicket Reason = "badTicket"
-	// ReasonCorrupt means that the checksum of the answer does not match.
+	// ReasonCorrupt means that the answer is not valid, or that its checksum does not match.
 	ReasonCorrupt Reason = "corrupt"
 )
 
--- /dev/null
+++ b/executor/broken_test.go
@@ -0,0 +1,46 @@
+package executor_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/caller"
+	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/fakes/breaker"
+	"github.com/carawaybeam/carawaybeam/quarantiner"
+)
+
+// TestBrokenAnswer guards against passing an invalid or incomplete answer on to the entry as a complete one, and
+// against saying that its request did not run.
+func TestBrokenAnswer(t *testing.T) {
+	reasons := map[carawaybeam.Reason][]breaker.Answer{
+		carawaybeam.ReasonCorrupt:       breaker.InvalidStatus(),
+		carawaybeam.ReasonBackendFailed: breaker.Incomplete(),
+	}
+	for reason, answers := range reasons {
+		for _, answer := range answers {
+			t.Run(answer.Name, func(t *testing.T) {
+				t.Parallel() // Each waits for the acknowledgement of the entry.
+				is := is.New(t)
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				b := breaker.New(listener, answer)
+				defer func() { is.NoErr(b.Close()) }()
+				e := executor.New(executor.Options{
+					Backend:     caller.New(carawaybeam.BackendOptions{URL: "http://" + b.Address()}, false),
+					Quarantiner: quarantiner.New(quarantiner.Complete),
+					Concurrency: 4, Incarnation: "1", Log: zerolog.Nop(),
+				})
+				defer func() { is.NoErr(e.Close()) }()
+				last := runOnce(e, "a")
+				is.True(last.GetTail() == nil)
+				is.Equal(last.GetFailed().GetOutcome(), string(carawaybeam.OutcomeUnknown))
+				is.Equal(last.GetFailed().GetReason(), string(reason))
+			})
+		}
+	}
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -124,6 +124,10 @@
 		Reason:  carawaybeam.ReasonBackendFailed,
 		Detail:  err.Error(),
 	}
+	var invalid *carawaybeam.InvalidAnswerError
+	if errors.As(err, &invalid) {
+		failure.Reason = carawaybeam.ReasonCorrupt
+	}
 	var notSent *carawaybeam.NotSentError
 	if errors.As(err, &notSent) {
 		failure.Outcome = carawaybeam.OutcomeNotRun
--- a/fakes/breaker/answers.go
+++ b/fakes/breaker/answers.go
@@ -1,8 +1,8 @@
 package breaker
 
 const (
-	ok      = "HTTP/1.1 200 OK\r\n"
-	twoByte = "Content-Length: 2\r\n\r\n"
+	ok       = "HTTP/1.1 200 OK\r\n"
+	twoBytes = "Content-Length: 2\r\n\r\n"
 )
 
 // Unread returns an answer that ends with its connection, which is closed before the body of the request
@@ -36,11 +36,11 @@
 		chunks  = "2\r\n{}\r\n0\r\n\r\n"
 	)
 	return []Answer{
-		{Name: "length, read", Head: refused + twoByte, Body: "{}", Ending: Keep},
-		{Name: "length, closed", Head: refused + twoByte, Body: "{}", Ending: Close},
-		{Name: "length, closed unread", Head: refused + twoByte, Body: "{}", Ending: CloseUnread},
-		{Name: "length, reset", Head: refused + twoByte, Body: "{}", Ending: Reset},
-		{Name: "length, not read", Head: refused + twoByte, Body: "{}", Ending: Stall},
+		{Name: "length, read", Head: refused + twoBytes, Body: "{}", Ending: Keep},
+		{Name: "length, closed", Head: refused + twoBytes, Body: "{}", Ending: Close},
+		{Name: "length, closed unread", Head: refused + twoBytes, Body: "{}", Ending: CloseUnread},
+		{Name: "length, reset", Head: refused + twoBytes, Body: "{}", Ending: Reset},
+		{Name: "length, not read", Head: refused + twoBytes, Body: "{}", Ending: Stall},
 		{Name: "chunks, read", Head: refused + chunked, Body: chunks, Ending: Keep},
 		{Name: "chunks, closed unread", Head: refused + chunked, Body: chunks, Ending: CloseUnread},
 		{Name: "chunks, not read", Head: refused + chunked, Body: chunks, Ending: Stall},
--- a/pooler/broken_test.go
+++ b/pooler/broken_test.go
@@ -136,3 +136,31 @@
 		})
 	}
 }
+
+// TestPromiseInvalidAnswer guards against delivering an answer that is not a valid HTTP response, or what follows one
+// on its connection (MIXED), and against using the connection again.
+func TestPromiseInvalidAnswer(t *testing.T) {
+	violations := 0
+	answers := breaker.InvalidStatus()
+	for _, answer := range answers {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBreaker(t, answer)
+			p := newPooler(t)
+			for n := range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				_, _, err := exchange(ctx, p, b.Address(), numbered(n))
+				is.NoErr(ctx.Err())
+				cancel()
+				if err == nil {
+					violations++
+				}
+				var unsent *carawaybeam.NotSentError
+				is.True(!errors.As(err, &unsent)) // The request may have run.
+				is.Equal(p.State().Idle, 0)
+				is.Equal(b.Connections(), n+1)
+			}
+		})
+	}
+	prover.Report(t, prover.WholeAnswer, 2*len(answers), violations)
+}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -448,7 +448,10 @@
 		defer p.mu.Unlock()
 		p.oversized++
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, verifier.Check(response)
 }
 
 // put returns a connection to the pool, unless that has most idle ones to its backend
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -10,7 +10,8 @@
 )
 
 type (
-	// Transport is an http.RoundTripper. The body of a response ends with io.EOF only if the response is
+	// Transport is an http.RoundTripper. An invalid response is returned as an error that wraps
+	// *carawaybeam.InvalidAnswerError. The body of a response ends with io.EOF only if the response is
 	// complete, and a complete response is returned also if the request could not be sent whole. With TLS,
 	// which marks the end of a connection, these are the guarantees of http.Transport. A Transport is safe
 	// for concurrent use.
@@ -68,6 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := Check(response); err != nil {
+		// This closes the connection.
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if endsWithConnection(response) {
 		x.markLast()
 	}
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -1,5 +1,8 @@
-// Package verifier tells complete HTTP responses from others. All clients of the project read
-// responses through it, so that the same rules hold for each of them.
+// Package verifier tells valid and complete HTTP responses from others. All clients of the project
+// read responses through it, so that the same rules hold for each of them.
+//
+// The status of a response, and of an informational one before it, is at least 100 (RFC 9110, section
+// 15). No request asks for another protocol, so that 101 is no response to it.
 //
 // A response with neither a length nor chunks ends with its connection. It is complete only if the
 // whole request was sent and neither direction of the connection failed (RFC 9112, section 8). A
@@ -8,9 +11,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/carawaybeam/carawaybeam"
 )
 
 type (
@@ -69,6 +75,18 @@
 	return t.err
 }
 
+// Check returns a *carawaybeam.InvalidAnswerError if the head of a response is invalid.
+func Check(response *http.Response) error {
+	return checkStatus(response.StatusCode)
+}
+
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
+		return &carawaybeam.InvalidAnswerError{Defect: fmt.Sprintf("status is %03d", status)}
+	}
+	return nil
+}
+
 // Body returns the body of a response, whose Read returns io.EOF only if the response is complete.
 // Closing the connection must end the Transmission.
 func Body(response *http.Response, sending *Transmission) io.ReadCloser {
