Refuse answers with a field whose name is not a token

Callers got an answer in whose head the name of a field held a blank: on the direct path with that line passed on, on the linked path without it. Where the blank stood behind Content-Length or Transfer-Encoding, they got another body than the backend server's: what followed the length, or the chunks with their sizes. Names with a control byte, without any byte and with a blank before the first of them were refused before; their tests are all that is new for them.

Cause: net/http accepts blanks in the names of response fields, and looks up the length and coding of a body under their proper names only. The same holds for informational responses and trailers.

verifier.Check requires tokens (RFC 9110, section 5.1). Section 5.1 of RFC 9112 lets a proxy remove a blank before the colon, but not guess what a blank inside a name means; which body was meant is unclear in both cases. Informational responses are checked with the head, trailers at the end of the body. net/http may hand a connection on before its response could be checked, if that has no body or a trailer. A verifier.connection is therefore held from the beginning of an exchange to the end of its response, and closed if that is invalid.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -114,7 +114,7 @@
 // on its connection (MIXED), and against using the connection again.
 func TestPromiseInvalidAnswer(t *testing.T) {
 	violations := 0
-	answers := breaker.InvalidStatus()
+	answers := append(breaker.Invalid(), breaker.Malformed()...)
 	for _, answer := range answers {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
@@ -131,8 +131,6 @@
 				is.True(!errors.As(err, &unsent)) // The request may have run.
 				is.Equal(b.Connections(), n+1)
 			}
-			_, _, err := backend.Load(t.Context())
-			is.True(err != nil)
 		})
 	}
 	prover.Report(t, prover.WholeAnswer, 2*len(answers), violations)
--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -559,11 +559,7 @@
 		return interrupted(ctx, "no answer came in time")
 	}
 	f.options.Sender.CloseIdle(instance.Address)
-	var invalid *carawaybeam.InvalidAnswerError
-	if errors.As(err, &invalid) {
-		return corruptAnswer(err)
-	}
-	return brokenOff(err.Error())
+	return brokenAnswer("", err)
 }
 
 // refusal returns the result of an attempt whose answer proves that the request
@@ -595,7 +591,7 @@
 		if ctx.Err() != nil {
 			return interrupted(ctx, "answer did not come in time")
 		}
-		return brokenOff(err.Error())
+		return brokenAnswer("", err)
 	}
 	answer := &heldAnswer{status: reply.Status, header: reply.Header, body: data}
 	switch {
--- a/dispatcher/forwarder/broken_test.go
+++ b/dispatcher/forwarder/broken_test.go
@@ -122,7 +122,7 @@
 // that may have run only once, and against not holding the answer against its backend server.
 func TestInvalidAnswer(t *testing.T) {
 	whole := breaker.Answer{Head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", Body: "whole"}
-	for _, invalid := range breaker.InvalidStatus() {
+	for _, invalid := range breaker.Invalid() {
 		t.Run(invalid.Name+", repeated", func(t *testing.T) {
 			is := is.New(t)
 			env, _ := newBrokenEnvironment(t, invalid, whole)
--- a/dispatcher/forwarder/stream.go
+++ b/dispatcher/forwarder/stream.go
@@ -126,7 +126,7 @@
 		case errors.Is(err, errNotAnEvent):
 			return corruptAnswer(err)
 		case err != nil:
-			return brokenOff("stream broke off: " + err.Error())
+			return brokenAnswer("stream broke off: ", err)
 		}
 		o.markFirstPart()
 		comment := isComment(event)
@@ -152,7 +152,16 @@
 	}
 }
 
-// corruptStream returns the result of an attempt whose answer is not the rest of the stream.
+// brokenAnswer returns the result of an attempt whose answer could not be read to its end.
+func brokenAnswer(prefix string, err error) result {
+	var invalid *carawaybeam.InvalidAnswerError
+	if errors.As(err, &invalid) {
+		return corruptAnswer(err)
+	}
+	return brokenOff(prefix + err.Error())
+}
+
+// corruptAnswer returns the result of an attempt whose answer is invalid, or not the rest of the stream.
 func corruptAnswer(err error) result {
 	return result{failure: unknownOutcome(carawaybeam.ReasonCorrupt, err.Error()), backendFault: true}
 }
--- a/executor/broken_test.go
+++ b/executor/broken_test.go
@@ -18,8 +18,8 @@
 // against saying that its request did not run.
 func TestBrokenAnswer(t *testing.T) {
 	reasons := map[carawaybeam.Reason][]breaker.Answer{
-		carawaybeam.ReasonCorrupt:       breaker.InvalidStatus(),
-		carawaybeam.ReasonBackendFailed: breaker.Incomplete(),
+		carawaybeam.ReasonCorrupt:       breaker.Invalid(),
+		carawaybeam.ReasonBackendFailed: append(breaker.Incomplete(), breaker.Malformed()...),
 	}
 	for reason, answers := range reasons {
 		for _, answer := range answers {
--- a/executor/run.go
+++ b/executor/run.go
@@ -111,7 +111,7 @@
 		if err != nil {
 			return carawaybeam.RequestError{
 				Outcome: carawaybeam.OutcomeUnknown,
-				Reason:  carawaybeam.ReasonBackendFailed,
+				Reason:  reasonOf(err),
 				Detail:  "answer was cut: " + err.Error(),
 			}, true
 		}
@@ -121,13 +121,9 @@
 func startFailure(err error) carawaybeam.RequestError {
 	failure := carawaybeam.RequestError{
 		Outcome: carawaybeam.OutcomeUnknown,
-		Reason:  carawaybeam.ReasonBackendFailed,
+		Reason:  reasonOf(err),
 		Detail:  err.Error(),
 	}
-	var invalid *carawaybeam.InvalidAnswerError
-	if errors.As(err, &invalid) {
-		failure.Reason = carawaybeam.ReasonCorrupt
-	}
 	var notSent *carawaybeam.NotSentError
 	if errors.As(err, &notSent) {
 		failure.Outcome = carawaybeam.OutcomeNotRun
@@ -136,6 +132,15 @@
 	return failure
 }
 
+// reasonOf returns the reason of an attempt that failed with an error.
+func reasonOf(err error) carawaybeam.Reason {
+	var invalid *carawaybeam.InvalidAnswerError
+	if errors.As(err, &invalid) {
+		return carawaybeam.ReasonCorrupt
+	}
+	return carawaybeam.ReasonBackendFailed
+}
+
 // eventEnd keeps the end of a stream of events.
 type eventEnd struct{ last []byte }
 
--- a/fakes/breaker/breaker.go
+++ b/fakes/breaker/breaker.go
@@ -57,8 +57,9 @@
 		answer   Answer
 		closed   chan struct{}
 		wait     sync.WaitGroup
-		// requests and connections count what the server has accepted.
-		requests, connections atomic.Int64
+		// requests and connections count what the server has accepted, and reused the requests on
+		// connections that had carried one before.
+		requests, connections, reused atomic.Int64
 	}
 )
 
@@ -78,6 +79,9 @@
 // Connections returns the number of accepted connections.
 func (b *Breaker) Connections() int { return int(b.connections.Load()) }
 
+// Reused returns the number of requests on connections that had carried one before.
+func (b *Breaker) Reused() int { return int(b.reused.Load()) }
+
 // Close closes all connections and waits for their goroutines.
 func (b *Breaker) Close() error {
 	close(b.closed)
@@ -110,11 +114,14 @@
 	})
 	// A small buffer leaves the rest of a large request in the socket.
 	reader := bufio.NewReaderSize(conn, 16)
-	for {
+	for first := true; ; first = false {
 		length, err := readHead(reader)
 		if err != nil {
 			return
 		}
+		if !first {
+			b.reused.Add(1)
+		}
 		n := b.requests.Add(1)
 		if _, err := io.WriteString(conn, b.answer.Head+b.answer.Body); err != nil {
 			return
--- a/pooler/broken_test.go
+++ b/pooler/broken_test.go
@@ -141,7 +141,7 @@
 // on its connection (MIXED), and against using the connection again.
 func TestPromiseInvalidAnswer(t *testing.T) {
 	violations := 0
-	answers := breaker.InvalidStatus()
+	answers := append(breaker.Invalid(), breaker.Malformed()...)
 	for _, answer := range answers {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/verifier/connection.go
+++ b/verifier/connection.go
@@ -17,6 +17,8 @@
 	net.Conn
 	// inExchange is set once the connection carries requests without TLS.
 	inExchange atomic.Bool
+	// held is full while an exchange uses the connection.
+	held chan struct{}
 	// sending is the request whose response ends with the connection, or nil.
 	sending atomic.Pointer[Transmission]
 
@@ -33,6 +35,7 @@
 	ended := make(chan struct{})
 	return &connection{
 		Conn:  conn,
+		held:  make(chan struct{}, 1),
 		ended: ended,
 		end:   sync.OnceFunc(func() { close(ended) }),
 	}
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 )
 
+// maxInformational is how many informational responses may come before a response.
+const maxInformational = 8
+
 type (
 	// Transport is an http.RoundTripper. An invalid response is returned as an error that wraps
 	// *carawaybeam.InvalidAnswerError. The body of a response ends with io.EOF only if the response is
@@ -22,14 +28,27 @@
 	// exchange is one request with its response.
 	exchange struct {
 		mu sync.Mutex
-		// conn is the connection of the last attempt to send the request, or nil if that uses TLS.
+		// conn is the connection of the last attempt to send the request. It is nil if that uses TLS, and
+		// once the connection is released.
 		conn *connection
 		// sending is the last attempt.
 		sending *Transmission
+		// informational counts the informational responses. Only the reader of net/http uses it.
+		informational int
+	}
+
+	// transportBody is a body that releases the connection with its end.
+	transportBody struct {
+		io.ReadCloser
+		exchange *exchange
 	}
 )
 
-var _ http.RoundTripper = (*Transport)(nil)
+var (
+	_ http.RoundTripper = (*Transport)(nil)
+
+	errInformational = errors.New("too many informational responses before the response")
+)
 
 // NewTransport returns a Transport with the settings of base, and with connections of its own.
 func NewTransport(base *http.Transport) *Transport {
@@ -64,19 +83,26 @@
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	x := &exchange{}
-	trace := &httptrace.ClientTrace{GotConn: x.begin, WroteRequest: x.wrote}
+	trace := &httptrace.ClientTrace{GotConn: x.begin, WroteRequest: x.wrote, Got1xxResponse: x.checkInformational}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err != nil {
-		return nil, err
+	if err == nil {
+		err = Check(response)
 	}
-	if err := Check(response); err != nil {
-		// This closes the connection.
-		_ = response.Body.Close()
+	if err != nil {
+		x.discard()
+		if response != nil {
+			_ = response.Body.Close()
+		}
 		return nil, err
 	}
 	if endsWithConnection(response) {
 		x.markLast()
 	}
+	if response.Body == http.NoBody {
+		x.release()
+		return response, nil
+	}
+	response.Body = &transportBody{ReadCloser: Body(response, nil), exchange: x}
 	return response, nil
 }
 
@@ -89,15 +115,49 @@
 	}
 }
 
-// begin records that an attempt to send the request begins.
+// begin records that an attempt to send the request begins. If the connection carried an earlier
+// request, begin waits until that has released it: net/http may hand it on before.
 func (x *exchange) begin(info httptrace.GotConnInfo) {
+	x.release()
+	conn, ok := info.Conn.(*connection)
+	if ok {
+		conn.inExchange.Store(true)
+		conn.held <- struct{}{}
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sending = NewTransmission()
-	x.conn, _ = info.Conn.(*connection)
+	x.conn = conn
+}
+
+// release lets another exchange use the connection. Further calls do nothing.
+func (x *exchange) release() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if x.conn != nil {
-		x.conn.inExchange.Store(true)
+		<-x.conn.held
+		x.conn = nil
+	}
+}
+
+// discard closes the connection and releases it.
+func (x *exchange) discard() {
+	x.mu.Lock()
+	if x.conn != nil {
+		// An error is irrelevant, because the connection is unusable anyway.
+		_ = x.conn.Close()
+	}
+	x.mu.Unlock()
+	x.release()
+}
+
+// checkInformational checks an informational response. net/http bounds neither their number nor
+// their total size for a caller that looks at them.
+func (x *exchange) checkInformational(_ int, header textproto.MIMEHeader) error {
+	if x.informational++; x.informational > maxInformational {
+		return errInformational
 	}
+	return checkNames(http.Header(header))
 }
 
 // wrote records that an attempt to send the request has ended.
@@ -106,3 +166,21 @@
 	defer x.mu.Unlock()
 	x.sending.End(info.Err)
 }
+
+// Read reads from the body.
+func (b *transportBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.exchange.release()
+	case err != nil:
+		b.exchange.discard()
+	}
+	return n, err
+}
+
+// Close closes the body.
+func (b *transportBody) Close() error {
+	defer b.exchange.release()
+	return b.ReadCloser.Close()
+}
--- a/verifier/transport_test.go
+++ b/verifier/transport_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/fakes/breaker"
 	"github.com/carawaybeam/carawaybeam/verifier"
 )
@@ -106,3 +109,53 @@
 	is.True(err != nil)
 	is.True(time.Since(began) < testTimeout)
 }
+
+// TestInvalidResponseEndsConnection guards against using a connection again that carried an invalid response, also
+// if other requests wait for one.
+func TestInvalidResponseEndsConnection(t *testing.T) {
+	const clients, requests = 8, 50
+	for _, answer := range breaker.Invalid() {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			b := newServer(t, answer)
+			client := verifier.NewClient(testTimeout)
+			var wait sync.WaitGroup
+			for range clients {
+				wait.Go(func() {
+					for range requests {
+						_, err := exchange(t.Context(), client, http.MethodGet, "http://"+b.Address(), nil)
+						var invalid *carawaybeam.InvalidAnswerError
+						if !errors.As(err, &invalid) {
+							t.Errorf("error is %v", err)
+						}
+					}
+				})
+			}
+			wait.Wait()
+			is.Equal(b.Requests(), clients*requests)
+			is.Equal(b.Reused(), 0)
+		})
+	}
+}
+
+// TestManyInformationalResponses guards against a server that sends informational responses without end.
+func TestManyInformationalResponses(t *testing.T) {
+	is := is.New(t)
+	const informational = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	b := newServer(t, breaker.Answer{Head: strings.Repeat(informational, 100), Ending: breaker.Keep})
+	began := time.Now()
+	_, err := exchange(t.Context(), verifier.NewClient(testTimeout), http.MethodGet, "http://"+b.Address(), nil)
+	is.True(err != nil)
+	is.True(time.Since(began) < testTimeout)
+}
+
+// TestInformationalResponse checks that a response behind a valid informational one is returned.
+func TestInformationalResponse(t *testing.T) {
+	is := is.New(t)
+	b := newServer(t, breaker.Answer{
+		Head: "HTTP/1.1 103 Early Hints\r\nLink: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", Body: "{}",
+	})
+	body, err := exchange(t.Context(), verifier.NewClient(testTimeout), http.MethodGet, "http://"+b.Address(), nil)
+	is.NoErr(err)
+	is.Equal(body, "{}")
+}
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -2,7 +2,9 @@
 // read responses through it, so that the same rules hold for each of them.
 //
 // The status of a response, and of an informational one before it, is at least 100 (RFC 9110, section
-// 15). No request asks for another protocol, so that 101 is no response to it.
+// 15). No request asks for another protocol, so that 101 is no response to it. The names of all fields,
+// also of those in trailers, are tokens (RFC 9110, section 5.1). net/http accepts blanks in them, with
+// which the length or coding of a body is overlooked.
 //
 // A response with neither a length nor chunks ends with its connection. It is complete only if the
 // whole request was sent and neither direction of the connection failed (RFC 9112, section 8). A
@@ -14,11 +16,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
+	"unicode"
 
 	"github.com/carawaybeam/carawaybeam"
 )
 
+// maxNameBytes is how much of an invalid name an error quotes.
+const maxNameBytes = 64
+
 type (
 	// Transmission is the sending of a request, which may go on while its response is read.
 	Transmission struct {
@@ -38,7 +45,8 @@
 	body struct {
 		io.ReadCloser
 		response *http.Response
-		sending  *Transmission
+		// sending is nil if the connection does not end before the response is complete.
+		sending *Transmission
 	}
 )
 
@@ -77,18 +85,37 @@
 
 // Check returns a *carawaybeam.InvalidAnswerError if the head of a response is invalid.
 func Check(response *http.Response) error {
-	return checkStatus(response.StatusCode)
-}
-
-func checkStatus(status int) error {
+	status := response.StatusCode
 	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
 		return &carawaybeam.InvalidAnswerError{Defect: fmt.Sprintf("status is %03d", status)}
 	}
+	return checkNames(response.Header)
+}
+
+// checkNames returns an error if the name of a field is not a token.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !isToken(name) {
+			return &carawaybeam.InvalidAnswerError{
+				Defect: fmt.Sprintf("name of the field %.*q is not a token", maxNameBytes, name),
+			}
+		}
+	}
 	return nil
 }
 
-// Body returns the body of a response, whose Read returns io.EOF only if the response is complete.
-// Closing the connection must end the Transmission.
+// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
+func isToken(name string) bool {
+	for _, c := range name {
+		if c <= ' ' || c >= unicode.MaxASCII || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// Body returns the body of a response, whose Read returns io.EOF only if the response is complete and
+// its trailers are valid. Closing the connection must end the Transmission.
 func Body(response *http.Response, sending *Transmission) io.ReadCloser {
 	return &body{ReadCloser: response.Body, response: response, sending: sending}
 }
@@ -96,11 +123,17 @@
 // Read reads from the body.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && endsWithConnection(b.response) {
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.sending != nil && endsWithConnection(b.response) {
 		if cause := b.sending.wait(); cause != nil {
 			return n, &IncompleteError{Cause: cause}
 		}
 	}
+	if invalid := checkNames(b.response.Trailer); invalid != nil {
+		return n, invalid
+	}
 	return n, err
 }
 
