Read the answer with a load to its end before the load is used

Agents used a load whose answer broke off behind the JSON document or had an invalid trailer, and entries chose backend servers by it.

Cause: a json.Decoder stops at the end of the document, and what follows is not read.

verifier.DecodeJSON reads the body whole before it decodes it.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,3 +136,18 @@
 	}
 	prover.Report(t, prover.WholeAnswer, 2*len(answers), violations)
 }
+
+// TestBrokenLoad guards against using a load whose answer is invalid or incomplete.
+func TestBrokenLoad(t *testing.T) {
+	for _, answer := range slices.Concat(breaker.Invalid(), breaker.Malformed(), breaker.Incomplete()) {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			_, backend := newBreaker(t, answer)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, _, err := backend.Load(ctx)
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -232,7 +231,7 @@
 		return carawaybeam.Load{}, signals, &StatusError{Status: response.StatusCode}
 	}
 	var report loadReport
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report); err != nil {
+	if err := verifier.DecodeJSON(response.Body, maxLoadBytes, &report); err != nil {
 		return carawaybeam.Load{}, signals, err
 	}
 	return carawaybeam.Load(report), signals, nil
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -12,6 +12,7 @@
 package verifier
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -142,3 +143,16 @@
 	return response.ProtoMajor == 1 && response.ContentLength < 0 && !response.Uncompressed &&
 		len(response.TransferEncoding) == 0
 }
+
+// DecodeJSON decodes the JSON body of a response once it has been read whole. It returns an error if
+// that is incomplete or longer than limit bytes.
+func DecodeJSON(body io.Reader, limit int64, result any) error {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return fmt.Errorf("response is longer than %d bytes", limit)
+	}
+	return json.Unmarshal(data, result)
+}
