Close a connection whose skipped answer is too long

Callers on the direct path could get bytes from the middle of the answer to another request as their answer. No such case was reported; it was found while all places that read answers were checked.

Cause: an answer to another request is skipped by reading up to 1 MiB of its body. The head of the next answer was then looked for behind that, inside the body, if the body was longer.

The pooler now reads one byte more and gives the connection up if there is one. The trailers of a skipped answer are checked as well.

--- a/pooler/broken_test.go
+++ b/pooler/broken_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -164,3 +166,27 @@
 	}
 	prover.Report(t, prover.WholeAnswer, 2*len(answers), violations)
 }
+
+// TestPromiseLongStrayAnswer guards against reading the rest of a skipped answer, to another request, as the answer
+// (MIXED).
+func TestPromiseLongStrayAnswer(t *testing.T) {
+	is := is.New(t)
+	const skipped = 1 << 20
+	inner := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\n{}"
+	body := strings.Repeat("x", skipped) + inner
+	b := newBreaker(t, breaker.Answer{
+		Head: fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: %d\r\n\r\n", len(body)), Body: body,
+	})
+	p := newPooler(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	violations := 0
+	_, _, err := exchange(ctx, p, b.Address(), numbered(1))
+	if err == nil {
+		violations++
+	}
+	prover.Report(t, prover.WholeAnswer, 1, violations)
+	var stray *pooler.StrayAnswerError
+	is.True(errors.As(err, &stray))
+	is.Equal(p.State().Idle, 0)
+}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -430,9 +430,13 @@
 		if stray = head.Request; stray == "" {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(verifier.Body(response, nil), maxStrayBytes+1))
+		if err != nil {
 			return nil, nil, err
 		}
+		if n > maxStrayBytes {
+			break
+		}
 		skipped++
 	}
 	return nil, nil, &StrayAnswerError{Request: request.ID, Got: stray}
