--- a/administrator/viewer.go
+++ b/administrator/viewer.go
@@ -18,6 +18,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/enroller"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -52,7 +53,7 @@
 	// backend servers directly, without agents.
 	Viewer struct {
 		options ViewerOptions
-		client  http.Client
+		client  *http.Client
 		// routingMu is held while the routing configuration is encoded.
 		routingMu sync.Mutex
 	}
@@ -92,7 +93,7 @@
 
 // NewViewer returns a Viewer.
 func NewViewer(options ViewerOptions) *Viewer {
-	return &Viewer{options: options, client: http.Client{Timeout: callTimeout}}
+	return &Viewer{options: options, client: verifier.NewClient(callTimeout)}
 }
 
 // Route adds the routes of the operators' API to the router.
--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"slices"
 	"testing"
 	"time"
 
@@ -30,12 +28,7 @@
 // newBreaker starts a server that sends an answer of the breaker, and returns a client of it.
 func newBreaker(t *testing.T, answer breaker.Answer) (*breaker.Breaker, *caller.Caller) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := breaker.New(listener, answer)
-	t.Cleanup(func() { _ = b.Close() })
+	b := breaker.Start(t, answer)
 	return b, caller.New(carawaybeam.BackendOptions{URL: "http://" + b.Address()}, false)
 }
 
@@ -139,7 +132,7 @@
 
 // TestBrokenLoad guards against using a load whose answer is invalid or incomplete.
 func TestBrokenLoad(t *testing.T) {
-	for _, answer := range slices.Concat(breaker.Invalid(), breaker.Malformed(), breaker.Incomplete()) {
+	for _, answer := range breaker.Broken() {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
 			_, backend := newBreaker(t, answer)
--- a/cmd/cbctl/client.go
+++ b/cmd/cbctl/client.go
@@ -23,7 +23,7 @@
 	admin    string
 	token    string
 	operator string
-	http     http.Client
+	http     *http.Client
 }
 
 // call sends a request and decodes the JSON of the answer into result.
--- a/cmd/cbctl/main.go
+++ b/cmd/cbctl/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/applier"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -168,7 +169,7 @@
 
 // execute runs the command named by the first argument.
 func (c *command) execute(args []string) error {
-	c.client.http.Timeout = c.timeout
+	c.client.http = verifier.NewClient(c.timeout)
 	if len(args) == 0 {
 		return usage("no command is given")
 	}
--- a/cmd/cbctl/main_test.go
+++ b/cmd/cbctl/main_test.go
@@ -21,6 +21,7 @@
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
 	"github.com/carawaybeam/carawaybeam/messenger"
 	"github.com/carawaybeam/carawaybeam/tracker"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const drafting = `
@@ -148,7 +149,7 @@
 	b := newTestEntry(t)
 	code, _ := b.run("class", "apply", b.file(t, drafting))
 	is.Equal(code, exitDone)
-	stale := client{admin: b.admin, token: "secret", operator: "bob"}
+	stale := client{admin: b.admin, token: "secret", operator: "bob", http: verifier.NewClient(0)}
 	old := carawaybeam.StoreVersion(1)
 	code, _ = b.run("class", "set", "drafting", "targets.firstToken=1s")
 	is.Equal(code, exitDone)
--- a/cmd/cbslopes/reading.go
+++ b/cmd/cbslopes/reading.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/messenger"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -20,6 +20,9 @@
 	percent    = 100
 	kibibyte   = 1024
 	mebibyte   = 1 << 20
+
+	// maxDumpBytes is the maximum size of a state dump.
+	maxDumpBytes = 64 << 20
 )
 
 type (
@@ -102,12 +105,12 @@
 	if err != nil {
 		return d, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := verifier.DefaultClient.Do(request)
 	if err != nil {
 		return d, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	err = json.NewDecoder(response.Body).Decode(&d)
+	err = verifier.DecodeJSON(response.Body, maxDumpBytes, &d)
 	return d, err
 }
 
--- a/dispatcher/forwarder/broken_test.go
+++ b/dispatcher/forwarder/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -45,12 +44,7 @@
 	env = newEnvironment()
 	env.reports = make(map[carawaybeam.Address]func() (forwarder.Report, bool))
 	for i, answer := range []breaker.Answer{broken, sound} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		servers[i] = breaker.New(listener, answer)
-		t.Cleanup(func() { _ = servers[i].Close() })
+		servers[i] = breaker.Start(t, answer)
 		address := carawaybeam.Address(servers[i].Address())
 		env.instances[i].Address = address
 		env.reports[address] = func() (forwarder.Report, bool) {
--- a/examples/demo/conversation.go
+++ b/examples/demo/conversation.go
@@ -11,6 +11,7 @@
 
 	"github.com/carawaybeam/carawaybeam/loader"
 	"github.com/carawaybeam/carawaybeam/server"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -125,7 +126,7 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := verifier.DefaultClient.Do(request)
 	if err != nil {
 		return "", err
 	}
--- a/executor/broken_test.go
+++ b/executor/broken_test.go
@@ -1,7 +1,6 @@
 package executor_test
 
 import (
-	"net"
 	"testing"
 
 	"github.com/matryer/is"
@@ -26,10 +25,7 @@
 			t.Run(answer.Name, func(t *testing.T) {
 				t.Parallel() // Each waits for the acknowledgement of the entry.
 				is := is.New(t)
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				b := breaker.New(listener, answer)
-				defer func() { is.NoErr(b.Close()) }()
+				b := breaker.Start(t, answer)
 				e := executor.New(executor.Options{
 					Backend:     caller.New(carawaybeam.BackendOptions{URL: "http://" + b.Address()}, false),
 					Quarantiner: quarantiner.New(quarantiner.Complete),
--- a/fakes/breaker/answers.go
+++ b/fakes/breaker/answers.go
@@ -1,5 +1,7 @@
 package breaker
 
+import "slices"
+
 const (
 	ok       = "HTTP/1.1 200 OK\r\n"
 	twoBytes = "Content-Length: 2\r\n\r\n"
@@ -48,3 +50,6 @@
 		{Name: "no length, ended and read", Head: refused + "\r\n", Body: "{}", Ending: CloseWrite},
 	}
 }
+
+// Broken returns all answers that no client may use, whatever request it has sent.
+func Broken() []Answer { return slices.Concat(Invalid(), Malformed(), Incomplete()) }
--- a/fakes/breaker/breaker.go
+++ b/fakes/breaker/breaker.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 )
 
@@ -70,6 +71,18 @@
 	return b
 }
 
+// Start starts a Breaker for a test, which closes it at its end.
+func Start(t testing.TB, answer Answer) *Breaker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := New(listener, answer)
+	t.Cleanup(func() { _ = b.Close() })
+	return b
+}
+
 // Address returns the address of the server.
 func (b *Breaker) Address() string { return b.listener.Addr().String() }
 
--- a/fakes/launcher/group.go
+++ b/fakes/launcher/group.go
@@ -14,6 +14,7 @@
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
 	"github.com/carawaybeam/carawaybeam/proposer"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -184,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := verifier.DefaultClient.Do(request)
 	if err != nil {
 		return err
 	}
--- a/fakes/launcher/launcher.go
+++ b/fakes/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -399,7 +400,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := verifier.DefaultClient.Do(request)
 	if err != nil {
 		return err
 	}
@@ -418,7 +419,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := verifier.DefaultClient.Do(request)
 	if err != nil {
 		return err
 	}
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -10,6 +10,7 @@
 	"net/url"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 type (
@@ -43,7 +44,7 @@
 
 // New returns a Fetcher for the weight store at the URL of the options.
 func New(options carawaybeam.WeightStoreOptions) *Fetcher {
-	return &Fetcher{options: options, client: &http.Client{Timeout: options.Timeout}}
+	return &Fetcher{options: options, client: verifier.NewClient(options.Timeout)}
 }
 
 // Fetch reads the weights of one expert of one layer and returns their size. The
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -4,12 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 // maxListBytes is the maximum size of the list of VMs.
@@ -40,7 +39,7 @@
 
 // New returns a Lister that reads the list at the URL of the options.
 func New(options carawaybeam.ListerOptions) *Lister {
-	return &Lister{options: options, client: &http.Client{Timeout: options.Timeout}}
+	return &Lister{options: options, client: verifier.NewClient(options.Timeout)}
 }
 
 // List returns all VMs in the platform's list.
@@ -58,7 +57,7 @@
 		return nil, &StatusError{Status: response.StatusCode}
 	}
 	var vms []carawaybeam.VM
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&vms); err != nil {
+	if err := verifier.DecodeJSON(response.Body, maxListBytes, &vms); err != nil {
 		return nil, err
 	}
 	return vms, nil
--- a/pooler/broken_test.go
+++ b/pooler/broken_test.go
@@ -26,18 +26,6 @@
 	uploadBytes = 8 << 20
 )
 
-// newBreaker starts a server that sends an answer of the breaker.
-func newBreaker(t *testing.T, answer breaker.Answer) *breaker.Breaker {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := breaker.New(listener, answer)
-	t.Cleanup(func() { _ = b.Close() })
-	return b
-}
-
 // upload returns a request with a body that does not fit into the buffers of sockets.
 func upload() pooler.Request {
 	r := request("1")
@@ -65,7 +53,7 @@
 	for _, answer := range append(breaker.Incomplete(), breaker.Unread()) {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBreaker(t, answer)
+			b := breaker.Start(t, answer)
 			p := newPooler(t)
 			for range uploadRounds {
 				trials++
@@ -91,7 +79,7 @@
 	for _, answer := range breaker.Early() {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBreaker(t, answer)
+			b := breaker.Start(t, answer)
 			p := newPooler(t)
 			for range uploadRounds {
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -109,7 +97,7 @@
 // answer without a length and never reads the request, and against taking that answer as complete.
 func TestUnreadUploadEndsAtDeadline(t *testing.T) {
 	is := is.New(t)
-	b := newBreaker(t, breaker.Answer{Head: "HTTP/1.1 200 OK\r\n\r\n", Body: "{}", Ending: breaker.Stall})
+	b := breaker.Start(t, breaker.Answer{Head: "HTTP/1.1 200 OK\r\n\r\n", Body: "{}", Ending: breaker.Stall})
 	p := newPooler(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
@@ -147,7 +135,7 @@
 	for _, answer := range answers {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBreaker(t, answer)
+			b := breaker.Start(t, answer)
 			p := newPooler(t)
 			for n := range 2 {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -174,7 +162,7 @@
 	const skipped = 1 << 20
 	inner := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\n{}"
 	body := strings.Repeat("x", skipped) + inner
-	b := newBreaker(t, breaker.Answer{
+	b := breaker.Start(t, breaker.Answer{
 		Head: fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: %d\r\n\r\n", len(body)), Body: body,
 	})
 	p := newPooler(t)
--- a/rankcaller/client.go
+++ b/rankcaller/client.go
@@ -16,6 +16,7 @@
 	"net/http"
 
 	"github.com/carawaybeam/carawaybeam"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -56,7 +57,7 @@
 
 // New returns a Client of the ranks at options.URL.
 func New(options carawaybeam.RankClientOptions) *Client {
-	return &Client{options: options, client: &http.Client{Timeout: options.Timeout}}
+	return &Client{options: options, client: verifier.NewClient(options.Timeout)}
 }
 
 // Report returns the current state of the rank. It returns a *StatusError if the
@@ -71,7 +72,7 @@
 	if response.StatusCode != http.StatusOK {
 		return report, &StatusError{Status: response.StatusCode}
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
+	err = verifier.DecodeJSON(response.Body, maxReportBytes, &report)
 	return report, err
 }
 
@@ -90,7 +91,8 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusNoContent:
-		return nil
+		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxReportBytes))
+		return err
 	case http.StatusConflict:
 		return &carawaybeam.FencedError{Epoch: grant.Schedule.Current.ID.Epoch}
 	default:
@@ -110,7 +112,7 @@
 		return nil, &StatusError{Status: response.StatusCode}
 	}
 	var loads []carawaybeam.LayerLoad
-	err = json.NewDecoder(io.LimitReader(response.Body, maxLoadsBytes)).Decode(&loads)
+	err = verifier.DecodeJSON(response.Body, maxLoadsBytes, &loads)
 	return loads, err
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -22,6 +22,7 @@
 	"github.com/carawaybeam/carawaybeam/fakes/forwarder"
 	"github.com/carawaybeam/carawaybeam/fakes/launcher"
 	"github.com/carawaybeam/carawaybeam/platform/emulator"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -486,7 +487,8 @@
 // watchReadiness polls the readiness of the entries, as the platform does, until the
 // run ends.
 func (s *Soaker) watchReadiness() {
-	client := http.Client{Timeout: time.Second}
+	client := verifier.NewClient(time.Second)
+	defer client.CloseIdleConnections()
 	for {
 		for _, e := range s.entries {
 			response, err := client.Get("http://" + e.readiness + "/ready")
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -18,6 +18,7 @@
 
 	"github.com/carawaybeam/carawaybeam"
 	"github.com/carawaybeam/carawaybeam/erakeeper"
+	"github.com/carawaybeam/carawaybeam/verifier"
 )
 
 const (
@@ -70,7 +71,9 @@
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 16
 	return &Storer{
-		options: options, client: &http.Client{Transport: transport}, eras: erakeeper.New(options.Log),
+		options: options,
+		client:  &http.Client{Transport: verifier.NewTransport(transport)},
+		eras:    erakeeper.New(options.Log),
 	}
 }
 
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -45,6 +45,9 @@
 )
 
 var (
+	// DefaultClient is a client without a timeout, like http.DefaultClient.
+	DefaultClient = NewClient(0)
+
 	_ http.RoundTripper = (*Transport)(nil)
 
 	errInformational = errors.New("too many informational responses before the response")
--- a/verifier/transport_test.go
+++ b/verifier/transport_test.go
@@ -41,18 +41,6 @@
 	return string(data), errors.Join(err, response.Body.Close())
 }
 
-// newServer starts a server that sends an answer of the breaker.
-func newServer(t *testing.T, answer breaker.Answer) *breaker.Breaker {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := breaker.New(listener, answer)
-	t.Cleanup(func() { _ = b.Close() })
-	return b
-}
-
 // TestResetInEachOrder guards against a result that depends on which direction of the connection learns of its
 // reset, and when: the reader must not take the end of the connection for that of the response.
 func TestResetInEachOrder(t *testing.T) {
@@ -74,7 +62,7 @@
 // TestEndWithoutResponse guards against waiting for the rest of a request whose response can no longer come.
 func TestEndWithoutResponse(t *testing.T) {
 	is := is.New(t)
-	b := newServer(t, breaker.Answer{Head: "HTTP/1.1 200 OK\r\n", Ending: breaker.Stall})
+	b := breaker.Start(t, breaker.Answer{Head: "HTTP/1.1 200 OK\r\n", Ending: breaker.Stall})
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	client := verifier.NewClient(0)
@@ -87,7 +75,7 @@
 // has closed before.
 func TestClosedIdleConnection(t *testing.T) {
 	is := is.New(t)
-	b := newServer(
+	b := breaker.Start(
 		t,
 		breaker.Answer{Head: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", Body: "{}", Ending: breaker.Close},
 	)
@@ -102,7 +90,7 @@
 // TestTimeout guards against a request without an end whose server does not answer.
 func TestTimeout(t *testing.T) {
 	is := is.New(t)
-	b := newServer(t, breaker.Answer{Ending: breaker.Keep})
+	b := breaker.Start(t, breaker.Answer{Ending: breaker.Keep})
 	client := verifier.NewClient(100 * time.Millisecond)
 	began := time.Now()
 	_, err := exchange(t.Context(), client, http.MethodGet, "http://"+b.Address(), nil)
@@ -117,7 +105,7 @@
 	for _, answer := range breaker.Invalid() {
 		t.Run(answer.Name, func(t *testing.T) {
 			is := is.New(t)
-			b := newServer(t, answer)
+			b := breaker.Start(t, answer)
 			client := verifier.NewClient(testTimeout)
 			var wait sync.WaitGroup
 			for range clients {
@@ -142,7 +130,7 @@
 func TestManyInformationalResponses(t *testing.T) {
 	is := is.New(t)
 	const informational = "HTTP/1.1 103 Early Hints\r\n\r\n"
-	b := newServer(t, breaker.Answer{Head: strings.Repeat(informational, 100), Ending: breaker.Keep})
+	b := breaker.Start(t, breaker.Answer{Head: strings.Repeat(informational, 100), Ending: breaker.Keep})
 	began := time.Now()
 	_, err := exchange(t.Context(), verifier.NewClient(testTimeout), http.MethodGet, "http://"+b.Address(), nil)
 	is.True(err != nil)
@@ -152,7 +140,7 @@
 // TestInformationalResponse checks that a response behind a valid informational one is returned.
 func TestInformationalResponse(t *testing.T) {
 	is := is.New(t)
-	b := newServer(t, breaker.Answer{
+	b := breaker.Start(t, breaker.Answer{
 		Head: "HTTP/1.1 103 Early Hints\r\nLink: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", Body: "{}",
 	})
 	body, err := exchange(t.Context(), verifier.NewClient(testTimeout), http.MethodGet, "http://"+b.Address(), nil)
