Reset the connection of an HTTP/1.0 client whose answer is cut

A client that speaks HTTP/1.0 could not tell that its answer was cut off after the head: an answer without a length ends with the connection there, and the entry closed that in order. With HTTP/1.1 clients can tell, with a length and in chunks; the tests of that are all that is new for them.

Cause: net/http closes the connection of an aborted answer without regard to the version of the request.

The keeper, which both kinds of entries use, resets the connection of such a client (RFC 9112, section 8: the answer is complete unless the connection indicates an error).

Evidence: acceptor.TestIncompleteAnswer fails on the code before in the case "HTTP/1.0, no length" of 7, server.TestIncompleteAnswerOfOldClient as well.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -129,21 +129,36 @@
 	}
 }
 
-// TestIncompleteAnswer checks that a client can detect a stream that ends early,
-// as the connection is aborted.
+// TestIncompleteAnswer checks that a client can detect an answer that ends early, as the connection is aborted.
 func TestIncompleteAnswer(t *testing.T) {
-	is := is.New(t)
-	_, address := newAcceptor(t, func(
-		_ context.Context, _ *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
-	) *carawaybeam.RequestError {
-		_ = w.Head(http.StatusOK, http.Header{}, -1)
-		_, _ = w.Write([]byte("part"))
-		_ = w.Flush()
-		return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown}
-	})
-	response := exchange(t, address, "GET / HTTP/1.1\r\n"+head+"\r\n")
-	_, err := io.ReadAll(response.body)
-	is.True(err != nil)
+	tests := map[string]struct {
+		request string
+		length  int
+	}{
+		"no length":                     {"GET / HTTP/1.1\r\n" + head + "\r\n", -1},
+		"no length, connection is kept": {"GET / HTTP/1.1\r\n" + head + "Connection: keep-alive\r\n\r\n", -1},
+		"no length, connection is last": {"GET / HTTP/1.1\r\n" + head + "Connection: close\r\n\r\n", -1},
+		"length":                        {"GET / HTTP/1.1\r\n" + head + "\r\n", 5},
+		"length, connection is last":    {"GET / HTTP/1.1\r\n" + head + "Connection: close\r\n\r\n", 5},
+		"HTTP/1.0, length":              {"GET / HTTP/1.0\r\n" + head + "\r\n", 5},
+		"HTTP/1.0, no length":           {"GET / HTTP/1.0\r\n" + head + "\r\n", -1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := newAcceptor(t, func(
+				_ context.Context, _ *carawaybeam.ClientRequest, w forwarder.AnswerWriter,
+			) *carawaybeam.RequestError {
+				_ = w.Head(http.StatusOK, http.Header{}, test.length)
+				_, _ = w.Write([]byte("part"))
+				_ = w.Flush()
+				return &carawaybeam.RequestError{Outcome: carawaybeam.OutcomeUnknown}
+			})
+			response := exchange(t, address, test.request)
+			_, err := io.ReadAll(response.body)
+			is.True(err != nil)
+		})
+	}
 }
 
 // TestPartOfAnswerIsSent guards against closing the connection of a request before the part of the
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -177,11 +177,11 @@
 			return
 		}
 		if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-			panic(http.ErrAbortHandler)
+			abort(c, r)
 		}
 		k.logPanic("", cause)
 		if answer.headWritten {
-			panic(http.ErrAbortHandler)
+			abort(c, r)
 		}
 		http.Error(answer, "the entry failed", http.StatusInternalServerError)
 	}()
@@ -196,6 +196,18 @@
 	}
 }
 
+// abort ends the connection of a request before the end of its answer, by a panic. A client of HTTP/1.0
+// takes the end of the connection for that of the answer unless the connection is reset.
+func abort(c *conn, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) && c != nil {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			// If it fails, the connection has ended.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // WriteHeader writes the head of the answer. The answers of a process that is leaving close
 // their connections, and so do those behind a request whose read was ended.
 func (w *responseWriter) WriteHeader(status int) {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,8 +1,10 @@
 package server_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -333,3 +335,31 @@
 	is.NoErr(err)
 	is.True(<-gone != nil)
 }
+
+// TestIncompleteAnswerOfOldClient guards against a client of HTTP/1.0 that takes the end of the connection for that of
+// an answer which was cut.
+func TestIncompleteAnswerOfOldClient(t *testing.T) {
+	is := is.New(t)
+	url := serve(t, &fakeDispatcher{
+		answer: func(_ context.Context, w dispatcher.AnswerWriter) *carawaybeam.RequestError {
+			_ = w.Head(http.StatusOK, "application/octet-stream")
+			for range 4 {
+				_ = w.Chunk(make([]byte, 512<<10))
+			}
+			return &carawaybeam.RequestError{
+				Outcome: carawaybeam.OutcomeUnknown, Reason: carawaybeam.ReasonBackendFailed,
+			}
+		},
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer %s\r\n%s: drafting\r\n"+
+		"Content-Length: 2\r\n\r\n{}", token, server.HeaderClass)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+}
