Count broken answers

A broken answer left one line with the request and the reason, and no counter: operators could not see that a backend server sends them.

Entries on the direct path publish broken_answers, agents count them as attempts with the event "broken". Answers of requests that were cancelled are not counted, since this side cuts them. On the linked path a head that net/http refuses by itself stays counted as a failure only.

--- a/cmd/cbagent/metrics.go
+++ b/cmd/cbagent/metrics.go
@@ -32,6 +32,7 @@
 	g.count("started", state.Started, g.last.Started)
 	g.count("done", state.Done, g.last.Done)
 	g.count("failed", state.Failed, g.last.Failed)
+	g.count("broken", state.Broken, g.last.Broken)
 	g.count("refused", state.Refused, g.last.Refused)
 	g.count("tombstoned", state.Tombstones, g.last.Tombstones)
 	g.count("resolved", state.Resumed, g.last.Resumed)
--- a/cmd/cbentry/direct_metrics.go
+++ b/cmd/cbentry/direct_metrics.go
@@ -100,6 +100,7 @@
 	scope.Gauge("connections_opened").Update(float64(connections.Opened))
 	scope.Gauge("connections_reused").Update(float64(connections.Reused))
 	scope.Gauge("oversized_answers").Update(float64(connections.Oversized))
+	scope.Gauge("broken_answers").Update(float64(connections.Broken))
 	scope.Gauge("body_bytes").Update(float64(e.bodies.State().Held))
 	scope.Gauge("answer_bytes").Update(float64(e.answers.State().Held))
 	scope.Gauge("requests_refused_by_memory").Update(float64(e.bodies.State().Refused))
--- a/executor/broken_test.go
+++ b/executor/broken_test.go
@@ -16,12 +16,17 @@
 // TestBrokenAnswer guards against passing an invalid or incomplete answer on to the entry as a complete one, and
 // against saying that its request did not run.
 func TestBrokenAnswer(t *testing.T) {
-	reasons := map[carawaybeam.Reason][]breaker.Answer{
-		carawaybeam.ReasonCorrupt:       breaker.Invalid(),
-		carawaybeam.ReasonBackendFailed: append(breaker.Incomplete(), breaker.Malformed()...),
+	tests := []struct {
+		answers []breaker.Answer
+		reason  carawaybeam.Reason
+		broken  uint64
+	}{
+		{breaker.Invalid(), carawaybeam.ReasonCorrupt, 1},
+		{breaker.Incomplete(), carawaybeam.ReasonBackendFailed, 1},
+		{breaker.Malformed(), carawaybeam.ReasonBackendFailed, 0},
 	}
-	for reason, answers := range reasons {
-		for _, answer := range answers {
+	for _, test := range tests {
+		for _, answer := range test.answers {
 			t.Run(answer.Name, func(t *testing.T) {
 				t.Parallel() // Each waits for the acknowledgement of the entry.
 				is := is.New(t)
@@ -35,7 +40,8 @@
 				last := runOnce(e, "a")
 				is.True(last.GetTail() == nil)
 				is.Equal(last.GetFailed().GetOutcome(), string(carawaybeam.OutcomeUnknown))
-				is.Equal(last.GetFailed().GetReason(), string(reason))
+				is.Equal(last.GetFailed().GetReason(), string(test.reason))
+				is.Equal(e.State().Broken, test.broken)
 			})
 		}
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -129,7 +129,7 @@
 	}
 
 	counters struct {
-		started, done, failed, refused, tombstones, resumed, crashes atomic.Uint64
+		started, done, failed, broken, refused, tombstones, resumed, crashes atomic.Uint64
 	}
 
 	// State is the state dump of an Executor.
@@ -139,15 +139,17 @@
 		ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 		Leaving       bool                      `json:"leaving"`
 		// Evacuated is set while entries say that the data centre is evacuated.
-		Evacuated  bool              `json:"evacuated,omitempty"`
-		Running    int               `json:"running"`
-		Limit      int               `json:"limit"`
-		Remembered int               `json:"remembered"`
-		Compact    int               `json:"compact"`
-		HeldBytes  int               `json:"heldBytes"`
-		Started    uint64            `json:"started"`
-		Done       uint64            `json:"done"`
-		Failed     uint64            `json:"failed"`
+		Evacuated  bool   `json:"evacuated,omitempty"`
+		Running    int    `json:"running"`
+		Limit      int    `json:"limit"`
+		Remembered int    `json:"remembered"`
+		Compact    int    `json:"compact"`
+		HeldBytes  int    `json:"heldBytes"`
+		Started    uint64 `json:"started"`
+		Done       uint64 `json:"done"`
+		Failed     uint64 `json:"failed"`
+		// Broken is how many of the failed attempts had an invalid or incomplete answer.
+		Broken     uint64            `json:"broken"`
 		Refused    uint64            `json:"refused"`
 		Tombstones uint64            `json:"tombstones"`
 		Resumed    uint64            `json:"resumed"`
@@ -287,6 +289,7 @@
 		Started:       e.counts.started.Load(),
 		Done:          e.counts.done.Load(),
 		Failed:        e.counts.failed.Load(),
+		Broken:        e.counts.broken.Load(),
 		Refused:       e.counts.refused.Load(),
 		Tombstones:    e.counts.tombstones.Load(),
 		Resumed:       e.counts.resumed.Load(),
--- a/executor/run.go
+++ b/executor/run.go
@@ -74,7 +74,11 @@
 		Resume:      carawaybeam.Bytes(d.GetResume()),
 	})
 	if err != nil {
-		return startFailure(err), true
+		failure := startFailure(err)
+		if failure.Reason == carawaybeam.ReasonCorrupt {
+			e.counts.broken.Add(1)
+		}
+		return failure, true
 	}
 	defer func() { _ = answer.Body.Close() }()
 	e.observeSignals(sent, answer.Signals)
@@ -109,15 +113,23 @@
 			return carawaybeam.RequestError{}, false
 		}
 		if err != nil {
-			return carawaybeam.RequestError{
-				Outcome: carawaybeam.OutcomeUnknown,
-				Reason:  reasonOf(err),
-				Detail:  "answer was cut: " + err.Error(),
-			}, true
+			return e.readFailure(ctx, err), true
 		}
 	}
 }
 
+// readFailure returns the error of an attempt whose answer could not be read to its end.
+func (e *Executor) readFailure(ctx context.Context, err error) carawaybeam.RequestError {
+	if ctx.Err() == nil {
+		e.counts.broken.Add(1)
+	}
+	return carawaybeam.RequestError{
+		Outcome: carawaybeam.OutcomeUnknown,
+		Reason:  reasonOf(err),
+		Detail:  "answer was cut: " + err.Error(),
+	}
+}
+
 func startFailure(err error) carawaybeam.RequestError {
 	failure := carawaybeam.RequestError{
 		Outcome: carawaybeam.OutcomeUnknown,
--- a/pooler/body.go
+++ b/pooler/body.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/carawaybeam/carawaybeam/verifier"
@@ -19,20 +20,28 @@
 	connection *connection
 	// stop keeps the context from closing the connection. It returns false if
 	// the context has already done so.
-	stop     func() bool
-	sending  *verifier.Transmission
-	reusable bool
-	idleFor  time.Duration
-	maxIdle  int
-	complete bool
-	closed   bool
+	stop func() bool
+	// cancelled returns the error of the context.
+	cancelled func() error
+	sending   *verifier.Transmission
+	reusable  bool
+	idleFor   time.Duration
+	maxIdle   int
+	complete  bool
+	// failed is set once the answer was found to be incomplete.
+	failed bool
+	closed bool
 }
 
 // Read reads from the body. It returns io.EOF only if the answer is complete.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.complete = true
+	case err != nil && !b.failed && !b.closed && !errors.Is(err, os.ErrDeadlineExceeded) && b.cancelled() == nil:
+		b.failed = true
+		b.pooler.countBroken()
 	}
 	return n, err
 }
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -110,8 +110,9 @@
 		idle map[carawaybeam.Address][]*connection
 		// opened and reused count the connections that were used for requests.
 		opened, reused uint64
-		// oversized counts the answers with too long a head.
-		oversized uint64
+		// oversized counts the answers with too long a head, and broken those that are invalid or
+		// incomplete.
+		oversized, broken uint64
 	}
 
 	// Request is a request to a backend server.
@@ -149,6 +150,9 @@
 		Reused uint64 `json:"reused"`
 		// Oversized is how many answers had a longer head than is accepted.
 		Oversized uint64 `json:"oversized"`
+		// Broken is how many answers that began were invalid or incomplete, except for those whose
+		// request was cancelled.
+		Broken uint64 `json:"broken"`
 	}
 
 	// StrayAnswerError reports that a connection carried only answers to other
@@ -215,7 +219,7 @@
 func (p *Pooler) State() State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state := State{Opened: p.opened, Reused: p.reused, Oversized: p.oversized}
+	state := State{Opened: p.opened, Reused: p.reused, Oversized: p.oversized, Broken: p.broken}
 	for _, idle := range p.idle {
 		state.Idle += len(idle)
 	}
@@ -281,7 +285,7 @@
 	}
 	c.requests = append(c.requests, hash)
 	stop := context.AfterFunc(ctx, c.reset)
-	reply, err := p.exchange(c, request, stop)
+	reply, err := p.exchange(ctx, c, request, stop)
 	if err != nil {
 		stop()
 		c.discard()
@@ -366,7 +370,12 @@
 }
 
 // exchange writes a request and reads the head of its answer.
-func (p *Pooler) exchange(c *connection, request Request, stop func() bool) (*Reply, error) {
+func (p *Pooler) exchange(
+	ctx context.Context,
+	c *connection,
+	request Request,
+	stop func() bool,
+) (*Reply, error) {
 	sending := verifier.NewTransmission()
 	head := encodeHead(request)
 	if len(request.Body) <= maxInlineBody {
@@ -386,7 +395,7 @@
 			sending.End(err)
 		}()
 	}
-	response, reply, err := p.readHead(c, request) //nolint:bodyclose // The body of the reply closes it.
+	response, reply, err := p.readHead(ctx, c, request) //nolint:bodyclose // The body of the reply closes it.
 	if err != nil {
 		return nil, err
 	}
@@ -399,6 +408,7 @@
 		pooler:     p,
 		connection: c,
 		stop:       stop,
+		cancelled:  ctx.Err,
 		sending:    sending,
 		reusable:   !response.Close && !reply.Encoded,
 		idleFor:    reply.IdleTimeout,
@@ -409,11 +419,15 @@
 
 // readHead reads the head of the answer to a request. It skips informational
 // responses, and up to maxStrayAnswers complete answers to other requests.
-func (p *Pooler) readHead(c *connection, request Request) (*http.Response, *Reply, error) {
+func (p *Pooler) readHead(
+	ctx context.Context,
+	c *connection,
+	request Request,
+) (*http.Response, *Reply, error) {
 	var stray carawaybeam.RequestID
 	informational := 0
 	for skipped := 0; skipped <= maxStrayAnswers; {
-		response, err := p.readResponse(c, request) //nolint:bodyclose // The caller does so.
+		response, err := p.readResponse(ctx, c, request) //nolint:bodyclose // The caller does so.
 		if err != nil {
 			return nil, nil, err
 		}
@@ -443,19 +457,30 @@
 }
 
 // readResponse reads the head of one response.
-func (p *Pooler) readResponse(c *connection, request Request) (*http.Response, error) {
+func (p *Pooler) readResponse(ctx context.Context, c *connection, request Request) (*http.Response, error) {
+	begun := c.reader.Buffered() > 0
 	c.headLeft = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	begun = begun || c.headLeft < maxHeadBytes
 	c.headLeft = unlimited
+	if err == nil {
+		err = verifier.Check(response)
+	}
 	if errors.Is(err, errHeadTooLong) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.oversized++
+	} else if err != nil && begun && ctx.Err() == nil {
+		p.countBroken()
 	}
-	if err != nil {
-		return nil, err
-	}
-	return response, verifier.Check(response)
+	return response, err
+}
+
+// countBroken counts an answer that is invalid or incomplete.
+func (p *Pooler) countBroken() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken++
 }
 
 // put returns a connection to the pool, unless that has most idle ones to its backend
