Apply the rule for the end of answers to all versions

Callers could still get part of an answer as complete if its status line names another version, such as HTTP/2.0, on a connection of HTTP/1.1.

Cause: endsWithConnection asked for version 1, to leave HTTP/2 out. net/http accepts any version in a status line, and frames the body by version 1.

The check is not needed: a connection that speaks HTTP/2 is never marked, since it uses TLS.

--- a/fakes/breaker/answers.go
+++ b/fakes/breaker/answers.go
@@ -17,6 +17,7 @@
 func Incomplete() []Answer {
 	return []Answer{
 		{Name: "no length, reset", Head: ok + "\r\n", Body: "{}", Ending: Reset},
+		{Name: "other version, no length, reset", Head: "HTTP/2.0 200 OK\r\n\r\n", Body: "{}", Ending: Reset},
 		{Name: "length, reset", Head: ok + "Content-Length: 3\r\n\r\n", Body: "{}", Ending: Reset},
 		{Name: "length, closed", Head: ok + "Content-Length: 3\r\n\r\n", Body: "{}", Ending: Close},
 		{
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -140,7 +140,7 @@
 
 // endsWithConnection reports whether the end of the connection is that of the response.
 func endsWithConnection(response *http.Response) bool {
-	return response.ProtoMajor == 1 && response.ContentLength < 0 && !response.Uncompressed &&
+	return response.ContentLength < 0 && !response.Uncompressed &&
 		len(response.TransferEncoding) == 0
 }
 
