Take a backend server that sends invalid answers for running

Callers on the linked path got 429 "Request crashed backend servers" after a few requests if a backend server sent invalid answers: their content was refused for an hour although no backend server had crashed. Found by the test of broken answers behind the link; not reported.

Cause: after a failed attempt the agent reads the load to learn whether the backend server still runs, and took any error for a crash.

An invalid answer shows that the process runs, so that it is no crash. An answer that breaks off, an error status and silence are judged as before.

--- a/executor/broken_test.go
+++ b/executor/broken_test.go
@@ -46,3 +46,24 @@
 		}
 	}
 }
+
+// TestInvalidLoadIsNoCrash guards against refusing requests as the cause of a crash because their backend server sends
+// invalid answers, also to probes.
+func TestInvalidLoadIsNoCrash(t *testing.T) {
+	for _, answer := range breaker.Invalid() {
+		t.Run(answer.Name, func(t *testing.T) {
+			t.Parallel() // Each waits for the acknowledgement of the entry.
+			is := is.New(t)
+			e := executor.New(executor.Options{
+				Backend: caller.New(
+					carawaybeam.BackendOptions{URL: "http://" + breaker.Start(t, answer).Address()}, false,
+				),
+				Quarantiner: quarantiner.New(quarantiner.Complete),
+				Concurrency: 4, Incarnation: "1", Log: zerolog.Nop(),
+			})
+			defer func() { is.NoErr(e.Close()) }()
+			is.True(runOnce(e, "a").GetFailed() != nil)
+			is.Equal(e.State().Crashes, uint64(0))
+		})
+	}
+}
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -208,11 +208,13 @@
 	return true
 }
 
+// probe reports whether the backend server answers. One that sends an invalid answer runs.
 func (e *Executor) probe() bool {
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
 	defer cancel()
 	_, _, err := e.options.Backend.Load(ctx)
-	return err == nil || errors.Is(err, context.Canceled)
+	var invalid *carawaybeam.InvalidAnswerError
+	return err == nil || errors.Is(err, context.Canceled) || errors.As(err, &invalid)
 }
 
 func (a *attempt) setCrash(id quarantiner.CrashID) {
