Test broken answers through an entry and an agent

The tests of invalid and incomplete answers behind the link ended at the agent. server.TestBrokenAnswerBehindLink sends an upload through a real entry and agent for each of them, and expects a 502 with an unknown outcome.

--- a/fakes/breaker/breaker.go
+++ b/fakes/breaker/breaker.go
@@ -4,8 +4,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +52,8 @@
 		Head   string
 		Body   string
 		Ending Ending
+		// Load, unless it is empty, is the JSON document that answers GET requests instead.
+		Load string
 	}
 
 	// Breaker is a server that sends the same answer to each request. It runs until Close.
@@ -128,10 +132,14 @@
 	// A small buffer leaves the rest of a large request in the socket.
 	reader := bufio.NewReaderSize(conn, 16)
 	for first := true; ; first = false {
-		length, err := readHead(reader)
+		method, length, err := readHead(reader)
 		if err != nil {
 			return
 		}
+		if method == http.MethodGet && b.answer.Load != "" {
+			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", ok, len(b.answer.Load), b.answer.Load)
+			continue
+		}
 		if !first {
 			b.reused.Add(1)
 		}
@@ -169,22 +177,25 @@
 	return false
 }
 
-// readHead reads the head of a request and returns the length of its body.
-func readHead(reader *bufio.Reader) (int64, error) {
-	var length int64
+// readHead reads the head of a request and returns its method and the length of its body.
+func readHead(reader *bufio.Reader) (method string, length int64, err error) {
 	for {
 		line, err := reader.ReadString('\n')
 		if err != nil {
-			return 0, err
+			return "", 0, err
 		}
 		line = strings.TrimRight(line, "\r\n")
 		if line == "" {
-			return length, nil
+			return method, length, nil
+		}
+		if method == "" {
+			method, _, _ = strings.Cut(line, " ")
+			continue
 		}
 		name, value, _ := strings.Cut(line, ":")
 		if strings.EqualFold(name, "Content-Length") {
 			if length, err = strconv.ParseInt(strings.TrimSpace(value), 10, 64); err != nil {
-				return 0, err
+				return "", 0, err
 			}
 		}
 	}
--- a/server/endtoend_test.go
+++ b/server/endtoend_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -23,6 +25,7 @@
 	"github.com/carawaybeam/carawaybeam/configurer"
 	"github.com/carawaybeam/carawaybeam/dispatcher"
 	"github.com/carawaybeam/carawaybeam/executor"
+	"github.com/carawaybeam/carawaybeam/fakes/breaker"
 	"github.com/carawaybeam/carawaybeam/fakes/generator"
 	"github.com/carawaybeam/carawaybeam/fakes/storer"
 	"github.com/carawaybeam/carawaybeam/limiter/unlimited"
@@ -38,6 +41,9 @@
 	// them go through the entry, the other half directly to the engine.
 	requestRate = 1000
 
+	// uploadBytes do not fit into the buffers of sockets.
+	uploadBytes = 8 << 20
+
 	benchBody = `{"prompt":"Summarise the inspection of mast 7.","max_tokens":8,"stream":true}`
 )
 
@@ -52,7 +58,20 @@
 func newInstallation(tb testing.TB) *installation {
 	tb.Helper()
 	engine := httptest.NewServer(generator.New(generator.Options{Slots: 1 << 10}).Handler())
-	backend := caller.New(carawaybeam.BackendOptions{URL: engine.URL, ConnectTimeout: time.Second}, true)
+	p := newInstallationOf(tb, engine.URL)
+	p.engine = engine
+	closeParts := p.close
+	p.close = func() {
+		closeParts()
+		engine.Close()
+	}
+	return p
+}
+
+// newInstallationOf returns an installation with the model engine at the URL.
+func newInstallationOf(tb testing.TB, engine string) *installation {
+	tb.Helper()
+	backend := caller.New(carawaybeam.BackendOptions{URL: engine, ConnectTimeout: time.Second}, true)
 	x := executor.New(executor.Options{Backend: backend, BackendID: "b", Incarnation: "i", Concurrency: 1 << 10})
 	a := agent.New(agent.Options{BackendID: "b", Incarnation: "i", Backend: backend, Executor: x, Log: zerolog.Nop()})
 	links := listener(tb)
@@ -77,7 +96,7 @@
 	s := server.New(callers, server.Options{
 		Configuration: poolConfiguration{},
 		Dispatcher:    d,
-		BodyBytes:     1 << 20,
+		BodyBytes:     uploadBytes,
 		HeaderBytes:   8 << 10,
 		ReadTimeout:   time.Minute,
 		WriteTimeout:  time.Minute,
@@ -88,11 +107,10 @@
 	for !linked(t) {
 		time.Sleep(time.Millisecond)
 	}
-	return &installation{engine: engine, entry: "http://" + callers.Addr().String(), close: func() {
+	return &installation{entry: "http://" + callers.Addr().String(), close: func() {
 		for _, part := range []io.Closer{s, d, t, l, a, x} {
 			_ = part.Close()
 		}
-		engine.Close()
 	}}
 }
 
@@ -155,6 +173,24 @@
 	}
 }
 
+// TestBrokenAnswerBehindLink guards against an invalid or incomplete answer that a caller gets through an entry and an
+// agent as a complete one, or as one of a request that did not run.
+func TestBrokenAnswerBehindLink(t *testing.T) {
+	prompt := `{"prompt":"` + strings.Repeat("x", uploadBytes/2) + `"}`
+	for _, answer := range append(breaker.Broken(), breaker.Unread()) {
+		t.Run(answer.Name, func(t *testing.T) {
+			is := is.New(t)
+			answer.Load = "{}"
+			p := newInstallationOf(t, "http://"+breaker.Start(t, answer).Address())
+			defer p.close()
+			response, err := send(t, http.MethodPost, p.entry+"/v1/completions", "drafting", token, prompt)
+			is.NoErr(err)
+			is.Equal(response.status, http.StatusBadGateway)
+			is.True(strings.Contains(response.body, `"outcome":"unknown"`))
+		})
+	}
+}
+
 // BenchmarkAddedLatency compares the latency of whole answers through entry and
 // agent with that of direct answers of the engine, at the same time and rate.
 func BenchmarkAddedLatency(b *testing.B) {
