--- a/dispatcher/forwarder/attempts.go
+++ b/dispatcher/forwarder/attempts.go
@@ -559,7 +559,7 @@
 		return interrupted(ctx, "no answer came in time")
 	}
 	f.options.Sender.CloseIdle(instance.Address)
-	return brokenAnswer("", err)
+	return brokenAnswer(err)
 }
 
 // refusal returns the result of an attempt whose answer proves that the request
@@ -591,7 +591,7 @@
 		if ctx.Err() != nil {
 			return interrupted(ctx, "answer did not come in time")
 		}
-		return brokenAnswer("", err)
+		return brokenAnswer(err)
 	}
 	answer := &heldAnswer{status: reply.Status, header: reply.Header, body: data}
 	switch {
--- a/dispatcher/forwarder/stream.go
+++ b/dispatcher/forwarder/stream.go
@@ -126,7 +126,7 @@
 		case errors.Is(err, errNotAnEvent):
 			return corruptAnswer(err)
 		case err != nil:
-			return brokenAnswer("stream broke off: ", err)
+			return brokenAnswer(fmt.Errorf("stream broke off: %w", err))
 		}
 		o.markFirstPart()
 		comment := isComment(event)
@@ -153,12 +153,12 @@
 }
 
 // brokenAnswer returns the result of an attempt whose answer could not be read to its end.
-func brokenAnswer(prefix string, err error) result {
+func brokenAnswer(err error) result {
 	var invalid *carawaybeam.InvalidAnswerError
 	if errors.As(err, &invalid) {
 		return corruptAnswer(err)
 	}
-	return brokenOff(prefix + err.Error())
+	return brokenOff(err.Error())
 }
 
 // corruptAnswer returns the result of an attempt whose answer is invalid, or not the rest of the stream.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -139,16 +139,15 @@
 		ConfigVersion carawaybeam.ConfigVersion `json:"configVersion"`
 		Leaving       bool                      `json:"leaving"`
 		// Evacuated is set while entries say that the data centre is evacuated.
-		Evacuated  bool   `json:"evacuated,omitempty"`
-		Running    int    `json:"running"`
-		Limit      int    `json:"limit"`
-		Remembered int    `json:"remembered"`
-		Compact    int    `json:"compact"`
-		HeldBytes  int    `json:"heldBytes"`
-		Started    uint64 `json:"started"`
-		Done       uint64 `json:"done"`
-		Failed     uint64 `json:"failed"`
-		// Broken is how many of the failed attempts had an invalid or incomplete answer.
+		Evacuated  bool              `json:"evacuated,omitempty"`
+		Running    int               `json:"running"`
+		Limit      int               `json:"limit"`
+		Remembered int               `json:"remembered"`
+		Compact    int               `json:"compact"`
+		HeldBytes  int               `json:"heldBytes"`
+		Started    uint64            `json:"started"`
+		Done       uint64            `json:"done"`
+		Failed     uint64            `json:"failed"`
 		Broken     uint64            `json:"broken"`
 		Refused    uint64            `json:"refused"`
 		Tombstones uint64            `json:"tombstones"`
--- a/verifier/connection.go
+++ b/verifier/connection.go
@@ -50,7 +50,11 @@
 	}
 	c.end()
 	if sending := c.sending.Load(); sending != nil && errors.Is(err, io.EOF) {
-		if cause := errors.Join(sending.wait(), c.writeError()); cause != nil {
+		cause := sending.wait()
+		if cause == nil {
+			cause = c.writeError()
+		}
+		if cause != nil {
 			return n, &IncompleteError{Cause: cause}
 		}
 	}
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -99,7 +99,7 @@
 		return nil, err
 	}
 	if endsWithConnection(response) {
-		x.markLast()
+		x.markUnframed()
 	}
 	if response.Body == http.NoBody {
 		x.release()
@@ -109,8 +109,8 @@
 	return response, nil
 }
 
-// markLast records that the response ends with the connection.
-func (x *exchange) markLast() {
+// markUnframed records that the response has neither a length nor chunks.
+func (x *exchange) markUnframed() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.conn != nil {
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -46,7 +46,7 @@
 	body struct {
 		io.ReadCloser
 		response *http.Response
-		// sending is nil if the connection does not end before the response is complete.
+		// sending is nil if the request was sent whole or the connection checks its own end.
 		sending *Transmission
 	}
 )
@@ -116,7 +116,8 @@
 }
 
 // Body returns the body of a response, whose Read returns io.EOF only if the response is complete and
-// its trailers are valid. Closing the connection must end the Transmission.
+// its trailers are valid. sending is nil if the whole request was sent before. Closing the connection
+// must end it.
 func Body(response *http.Response, sending *Transmission) io.ReadCloser {
 	return &body{ReadCloser: response.Body, response: response, sending: sending}
 }
